Settle packages, messages, error kinds and interfaces

Cause: the parts are to be built side by side, so what they share comes first.

Change: workspace of six packages with pinned versions; record schemas, table-service, object-store and VM-list interfaces; typed messages with a strict CBOR codec, keyed handshake, closed error list with its table; settings classes; the import-direction test.

Before: nothing.

Conclusion: the codec refuses NaN and infinity, which hypothesis found to break equality and which would win every comparison of scores.

--- /dev/null
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
@@ -0,0 +1,184 @@
+"""Encoding of messages in CBOR, and the checks on what arrives."""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import Any
+
+import attrs
+import cattrs
+import cbor2
+from result import Err, Ok, Result
+
+from . import _messages
+from ._errors import ErrorKind
+from ._messages import Frame, Frames, message_types
+
+MAX_FRAME_BYTES = 1 << 22
+"""Largest message on a connection between processes, bytes."""
+
+MAX_BODY_BYTES = 1 << 21
+"""Largest request or answer body, bytes; smaller than a message, which carries more."""
+
+
+class FaultKind(enum.Enum):
+    """What is wrong with bytes that arrived."""
+
+    OVERSIZED = "oversized"
+    MALFORMED = "malformed"
+    UNKNOWN_TYPE = "unknown_type"
+    WRONG_VERSION = "wrong_version"
+
+
+@attrs.frozen
+class ProtocolFault:
+    """Bytes that are no message of the agreed protocol version."""
+
+    kind: FaultKind
+    detail: str
+
+
+_converter = cattrs.Converter(
+    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE, detailed_validation=False
+)
+
+
+for _cls in vars(_messages).values():
+    if isinstance(_cls, type) and attrs.has(_cls):
+        attrs.resolve_types(_cls)
+
+
+def _check_strictly(kind: type) -> None:
+    """Make the converter refuse a value of another type instead of converting it."""
+
+    def structure(value: Any, _: type) -> Any:
+        if type(value) is not kind:
+            raise TypeError(f"expected {kind.__name__}, got {type(value).__name__}")
+        return value
+
+    _converter.register_structure_hook(kind, structure)
+
+
+def _structure_float(value: Any, _: type) -> float:
+    # A peer that sent NaN would win or lose every comparison of scores.
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError(f"expected a finite number, got {value!r}")
+    return float(value)
+
+
+_converter.register_structure_hook(float, _structure_float)
+for _kind in (int, str, bytes, bool):
+    _check_strictly(_kind)
+_converter.register_structure_hook(ErrorKind, lambda value, _: ErrorKind(value))
+_converter.register_unstructure_hook(ErrorKind, lambda kind: kind.value)
+
+
+def _structure_frame(value: Any, _: type) -> Frame:
+    # Written out because an entry decodes one for nearly every token it relays.
+    request, attempt, sequence, part, data = value
+    if not (
+        type(request) is str
+        and type(attempt) is int
+        and type(sequence) is int
+        and type(part) is int
+        and type(data) is bytes
+    ):
+        raise TypeError("expected Frame(str, int, int, int, bytes)")
+    return Frame(request, attempt, sequence, part, data)
+
+
+_converter.register_structure_hook(Frame, _structure_frame)
+
+
+def _unstructure_frames(message: Frames) -> list:
+    return [
+        [
+            [frame.request, frame.attempt, frame.sequence, frame.part, frame.data]
+            for frame in message.frames
+        ]
+    ]
+
+
+_converter.register_unstructure_hook(Frames, _unstructure_frames)
+
+
+def encode(message: Any) -> bytes:
+    """Return the bytes of a message.
+
+    Examples
+    --------
+    >>> from burdockquay_protocol import Heartbeat
+    >>> encode(Heartbeat(7)).hex()
+    '820d07'
+    """
+    return cbor2.dumps([message.number, *_converter.unstructure(message)])
+
+
+def decode(data: bytes, version: int) -> Result[Any, ProtocolFault]:
+    """Return the message in ``data``.
+
+    Parameters
+    ----------
+    data : bytes
+    version : int
+        The agreed protocol version.
+
+    Returns
+    -------
+    Result of message, ProtocolFault
+
+    Examples
+    --------
+    >>> decode(bytes.fromhex("820d07"), version=1)
+    Ok(Heartbeat(revision=7))
+    >>> decode(b"no", version=1).err().kind
+    <FaultKind.MALFORMED: 'malformed'>
+    """
+    if len(data) > MAX_FRAME_BYTES:
+        return _fault(FaultKind.OVERSIZED, f"{len(data)} bytes, limit {MAX_FRAME_BYTES}")
+    try:
+        items = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        return _fault(FaultKind.MALFORMED, f"no CBOR: {type(error).__name__}")
+    if not isinstance(items, list) or not items or type(items[0]) is not int:
+        return _fault(FaultKind.MALFORMED, "expected an array that starts with a type number")
+    cls = message_types.get(items[0])
+    if cls is None:
+        return _fault(FaultKind.UNKNOWN_TYPE, f"type number {items[0]}")
+    if cls.since > version:
+        return _fault(FaultKind.WRONG_VERSION, f"{cls.__name__} needs version {cls.since}")
+    return structure_fields(cls, items[1:])
+
+
+def structure_fields(cls: type, items: list) -> Result[Any, ProtocolFault]:
+    """Return an instance of an attrs class made of decoded field values, in order."""
+    if len(items) != len(attrs.fields(cls)):
+        expected = len(attrs.fields(cls))
+        return _fault(
+            FaultKind.MALFORMED, f"{cls.__name__}: expected {expected} fields, got {len(items)}"
+        )
+    try:
+        return Ok(_converter.structure(items, cls))
+    except (TypeError, ValueError, KeyError, AttributeError) as error:
+        return _fault(FaultKind.MALFORMED, f"{cls.__name__}: {error}")
+
+
+def encode_part(part: Any) -> bytes:
+    """Return the bytes of a part of a message, such as an :class:`AnswerHead`."""
+    return cbor2.dumps(_converter.unstructure(part))
+
+
+def decode_part(cls: type, data: bytes) -> Result[Any, ProtocolFault]:
+    """Return the part of type ``cls`` in ``data``."""
+    try:
+        items = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        return _fault(FaultKind.MALFORMED, f"no CBOR: {type(error).__name__}")
+    if not isinstance(items, list):
+        return _fault(FaultKind.MALFORMED, f"{cls.__name__}: expected an array")
+    return structure_fields(cls, items)
+
+
+def _fault(kind: FaultKind, detail: str) -> Err[ProtocolFault]:
+    return Err(ProtocolFault(kind, detail))
--- /dev/null
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`burdockquay_protocol`."""
--- /dev/null
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/tests/test_codec.py
@@ -0,0 +1,68 @@
+"""Every message goes through the codec unchanged, and nothing else does."""
+
+import attrs
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+import burdockquay_protocol as protocol
+from burdockquay_protocol import FaultKind, decode, encode, message_types
+
+NEWEST = max(protocol.PROTOCOL_VERSIONS)
+
+
+st.register_type_strategy(float, st.floats(allow_nan=False, allow_infinity=False))
+
+
+@pytest.mark.parametrize("cls", message_types.values(), ids=lambda cls: cls.__name__)
+@given(data=st.data())
+def test_message_survives_the_wire(cls, data):
+    message = data.draw(st.from_type(cls))
+    assert decode(encode(message), NEWEST).ok() == message
+
+
+@given(st.binary())
+def test_arbitrary_bytes_never_raise(data):
+    decode(data, NEWEST)
+
+
+@pytest.mark.parametrize(
+    ("items", "kind"),
+    [
+        ([], FaultKind.MALFORMED),
+        ({"a": 1}, FaultKind.MALFORMED),
+        ([999], FaultKind.UNKNOWN_TYPE),
+        ([13], FaultKind.MALFORMED),
+        ([13, "seven"], FaultKind.MALFORMED),
+        ([13, True], FaultKind.MALFORMED),
+        ([6, 1, "hold", float("nan")], FaultKind.MALFORMED),
+        ([11, "r", 1, "no_such_kind", "", 0], FaultKind.MALFORMED),
+        ([10, [["r", 1, 0]]], FaultKind.MALFORMED),
+        ([10, 5], FaultKind.MALFORMED),
+    ],
+)
+def test_fault_is_named(items, kind):
+    assert decode(cbor2.dumps(items), NEWEST).err().kind is kind
+
+
+def test_message_of_a_newer_version_is_refused():
+    data = encode(protocol.Suspicions([]))
+    assert decode(data, 1).err().kind is FaultKind.WRONG_VERSION
+
+
+def test_oversized_message_is_refused():
+    data = bytes(protocol.MAX_FRAME_BYTES + 1)
+    assert decode(data, NEWEST).err().kind is FaultKind.OVERSIZED
+
+
+def test_every_error_kind_has_an_answer():
+    assert set(protocol.ANSWERS) == set(protocol.ErrorKind)
+    for answer in protocol.ANSWERS.values():
+        assert 400 <= answer.status < 600
+        assert answer.text.endswith(".")
+
+
+def test_messages_are_frozen_attrs_classes():
+    for cls in message_types.values():
+        assert attrs.has(cls)
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of engines, plain services and the platform, for tests and benchmarks."""
--- /dev/null
+++ b/packages/burdockquay-state/src/burdockquay_state/_validation.py
@@ -0,0 +1,163 @@
+"""Declared constraints on the parameters of a class, and the one place that checks them.
+
+A class declares a table ``_constraints`` from parameter name to a list of constraints; a value is
+accepted if any constraint of the list accepts it. Parameters without an entry are not checked.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+
+
+class InvalidParameterError(ValueError):
+    """One or more parameters of an object break their declared constraints."""
+
+
+class Constraint(ABC):
+    """A condition on one value."""
+
+    @abstractmethod
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value meets the condition."""
+
+    @abstractmethod
+    def __str__(self) -> str: ...
+
+
+@attrs.frozen
+class InstanceOf(Constraint):
+    """Accept instances of a type; a bool is no int."""
+
+    kind: type
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value is an instance."""
+        if isinstance(value, bool) and self.kind is not bool:
+            return False
+        return isinstance(value, self.kind)
+
+    def __str__(self) -> str:
+        return f"an instance of {self.kind.__name__}"
+
+
+@attrs.frozen
+class Interval(Constraint):
+    """Accept numbers between ``low`` and ``high``, both included; infinity only as a bound.
+
+    Parameters
+    ----------
+    kind : type
+        ``int`` or ``float``; a float interval accepts ints too.
+    low, high : float
+        The bounds.
+    """
+
+    kind: type
+    low: float
+    high: float = math.inf
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value is a finite number within the bounds."""
+        if isinstance(value, bool):
+            return False
+        kinds = (int, float) if self.kind is float else (int,)
+        return isinstance(value, kinds) and math.isfinite(value) and self.low <= value <= self.high
+
+    def __str__(self) -> str:
+        name = "a number" if self.kind is float else "an integer"
+        if self.high == math.inf:
+            return f"{name} of at least {self.low}"
+        return f"{name} from {self.low} to {self.high}"
+
+
+@attrs.frozen
+class OneOf(Constraint):
+    """Accept the listed values."""
+
+    values: tuple[Any, ...]
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value is listed."""
+        return value in self.values
+
+    def __str__(self) -> str:
+        return "one of " + ", ".join(repr(value) for value in self.values)
+
+
+@attrs.frozen
+class Matches(Constraint):
+    """Accept strings that match a regular expression as a whole."""
+
+    pattern: str
+    words: str
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value is a string that matches."""
+        return isinstance(value, str) and re.fullmatch(self.pattern, value) is not None
+
+    def __str__(self) -> str:
+        return self.words
+
+
+@attrs.frozen
+class ListOf(Constraint):
+    """Accept lists and tuples whose every item meets ``item``."""
+
+    item: Constraint
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value is a sequence of accepted items."""
+        return isinstance(value, list | tuple) and all(self.item.accepts(part) for part in value)
+
+    def __str__(self) -> str:
+        return f"a list, each item {self.item}"
+
+
+NAME = Matches(
+    r"[a-z0-9][a-z0-9._-]{0,62}",
+    "a name of 1 to 63 lower-case letters, digits, '.', '_', '-', that starts with no sign",
+)
+"""Constraint on the names of records, organisations, classes and VMs."""
+
+
+def find_faults(constraints: Mapping[str, Sequence[Constraint]], values: Any) -> list[str]:
+    """Return a message for each attribute of ``values`` that breaks its constraints.
+
+    Parameters
+    ----------
+    constraints : mapping of str to sequence of Constraint
+        The declared table.
+    values : object
+        The object whose attributes are checked.
+
+    Returns
+    -------
+    list of str
+        ``parameter: expected …, got …``, in the order of the table; empty if all is well.
+    """
+    faults = []
+    for name, accepted in constraints.items():
+        value = getattr(values, name)
+        if not any(constraint.accepts(value) for constraint in accepted):
+            expected = " or ".join(str(constraint) for constraint in accepted)
+            faults.append(f"{name}: expected {expected}, got {value!r}")
+    return faults
+
+
+def check_parameters(instance: Any) -> None:
+    """Check an object against the table ``_constraints`` of its class.
+
+    Raises
+    ------
+    InvalidParameterError
+        With every fault at once.
+    """
+    faults = find_faults(type(instance)._constraints, instance)
+    if faults:
+        raise InvalidParameterError(f"{type(instance).__name__}: " + "; ".join(faults))
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -0,0 +1,198 @@
+"""Settings of the two roles, as attrs classes with declared constraints."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from burdockquay_state import NAME, Constraint, InstanceOf, Interval, ListOf, Matches, OneOf
+
+_HOST = Matches(r"[0-9a-fA-F:.]+", "an IP address")
+_URL = Matches(r"https?://[^\s]+", "an http:// or https:// URL")
+_PORT: list[Constraint] = [Interval(int, 0, 65535)]
+_POSITIVE_S: list[Constraint] = [Interval(float, 0.001, 86400)]
+_ADDRESS = Matches(
+    r"([0-9.]+|\[[0-9a-fA-F:]+\]):[0-9]{1,5}", "IP address and port, as 10.0.0.1:7000"
+)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform's services are, and which adapters speak to them.
+
+    Parameters
+    ----------
+    table, objects, vms : str
+        Names of registered adapters.
+    table_url, objects_url, vms_url : str
+    timeout_s : float
+        Limit on one call, seconds.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "table": [NAME],
+        "objects": [NAME],
+        "vms": [NAME],
+        "table_url": [_URL],
+        "objects_url": [_URL],
+        "vms_url": [_URL],
+        "timeout_s": _POSITIVE_S,
+    }
+
+    table_url: str
+    objects_url: str
+    vms_url: str
+    table: str = "http"
+    objects: str = "http"
+    vms: str = "http"
+    timeout_s: float = 1.0
+
+
+@attrs.frozen
+class MetricsSettings:
+    """Where metrics go.
+
+    Parameters
+    ----------
+    sink : str
+        ``"statsd"`` or ``"none"``.
+    host, port
+        Address of the statsd collector.
+    prefix : str
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "sink": [OneOf(("statsd", "none"))],
+        "host": [_HOST],
+        "port": _PORT,
+        "prefix": [NAME],
+    }
+
+    sink: str = "none"
+    host: str = "127.0.0.1"
+    port: int = 8125
+    prefix: str = "burdockquay"
+
+
+@attrs.frozen
+class _ProcessSettings:
+    """What both roles have in common.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+        Identity of the process; a replaced VM has another name.
+    peer_key : str
+        Shared key of all processes, at least 32 hexadecimal digits.
+    platform : PlatformSettings
+    host, port
+        Where the process listens; port 0 takes a free one.
+    log_level : str
+    metrics : MetricsSettings
+    stop_limit_s : float
+        Longest graceful shutdown, seconds.
+    poll_interval_s : float
+        Mean time between two reads of the head revision from the table, seconds.
+    table_read_budget : float
+        Reads of the head revision a second by all processes together; stretches the interval.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "vm": [NAME],
+        "failure_domain": [NAME],
+        "peer_key": [Matches(r"[0-9a-f]{32,128}", "32 to 128 hexadecimal digits")],
+        "platform": [InstanceOf(PlatformSettings)],
+        "host": [_HOST],
+        "port": _PORT,
+        "log_level": [OneOf(("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"))],
+        "metrics": [InstanceOf(MetricsSettings)],
+        "stop_limit_s": _POSITIVE_S,
+        "poll_interval_s": _POSITIVE_S,
+        "table_read_budget": [Interval(float, 0.001, 10000)],
+    }
+
+    vm: str
+    failure_domain: str
+    peer_key: str
+    platform: PlatformSettings
+    host: str = "127.0.0.1"
+    port: int = 0
+    log_level: str = "INFO"
+    metrics: MetricsSettings = attrs.field(factory=MetricsSettings)
+    stop_limit_s: float = 60.0
+    poll_interval_s: float = 1.0
+    table_read_budget: float = 300.0
+
+
+@attrs.frozen
+class EntrySettings(_ProcessSettings):
+    """Settings of an entry.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest request body.
+    default_deadline_s, max_deadline_s : float
+        Deadline of a request that names none, and the longest one may name, seconds.
+    vm_list_interval_s : float
+        Time between two reads of the VM list, seconds.
+    seed_slots : list of str
+        Addresses of slots to connect to while the VM list cannot be read.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        **_ProcessSettings._constraints,
+        "max_body_bytes": [Interval(int, 1024, 1 << 21)],
+        "default_deadline_s": _POSITIVE_S,
+        "max_deadline_s": _POSITIVE_S,
+        "vm_list_interval_s": _POSITIVE_S,
+        "seed_slots": [ListOf(_ADDRESS)],
+    }
+
+    max_body_bytes: int = 1 << 20
+    default_deadline_s: float = 60.0
+    max_deadline_s: float = 600.0
+    vm_list_interval_s: float = 1.0
+    seed_slots: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class SlotSettings(_ProcessSettings):
+    """Settings of a slot.
+
+    Parameters
+    ----------
+    group : str
+        Upstream group record that the upstream belongs to.
+    upstream_url : str
+    status_port : int
+        Where health, readiness and status are answered.
+    flush_interval_s : float
+        Longest time a piece of an answer waits for others to share a frame, seconds.
+    status_interval_s : float
+        Shortest time between two status messages, seconds.
+    probe_interval_s : float
+        Time between two probes of an upstream that failed, seconds.
+    claim_retention_s : float
+        How long the outcome of an idempotency key is kept, seconds.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        **_ProcessSettings._constraints,
+        "group": [NAME],
+        "upstream_url": [_URL],
+        "status_port": _PORT,
+        "flush_interval_s": [Interval(float, 0.0, 1.0)],
+        "status_interval_s": _POSITIVE_S,
+        "probe_interval_s": _POSITIVE_S,
+        "claim_retention_s": [Interval(float, 60.0, 31_536_000)],
+    }
+
+    group: str = attrs.field(kw_only=True)
+    upstream_url: str = attrs.field(kw_only=True)
+    status_port: int = 0
+    flush_interval_s: float = 0.002
+    status_interval_s: float = 0.02
+    probe_interval_s: float = 0.5
+    claim_retention_s: float = 86400.0
--- /dev/null
+++ b/packages/burdockquay/src/burdockquay/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``burdockquayd`` and the operators command ``burdockquay``."""
