--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -0,0 +1,224 @@
+"""Numbered log events, and the one function that writes them.
+
+Each line holds a time stamp in UTC, a level, the number and name of the event and its fields::
+
+    2026-03-01T08:30:00.125000Z INFO E1301 peer_connected vm=slot-3 incarnation=9f2c
+
+``docs/events.md`` is generated from :class:`Event`.
+"""
+
+from __future__ import annotations
+
+import enum
+import json
+import math
+import re
+from typing import Any, TextIO
+
+import logbook
+
+MAX_VALUE_CHARACTERS = 200
+"""Longest value of a field that is written in full, characters."""
+
+FORBIDDEN_FIELDS = frozenset(
+    {
+        "answer",
+        "api_key",
+        "authorization",
+        "body",
+        "content",
+        "data",
+        "header",
+        "headers",
+        "idempotency_key",
+        "key",
+        "messages",
+        "nonce",
+        "peer_key",
+        "prompt",
+        "proof",
+        "secret",
+        "text",
+        "token",
+    }
+)
+"""Names of fields that would carry a secret or the content of a request."""
+
+_PLAIN = re.compile(r"[A-Za-z0-9_.:/@+*,()\[\]#%-]+")
+_FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
+
+
+class Event(enum.Enum):
+    """Every event that a process may log.
+
+    Parameters
+    ----------
+    number : int
+        Never used again for another event.
+    level : str
+        Name of the log level.
+    summary : str
+        What has happened and what it means, for the catalogue.
+
+    Notes
+    -----
+    What happens once for each request is at level DEBUG: under a burst of refusals a line each
+    would cost more than the refusals. The counters tell the numbers at any level.
+    """
+
+    PROCESS_STARTED = (1001, "INFO", "The process started with these settings.")
+    PROCESS_LISTENING = (1002, "INFO", "The process listens at this address.")
+    PROCESS_READY = (1003, "INFO", "The process takes work from now on.")
+    PROCESS_STOPPING = (1004, "INFO", "A planned stop began: no new work, running work goes on.")
+    PROCESS_STOPPED = (1005, "INFO", "The process ended.")
+    STOP_LIMIT_REACHED = (
+        1006,
+        "WARNING",
+        "The limit on a graceful shutdown passed; requests that still ran get an error.",
+    )
+    INTERNAL_ERROR = (1007, "ERROR", "A fault in the program; the requests concerned get an error.")
+    SETTING_RENAMED = (1008, "WARNING", "The settings use an old name, which will go.")
+
+    CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
+    RECORD_FAULT = (1102, "ERROR", "A record cannot be used; its last good version stays in force.")
+    RECORD_SCHEMA_UNKNOWN = (
+        1103,
+        "WARNING",
+        "A record has only schemas this release does not know; its last known version stays.",
+    )
+    CONFIGURATION_FETCH_FAILED = (
+        1104,
+        "WARNING",
+        "Changes of the configuration could not be fetched; the revision in force stays.",
+    )
+
+    TABLE_UNAVAILABLE = (1201, "ERROR", "The table service does not answer.")
+    TABLE_RECOVERED = (1202, "INFO", "The table service answers again.")
+    VM_LIST_UNREADABLE = (1203, "WARNING", "The VM list cannot be read; the last one is used.")
+    VM_LIST_RECOVERED = (1204, "INFO", "The VM list can be read again.")
+    VM_ENTRY_FAULT = (1205, "WARNING", "An entry of the VM list is malformed and left out.")
+
+    PEER_CONNECTED = (1301, "INFO", "A connection to another process is up.")
+    PEER_DISCONNECTED = (1302, "INFO", "A connection to another process ended.")
+    HANDSHAKE_REFUSED = (1303, "WARNING", "A process could not prove that it belongs to us.")
+    PEER_MALFORMED = (1304, "ERROR", "A peer sent a message that cannot be read; it is cut off.")
+    PEER_OVERSIZED = (1305, "ERROR", "A peer sent a message over the limit; it is cut off.")
+    PEER_UNKNOWN_TYPE = (1306, "ERROR", "A peer sent a message of unknown type; it is cut off.")
+    PEER_OUT_OF_ORDER = (1307, "ERROR", "A peer sent a message out of order; it is cut off.")
+    PEER_INCARNATION_CHANGED = (1308, "NOTICE", "Another process answers for a known VM.")
+    PEER_UNREACHABLE = (1309, "WARNING", "A process on the VM list cannot be reached.")
+    SLOT_LEAVING = (1310, "INFO", "A slot is leaving and gets no new work.")
+
+    REQUEST_REFUSED = (1401, "DEBUG", "A request was refused or failed, for this reason.")
+    ATTEMPT_FAILED = (1402, "DEBUG", "An attempt failed at a slot.")
+    REQUEST_RETRIED = (1403, "DEBUG", "A request is tried again elsewhere.")
+    RETRY_BUDGET_EMPTY = (1404, "WARNING", "Retries are refused: their share of traffic is spent.")
+
+    UPSTREAM_CRASHED = (1501, "ERROR", "The upstream ended while it ran requests.")
+    UPSTREAM_UNHEALTHY = (1502, "WARNING", "The upstream fails its probes and gets no work.")
+    UPSTREAM_HEALTHY = (1503, "INFO", "The upstream passes its probes again.")
+    STRAGGLER_EJECTED = (1504, "WARNING", "An upstream is much slower than its peers.")
+    STRAGGLER_RETURNED = (1505, "INFO", "An upstream is as fast as its peers again.")
+    REQUEST_PAUSED = (1506, "DEBUG", "A running request makes room for a more urgent one.")
+    REQUEST_RESUMED = (1507, "DEBUG", "A paused request runs again.")
+
+    QUARANTINE_SUSPECTED = (1601, "WARNING", "A request ran where an upstream crashed.")
+    QUARANTINE_CONFIRMED = (1602, "ERROR", "A request crashed upstreams and is refused from now.")
+    QUARANTINE_WITHDRAWN = (1603, "NOTICE", "A quarantined request is admitted again.")
+
+    CLAIM_REFUSED = (1701, "INFO", "A claim was refused: another attempt holds it.")
+    CLAIM_OUTCOME_UNKNOWN = (1702, "WARNING", "A request at most once may or may not have run.")
+    CLAIM_OUTCOME_LATE = (1703, "NOTICE", "The outcome of a request was written late.")
+
+    ORDER_SENT = (1801, "INFO", "An order was sent to the engine.")
+    ORDER_REFUSED = (1802, "WARNING", "The engine refused an order.")
+    ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
+    LEASE_TAKEN = (1804, "INFO", "The lease on an engine's orders was taken.")
+    LEASE_LOST = (1805, "WARNING", "The lease on an engine's orders was lost.")
+
+    def __init__(self, number: int, level: str, summary: str):
+        self.number = number
+        self.level = level
+        self.summary = summary
+        self.severity = logbook.lookup_level(level)
+
+
+_logger = logbook.Logger("burdockquay")
+
+
+def log_event(event: Event, **fields: Any) -> None:
+    """Write one line for an event.
+
+    Parameters
+    ----------
+    event : Event
+    **fields
+        What is known of it; names as in :data:`FORBIDDEN_FIELDS` are refused.
+
+    Raises
+    ------
+    ValueError
+        If a field has a forbidden name, whatever the level of the log.
+    """
+    forbidden = FORBIDDEN_FIELDS.intersection(fields)
+    if forbidden:
+        raise ValueError(f"field {min(forbidden)!r} of {event.name} must not be logged")
+    if event.severity < _logger.level:
+        return
+    _logger.log(event.severity, "{}", format_event(event, fields))
+
+
+def format_event(event: Event, fields: dict[str, Any]) -> str:
+    """Return the line of an event without time stamp and level.
+
+    Examples
+    --------
+    >>> format_event(Event.PEER_CONNECTED, {"vm": "slot-3", "reason": "line 1\\nline 2"})
+    'E1301 peer_connected vm=slot-3 reason="line 1\\\\nline 2"'
+    """
+    parts = [f"E{event.number}", event.name.lower()]
+    parts += [f"{name}={_format_value(value)}" for name, value in fields.items()]
+    return " ".join(parts)
+
+
+def setup_logging(level: str, stream: TextIO) -> logbook.StreamHandler:
+    """Send events of ``level`` and above to ``stream``, for the whole process.
+
+    Parameters
+    ----------
+    level : str
+        ``"DEBUG"``, ``"INFO"``, ``"NOTICE"``, ``"WARNING"`` or ``"ERROR"``.
+    stream : text stream
+
+    Returns
+    -------
+    logbook.StreamHandler
+        The handler; ``pop_application()`` takes it out again.
+    """
+    _logger.level = logbook.lookup_level(level)
+    handler = logbook.StreamHandler(stream, level=level, format_string=_FORMAT)
+    handler.push_application()
+    return handler
+
+
+def _format_value(value: Any) -> str:
+    text = _describe(value)
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = f"{text[:MAX_VALUE_CHARACTERS]}...({len(text)} characters)"
+    if _PLAIN.fullmatch(text):
+        return text
+    # An escaped value cannot end the line: whoever names a VM or sends a header would otherwise
+    # write lines into our log that look like events.
+    return json.dumps(text)
+
+
+def _describe(value: Any) -> str:
+    if isinstance(value, float) and math.isfinite(value):
+        return f"{value:.6g}"
+    if isinstance(value, enum.Enum):
+        return str(value.value)
+    if isinstance(value, bytes | bytearray | memoryview):
+        return f"<{len(value)} bytes>"
+    if isinstance(value, BaseException):
+        return f"{type(value).__name__}: {value}"
+    return str(value)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
@@ -0,0 +1,367 @@
+"""Adapters that reach the platform's table service, object store and VM list over HTTP.
+
+The conversation is JSON over plain HTTP:
+
+* ``POST {table}/table/get``: ``{"keys": [...]}`` gives ``{"rows": [row or null, ...]}``;
+* ``POST {table}/table/scan``: ``{"prefix", "after", "limit"}`` gives ``{"rows": [row, ...]}``;
+* ``POST {table}/table/transact``: ``{"operations": [{"op", "key", "value", "expected_version"}]}``
+  gives ``{"versions": [int or null, ...]}``, or status 409 with ``{"conflicts": [int, ...]}``;
+* ``PUT`` and ``GET {objects}/objects/{digest}``: the content itself;
+* ``GET {vms}/vms``: ``{"vms": [entry, ...]}``.
+
+A row is ``{"key", "value", "version"}``; values travel in base 64. Status 400 says that the call is
+malformed, 503 that it was certainly not carried out.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
+
+import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+from burdockquay_state import (
+    NAME,
+    Check,
+    Constraint,
+    Delete,
+    Interval,
+    Matches,
+    ObjectStore,
+    OneOf,
+    Operation,
+    Put,
+    Row,
+    TableError,
+    TableErrorKind,
+    TableService,
+    VmEntry,
+    VmList,
+    VmState,
+    find_faults,
+    object_stores,
+    table_services,
+    vm_lists,
+)
+
+from ._events import Event, log_event
+
+T = TypeVar("T")
+
+MAX_ANSWER_BYTES = 1 << 24
+"""Longest answer of a platform service that is read, bytes."""
+
+_KIND_BY_STATUS = {
+    400: TableErrorKind.INVALID,
+    413: TableErrorKind.INVALID,
+    503: TableErrorKind.UNAVAILABLE,
+}
+
+
+class _MalformedError(Exception):
+    """An answer that is not what the service should send."""
+
+
+@attrs.frozen
+class _Reply:
+    status: int
+    content: bytes
+
+
+@attrs.frozen
+class _Client:
+    """One platform service behind a base URL.
+
+    Parameters
+    ----------
+    url : str
+    timeout_s : float
+        Limit on a whole call, seconds.
+    session : aiohttp.ClientSession
+        Shared with the other users of the process.
+    """
+
+    url: str
+    timeout_s: float
+    session: aiohttp.ClientSession
+
+    async def call(
+        self, method: str, path: str, content: bytes | None, lost: TableErrorKind
+    ) -> Result[_Reply, TableError]:
+        """Send one request and return the reply.
+
+        Parameters
+        ----------
+        method, path : str
+        content : bytes or None
+        lost : TableErrorKind
+            The error if the request may have arrived and no reply came.
+
+        Notes
+        -----
+        The client library sends PUT and GET again by itself if a reused connection breaks, but
+        never POST, which carries every transaction. An object put again is harmless, since its
+        name is the digest of its content.
+        """
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self.session.request(
+                method,
+                f"{self.url.rstrip('/')}{path}",
+                data=content,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return Ok(_Reply(response.status, await _read(response)))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # Nothing was sent: no connection came about.
+            return _fail(TableErrorKind.UNAVAILABLE, error)
+        except (TimeoutError, aiohttp.ClientError, OSError, _MalformedError) as error:
+            return _fail(lost, error)
+
+    async def ask(
+        self, path: str, question: dict[str, Any], lost: TableErrorKind, read: Callable[[Any], T]
+    ) -> Result[T, TableError]:
+        """Post a question in JSON and return the answer as ``read`` understands it."""
+        reply = await self.call("POST", path, json.dumps(question).encode(), lost)
+        if reply.is_err():
+            return reply
+        return _interpret(reply.ok(), lost, read)
+
+
+@table_services.register("http")
+class HttpTable(TableService):
+    """Table service over HTTP.
+
+    Parameters
+    ----------
+    url : str
+    timeout_s : float
+        Limit on a call, seconds.
+    session : aiohttp.ClientSession
+    """
+
+    def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
+        self.url = url
+        self.timeout_s = timeout_s
+        self.session = session
+        self._client = _Client(url, timeout_s, session)
+
+    async def get(self, keys: Sequence[str]) -> Result[list[Row | None], TableError]:
+        """Return the row under each key, None where there is none."""
+
+        def read(answer: Any) -> list[Row | None]:
+            return [None if row is None else _read_row(row) for row in _list(answer, "rows", keys)]
+
+        return await self._client.ask(
+            "/table/get", {"keys": list(keys)}, TableErrorKind.UNAVAILABLE, read
+        )
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], TableError]:
+        """Return up to ``limit`` rows under ``prefix`` whose keys sort behind ``after``."""
+        question = {"prefix": prefix, "after": after, "limit": limit}
+        return await self._client.ask(
+            "/table/scan",
+            question,
+            TableErrorKind.UNAVAILABLE,
+            lambda answer: [_read_row(row) for row in _list(answer, "rows")],
+        )
+
+    async def transact(
+        self, operations: Sequence[Operation]
+    ) -> Result[list[int | None], TableError]:
+        """Carry out all operations or none; ``UNCERTAIN`` if no reply came."""
+
+        def read(answer: Any) -> list[int | None]:
+            versions = _list(answer, "versions", operations)
+            return [None if version is None else _int(version) for version in versions]
+
+        question = {"operations": [_write_operation(operation) for operation in operations]}
+        return await self._client.ask("/table/transact", question, TableErrorKind.UNCERTAIN, read)
+
+
+@object_stores.register("http")
+class HttpObjectStore(ObjectStore):
+    """Object store over HTTP.
+
+    Parameters
+    ----------
+    url : str
+    timeout_s : float
+        Limit on a call, seconds.
+    session : aiohttp.ClientSession
+    """
+
+    def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
+        self.url = url
+        self.timeout_s = timeout_s
+        self.session = session
+        self._client = _Client(url, timeout_s, session)
+
+    async def put(self, digest: str, content: bytes) -> Result[None, TableError]:
+        """Store the content under its digest."""
+        reply = await self._client.call(
+            "PUT", f"/objects/{digest}", content, TableErrorKind.UNCERTAIN
+        )
+        if reply.is_err():
+            return reply
+        return _check_status(reply.ok(), TableErrorKind.UNCERTAIN).map(lambda _: None)
+
+    async def get(self, digest: str) -> Result[bytes | None, TableError]:
+        """Return the content, None if there is none."""
+        reply = await self._client.call(
+            "GET", f"/objects/{digest}", None, TableErrorKind.UNAVAILABLE
+        )
+        if reply.is_err():
+            return reply
+        if reply.ok().status == 404:
+            return Ok(None)
+        checked = _check_status(reply.ok(), TableErrorKind.UNAVAILABLE)
+        return checked.map(lambda reply: reply.content)
+
+
+@vm_lists.register("http")
+class HttpVmList(VmList):
+    """VM list over HTTP.
+
+    Parameters
+    ----------
+    url : str
+    timeout_s : float
+        Limit on a call, seconds.
+    session : aiohttp.ClientSession
+    """
+
+    def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
+        self.url = url
+        self.timeout_s = timeout_s
+        self.session = session
+        self._client = _Client(url, timeout_s, session)
+        self._reported: set[str] = set()
+
+    async def list(self) -> Result[list[VmEntry], TableError]:
+        """Return the entries that are well formed; the others are left out with an event."""
+        reply = await self._client.call("GET", "/vms", None, TableErrorKind.UNAVAILABLE)
+        if reply.is_err():
+            return reply
+        return _interpret(reply.ok(), TableErrorKind.UNAVAILABLE, self._read_entries)
+
+    def _read_entries(self, answer: Any) -> list[VmEntry]:
+        results = [_read_entry(item) for item in _list(answer, "vms")]
+        faults = {result.err() for result in results if result.is_err()}
+        # The list is read every second: a line each time would drown the log.
+        for fault in sorted(faults - self._reported):
+            log_event(Event.VM_ENTRY_FAULT, fault=fault)
+        self._reported = faults
+        return [result.ok() for result in results if result.is_ok()]
+
+
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    # A service gone wrong could otherwise fill the memory of every process that asks it.
+    content = bytearray()
+    async for chunk in response.content.iter_chunked(1 << 16):
+        content += chunk
+        if len(content) > MAX_ANSWER_BYTES:
+            raise _MalformedError(f"expected at most {MAX_ANSWER_BYTES} bytes, got more")
+    return bytes(content)
+
+
+def _interpret(
+    reply: _Reply, lost: TableErrorKind, read: Callable[[Any], T]
+) -> Result[T, TableError]:
+    try:
+        if reply.status == 409:
+            conflicts = _list(_parse(reply.content), "conflicts")
+            positions = tuple(_int(position) for position in conflicts)
+            return Err(TableError(TableErrorKind.CONFLICT, "condition not met", positions))
+        checked = _check_status(reply, lost)
+        return checked if checked.is_err() else Ok(read(_parse(reply.content)))
+    except _MalformedError as error:
+        return _fail(lost, error)
+
+
+def _check_status(reply: _Reply, lost: TableErrorKind) -> Result[_Reply, TableError]:
+    if 200 <= reply.status < 300:
+        return Ok(reply)
+    # A status that the conversation does not provide for says nothing of what was done.
+    kind = _KIND_BY_STATUS.get(reply.status, lost)
+    words = reply.content[:200].decode(errors="replace")
+    return Err(TableError(kind, f"status {reply.status}: {words}"))
+
+
+def _fail(kind: TableErrorKind, error: BaseException) -> Err[TableError]:
+    return Err(TableError(kind, f"{type(error).__name__}: {error}"))
+
+
+def _parse(content: bytes) -> Any:
+    try:
+        return json.loads(content)
+    except (ValueError, RecursionError) as error:
+        raise _MalformedError(f"expected JSON: {error}") from error
+
+
+def _list(answer: Any, name: str, asked: Sequence[Any] | None = None) -> list[Any]:
+    """Return the list ``name`` of an answer, as long as what was asked for."""
+    items = answer.get(name) if isinstance(answer, dict) else None
+    if not isinstance(items, list):
+        raise _MalformedError(f"expected an object with a list {name!r}, got {str(answer)[:100]}")
+    if asked is not None and len(items) != len(asked):
+        raise _MalformedError(f"expected {len(asked)} items in {name!r}, got {len(items)}")
+    return items
+
+
+def _int(value: Any) -> int:
+    if type(value) is not int:
+        raise _MalformedError(f"expected an integer, got {value!r}")
+    return value
+
+
+def _read_row(row: Any) -> Row:
+    try:
+        return Row(str(row["key"]), base64.b64decode(row["value"]), _int(row["version"]))
+    except (TypeError, KeyError, binascii.Error, ValueError) as error:
+        raise _MalformedError(f"expected a row, got {str(row)[:100]}: {error}") from error
+
+
+def _write_operation(operation: Operation) -> dict[str, Any]:
+    fields = {
+        "op": _OPERATION_NAMES[type(operation)],
+        "key": operation.key,
+        "expected_version": operation.expected_version,
+    }
+    if isinstance(operation, Put):
+        fields["value"] = base64.b64encode(operation.value).decode()
+    return fields
+
+
+_OPERATION_NAMES = {Put: "put", Delete: "delete", Check: "check"}
+
+_HOST = Matches(r"[0-9a-fA-F:.]+", "an IP address")
+_VM_CONSTRAINTS: dict[str, list[Constraint]] = {
+    "vm": [NAME],
+    "role": [OneOf(("entry", "slot"))],
+    "host": [_HOST],
+    "port": [Interval(int, 1, 65535)],
+    "status_port": [Interval(int, 0, 65535)],
+    "failure_domain": [NAME],
+    "group": [NAME, OneOf(("",))],
+    "state": [OneOf(tuple(VmState))],
+}
+
+
+def _read_entry(item: Any) -> Result[VmEntry, str]:
+    try:
+        # Fields that we do not know are the platform's own affair.
+        known = {name: item[name] for name in _VM_CONSTRAINTS if name in item}
+        entry = VmEntry(**{**known, "state": VmState(known.get("state", VmState.LIVE.value))})
+    except (TypeError, ValueError) as error:
+        return Err(f"expected an entry of the VM list, got {str(item)[:100]}: {error}")
+    faults = find_faults(_VM_CONSTRAINTS, entry)
+    return Err(f"{entry.vm!r}: {'; '.join(faults)}") if faults else Ok(entry)
