Add claims, group commit, leases and the at-most-once path decisions

A request that may not be repeated needs one place that decides who may send it.

Run gains started_at, the arrival time at the entry: without it a slot that was paused past the retention of a row would take a buffered attempt for a fresh one.

--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_once_slot.py
@@ -0,0 +1,146 @@
+"""At most once, on the side of the slot: the claim before anything is sent upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from burdockquay_protocol import ErrorKind, NotRun, Run
+from burdockquay_state import (
+    START_LIMIT_S,
+    Claim,
+    ClaimRefusal,
+    ClaimRequest,
+    ClaimStore,
+    RefusalReason,
+    StoredAnswer,
+    TableError,
+)
+
+from ._outcomes import OutcomeWriter
+
+_KINDS = {
+    RefusalReason.TAKEN: ErrorKind.CLAIM_LOST,
+    RefusalReason.UNAVAILABLE: ErrorKind.TABLE_UNAVAILABLE,
+    RefusalReason.UNCERTAIN: ErrorKind.TABLE_UNAVAILABLE,
+    RefusalReason.INVALID: ErrorKind.INTERNAL,
+}
+
+
+class OnceGuard:
+    """Guard of the upstream: lets each claimed attempt through once.
+
+    Parameters
+    ----------
+    claims : ClaimStore
+    outcomes : OutcomeWriter
+    incarnation : str
+        Incarnation of the slot's process.
+
+    Notes
+    -----
+    The slot is the only sender of its attempts. What it refuses here it never sends, so it may say
+    "not run" of an attempt even while the table does not tell whether the claim was written; the
+    claim is then withdrawn in the background, so that a repeat does not find it running for ever.
+
+    Examples
+    --------
+    The slot's task for one request::
+
+        begun = await guard.begin(run, clock)
+        if begun.is_err():
+            return begun.err()  # NotRun: goes to the entry as it is
+        claim = begun.ok()
+        ...  # send once; never again, whatever happens
+        await guard.finish(claim, answer)
+    """
+
+    def __init__(self, claims: ClaimStore, outcomes: OutcomeWriter, incarnation: str):
+        self.claims = claims
+        self.outcomes = outcomes
+        self.incarnation = incarnation
+        self._attempts = 0
+
+    async def begin(self, run: Run, clock: Callable[[], float]) -> Result[Claim, NotRun]:
+        """Claim the right to send an attempt upstream.
+
+        Parameters
+        ----------
+        run : Run
+        clock : callable
+            Returns the time in seconds since the epoch. It is asked again after the claim,
+            since the process may have been paused in between.
+
+        Returns
+        -------
+        Result of Claim, NotRun
+            With a claim the request must be sent at once, and never again. ``CLAIM_LOST``: another
+            attempt or a cancellation was first; the entry settles it.
+        """
+        if not self.outcomes.has_room:
+            detail = "too many outcomes wait for the table service"
+            return _refuse(run, ErrorKind.TABLE_UNAVAILABLE, detail)
+        now = clock()
+        request = self._make_request(run, now)
+        if now >= request.not_after:
+            return _refuse(run, ErrorKind.DEADLINE_EXCEEDED, "the attempt arrived too late")
+        claimed = await self._claim(request, now)
+        if claimed.is_err():
+            return self._refuse_claim(run, request, claimed.err())
+        claim = claimed.ok()
+        # A process that was paused during the claim could send after the caller was told that the
+        # outcome is unknown, or after the row expired. Late attempts are given up instead.
+        if clock() >= claim.row.not_after:
+            await self.outcomes.abandon(claim)
+            return _refuse(run, ErrorKind.DEADLINE_EXCEEDED, "the claim was confirmed too late")
+        return Ok(claim)
+
+    async def finish(self, claim: Claim, answer: StoredAnswer) -> Result[None, TableError]:
+        """Record the answer; on an error the outcome writer goes on trying."""
+        return await self.outcomes.complete(claim, answer)
+
+    async def abandon(self, claim: Claim) -> Result[None, TableError]:
+        """Give up a claim whose request certainly was not sent, and never send it.
+
+        Notes
+        -----
+        Only for a connection that was never made, or an attempt cancelled before anything was
+        sent. Once bytes may have reached the upstream the row stays as it is.
+        """
+        return await self.outcomes.abandon(claim)
+
+    def _make_request(self, run: Run, now: float) -> ClaimRequest:
+        self._attempts += 1
+        started_at = run.started_at or now
+        return ClaimRequest(
+            organisation=run.organisation,
+            key=run.key,
+            expected_version=run.expected_version,
+            attempt=run.attempt,
+            attempt_id=f"{run.request}/{run.attempt}/{self._attempts}",
+            incarnation=self.incarnation,
+            digest=run.digest,
+            not_after=min(now + run.deadline_s, started_at + START_LIMIT_S),
+        )
+
+    async def _claim(self, request: ClaimRequest, now: float) -> Result[Claim, ClaimRefusal]:
+        task = asyncio.ensure_future(self.claims.claim(request, now))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # The caller's task ends here and nobody would know of a claim that is written after.
+            self.outcomes.withdraw(request)
+            raise
+
+    def _refuse_claim(
+        self, run: Run, request: ClaimRequest, refusal: ClaimRefusal
+    ) -> Result[Claim, NotRun]:
+        if refusal.reason is RefusalReason.UNCERTAIN:
+            self.outcomes.withdraw(request)
+        return _refuse(run, _KINDS[refusal.reason], refusal.detail)
+
+
+def _refuse(run: Run, kind: ErrorKind, detail: str) -> Result[Claim, NotRun]:
+    return Err(NotRun(run.request, run.attempt, kind, detail))
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -220,6 +220,10 @@
         Tokens that the caller has already got; the engine goes on behind them.
     apart : bool
         Suspected of crashing upstreams: must run beside no other suspect.
+    started_at : float
+        When the request arrived at the entry, seconds since the epoch. A slot that was paused
+        for long finds by it that a buffered message is too old to be acted on; 0 counts from
+        the arrival at the slot.
     """
 
     request: str
@@ -239,6 +243,7 @@
     digest: str
     resume_text: list[str] = attrs.field(factory=list)
     apart: bool = False
+    started_at: float = 0.0
 
 
 @message(9)
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -1,5 +1,17 @@
 """What lasts: record kinds and schemas, the platform's interfaces, claims, leases, record log."""
 
+from ._claim_rows import ClaimRow, ClaimState, StoredAnswer
+from ._claim_sweep import MIN_RETENTION_S, START_LIMIT_S, ClaimSweep, SweepPage
+from ._claims import (
+    CancelOutcome,
+    Claim,
+    ClaimRefusal,
+    ClaimRequest,
+    ClaimStore,
+    RefusalReason,
+)
+from ._group_commit import GroupCommitter
+from ._leases import Lease, LeaseHeld, LeaseStore
 from ._memory import MemoryObjectStore, MemoryTable
 from ._records import (
     ANY,
@@ -53,17 +65,30 @@
 __all__ = [
     "ABSENT",
     "ANY",
+    "CancelOutcome",
     "Check",
+    "Claim",
+    "ClaimRefusal",
+    "ClaimRequest",
+    "ClaimRow",
+    "ClaimState",
+    "ClaimStore",
+    "ClaimSweep",
     "ClassRecord",
     "ClassRecordV1",
     "Constraint",
     "Delete",
     "FIELD_BY_KIND",
+    "GroupCommitter",
     "GroupRecord",
     "InstanceOf",
     "Interval",
     "InvalidParameterError",
+    "Lease",
+    "LeaseHeld",
+    "LeaseStore",
     "ListOf",
+    "MIN_RETENTION_S",
     "Matches",
     "MemoryObjectStore",
     "MemoryTable",
@@ -76,11 +101,15 @@
     "PolicyRecord",
     "Put",
     "QuarantineWithdrawalRecord",
+    "RefusalReason",
     "Registry",
     "RouteRecord",
     "RouteRecordV1",
     "Row",
+    "START_LIMIT_S",
     "Snapshot",
+    "StoredAnswer",
+    "SweepPage",
     "TableError",
     "TableErrorKind",
     "TableService",
--- /dev/null
+++ b/packages/burdockquay-state/src/burdockquay_state/_claim_sweep.py
@@ -0,0 +1,114 @@
+"""Expiry of claim rows."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import ClassVar
+
+import attrs
+from result import Ok, Result
+
+from ._claim_rows import CLAIM_PREFIX, ClaimRow, ClaimState, decode_row
+from ._group_commit import GroupCommitter
+from ._table import Delete, Row, TableError, TableService
+from ._validation import Constraint, Interval, check_parameters
+
+START_LIMIT_S = 3600.0
+"""Longest time between the arrival of a request and the start of one of its attempts, seconds.
+
+After it a slot sends no attempt, and an entry no longer says of a request that it was not run.
+"""
+
+MIN_RETENTION_S = 2 * START_LIMIT_S
+"""Shortest retention of claims, seconds: the clocks of the VMs may differ by the rest."""
+
+
+@attrs.frozen
+class SweepPage:
+    """What one page of a sweep did.
+
+    Parameters
+    ----------
+    seen, deleted : int
+    after : str
+        Key behind which the next page starts; empty at the end of the sweep.
+    """
+
+    seen: int
+    deleted: int
+    after: str
+
+
+class ClaimSweep:
+    """Delete the claim rows that are older than the retention.
+
+    Parameters
+    ----------
+    table : TableService
+    committer : GroupCommitter
+    retention_s : float
+        How long the outcome of a key is kept, seconds.
+    page : int
+        Rows in one scan.
+
+    Notes
+    -----
+    Once a row is gone, an attempt that expects no row could claim again, and an entry that asks
+    would find that nothing ran. Both refuse to act later than ``START_LIMIT_S`` after the request
+    arrived, and the retention is at least twice as long.
+
+    A row in state ``RUNNING`` has no such end: its slot may be paused right before it sends. It
+    stays until the caller of the sweep knows that the slot's process is gone for ever.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "retention_s": [Interval(float, MIN_RETENTION_S)],
+        "page": [Interval(int, 1, 1000)],
+    }
+
+    def __init__(
+        self,
+        table: TableService,
+        committer: GroupCommitter,
+        retention_s: float = 86400.0,
+        page: int = 500,
+    ):
+        self.table = table
+        self.committer = committer
+        self.retention_s = retention_s
+        self.page = page
+        check_parameters(self)
+
+    async def sweep_page(
+        self, after: str, may_act: Callable[[str], bool], now: float
+    ) -> Result[SweepPage, TableError]:
+        """Go through one page of rows.
+
+        Parameters
+        ----------
+        after : str
+            Where the last page ended, empty to start.
+        may_act : callable
+            Takes the incarnation of a slot; False only if that process is gone for ever.
+        now : float
+            Seconds since the epoch.
+        """
+        rows = await self.table.scan(CLAIM_PREFIX, after, self.page)
+        if rows.is_err():
+            return rows
+        expired = [row for row in rows.ok() if self._is_expired(row, may_act, now)]
+        deletions = [Delete(row.key, row.version) for row in expired]
+        results = await asyncio.gather(*(self.committer.write(delete) for delete in deletions))
+        deleted = sum(result.is_ok() for result in results)
+        last = rows.ok()[-1].key if len(rows.ok()) == self.page else ""
+        return Ok(SweepPage(len(rows.ok()), deleted, last))
+
+    def _is_expired(self, row: Row, may_act: Callable[[str], bool], now: float) -> bool:
+        decoded = decode_row(row)
+        if decoded.is_err():
+            return False
+        claim: ClaimRow = decoded.ok()
+        if claim.state is ClaimState.RUNNING and may_act(claim.incarnation):
+            return False
+        return now - claim.written_at > self.retention_s
--- /dev/null
+++ b/packages/burdockquay-state/src/burdockquay_state/_claims.py
@@ -0,0 +1,355 @@
+"""Claims: who may run a request that must run at most once, decided by one table row per key."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+from result import Err, Ok, Result
+
+from ._claim_rows import (
+    ClaimRow,
+    ClaimState,
+    StoredAnswer,
+    claim_row_key,
+    content_digest,
+    decode_answer,
+    decode_row,
+    encode_answer,
+    encode_row,
+)
+from ._group_commit import GroupCommitter
+from ._table import ABSENT, ObjectStore, Put, TableError, TableErrorKind, TableService
+
+WRITE_TRIES = 3
+"""How often one conditional write goes out while its confirmations are lost."""
+
+INLINE_BYTES = 4096
+"""Largest encoded answer that a row keeps itself, bytes."""
+
+
+@attrs.frozen
+class ClaimRequest:
+    """The wish of a slot to run one attempt.
+
+    Parameters
+    ----------
+    organisation, key : str
+        Whose idempotency key it is, and the key.
+    expected_version : int
+        Version of the row that the attempt may replace, ``ABSENT`` for none.
+    attempt : int
+        Number of the attempt within its request.
+    attempt_id : str
+        Never used twice by the incarnation.
+    incarnation : str
+        Incarnation of the slot.
+    digest : str
+        Digest of the request.
+    not_after : float
+        Time after which the attempt must not be sent, seconds since the epoch.
+    """
+
+    organisation: str
+    key: str
+    expected_version: int
+    attempt: int
+    attempt_id: str
+    incarnation: str
+    digest: str
+    not_after: float
+
+
+@attrs.frozen
+class Claim:
+    """The right to send one attempt upstream, once.
+
+    Parameters
+    ----------
+    organisation, key : str
+    row : ClaimRow
+        The row as it was written, with its version.
+    """
+
+    organisation: str
+    key: str
+    row: ClaimRow
+
+
+class RefusalReason(enum.Enum):
+    """Why a claim was refused."""
+
+    TAKEN = "taken"
+    """The row does not have the expected version, so this attempt can never claim."""
+    UNAVAILABLE = "unavailable"
+    """The table certainly wrote nothing."""
+    UNCERTAIN = "uncertain"
+    """The claim may be written, now or later; it must be withdrawn."""
+    INVALID = "invalid"
+    """The table refused the write as malformed."""
+
+
+@attrs.frozen
+class ClaimRefusal:
+    """A claim that was not confirmed. The attempt must not be sent.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+    detail : str
+    """
+
+    reason: RefusalReason
+    detail: str = ""
+
+
+_REASONS = {
+    TableErrorKind.CONFLICT: RefusalReason.TAKEN,
+    TableErrorKind.UNAVAILABLE: RefusalReason.UNAVAILABLE,
+    TableErrorKind.UNCERTAIN: RefusalReason.UNCERTAIN,
+    TableErrorKind.INVALID: RefusalReason.INVALID,
+}
+
+
+@attrs.frozen
+class CancelOutcome:
+    """What a cancellation found.
+
+    Parameters
+    ----------
+    cancelled : bool
+        Whether the row is cancelled now: the attempts for the expected version never start.
+    row : ClaimRow
+        The row now; its version is the one that the next attempt may replace.
+    """
+
+    cancelled: bool
+    row: ClaimRow
+
+
+class ClaimStore:
+    """Claims in the platform's table.
+
+    Parameters
+    ----------
+    table : TableService
+    objects : ObjectStore
+        Keeps the answers that are too large for a row.
+    committer : GroupCommitter, optional
+        Shares transactions between the writes of this process; one of its own by default.
+    inline_bytes : int
+        Largest encoded answer that a row keeps itself, bytes.
+
+    Attributes
+    ----------
+    reads : int
+        Reads sent to the table.
+
+    Notes
+    -----
+    Each attempt carries the version of the row that it may replace. The slot's claim and the
+    entry's cancellation are conditional writes on that version, and each write gives the row a
+    version that it never had before. So exactly one of them takes effect, whoever comes late
+    finds the row changed, and an attempt that was cancelled can never claim, however long its
+    slot was paused.
+
+    Examples
+    --------
+    >>> import asyncio
+    >>> from burdockquay_state import MemoryObjectStore, MemoryTable
+    >>> async def claim_and_cancel():
+    ...     claims = ClaimStore(MemoryTable(), MemoryObjectStore())
+    ...     request = ClaimRequest("parish", "hold-7", 0, 1, "a1", "slot-1", "d", 60.0)
+    ...     claim = await claims.claim(request, now=0.0)
+    ...     cancelled = await claims.cancel("parish", "hold-7", 0, "d", now=1.0)
+    ...     return claim.ok().row.state, cancelled.ok().cancelled
+    >>> asyncio.run(claim_and_cancel())
+    (<ClaimState.RUNNING: 'running'>, False)
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        committer: GroupCommitter | None = None,
+        inline_bytes: int = INLINE_BYTES,
+    ):
+        self.table = table
+        self.objects = objects
+        self.committer = committer or GroupCommitter(table)
+        self.inline_bytes = inline_bytes
+        self.reads = 0
+
+    async def claim(self, request: ClaimRequest, now: float) -> Result[Claim, ClaimRefusal]:
+        """Claim the right to send an attempt.
+
+        Parameters
+        ----------
+        request : ClaimRequest
+        now : float
+            Seconds since the epoch.
+
+        Returns
+        -------
+        Result of Claim, ClaimRefusal
+            The row found is not read on a refusal: the entry reads it, once, for the answer.
+        """
+        row = ClaimRow(
+            state=ClaimState.RUNNING,
+            attempt=request.attempt,
+            attempt_id=request.attempt_id,
+            incarnation=request.incarnation,
+            digest=request.digest,
+            not_after=request.not_after,
+            written_at=now,
+        )
+        row_key = claim_row_key(request.organisation, request.key)
+        written = await self._write(row_key, row, request.expected_version)
+        if written.is_err():
+            error = written.err()
+            return Err(ClaimRefusal(_REASONS[error.kind], error.detail))
+        return Ok(Claim(request.organisation, request.key, attrs.evolve(row, version=written.ok())))
+
+    async def cancel(
+        self, organisation: str, key: str, expected_version: int, digest: str, now: float
+    ) -> Result[CancelOutcome, TableError]:
+        """Make sure that no attempt for ``expected_version`` can start any more.
+
+        Returns
+        -------
+        Result of CancelOutcome, TableError
+            The row as it is now. An error says nothing about whether an attempt may still start.
+        """
+        row_key = claim_row_key(organisation, key)
+        row = ClaimRow(
+            state=ClaimState.CANCELLED,
+            attempt=0,
+            attempt_id="",
+            incarnation="",
+            digest=digest,
+            not_after=0.0,
+            written_at=now,
+        )
+        written = await self._write(row_key, row, expected_version)
+        if written.is_ok():
+            return Ok(CancelOutcome(True, attrs.evolve(row, version=written.ok())))
+        if written.err().kind is not TableErrorKind.CONFLICT:
+            return written
+        found = await self._read_row(row_key)
+        if found.is_err():
+            return found
+        if found.ok() is None:
+            # The row was there a moment ago and has expired since.
+            return Err(TableError(TableErrorKind.CONFLICT, f"{row_key} expired meanwhile"))
+        return Ok(CancelOutcome(found.ok().state is ClaimState.CANCELLED, found.ok()))
+
+    async def complete(
+        self, claim: Claim, answer: StoredAnswer, now: float
+    ) -> Result[None, TableError]:
+        """Record the answer of a claimed request; doing so again is harmless."""
+        content = encode_answer(answer)
+        row = attrs.evolve(claim.row, state=ClaimState.DONE, written_at=now)
+        if len(content) <= self.inline_bytes:
+            row = attrs.evolve(row, answer=content)
+        else:
+            row = attrs.evolve(row, object_digest=content_digest(content))
+            stored = await self.objects.put(row.object_digest, content)
+            if stored.is_err():
+                return stored
+        return await self._replace(claim, row)
+
+    async def abandon(self, claim: Claim, now: float) -> Result[None, TableError]:
+        """Cancel a claim whose holder certainly did not send the request and never will."""
+        row = attrs.evolve(claim.row, state=ClaimState.CANCELLED, written_at=now)
+        return await self._replace(claim, row)
+
+    async def withdraw(self, request: ClaimRequest, now: float) -> Result[None, TableError]:
+        """Cancel a claim that may or may not be written; its holder never sends the request.
+
+        Notes
+        -----
+        A claim whose confirmation was lost may take effect late. The key would then look as if
+        it ran, and each repeat would hear that the outcome is unknown. A cancellation of the
+        expected version makes the late claim fail; if the claim was first, it is abandoned.
+        """
+        cancelled = await self.cancel(
+            request.organisation, request.key, request.expected_version, request.digest, now
+        )
+        if cancelled.is_err():
+            return cancelled
+        row = cancelled.ok().row
+        is_own = row.attempt_id == request.attempt_id and row.incarnation == request.incarnation
+        if row.state is ClaimState.RUNNING and is_own:
+            return await self.abandon(Claim(request.organisation, request.key, row), now)
+        return Ok(None)
+
+    async def read(self, organisation: str, key: str) -> Result[ClaimRow | None, TableError]:
+        """Return the row of an idempotency key, None if there is none."""
+        return await self._read_row(claim_row_key(organisation, key))
+
+    async def load_answer(self, row: ClaimRow) -> Result[StoredAnswer, TableError]:
+        """Return the answer that a row in state ``DONE`` keeps."""
+        if row.answer is not None:
+            return decode_answer(row.answer)
+        content = await self.objects.get(row.object_digest)
+        if content.is_err():
+            return content
+        if content.ok() is None:
+            detail = f"no object {row.object_digest or '(none named)'} for the stored answer"
+            return Err(TableError(TableErrorKind.INVALID, detail))
+        return decode_answer(content.ok())
+
+    async def _replace(self, claim: Claim, row: ClaimRow) -> Result[None, TableError]:
+        row_key = claim_row_key(claim.organisation, claim.key)
+        written = await self._write(row_key, row, claim.row.version)
+        return written if written.is_err() else Ok(None)
+
+    async def _write(
+        self, row_key: str, row: ClaimRow, expected_version: int
+    ) -> Result[int, TableError]:
+        """Write a row where it has the expected version, and find out whether that happened.
+
+        Notes
+        -----
+        A confirmation can be lost although the write took effect, or takes effect later. Taken
+        for a failure, a claim would stay behind without a holder; taken for a success, a request
+        would run that another process cancelled. So the row is read back: if it is ours, the
+        write counts; if it changed otherwise, ours can never take effect; if it is unchanged, the
+        same write goes out again, and whichever of the two arrives later fails.
+        """
+        operation = Put(row_key, encode_row(row), expected_version)
+        unconfirmed = False
+        for _ in range(WRITE_TRIES):
+            written = await self.committer.write(operation)
+            if written.is_ok():
+                return written
+            unconfirmed = unconfirmed or written.err().kind is TableErrorKind.UNCERTAIN
+            if not unconfirmed:
+                return written
+            known = await self._read_back(row_key, row, expected_version)
+            if known is not None:
+                return known
+        return Err(TableError(TableErrorKind.UNCERTAIN, f"{row_key}: no confirmation"))
+
+    async def _read_back(
+        self, row_key: str, row: ClaimRow, expected_version: int
+    ) -> Result[int, TableError] | None:
+        """Return the outcome of an unconfirmed write, None if it must go out again."""
+        found = await self._read_row(row_key)
+        if found.is_err():
+            return Err(TableError(TableErrorKind.UNCERTAIN, f"{row_key}: no confirmation"))
+        current = found.ok()
+        version = current.version if current else ABSENT
+        if version == expected_version:
+            return None
+        if current is not None and current.is_same_write(row):
+            return Ok(version)
+        return Err(TableError(TableErrorKind.CONFLICT, f"{row_key} changed meanwhile"))
+
+    async def _read_row(self, row_key: str) -> Result[ClaimRow | None, TableError]:
+        self.reads += 1
+        rows = await self.table.get([row_key])
+        if rows.is_err():
+            return rows
+        (row,) = rows.ok()
+        return Ok(None) if row is None else decode_row(row)
--- /dev/null
+++ b/packages/burdockquay-state/src/burdockquay_state/_group_commit.py
@@ -0,0 +1,171 @@
+"""Group commit: independent conditional writes of one process share transactions."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import ClassVar
+
+import attrs
+from result import Err, Ok, Result
+
+from ._table import Check, Operation, TableError, TableErrorKind, TableService
+from ._validation import Constraint, Interval, check_parameters
+
+
+@attrs.define(eq=False)
+class _Write:
+    """A write that waits for its transaction, and the future that takes its outcome."""
+
+    operation: Operation
+    outcome: asyncio.Future
+
+    def resolve(self, result: Result[int | None, TableError]) -> None:
+        # The caller may have been cancelled meanwhile, which cancels the future and nothing else.
+        if not self.outcome.done():
+            self.outcome.set_result(result)
+
+
+class GroupCommitter:
+    """Carry out writes that know nothing of each other in common transactions.
+
+    A write that finds no transaction under way goes out at once. Writes that come while one is
+    under way wait and go out together, so that the delay grows only with the load.
+
+    Parameters
+    ----------
+    table : TableService
+    max_operations : int
+        Most writes in one transaction.
+    max_delay_s : float
+        Shortest time between the starts of two transactions, seconds, unless one is full. It
+        bounds the transactions a second of this process; 0 sets no bound.
+
+    Attributes
+    ----------
+    writes : int
+        Transactions sent.
+    operations : int
+        Writes asked for.
+
+    Notes
+    -----
+    A transaction is carried out as a whole or not at all, so one write whose condition does not
+    hold would fail all others with it. The table names the positions that failed: those writes
+    are answered with the conflict, and the rest goes out again in one transaction.
+
+    Two writes of one row never share a transaction. The table checks all conditions before it
+    writes, so both would be accepted, and two claims of one key would both count as won.
+
+    Examples
+    --------
+    >>> import asyncio
+    >>> from burdockquay_state import ABSENT, MemoryTable, Put
+    >>> async def write_twice():
+    ...     committer = GroupCommitter(MemoryTable())
+    ...     puts = [Put("a", b"1", ABSENT), Put("a", b"2", ABSENT)]
+    ...     return await asyncio.gather(*(committer.write(put) for put in puts))
+    >>> [result.is_ok() for result in asyncio.run(write_twice())]
+    [True, False]
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "max_operations": [Interval(int, 1, 1000)],
+        "max_delay_s": [Interval(float, 0.0, 1.0)],
+    }
+
+    def __init__(self, table: TableService, max_operations: int = 64, max_delay_s: float = 0.0):
+        self.table = table
+        self.max_operations = max_operations
+        self.max_delay_s = max_delay_s
+        check_parameters(self)
+        self._waiting: deque[_Write] = deque()
+        self._full = asyncio.Event()
+        self._runner: asyncio.Task | None = None
+        self.writes = 0
+        self.operations = 0
+
+    async def write(self, operation: Operation) -> Result[int | None, TableError]:
+        """Carry out one conditional write.
+
+        Parameters
+        ----------
+        operation : Put or Delete
+
+        Returns
+        -------
+        Result of int or None, TableError
+            The new version of the row, None for a deletion. ``UNCERTAIN`` if the confirmation
+            of the transaction was lost: the caller reads its row back.
+
+        Notes
+        -----
+        A caller that is cancelled while it waits does not take its write back.
+        """
+        assert not isinstance(operation, Check), "a check alone writes nothing"
+        write = _Write(operation, asyncio.get_running_loop().create_future())
+        self.operations += 1
+        self._waiting.append(write)
+        if len(self._waiting) >= self.max_operations:
+            self._full.set()
+        if self._runner is None or self._runner.done():
+            self._runner = asyncio.create_task(self._run())
+        return await write.outcome
+
+    async def _run(self) -> None:
+        while self._waiting:
+            group = self._take_group()
+            await asyncio.gather(self._commit(group), self._keep_distance())
+
+    def _take_group(self) -> list[_Write]:
+        group: list[_Write] = []
+        keys: set[str] = set()
+        left: deque[_Write] = deque()
+        while self._waiting:
+            write = self._waiting.popleft()
+            if len(group) == self.max_operations or write.operation.key in keys:
+                left.append(write)
+                continue
+            keys.add(write.operation.key)
+            group.append(write)
+        self._waiting = left
+        if len(left) < self.max_operations:
+            self._full.clear()
+        return group
+
+    async def _keep_distance(self) -> None:
+        if self.max_delay_s == 0.0:
+            return
+        try:
+            await asyncio.wait_for(self._full.wait(), self.max_delay_s)
+        except TimeoutError:
+            return
+
+    async def _commit(self, group: list[_Write]) -> None:
+        while group:
+            result = await self._transact(group)
+            if result.is_ok():
+                for write, version in zip(group, result.ok(), strict=True):
+                    write.resolve(Ok(version))
+                return
+            group = self._drop_failed(group, result.err())
+
+    async def _transact(self, group: list[_Write]) -> Result[list[int | None], TableError]:
+        self.writes += 1
+        try:
+            return await self.table.transact([write.operation for write in group])
+        except Exception as error:
+            # An adapter that raises would end the runner and leave every caller of the group
+            # waiting for ever. Whether the table acted is not known then.
+            return Err(TableError(TableErrorKind.UNCERTAIN, f"{type(error).__name__}: {error}"))
+
+    def _drop_failed(self, group: list[_Write], error: TableError) -> list[_Write]:
+        """Answer the writes that failed; return those that may go out again."""
+        if error.kind is not TableErrorKind.CONFLICT or not error.conflicts:
+            failed = set(range(len(group)))
+        else:
+            failed = set(error.conflicts)
+        own = attrs.evolve(error, conflicts=(0,)) if error.conflicts else error
+        for position in failed:
+            group[position].resolve(Err(own))
+        return [write for position, write in enumerate(group) if position not in failed]
