Add stand-ins of engine, plain service and platform

Change: package burdockquay-standins: an engine with continuous batching, prefix cache, pause, resume, cancel, resumed answers, lagging reports, orders and crashes; a plain service that counts effects by key; table service, object store and VM list over HTTP. An answer is a function of seed, model and messages, so that a check sees a mixed, cut or repeated answer.

Conclusion: a crash closes the listening socket and aborts each connection, so a client sees what it sees when a process dies.

--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_answers.py
@@ -0,0 +1,70 @@
+"""The answer to a chat request: a function of seed, model and messages, the same on every engine.
+
+That makes a resumed answer identical whichever engine continues it, and an answer that mixes two
+requests or lacks a token visible to whoever compares it with :func:`expected_answer`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from collections.abc import Mapping
+from typing import Any
+
+WORDS = 10_000
+"""Number of different tokens."""
+MEDIAN_TOKENS = 48
+"""Median length of an answer that ``max_tokens`` does not cut."""
+LENGTH_SIGMA = 0.7
+"""Spread of the logarithm of the length: one answer in six is over twice the median."""
+DEFAULT_MAX_TOKENS = 512
+BLOCK_CHARACTERS = 64
+"""Characters of the prompt in one block of the prefix cache; stands for 16 tokens."""
+
+
+def request_digest(body: Mapping[str, Any], seed: int) -> bytes:
+    """Return the digest that decides the answer to a request body."""
+    identity = [seed, body.get("model", ""), body.get("messages", [])]
+    return hashlib.blake2b(json.dumps(identity, sort_keys=True).encode(), digest_size=16).digest()
+
+
+def answer_limit(body: Mapping[str, Any]) -> int:
+    """Return the largest number of tokens that the body allows."""
+    limit = body.get("max_tokens")
+    return DEFAULT_MAX_TOKENS if limit is None else limit
+
+
+def expected_answer(body: Mapping[str, Any], seed: int) -> list[str]:
+    """Return the tokens of the whole answer to a request body.
+
+    Parameters
+    ----------
+    body : mapping
+        Body of a chat request: ``model``, ``messages`` and ``max_tokens`` count.
+    seed : int
+        Seed of the engines.
+
+    Examples
+    --------
+    >>> body = {"model": "m", "messages": [{"role": "user", "content": "hello"}], "max_tokens": 3}
+    >>> expected_answer(body, seed=1) == expected_answer(dict(body, stream=True), seed=1)
+    True
+    >>> len(expected_answer(body, seed=1)) <= 3
+    True
+    """
+    rng = random.Random(request_digest(body, seed))
+    natural = max(1, round(MEDIAN_TOKENS * rng.lognormvariate(0.0, LENGTH_SIGMA)))
+    count = min(natural, answer_limit(body))
+    return [f"w{rng.randrange(WORDS)} " for _ in range(count)]
+
+
+def prompt_blocks(body: Mapping[str, Any]) -> list[bytes]:
+    """Return the digest of each whole block of the prompt, each over all blocks before it too."""
+    text = json.dumps([body.get("model", ""), body.get("messages", [])])
+    digest = hashlib.blake2b(digest_size=8)
+    blocks = []
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        digest.update(text[start : start + BLOCK_CHARACTERS].encode())
+        blocks.append(digest.digest())
+    return blocks
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_chat.py
@@ -0,0 +1,136 @@
+"""OpenAI-style bodies of the engine stand-in, formatted cheaply."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+
+from ._answers import answer_limit
+
+DONE = b"data: [DONE]\n\n"
+
+
+@attrs.frozen
+class ChatRequest:
+    """A checked chat request.
+
+    Parameters
+    ----------
+    model : str
+    streamed : bool
+    resume_tokens : list of str
+        Tokens of the answer that were delivered before.
+    prompt_characters : int
+    """
+
+    model: str
+    streamed: bool
+    resume_tokens: list[str]
+    prompt_characters: int
+
+
+def parse_chat(body: Mapping[str, Any]) -> ChatRequest:
+    """Check the body of a chat request.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of the wrong type; says what was expected and got.
+    """
+    model = body.get("model")
+    messages = body.get("messages")
+    resume = body.get("resume_tokens") or []
+    limit = answer_limit(body)
+    if not isinstance(model, str):
+        raise ValueError(f"expected a string 'model', got {model!r}")
+    if not isinstance(messages, list) or not all(isinstance(part, dict) for part in messages):
+        raise ValueError("expected a list of objects 'messages'")
+    if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
+        raise ValueError(f"expected an integer 'max_tokens' of at least 1, got {limit!r}")
+    if not isinstance(resume, list) or not all(isinstance(token, str) for token in resume):
+        raise ValueError("expected a list of strings 'resume_tokens'")
+    characters = sum(len(str(part.get("content", ""))) for part in messages)
+    return ChatRequest(model, bool(body.get("stream")), resume, characters)
+
+
+@attrs.frozen
+class ChatFormat:
+    """Formats the answer to one request.
+
+    Parameters
+    ----------
+    request : str
+        Request id.
+    model : str
+    created : int
+        Seconds since 1970.
+    """
+
+    request: str
+    model: str
+    created: int
+
+    def chunks(self, tokens: Sequence[str]) -> bytes:
+        """Return one server-sent event for each token."""
+        before, behind = self._around_token()
+        return b"".join(before + token.encode() + behind for token in tokens)
+
+    def last_chunk(self, finish_reason: str, usage: Mapping[str, int]) -> bytes:
+        """Return the event that ends an answer, and the end of the stream."""
+        choice = {"index": 0, "delta": {}, "finish_reason": finish_reason}
+        chunk = self._object("chat.completion.chunk", choice) | {"usage": usage}
+        return b"data: " + json.dumps(chunk).encode() + b"\n\n" + DONE
+
+    def whole(
+        self, tokens: Sequence[str], finish_reason: str, usage: Mapping[str, int]
+    ) -> dict[str, Any]:
+        """Return the body of an answer that is not streamed."""
+        message = {"role": "assistant", "content": "".join(tokens)}
+        choice = {"index": 0, "message": message, "finish_reason": finish_reason}
+        return self._object("chat.completion", choice) | {"usage": usage}
+
+    def _object(self, kind: str, choice: Mapping[str, Any]) -> dict[str, Any]:
+        return {
+            "id": self.request,
+            "object": kind,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+        }
+
+    def _around_token(self) -> tuple[bytes, bytes]:
+        mark = "\x00"
+        choice = {"index": 0, "delta": {"content": mark}, "finish_reason": None}
+        text = json.dumps(self._object("chat.completion.chunk", choice))
+        before, behind = text.split(json.dumps(mark)[1:-1])
+        return f"data: {before}".encode(), f"{behind}\n\n".encode()
+
+
+def finish_reason(body: Mapping[str, Any], tokens: Sequence[str]) -> str:
+    """Return why an answer ended: its natural end or ``max_tokens``."""
+    return "length" if len(tokens) == answer_limit(body) else "stop"
+
+
+def parse_stream(content: bytes) -> tuple[list[str], bool]:
+    """Return the tokens of a streamed answer, and whether it was ended properly.
+
+    Examples
+    --------
+    >>> answer = ChatFormat("r", "m", 0)
+    >>> parse_stream(answer.chunks(["a ", "b "]) + answer.last_chunk("stop", {}))
+    (['a ', 'b '], True)
+    """
+    tokens: list[str] = []
+    finished = False
+    for line in content.split(b"\n"):
+        if not line.startswith(b"data: {"):
+            continue
+        choices = json.loads(line[6:]).get("choices") or [{}]
+        token = choices[0].get("delta", {}).get("content")
+        if token:
+            tokens.append(token)
+        finished = finished or choices[0].get("finish_reason") is not None
+    return tokens, finished and DONE.strip() in content
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_orders.py
@@ -0,0 +1,59 @@
+"""Orders to an engine: each acted on as it comes, old fencing numbers refused or not."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+ORDERS = ("load_model", "load_adapter", "load_version", "change_role")
+
+
+class OrderBook:
+    """What an engine was ordered to do.
+
+    Parameters
+    ----------
+    checks_fencing : bool
+        Refuse an order whose fencing number is lower than the highest seen.
+    """
+
+    def __init__(self, checks_fencing: bool):
+        self.checks_fencing = checks_fencing
+        self.effects: Counter[str] = Counter()
+        self.models: list[str] = []
+        self.role = "serve"
+        self.highest_fencing = 0
+        self.refused = 0
+
+    def act(self, order_id: str, order: str, argument: str, fencing: int) -> bool:
+        """Act on an order, again if it was acted on before; false if it was refused."""
+        if self.checks_fencing and fencing < self.highest_fencing:
+            self.refused += 1
+            return False
+        self.highest_fencing = max(self.highest_fencing, fencing)
+        self.effects[order_id] += 1
+        if order == "change_role":
+            self.role = argument
+        elif argument not in self.models:
+            self.models.append(argument)
+        return True
+
+
+def parse_order(body: Mapping[str, Any]) -> tuple[str, str, str, int]:
+    """Return id, order, argument and fencing number of the body of an order.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of the wrong type.
+    """
+    texts = [body.get(name) for name in ("id", "order", "argument")]
+    fencing = body.get("fencing")
+    if not all(isinstance(text, str) for text in texts):
+        raise ValueError("expected the strings 'id', 'order' and 'argument'")
+    if texts[1] not in ORDERS:
+        raise ValueError(f"expected an order out of {ORDERS}, got {texts[1]!r}")
+    if not isinstance(fencing, int) or isinstance(fencing, bool):
+        raise ValueError(f"expected an integer 'fencing', got {fencing!r}")
+    return texts[0], texts[1], texts[2], fencing
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_platform.py
@@ -0,0 +1,296 @@
+"""Platform stand-in: table service, object store and VM list over HTTP, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import random
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, ClassVar
+
+import attrs
+from aiohttp import web
+
+from burdockquay_state import (
+    Constraint,
+    InstanceOf,
+    Interval,
+    MemoryTable,
+    OneOf,
+    TableErrorKind,
+    VmEntry,
+    VmState,
+    check_parameters,
+)
+
+from ._faults import check_switches
+from ._lagged import Lagged
+from ._operations import parse_keys, parse_operations, parse_scan, row_to_json
+from ._server import StandinServer, bad_request, cut_connection, read_object
+
+_SWITCHES: dict[str, Constraint] = {
+    "outage": InstanceOf(bool),
+    "hang": InstanceOf(bool),
+    "slow_s": Interval(float, 0.0, 3600.0),
+    "lose_confirmation": Interval(float, 0.0, 1_000_000_000),
+    "stale_reads_s": Interval(float, 0.0, 3600.0),
+}
+
+
+@attrs.frozen
+class PlatformParameters:
+    """Parameters of the platform stand-in.
+
+    Parameters
+    ----------
+    seed : int
+        Of the losses of confirmations.
+    vm_list_lag_s : float
+        Age of the VM list that is served, seconds.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "seed": [InstanceOf(int)],
+        "vm_list_lag_s": [Interval(float, 0.0, 3600.0)],
+    }
+
+    seed: int = 1
+    vm_list_lag_s: float = 0.0
+
+
+@attrs.define
+class PlatformFaults:
+    """What is wrong with the platform now.
+
+    Parameters
+    ----------
+    outage : bool
+        Every call is answered 503 and certainly not carried out.
+    slow_s : float
+        Delay of every call before it is carried out, seconds.
+    lose_share : float
+        Part of the transactions that take effect without an answer.
+    lose_next : int
+        How many of the next transactions do.
+    stale_until : float
+        Until then reads answer from the state at the time of the switch.
+    """
+
+    outage: bool = False
+    slow_s: float = 0.0
+    lose_share: float = 0.0
+    lose_next: int = 0
+    stale_until: float = 0.0
+
+
+class PlatformStandin(StandinServer):
+    """Table service, object store and VM list, with the protocol of ``docs/design/standins.md``.
+
+    Parameters
+    ----------
+    parameters : PlatformParameters
+    host : str
+    port : int
+    """
+
+    def __init__(
+        self,
+        parameters: PlatformParameters | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ):
+        super().__init__(host, port)
+        self.parameters = parameters or PlatformParameters()
+        check_parameters(self.parameters)
+        self.table = MemoryTable()
+        self.objects: dict[str, bytes] = {}
+        self.vms: dict[str, VmEntry] = {}
+        self.faults = PlatformFaults()
+        self.counts = dict.fromkeys(
+            ("reads", "writes", "conflicts", "object_reads", "object_writes", "vm_reads"), 0
+        )
+        self._rng = random.Random(self.parameters.seed)
+        self._stale_table = self.table
+        self._served_vms: Lagged[dict[str, VmEntry]] = Lagged({}, self.parameters.vm_list_lag_s)
+        self._answering = asyncio.Event()
+        self._answering.set()
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes of the platform."""
+        return [
+            web.post("/table/get", self._guarded(self._get)),
+            web.post("/table/scan", self._guarded(self._scan)),
+            web.post("/table/transact", self._guarded(self._transact)),
+            web.put("/objects/{digest}", self._guarded(self._put_object)),
+            web.get("/objects/{digest}", self._guarded(self._get_object)),
+            web.get("/vms", self._guarded(self._list_vms)),
+            web.put("/vms/{vm}", self._put_vm),
+            web.delete("/vms/{vm}", self._delete_vm),
+            web.post("/faults", self._set_faults),
+            web.get("/stats", self._read_stats),
+        ]
+
+    def put_vm(self, entry: VmEntry) -> None:
+        """Put a VM into the list, or replace its entry."""
+        self.vms = {**self.vms, entry.vm: entry}
+        self._served_vms.record(self.vms, time.monotonic())
+
+    def remove_vm(self, vm: str) -> bool:
+        """Take a VM off the list; false if it was not on it."""
+        known = vm in self.vms
+        self.vms = {name: entry for name, entry in self.vms.items() if name != vm}
+        self._served_vms.record(self.vms, time.monotonic())
+        return known
+
+    def switch(self, body: dict[str, Any], now: float) -> None:
+        """Set the fault switches that the body names.
+
+        ``lose_confirmation`` as an integer is the number of the next transactions that take effect
+        and lose their answer, as a number with a fraction point the probability of it.
+
+        Raises
+        ------
+        ValueError
+            If a switch is unknown or its value out of range; nothing is set then.
+        """
+        check_switches(_SWITCHES, body)
+        self.faults.outage = body.get("outage", self.faults.outage)
+        self.faults.slow_s = body.get("slow_s", self.faults.slow_s)
+        if "hang" in body:
+            (self._answering.clear if body["hang"] else self._answering.set)()
+        if "lose_confirmation" in body:
+            self._lose(body["lose_confirmation"])
+        if "stale_reads_s" in body:
+            self.faults.stale_until = now + body["stale_reads_s"]
+            self._stale_table = copy.deepcopy(self.table)
+
+    def _lose(self, amount: float) -> None:
+        if isinstance(amount, int):
+            self.faults.lose_next, self.faults.lose_share = amount, 0.0
+            return
+        if amount > 1.0:
+            raise ValueError(f"lose_confirmation: expected a share from 0.0 to 1.0, got {amount!r}")
+        self.faults.lose_next, self.faults.lose_share = 0, amount
+
+    def _guarded(
+        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def guarded(request: web.Request) -> web.Response:
+            await request.read()
+            if self.faults.outage:
+                return web.json_response({"error": "outage"}, status=503)
+            if self.faults.slow_s:
+                await asyncio.sleep(self.faults.slow_s)
+            await self._answering.wait()
+            try:
+                return await handler(request)
+            except ValueError as error:
+                raise bad_request(str(error)) from error
+
+        return guarded
+
+    def _readable_table(self) -> MemoryTable:
+        stale = time.monotonic() < self.faults.stale_until
+        return self._stale_table if stale else self.table
+
+    async def _get(self, request: web.Request) -> web.Response:
+        keys = parse_keys(await read_object(request))
+        self.counts["reads"] += 1
+        rows = (await self._readable_table().get(keys)).unwrap()
+        return web.json_response({"rows": [row_to_json(row) for row in rows]})
+
+    async def _scan(self, request: web.Request) -> web.Response:
+        prefix, after, limit = parse_scan(await read_object(request))
+        self.counts["reads"] += 1
+        rows = (await self._readable_table().scan(prefix, after, limit)).unwrap()
+        return web.json_response({"rows": [row_to_json(row) for row in rows]})
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        operations = parse_operations(await read_object(request))
+        self.counts["writes"] += 1
+        result = await self.table.transact(operations)
+        if self._loses_confirmation():
+            return cut_connection(request)
+        if result.is_ok():
+            return web.json_response({"versions": result.unwrap()})
+        error = result.unwrap_err()
+        assert error.kind is TableErrorKind.CONFLICT
+        self.counts["conflicts"] += 1
+        return web.json_response({"conflicts": list(error.conflicts)}, status=409)
+
+    def _loses_confirmation(self) -> bool:
+        if self.faults.lose_next > 0:
+            self.faults.lose_next -= 1
+            return True
+        return self.faults.lose_share > 0.0 and self._rng.random() < self.faults.lose_share
+
+    async def _put_object(self, request: web.Request) -> web.Response:
+        self.counts["object_writes"] += 1
+        self.objects[request.match_info["digest"]] = await request.read()
+        return web.Response(status=204)
+
+    async def _get_object(self, request: web.Request) -> web.Response:
+        self.counts["object_reads"] += 1
+        content = self.objects.get(request.match_info["digest"])
+        if content is None:
+            return web.Response(status=404)
+        return web.Response(body=content)
+
+    async def _list_vms(self, _: web.Request) -> web.Response:
+        self.counts["vm_reads"] += 1
+        served = self._served_vms.read(time.monotonic())
+        return web.json_response({"vms": [_vm_to_json(entry) for entry in served.values()]})
+
+    async def _put_vm(self, request: web.Request) -> web.Response:
+        body = await read_object(request)
+        try:
+            entry = _parse_vm(request.match_info["vm"], body)
+        except ValueError as error:
+            raise bad_request(str(error)) from error
+        self.put_vm(entry)
+        return web.Response(status=204)
+
+    async def _delete_vm(self, request: web.Request) -> web.Response:
+        known = self.remove_vm(request.match_info["vm"])
+        return web.Response(status=204 if known else 404)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        body = await read_object(request)
+        try:
+            self.switch(body, time.monotonic())
+        except ValueError as error:
+            raise bad_request(str(error)) from error
+        return web.json_response({})
+
+    async def _read_stats(self, _: web.Request) -> web.Response:
+        return web.json_response(self.counts)
+
+
+_PORT = Interval(int, 0, 65535)
+_TEXT = InstanceOf(str)
+_VM_FIELDS: dict[str, Constraint] = {
+    "role": OneOf(("entry", "slot")),
+    "host": _TEXT,
+    "port": _PORT,
+    "status_port": _PORT,
+    "failure_domain": _TEXT,
+    "group": _TEXT,
+    "state": OneOf(tuple(state.value for state in VmState)),
+}
+_VM_DEFAULTS = {"group": "", "state": VmState.LIVE.value}
+
+
+def _parse_vm(vm: str, body: dict[str, Any]) -> VmEntry:
+    fields = {**_VM_DEFAULTS, **body}
+    fields.pop("vm", None)
+    missing = sorted(set(_VM_FIELDS) - set(fields))
+    if missing:
+        raise ValueError(f"expected the keys {missing} too")
+    check_switches(_VM_FIELDS, fields)
+    state = VmState(fields.pop("state"))
+    return VmEntry(vm=vm, state=state, **fields)
+
+
+def _vm_to_json(entry: VmEntry) -> dict[str, Any]:
+    return {**attrs.asdict(entry), "state": entry.state.value}
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_server.py
@@ -0,0 +1,140 @@
+"""HTTP server that every stand-in listens with: embedded, as a program, and able to crash."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Self
+
+from aiohttp import web
+
+MAX_BODY_BYTES = 64 << 20
+
+
+class StandinServer:
+    """HTTP server on a port of the loopback that can be cut off and come back.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+        0 takes a free port, which stays the same over crashes.
+
+    Notes
+    -----
+    A crash closes the listening socket and aborts each connection, so that a client sees what it
+    sees when a process dies: streams end in the middle and new connections are refused.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0):
+        self.host = host
+        self.port = port
+        self.crashes = 0
+        self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def url(self) -> str:
+        """Base URL without a slash at the end."""
+        return f"http://{self.host}:{self.port}"
+
+    @property
+    def listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._listener is not None
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes of the stand-in."""
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        """Listen; returns when connections are accepted."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.add_routes(self.routes())
+        self._runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
+        await self._runner.setup()
+        await self._listen()
+
+    async def stop(self) -> None:
+        """Stop listening and end every task."""
+        self._close_listener()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._runner is not None:
+            self._abort_connections()
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    def crash(self, restart_s: float) -> None:
+        """Cut every connection, refuse new ones for ``restart_s`` seconds, then listen again."""
+        if not self.listening:
+            return
+        self.crashes += 1
+        self._close_listener()
+        self._abort_connections()
+        self.spawn(self._restart(restart_s))
+
+    def spawn(self, work: Any) -> None:
+        """Run a coroutine as a task that ends with the server."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _listen(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._runner.server, self.host, self.port, reuse_address=True, backlog=1024
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def _restart(self, restart_s: float) -> None:
+        await asyncio.sleep(restart_s)
+        await self._listen()
+
+    def _close_listener(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def _abort_connections(self) -> None:
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+
+def cut_connection(request: web.Request) -> web.Response:
+    """Abort the connection of a request; the returned response is never seen."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+async def read_object(request: web.Request) -> dict[str, Any]:
+    """Return the JSON object in the body.
+
+    Raises
+    ------
+    aiohttp.web.HTTPBadRequest
+        If the body is not a JSON object.
+    """
+    try:
+        body = await request.json()
+    except ValueError as error:
+        raise bad_request(f"expected JSON, got {error}") from error
+    if not isinstance(body, Mapping):
+        raise bad_request(f"expected a JSON object, got {type(body).__name__}")
+    return dict(body)
+
+
+def bad_request(text: str) -> web.HTTPBadRequest:
+    """Return an error answer that says what was wrong."""
+    return web.HTTPBadRequest(text=text)
