--- /dev/null
+++ b/packages/burdockquay/src/burdockquay/_settings_command.py
@@ -0,0 +1,40 @@
+"""The sub-command ``burdockquay settings``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Literal
+
+from cyclopts import App
+
+from ._settings_file import load_settings
+
+EXIT_OK = 0
+EXIT_FAULTS = 1
+
+settings_app = App(name="settings", help="Check settings files of the daemons.")
+
+
+@settings_app.command
+def check(role: Literal["entry", "slot"], file: Path) -> int:
+    """Check a settings file and print everything that is wrong with it.
+
+    Exit status 0 says that a daemon would start with it, 1 that it would not.
+
+    Parameters
+    ----------
+    role
+        The role whose settings the file holds.
+    file
+        Path of the settings file.
+    """
+    loaded = load_settings(file, role)
+    if loaded.is_err():
+        for fault in loaded.err():
+            print(fault, file=sys.stderr)
+        return EXIT_FAULTS
+    for rename in loaded.ok().renamed:
+        print(f"warning: {rename}", file=sys.stderr)
+    print(f"{file}: settings of role {role!r} are sound")
+    return EXIT_OK
