Add the record log with its codec and checks

A change is one transaction on record, log and head rows, conditional on what was read. The head carries a fingerprint of the records in force, because a scan in several pages that old states answer could otherwise pass for the configuration of the head. A lost confirmation is cleared up by repeating the same transaction and reading the log row back. LogEntry and LogPart move to the state package, which writes them; the protocol registers them as before. Interval accepts integers too large for a float without raising.

--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -1,5 +1,7 @@
 """Messages between the processes, their codec and handshake, and the closed list of errors."""
 
+from burdockquay_state import LogEntry, LogPart
+
 from ._codec import (
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
@@ -32,8 +34,6 @@
     Grant,
     Heartbeat,
     Hello,
-    LogEntry,
-    LogPart,
     NotRun,
     Proof,
     ReturnGrant,
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -2,17 +2,34 @@
 
 from ._claim_rows import ClaimRow, ClaimState, StoredAnswer
 from ._claim_sweep import MIN_RETENTION_S, START_LIMIT_S, ClaimSweep, SweepPage
-from ._claims import (
-    CancelOutcome,
-    Claim,
-    ClaimRefusal,
-    ClaimRequest,
-    ClaimStore,
-    RefusalReason,
-)
+from ._claims import CancelOutcome, Claim, ClaimRefusal, ClaimRequest, ClaimStore, RefusalReason
+from ._faulty import FaultyTable
 from ._group_commit import GroupCommitter
 from ._leases import Lease, LeaseHeld, LeaseStore
+from ._log_entry import LogEntry, LogPart
 from ._memory import MemoryObjectStore, MemoryTable
+from ._record_change import Accepted, PutRefusal, RecordChange, RefusalKind, Winner, change_of
+from ._record_checks import (
+    CheckedState,
+    find_new_faults,
+    find_put_faults,
+    find_state_faults,
+    record_checks,
+)
+from ._record_codec import (
+    MAX_RECORD_BYTES,
+    RecordFault,
+    decode_body,
+    decode_record,
+    encode_record,
+    known_schemas,
+    record_path,
+    structure_record,
+    upgrade,
+)
+from ._record_diff import FieldChange, diff_bodies
+from ._record_log import RecordLog
+from ._record_rows import LogRow
 from ._records import (
     ANY,
     ClassRecord,
@@ -30,7 +47,7 @@
     upgraders,
 )
 from ._registry import Registry, UnknownNameError, describe_unknown
-from ._snapshot import FIELD_BY_KIND, Snapshot
+from ._snapshot import FIELD_BY_KIND, Snapshot, build_snapshot
 from ._table import (
     ABSENT,
     Check,
@@ -58,15 +75,19 @@
     ListOf,
     Matches,
     OneOf,
+    ParameterFault,
     check_parameters,
     find_faults,
+    list_faults,
 )
 
 __all__ = [
     "ABSENT",
     "ANY",
+    "Accepted",
     "CancelOutcome",
     "Check",
+    "CheckedState",
     "Claim",
     "ClaimRefusal",
     "ClaimRequest",
@@ -79,6 +100,8 @@
     "Constraint",
     "Delete",
     "FIELD_BY_KIND",
+    "FaultyTable",
+    "FieldChange",
     "GroupCommitter",
     "GroupRecord",
     "InstanceOf",
@@ -88,6 +111,10 @@
     "LeaseHeld",
     "LeaseStore",
     "ListOf",
+    "LogEntry",
+    "LogPart",
+    "LogRow",
+    "MAX_RECORD_BYTES",
     "MIN_RETENTION_S",
     "Matches",
     "MemoryObjectStore",
@@ -97,10 +124,16 @@
     "OneOf",
     "Operation",
     "OrganisationRecord",
+    "ParameterFault",
     "PlacementRecord",
     "PolicyRecord",
     "Put",
+    "PutRefusal",
     "QuarantineWithdrawalRecord",
+    "RecordChange",
+    "RecordFault",
+    "RecordLog",
+    "RefusalKind",
     "RefusalReason",
     "Registry",
     "RouteRecord",
@@ -117,13 +150,29 @@
     "VmEntry",
     "VmList",
     "VmState",
+    "Winner",
+    "build_snapshot",
+    "change_of",
     "check_parameters",
+    "decode_body",
+    "decode_record",
     "describe_unknown",
+    "diff_bodies",
+    "encode_record",
     "find_faults",
+    "find_new_faults",
+    "find_put_faults",
+    "find_state_faults",
+    "known_schemas",
+    "list_faults",
     "object_stores",
     "record",
+    "record_checks",
+    "record_path",
     "record_schemas",
+    "structure_record",
     "table_services",
+    "upgrade",
     "upgrader",
     "upgraders",
     "vm_lists",
--- /dev/null
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_log.py
@@ -0,0 +1,212 @@
+"""The record log in the table service: reading it and changing it."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ._log_entry import LogPart
+from ._record_change import Accepted, PutRefusal, RecordChange, RefusalKind, change_of
+from ._record_checks import find_put_faults
+from ._record_rows import (
+    HEAD_KEY,
+    LOG_PREFIX,
+    RECORD_PREFIX,
+    HeadRow,
+    LogRow,
+    decode_head,
+    decode_log_row,
+    fingerprint,
+    log_key,
+    record_key,
+)
+from ._record_state import StoredState, scan_rows
+from ._record_writer import RecordWriter
+from ._table import TableError, TableErrorKind, TableService
+
+LOG_KEPT = 100_000
+"""Log rows kept; at 25,000 changes a day, four days."""
+
+READ_ATTEMPTS = 5
+"""How often a reader of the whole configuration starts again while reads disagree."""
+
+
+def _new_change_id() -> str:
+    return secrets.token_hex(8)
+
+
+class RecordLog:
+    """The log of all accepted changes of the configuration.
+
+    Parameters
+    ----------
+    table : TableService
+    kept : int
+        Log rows kept; each change removes the rows that fall behind.
+    new_change_id : callable
+        Returns a text that no other change carries.
+
+    Notes
+    -----
+    A change is one transaction on the record row, a new log row and the head row, conditional on
+    the versions that were read. Two operators who change the same record at once therefore
+    cannot both succeed, and every revision is one change.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        kept: int = LOG_KEPT,
+        new_change_id: Callable[[], str] = _new_change_id,
+    ):
+        self.table = table
+        self.kept = kept
+        self.new_change_id = new_change_id
+
+    async def head(self) -> Result[int, TableError]:
+        """Return the revision of the last change, 0 if there is none; one read."""
+        head = await self._read_head()
+        return head.map(lambda row: row.revision)
+
+    async def read_all(self) -> Result[LogPart, TableError]:
+        """Return the whole configuration in force, from the record rows.
+
+        Returns
+        -------
+        Result of LogPart, TableError
+            The entries in order of revision; never a mixture of two states of the table.
+        """
+        state = await self.read_state()
+        if isinstance(state, Err):
+            return state
+        entries = [row.entry for row in state.ok_value.in_force()]
+        entries.sort(key=lambda entry: entry.revision)
+        return Ok(LogPart(0, entries, True, state.ok_value.head.revision))
+
+    async def read_after(self, revision: int, limit: int = 1000) -> Result[LogPart, TableError]:
+        """Return the changes behind ``revision``, or all if the log does not reach back so far.
+
+        Parameters
+        ----------
+        revision : int
+        limit : int
+            Largest number of changes returned.
+        """
+        scanned = await scan_rows(self.table, LOG_PREFIX, log_key(revision), limit)
+        if isinstance(scanned, Err):
+            return scanned
+        entries = [row.entry for _, row in scanned.ok_value]
+        if entries and entries[0].revision != revision + 1:
+            return await self.read_all()
+        head = await self.head()
+        if isinstance(head, Err):
+            return head
+        last = entries[-1].revision if entries else revision
+        return Ok(LogPart(revision, entries, False, max(head.ok_value, last)))
+
+    async def get(self, kind: str, name: str) -> Result[LogRow | None, TableError]:
+        """Return the last change of a record, a withdrawal included; None if there is none."""
+        found = await self.table.get([record_key(kind, name)])
+        if isinstance(found, Err):
+            return found
+        (row,) = found.ok_value
+        return Ok(None) if row is None else decode_log_row(row)
+
+    async def list(self, kind: str = "") -> Result[Sequence[LogRow], TableError]:
+        """Return the records in force, of one kind or of all, in order of kind and name."""
+        scanned = await scan_rows(self.table, RECORD_PREFIX + (f"{kind}/" if kind else ""))
+        return scanned.map(lambda rows: [row for _, row in rows if not row.withdrawn])
+
+    async def history(
+        self, kind: str, name: str, limit: int = 100
+    ) -> Result[Sequence[LogRow], TableError]:
+        """Return the changes of a record, the latest first, as far as the log reaches back."""
+        current = await self.get(kind, name)
+        rows: list[LogRow] = []
+        while isinstance(current, Ok) and current.ok_value is not None and len(rows) < limit:
+            rows.append(current.ok_value)
+            current = await self.read_row(current.ok_value.previous_revision)
+        return current if isinstance(current, Err) else Ok(rows)
+
+    async def read_row(self, revision: int) -> Result[LogRow | None, TableError]:
+        """Return the change with that revision, None if the log does not hold it."""
+        if not revision:
+            return Ok(None)
+        found = await self.table.get([log_key(revision)])
+        if isinstance(found, Err):
+            return found
+        (row,) = found.ok_value
+        return Ok(None) if row is None else decode_log_row(row)
+
+    async def read_state(self) -> Result[StoredState, TableError]:
+        """Return head and record rows as they were at one revision."""
+        for _ in range(READ_ATTEMPTS):
+            found = await self.table.get([HEAD_KEY])
+            if isinstance(found, Err):
+                return found
+            head = decode_head(found.ok_value[0])
+            rows = await scan_rows(self.table, RECORD_PREFIX)
+            if isinstance(head, Err) or isinstance(rows, Err):
+                return head if isinstance(head, Err) else rows
+            if fingerprint(row for _, row in rows.ok_value) == head.ok_value.fingerprint:
+                return Ok(StoredState.of(head.ok_value, found.ok_value[0], rows.ok_value))
+        detail = f"reads of the record rows disagreed with the head {READ_ATTEMPTS} times"
+        return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
+
+    async def put(
+        self,
+        records: Sequence[Any],
+        author: str,
+        expected_revision: int,
+        now: float,
+        dry_run: bool = False,
+    ) -> Result[Accepted, PutRefusal]:
+        """Accept a record, given once in each schema version that is to stand in the table.
+
+        Parameters
+        ----------
+        records : sequence of record
+            All of one kind and name; bodies that are not given are no longer in the table.
+        author : str
+        expected_revision : int
+            Revision of the record that the author read; 0 if there was no such record.
+        now : float
+            Seconds since the epoch.
+        dry_run : bool
+            Check everything, write nothing.
+        """
+        faults = find_put_faults(records)
+        if faults:
+            return _invalid(faults)
+        return await self.commit([change_of(records, expected_revision)], author, now, dry_run)
+
+    async def withdraw(
+        self,
+        kind: str,
+        name: str,
+        author: str,
+        expected_revision: int,
+        now: float,
+        dry_run: bool = False,
+    ) -> Result[Accepted, PutRefusal]:
+        """Withdraw a record that nothing refers to."""
+        change = RecordChange(kind, name, {}, expected_revision)
+        return await self.commit([change], author, now, dry_run)
+
+    async def commit(
+        self, changes: Sequence[RecordChange], author: str, now: float, dry_run: bool = False
+    ) -> Result[Accepted, PutRefusal]:
+        """Accept several changes together or none of them."""
+        writer = RecordWriter(self, changes, author, self.new_change_id())
+        return await writer.run(now, dry_run)
+
+    async def _read_head(self) -> Result[HeadRow, TableError]:
+        found = await self.table.get([HEAD_KEY])
+        return found if isinstance(found, Err) else decode_head(found.ok_value[0])
+
+
+def _invalid(faults: list) -> Err[PutRefusal]:
+    return Err(PutRefusal(RefusalKind.INVALID, f"{len(faults)} fault(s)", tuple(faults)))
--- a/packages/burdockquay-state/src/burdockquay_state/_snapshot.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_snapshot.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
+from typing import Any
+
 import attrs
+from result import Ok
 
+from ._log_entry import LogEntry
+from ._record_codec import RecordFault, decode_record
 from ._records import (
     ClassRecord,
     GroupRecord,
@@ -50,3 +56,31 @@
     "policy": "policies",
 }
 """The field of :class:`Snapshot` that holds the records of each kind."""
+
+
+def build_snapshot(
+    entries: Iterable[LogEntry],
+    revision: int,
+    known: Collection[tuple[str, int]] | None = None,
+) -> tuple[Snapshot, list[RecordFault]]:
+    """Return the configuration that the entries make, and the faults of unreadable records.
+
+    Parameters
+    ----------
+    entries : iterable of LogEntry
+        The last change of each record; withdrawals are passed over.
+    revision : int
+    known : collection of (str, int), optional
+        As for :func:`decode_record`.
+    """
+    records: dict[str, dict[str, Any]] = {field: {} for field in FIELD_BY_KIND.values()}
+    faults: list[RecordFault] = []
+    for entry in entries:
+        if not entry.bodies:
+            continue
+        decoded = decode_record(entry.kind, entry.name, entry.bodies, known)
+        if isinstance(decoded, Ok):
+            records[FIELD_BY_KIND[entry.kind]][entry.name] = decoded.ok_value
+        else:
+            faults += decoded.err_value
+    return Snapshot(revision=revision, **records), faults
--- a/packages/burdockquay-state/src/burdockquay_state/_validation.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_validation.py
@@ -67,7 +67,10 @@
         if isinstance(value, bool):
             return False
         kinds = (int, float) if self.kind is float else (int,)
-        return isinstance(value, kinds) and math.isfinite(value) and self.low <= value <= self.high
+        if not isinstance(value, kinds):
+            return False
+        # A NaN fails both comparisons; an integer too large for a float must not raise.
+        return self.low <= value <= self.high and value != math.inf
 
     def __str__(self) -> str:
         name = "a number" if self.kind is float else "an integer"
@@ -126,6 +129,51 @@
 """Constraint on the names of records, organisations, classes and VMs."""
 
 
+@attrs.frozen
+class ParameterFault:
+    """A value that breaks its constraints.
+
+    Parameters
+    ----------
+    key : str
+        Name of the parameter.
+    expected, got : str
+        What would have been accepted, and the value that was given.
+    """
+
+    key: str
+    expected: str
+    got: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: expected {self.expected}, got {self.got}"
+
+
+def list_faults(
+    constraints: Mapping[str, Sequence[Constraint]], values: Mapping[str, Any]
+) -> list[ParameterFault]:
+    """Return a fault for each given value that breaks its constraints.
+
+    Parameters
+    ----------
+    constraints : mapping of str to sequence of Constraint
+        The declared table.
+    values : mapping of str to object
+        Values by parameter; parameters that are missing here are not checked.
+
+    Returns
+    -------
+    list of ParameterFault
+        In the order of the table.
+    """
+    faults = []
+    for name, accepted in constraints.items():
+        if name in values and not any(constraint.accepts(values[name]) for constraint in accepted):
+            expected = " or ".join(str(constraint) for constraint in accepted)
+            faults.append(ParameterFault(name, expected, repr(values[name])))
+    return faults
+
+
 def find_faults(constraints: Mapping[str, Sequence[Constraint]], values: Any) -> list[str]:
     """Return a message for each attribute of ``values`` that breaks its constraints.
 
@@ -141,13 +189,8 @@
     list of str
         ``parameter: expected …, got …``, in the order of the table; empty if all is well.
     """
-    faults = []
-    for name, accepted in constraints.items():
-        value = getattr(values, name)
-        if not any(constraint.accepts(value) for constraint in accepted):
-            expected = " or ".join(str(constraint) for constraint in accepted)
-            faults.append(f"{name}: expected {expected}, got {value!r}")
-    return faults
+    attributes = {name: getattr(values, name) for name in constraints}
+    return [str(fault) for fault in list_faults(constraints, attributes)]
 
 
 def check_parameters(instance: Any) -> None:
