Add the harness that starts a whole deployment for benchmarks

Cause: demo and benchmarks need real processes on the loopback, ended for certain.

Change: benchmarks/_harness.py starts platform, upstreams, slots and entries with settings files of their own, keeps the VM list, puts records through RecordLog and waits for readiness; _callers.py sends planned requests and judges each answer against the expected one.

--- /dev/null
+++ b/benchmarks/_callers.py
@@ -0,0 +1,238 @@
+"""Callers: send planned requests to entries and judge each answer against the expected one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+
+from burdockquay_standins import expected_answer, parse_stream
+
+CONNECT_TIMEOUT_S = 5.0
+REQUEST_LIMIT_S = 60.0
+CONTENT_MARK = b'"content": "'
+
+
+@attrs.frozen
+class PlannedCall:
+    """A request that a caller is to send.
+
+    Parameters
+    ----------
+    at_s : float
+        When, seconds behind the start of the plan.
+    url : str
+        The whole URL.
+    organisation, class_name, api_key : str
+    body : dict
+    patience_s : float
+        When the caller leaves if the answer is not whole, seconds.
+    key : str
+        Idempotency key; empty for none.
+    """
+
+    at_s: float
+    url: str
+    organisation: str
+    class_name: str
+    api_key: str
+    body: dict[str, Any]
+    patience_s: float = REQUEST_LIMIT_S
+    key: str = ""
+
+
+@attrs.frozen
+class CallResult:
+    """What a caller got.
+
+    Parameters
+    ----------
+    organisation, class_name : str
+    outcome : str
+        ``"whole"``, ``"refused"``, ``"left"`` (the caller's patience ended), ``"broken"`` (an
+        explicit error or a cut stream), ``"truncated"`` (looked whole but lacks tokens) or
+        ``"mixed"`` (holds tokens that do not belong to it).
+    status : int
+        HTTP status, 0 if there was none.
+    error : str
+        Error kind of a refusal or break, ``"connection"`` if the connection broke.
+    first_token_s : float
+        From sending to the first token, seconds; for a whole answer that is not streamed, to its
+        end.
+    between_tokens_s : float
+        Mean time between the later tokens, seconds.
+    longest_gap_s : float
+    tokens : int
+    duration_s : float
+    run : str
+        What a refusal says of whether it ran.
+    at_s : float
+        When it was sent, seconds behind the start of the plan.
+    """
+
+    organisation: str
+    class_name: str
+    outcome: str
+    status: int = 0
+    error: str = ""
+    first_token_s: float = 0.0
+    between_tokens_s: float = 0.0
+    longest_gap_s: float = 0.0
+    tokens: int = 0
+    duration_s: float = 0.0
+    run: str = ""
+    at_s: float = 0.0
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a client without a limit on connections, which repeats nothing by itself."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=REQUEST_LIMIT_S, sock_connect=CONNECT_TIMEOUT_S),
+    )
+
+
+async def run_plan(
+    calls: Sequence[PlannedCall], seed: int, start_at: float | None = None
+) -> list[CallResult]:
+    """Send every call at its time, whatever the earlier ones do, and return all results.
+
+    Parameters
+    ----------
+    calls : sequence of PlannedCall
+    seed : int
+        Seed of the engines.
+    start_at : float or None
+        Reading of the monotonic clock at which the plan starts; None for now.
+    """
+    start_at = time.monotonic() if start_at is None else start_at
+    async with new_session() as session:
+        tasks = [asyncio.create_task(_send_at(session, call, seed, start_at)) for call in calls]
+        return list(await asyncio.gather(*tasks))
+
+
+async def _send_at(
+    session: aiohttp.ClientSession, call: PlannedCall, seed: int, start_at: float
+) -> CallResult:
+    await asyncio.sleep(max(0.0, start_at + call.at_s - time.monotonic()))
+    return await send(session, call, seed)
+
+
+async def send(session: aiohttp.ClientSession, call: PlannedCall, seed: int) -> CallResult:
+    """Send one call and judge its answer."""
+    reader = _AnswerReader(call, seed)
+    try:
+        async with asyncio.timeout(call.patience_s):
+            await reader.read(session)
+    except TimeoutError:
+        return reader.result("left")
+    except (aiohttp.ClientError, ConnectionError):
+        return reader.result("broken", error=reader.error or "connection")
+    return reader.judge()
+
+
+class _AnswerReader:
+    """Reads one answer and notes when its tokens came."""
+
+    def __init__(self, call: PlannedCall, seed: int):
+        self.call = call
+        self.seed = seed
+        self.sent_at = time.monotonic()
+        self.status = 0
+        self.content = b""
+        self.error = ""
+        self.run = ""
+        self._seen = 0
+        self._first_at = 0.0
+        self._last_at = 0.0
+        self._longest_gap_s = 0.0
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Request headers."""
+        headers = {
+            "Authorization": f"Bearer {self.call.api_key}",
+            "X-Service-Class": self.call.class_name,
+        }
+        if self.call.key:
+            headers["Idempotency-Key"] = self.call.key
+        return headers
+
+    async def read(self, session: aiohttp.ClientSession) -> None:
+        """Send the request and read the answer to its end."""
+        pieces = []
+        async with session.post(
+            self.call.url, json=self.call.body, headers=self.headers
+        ) as response:
+            self.status = response.status
+            try:
+                async for piece in response.content.iter_any():
+                    pieces.append(piece)
+                    self._note(piece.count(CONTENT_MARK))
+            finally:
+                self.content = b"".join(pieces)
+                self._read_error()
+
+    def judge(self) -> CallResult:
+        """Compare the answer with the expected one."""
+        if self.status != 200:
+            return self.result("refused", error=self.error)
+        if self.error:
+            return self.result("broken", error=self.error)
+        tokens, finished = self._tokens()
+        expected = expected_answer(self.call.body, self.seed)
+        if tokens != expected[: len(tokens)]:
+            return self.result("mixed")
+        if not finished:
+            return self.result("broken", error="connection")
+        return self.result("whole" if tokens == expected else "truncated")
+
+    def result(self, outcome: str, error: str = "") -> CallResult:
+        """Return the result with what was measured."""
+        later = max(1, self._seen - 1)
+        return CallResult(
+            organisation=self.call.organisation,
+            class_name=self.call.class_name,
+            outcome=outcome,
+            status=self.status,
+            error=error,
+            first_token_s=self._first_at - self.sent_at if self._seen else 0.0,
+            between_tokens_s=(self._last_at - self._first_at) / later,
+            longest_gap_s=self._longest_gap_s,
+            tokens=self.content.count(CONTENT_MARK),
+            duration_s=time.monotonic() - self.sent_at,
+            run=self.run,
+            at_s=self.call.at_s,
+        )
+
+    def _tokens(self) -> tuple[list[str], bool]:
+        if self.call.body.get("stream"):
+            return parse_stream(self.content)
+        message = json.loads(self.content)["choices"][0]["message"]["content"]
+        return [part + " " for part in message.split()], True
+
+    def _note(self, tokens: int) -> None:
+        if not tokens:
+            return
+        now = time.monotonic()
+        if self._seen:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._last_at)
+        else:
+            self._first_at = now
+        self._last_at = now
+        self._seen += tokens
+
+    def _read_error(self) -> None:
+        at = self.content.find(b'{"error"')
+        if at < 0:
+            return
+        try:
+            error, _ = json.JSONDecoder().raw_decode(self.content[at:].decode())
+            self.error, self.run = error["error"]["type"], error["error"]["run"]
+        except (ValueError, TypeError, KeyError):
+            self.error = "unreadable"
--- /dev/null
+++ b/benchmarks/_harness.py
@@ -0,0 +1,223 @@
+"""A deployment of real processes on the loopback: platform, upstreams, slots and entries.
+
+Benchmarks and the demo start processes; the product never does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Self
+
+import aiohttp
+import attrs
+from _processes import Process, Processes, daemon_command, standin_command
+
+from burdockquay_standins import EngineParameters, PlatformParameters, ServiceParameters
+from burdockquay_state import RecordLog, VmEntry, VmState
+from burdockquay_transport import HttpTable
+
+PEER_KEY = "5b" * 32
+READY_LIMIT_S = 30.0
+POLL_S = 0.05
+TABLE_TIMEOUT_S = 5.0
+
+
+class Cluster:
+    """Processes of one benchmark; all are ended when the context is left.
+
+    Parameters
+    ----------
+    name : str
+        Prefix of the directory for settings and logs.
+    keep : bool
+        Leave that directory behind.
+
+    Examples
+    --------
+    >>> async def run():
+    ...     async with Cluster("path") as cluster:
+    ...         await cluster.start_platform()
+    ...         await cluster.put_records(records)
+    ...         engine = await cluster.start_engine(EngineParameters())
+    ...         await cluster.start_slot("slot-1", "advisor", "medeu", engine.url)
+    ...         entry = await cluster.start_entry("entry-1", "medeu")
+    ...         await cluster.wait_ready()
+    """
+
+    def __init__(self, name: str, keep: bool = False):
+        self.name = name
+        self.keep = keep
+        self.platform: Process | None = None
+        self.upstreams: dict[str, Process] = {}
+        self.slots: dict[str, Process] = {}
+        self.entries: dict[str, Process] = {}
+        self.vms: dict[str, VmEntry] = {}
+        self._count = 0
+
+    async def __aenter__(self) -> Self:
+        self._directory = tempfile.TemporaryDirectory(prefix=f"burdockquay-{self.name}-")
+        self.directory = Path(self._directory.name)
+        self.processes = Processes(self.directory)
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.session.close()
+        await self.processes.stop_all()
+        if not self.keep:
+            self._directory.cleanup()
+
+    @property
+    def log(self) -> RecordLog:
+        """The record log in the platform's table."""
+        return RecordLog(HttpTable(self.platform.url, TABLE_TIMEOUT_S, self.session))
+
+    async def start_platform(self, parameters: PlatformParameters | None = None) -> Process:
+        """Start the table service, object store and VM list."""
+        command = standin_command("platform", parameters or PlatformParameters())
+        self.platform = await self.processes.start("platform", command)
+        return self.platform
+
+    async def start_engine(self, parameters: EngineParameters, name: str = "") -> Process:
+        """Start an engine."""
+        return await self._start_upstream("engine", parameters, name)
+
+    async def start_service(self, parameters: ServiceParameters, name: str = "") -> Process:
+        """Start a plain service."""
+        return await self._start_upstream("service", parameters, name)
+
+    async def start_slot(
+        self, vm: str, group: str, failure_domain: str, upstream_url: str, **settings: Any
+    ) -> Process:
+        """Start a slot and put its VM on the list."""
+        settings |= {"group": group, "upstream_url": upstream_url}
+        self.slots[vm] = await self._start_daemon("slot", vm, failure_domain, settings)
+        return self.slots[vm]
+
+    async def start_entry(self, vm: str, failure_domain: str, **settings: Any) -> Process:
+        """Start an entry and put its VM on the list."""
+        self.entries[vm] = await self._start_daemon("entry", vm, failure_domain, settings)
+        return self.entries[vm]
+
+    async def put_records(self, records: Sequence[Any], author: str = "bench") -> int:
+        """Put records over whatever stands under their names; return the last revision.
+
+        Raises
+        ------
+        RuntimeError
+            If a record is not accepted.
+        """
+        revision = 0
+        for item in records:
+            known = (await self.log.get(item.kind, item.name)).unwrap()
+            before = 0 if known is None else known.revision
+            accepted = await self.log.put([item], author, before, time.time())
+            if accepted.is_err():
+                raise RuntimeError(f"{item.kind}/{item.name} not accepted: {accepted.err()}")
+            revision = accepted.unwrap().revision
+        return revision
+
+    async def put_vm(self, entry: VmEntry) -> None:
+        """Put a VM on the platform's list, or replace it."""
+        self.vms[entry.vm] = entry
+        body = attrs.asdict(entry) | {"state": entry.state.value}
+        async with self.session.put(f"{self.platform.url}/vms/{entry.vm}", json=body) as response:
+            response.raise_for_status()
+
+    async def set_vm_state(self, vm: str, state: VmState) -> None:
+        """Change the state of a VM on the list."""
+        await self.put_vm(attrs.evolve(self.vms[vm], state=state))
+
+    async def remove_vm(self, vm: str) -> None:
+        """Take a VM off the platform's list."""
+        self.vms.pop(vm, None)
+        await self.session.delete(f"{self.platform.url}/vms/{vm}")
+
+    async def switch_faults(self, process: Process, **switches: Any) -> None:
+        """Set fault switches of a stand-in."""
+        async with self.session.post(f"{process.url}/faults", json=switches) as response:
+            if response.status != 200:
+                raise RuntimeError(f"{process.name}: {await response.text()}")
+
+    async def read_json(self, url: str) -> Any:
+        """Return what a read-only page shows."""
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def wait_ready(self, limit_s: float = READY_LIMIT_S) -> None:
+        """Return when every slot and entry is ready.
+
+        Raises
+        ------
+        RuntimeError
+            If one is not in time; holds the end of its log.
+        """
+        daemons = [*self.slots.values(), *self.entries.values()]
+        await asyncio.gather(*(self._wait_for(daemon, limit_s) for daemon in daemons))
+
+    async def wait_in_force(self, revision: int, limit_s: float = READY_LIMIT_S) -> None:
+        """Return when every slot and entry has the revision in force.
+
+        Raises
+        ------
+        RuntimeError
+            If one has not in time.
+        """
+        deadline = time.monotonic() + limit_s
+        for daemon in (*self.slots.values(), *self.entries.values()):
+            while await self._revision_of(daemon) < revision:
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{daemon.name} has not revision {revision} in force")
+                await asyncio.sleep(POLL_S)
+
+    async def _revision_of(self, daemon: Process) -> int:
+        status = await self.read_json(f"{daemon.status_url}/status")
+        return status["revision"]
+
+    async def _wait_for(self, daemon: Process, limit_s: float) -> None:
+        deadline = time.monotonic() + limit_s
+        while not await self._is_ready(daemon):
+            if time.monotonic() > deadline or not daemon.running:
+                raise RuntimeError(f"{daemon.name} is not ready: {daemon.log_tail()}")
+            await asyncio.sleep(POLL_S)
+
+    async def _is_ready(self, daemon: Process) -> bool:
+        try:
+            async with self.session.get(f"{daemon.status_url}/readyz") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _start_upstream(self, kind: str, parameters: Any, name: str) -> Process:
+        self._count += 1
+        name = name or f"{kind}-{self._count}"
+        process = await self.processes.start(name, standin_command(kind, parameters))
+        self.upstreams[name] = process
+        return process
+
+    async def _start_daemon(
+        self, role: str, vm: str, failure_domain: str, settings: dict[str, Any]
+    ) -> Process:
+        path = self.directory / f"{vm}.json"
+        url = self.platform.url
+        platform = {"table_url": url, "objects_url": url, "vms_url": url}
+        identity = {"vm": vm, "failure_domain": failure_domain, "peer_key": PEER_KEY}
+        path.write_text(json.dumps({**identity, "platform": platform, **settings}))
+        process = await self.processes.start(vm, daemon_command(role, path))
+        await self.put_vm(
+            VmEntry(
+                vm=vm,
+                role=role,
+                host="127.0.0.1",
+                port=process.listening["port"],
+                status_port=process.listening["status_port"],
+                failure_domain=failure_domain,
+                group=settings.get("group", ""),
+            )
+        )
+        return process
--- /dev/null
+++ b/benchmarks/_processes.py
@@ -0,0 +1,162 @@
+"""Processes that a benchmark starts, speaks to by HTTP and ends by their ids."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 5.0
+LOG_TAIL_CHARACTERS = 2000
+BIN = Path(sys.executable).parent
+
+
+class StartError(RuntimeError):
+    """A process did not say that it listens."""
+
+
+@attrs.define
+class Process:
+    """A started process that listens on the loopback.
+
+    Parameters
+    ----------
+    name : str
+    process : asyncio.subprocess.Process
+    log : Path
+        Where its standard error goes.
+    listening : dict
+        The line that it printed when it listened.
+    """
+
+    name: str
+    process: asyncio.subprocess.Process
+    log: Path
+    listening: dict[str, Any] = attrs.field(factory=dict)
+    _drain: asyncio.Task | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL of its main port."""
+        return f"http://127.0.0.1:{self.listening['port']}"
+
+    @property
+    def status_url(self) -> str:
+        """Base URL of the port that answers ``/readyz`` and ``/status``."""
+        port = self.listening.get("status_port", self.listening["port"])
+        return f"http://127.0.0.1:{port}"
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.returncode is None
+
+    async def read_listening(self) -> None:
+        """Wait for the line that tells the ports.
+
+        Raises
+        ------
+        StartError
+            If the process ends or stays silent; holds the end of its log.
+        """
+        try:
+            line = await asyncio.wait_for(self.process.stdout.readline(), START_LIMIT_S)
+            self.listening = json.loads(line)
+        except (TimeoutError, ValueError) as error:
+            raise StartError(f"{self.name} does not listen: {self.log_tail()}") from error
+        self._drain = asyncio.create_task(self._discard_output())
+
+    def log_tail(self) -> str:
+        """Return the end of what the process wrote to its standard error."""
+        return self.log.read_text(errors="replace")[-LOG_TAIL_CHARACTERS:]
+
+    def terminate(self) -> None:
+        """Ask the process to stop."""
+        if self.running:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.terminate()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.running:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+
+    async def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Return the exit status; a process that does not end in time is killed."""
+        try:
+            await asyncio.wait_for(self.process.wait(), limit_s)
+        except TimeoutError:
+            self.kill()
+            await self.process.wait()
+        if self._drain is not None:
+            self._drain.cancel()
+        return self.process.returncode
+
+    async def _discard_output(self) -> None:
+        while await self.process.stdout.read(4096):
+            pass
+
+
+class Processes:
+    """Starts processes and ends them all.
+
+    Parameters
+    ----------
+    directory : Path
+        For settings and logs.
+    """
+
+    def __init__(self, directory: Path):
+        self.directory = directory
+        self.started: list[Process] = []
+
+    async def start(self, name: str, command: Sequence[str]) -> Process:
+        """Start a command and return when it listens."""
+        process = await self.launch(name, command)
+        await process.read_listening()
+        return process
+
+    async def launch(self, name: str, command: Sequence[str]) -> Process:
+        """Start a command and return at once."""
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as errors:
+            started = await asyncio.create_subprocess_exec(
+                *command, stdout=asyncio.subprocess.PIPE, stderr=errors
+            )
+        process = Process(name, started, log)
+        self.started.append(process)
+        return process
+
+    async def stop_all(self) -> None:
+        """Ask every process to stop, in the reverse order, and kill those that don't."""
+        for process in reversed(self.started):
+            process.terminate()
+        await asyncio.gather(*(process.wait() for process in self.started))
+        self.started.clear()
+
+
+def standin_command(kind: str, parameters: Any = None) -> list[str]:
+    """Return the command of a stand-in with its parameters, an attrs object, as options."""
+    command = [sys.executable, "-m", "burdockquay_standins", kind, "--port", "0"]
+    for name, value in attrs.asdict(parameters).items() if parameters is not None else ():
+        option = "--" + name.replace("_", "-")
+        if isinstance(value, bool):
+            command += [option] if value else []
+        elif isinstance(value, list):
+            command += [part for item in value for part in (option, str(item))]
+        else:
+            command.append(f"{option}={value}")
+    return command
+
+
+def daemon_command(role: str, settings: Path) -> list[str]:
+    """Return the command of an entry or a slot."""
+    return [str(BIN / "burdockquayd"), role, "--settings", str(settings)]
--- /dev/null
+++ b/benchmarks/_report.py
@@ -0,0 +1,48 @@
+"""What a benchmark prints: tables for people, one JSON object as the last line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+
+def print_table(title: str, header: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Print rows in columns."""
+    cells = [list(header), *([_format(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(header))]
+    print(f"\n{title}")
+    for row in cells:
+        first, *others = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        print("  " + "  ".join([first, *others]).rstrip())
+
+
+def print_result(result: Mapping[str, Any]) -> None:
+    """Print the JSON object that ends the output of a benchmark."""
+    print(json.dumps(_round(result)), flush=True)
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return the value that a share of the values does not exceed; 0 if there are none.
+
+    Examples
+    --------
+    >>> quantile([3.0, 1.0, 2.0], 0.5)
+    2.0
+    """
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _format(cell: Any) -> str:
+    return f"{cell:.3f}" if isinstance(cell, float) else str(cell)
+
+
+def _round(value: Any) -> Any:
+    if isinstance(value, float):
+        return round(value, 4)
+    if isinstance(value, Mapping):
+        return {key: _round(part) for key, part in value.items()}
+    return value
