Hold the configuration in force and keep up with the record log

Only what follows without a gap, or a whole configuration of a higher revision, is applied. A record whose latest form this release cannot read keeps its last readable form and is handed on to peers in full. Reads of the head row are spaced so that all processes together stay in the budget; one peer at a time is asked for the log.

--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_configuration.py
@@ -0,0 +1,292 @@
+"""The configuration that a process has in force, and how it keeps up with the record log."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections import deque
+from collections.abc import Collection, Iterable
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from burdockquay_state import (
+    FIELD_BY_KIND,
+    LogEntry,
+    LogPart,
+    RecordFault,
+    RecordLog,
+    Snapshot,
+    TableError,
+    decode_record,
+    known_schemas,
+)
+
+RECENT_ENTRIES = 1000
+"""Entries kept for peers that lag; one that lags further gets the whole configuration."""
+
+PART_BYTES = 1 << 20
+"""Bodies in one part of the log, bytes; the receiver asks for the next part."""
+
+WHOLE_BYTES = 3 << 20
+"""Bodies in a whole configuration that still fits into one message, bytes."""
+
+FETCH_RETRY_S = 0.5
+"""Time after which a peer's missing answer is given up and another peer is asked, seconds."""
+
+
+class ApplyStatus(enum.Enum):
+    """What became of a part of the log."""
+
+    APPLIED = "applied"
+    NOT_NEWER = "not_newer"
+    """Nothing in it was newer than what is in force."""
+    GAP = "gap"
+    """It starts behind entries that are missing here."""
+    MALFORMED = "malformed"
+    """Its entries are out of order or exceed its head."""
+
+
+@attrs.frozen
+class ApplyOutcome:
+    """What became of a part of the log.
+
+    Parameters
+    ----------
+    status : ApplyStatus
+    revision : int
+        In force afterwards.
+    applied : int
+        Entries that were applied.
+    faults : tuple of RecordFault
+        Records that this process cannot read; their last readable form stays in force.
+    """
+
+    status: ApplyStatus
+    revision: int
+    applied: int = 0
+    faults: tuple[RecordFault, ...] = ()
+
+
+class ConfigurationHolder:
+    """Holds the configuration in force and the entries that lagging peers need.
+
+    Parameters
+    ----------
+    known : collection of (str, int), optional
+        The (kind, schema version) pairs that the process understands; default all registered.
+
+    Notes
+    -----
+    Parts of the log arrive from the table and from any number of peers, late, twice and in any
+    order. Only what follows without a gap on the revision in force, or a whole configuration of a
+    higher revision, is applied; a process that took an older part would send requests by rules
+    that the operators have replaced.
+    """
+
+    def __init__(self, known: Collection[tuple[str, int]] | None = None):
+        self.known = known_schemas() if known is None else frozenset(known)
+        self._snapshot = Snapshot()
+        self._entries: dict[tuple[str, str], LogEntry] = {}
+        self._faults: dict[tuple[str, str], tuple[RecordFault, ...]] = {}
+        self._recent: deque[LogEntry] = deque(maxlen=RECENT_ENTRIES)
+        self._applied_at = 0.0
+        self._fetch_after = -float("inf")
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The configuration in force."""
+        return self._snapshot
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 before there is any."""
+        return self._snapshot.revision
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a configuration."""
+        return self.revision > 0
+
+    @property
+    def applied_at(self) -> float:
+        """Time of the last change of the revision in force, seconds on the caller's clock."""
+        return self._applied_at
+
+    @property
+    def faults(self) -> list[RecordFault]:
+        """Faults of the records whose latest form this process cannot read."""
+        return [fault for faults in self._faults.values() for fault in faults]
+
+    def apply(self, part: LogPart, now: float) -> ApplyOutcome:
+        """Take in a part of the log as far as it is newer than what is in force."""
+        self._fetch_after = -float("inf")
+        if part.whole:
+            return self._apply_whole(part, now)
+        newer = [entry for entry in part.entries if entry.revision > self.revision]
+        if not newer:
+            return self._outcome(ApplyStatus.NOT_NEWER)
+        expected = range(self.revision + 1, self.revision + 1 + len(newer))
+        if newer[0].revision != expected[0]:
+            return self._outcome(ApplyStatus.GAP)
+        if [entry.revision for entry in newer] != list(expected):
+            return self._outcome(ApplyStatus.MALFORMED)
+        faults = self._put_in_force(newer, newer[-1].revision, now)
+        self._recent.extend(newer)
+        return self._outcome(ApplyStatus.APPLIED, len(newer), faults)
+
+    def log_after(self, revision: int) -> LogPart:
+        """Return what a peer at ``revision`` is missing: the next entries, or the whole."""
+        if revision >= self.revision:
+            return LogPart(revision, [], False, self.revision)
+        if self._recent and self._recent[0].revision <= revision + 1:
+            behind = (entry for entry in self._recent if entry.revision > revision)
+            return LogPart(revision, _cut(behind, PART_BYTES), False, self.revision)
+        entries = sorted(self._entries.values(), key=lambda entry: entry.revision)
+        if sum(map(_size, entries)) > WHOLE_BYTES:
+            # Too large for a message: the peer sees the head without entries, reads the table.
+            return LogPart(revision, [], False, self.revision)
+        return LogPart(0, entries, True, self.revision)
+
+    def should_fetch(self, revision: int, now: float) -> bool:
+        """Return whether to ask a peer that has ``revision`` in force for its log.
+
+        Notes
+        -----
+        A process hears of a new revision from all its peers nearly at once. Asking each of them
+        would multiply the traffic of every change by the number of connections, so one is asked,
+        and the next one only if no answer has come for ``FETCH_RETRY_S``.
+        """
+        if revision <= self.revision or now < self._fetch_after:
+            return False
+        self._fetch_after = now + FETCH_RETRY_S
+        return True
+
+    def _apply_whole(self, part: LogPart, now: float) -> ApplyOutcome:
+        if part.head <= self.revision:
+            return self._outcome(ApplyStatus.NOT_NEWER)
+        if any(entry.revision > part.head or not entry.bodies for entry in part.entries):
+            return self._outcome(ApplyStatus.MALFORMED)
+        present = {(entry.kind, entry.name) for entry in part.entries}
+        gone = [
+            attrs.evolve(entry, revision=part.head, bodies={})
+            for key, entry in self._entries.items()
+            if key not in present
+        ]
+        changed = [
+            entry for entry in part.entries if self._entries.get((entry.kind, entry.name)) != entry
+        ]
+        faults = self._put_in_force(gone + changed, part.head, now)
+        self._recent.clear()
+        return self._outcome(ApplyStatus.APPLIED, len(changed), faults)
+
+    def _put_in_force(
+        self, entries: Collection[LogEntry], revision: int, now: float
+    ) -> tuple[RecordFault, ...]:
+        fields = {FIELD_BY_KIND[entry.kind] for entry in entries if entry.kind in FIELD_BY_KIND}
+        records = {field: dict(getattr(self._snapshot, field)) for field in fields}
+        faults = [fault for entry in entries for fault in self._take(entry, records)]
+        self._snapshot = attrs.evolve(self._snapshot, revision=revision, **records)
+        self._applied_at = now
+        return tuple(faults)
+
+    def _take(self, entry: LogEntry, records: dict[str, dict[str, Any]]) -> tuple[RecordFault, ...]:
+        """Take one entry into ``records``; return its faults."""
+        key = (entry.kind, entry.name)
+        self._faults.pop(key, None)
+        if not entry.bodies:
+            self._entries.pop(key, None)
+            records.get(FIELD_BY_KIND.get(entry.kind, ""), {}).pop(entry.name, None)
+            return ()
+        self._entries[key] = entry
+        decoded = decode_record(entry.kind, entry.name, entry.bodies, self.known)
+        if isinstance(decoded, Ok):
+            records[FIELD_BY_KIND[entry.kind]][entry.name] = decoded.ok_value
+            return ()
+        # The last readable form of the record stays in force. Without it a process of the old
+        # release would lose the class or the route as soon as only the new schema is left.
+        self._faults[key] = tuple(decoded.err_value)
+        return self._faults[key]
+
+    def _outcome(
+        self, status: ApplyStatus, applied: int = 0, faults: tuple[RecordFault, ...] = ()
+    ) -> ApplyOutcome:
+        return ApplyOutcome(status, self.revision, applied, faults)
+
+
+def _size(entry: LogEntry) -> int:
+    return 128 + sum(map(len, entry.bodies.values()))
+
+
+def _cut(entries: Iterable[LogEntry], limit: int) -> list[LogEntry]:
+    """Return the first entries that fit into ``limit`` bytes, at least one."""
+    taken: list[LogEntry] = []
+    total = 0
+    for entry in entries:
+        total += _size(entry)
+        if taken and total > limit:
+            break
+        taken.append(entry)
+    return taken
+
+
+def next_read_delay(
+    poll_interval_s: float, table_read_budget: float, processes: int, rng: random.Random
+) -> float:
+    """Return the time until this process reads the head revision again, seconds.
+
+    Parameters
+    ----------
+    poll_interval_s : float
+        Mean time between two reads, seconds.
+    table_read_budget : float
+        Reads a second by all processes together.
+    processes : int
+        Processes that read, as far as known.
+    rng : random.Random
+
+    Notes
+    -----
+    The mean grows with the number of processes, so that all of them together stay in the budget.
+    The jitter of half the mean keeps processes that started together from reading together.
+
+    Examples
+    --------
+    >>> delays = [next_read_delay(1.0, 300.0, 7600, random.Random(seed)) for seed in range(100)]
+    >>> 12 < min(delays) and max(delays) < 39
+    True
+    """
+    mean = max(poll_interval_s, processes / table_read_budget)
+    return mean * rng.uniform(0.5, 1.5)
+
+
+class ConfigurationReader:
+    """Brings what the table has into a holder.
+
+    Parameters
+    ----------
+    log : RecordLog
+    holder : ConfigurationHolder
+    """
+
+    def __init__(self, log: RecordLog, holder: ConfigurationHolder):
+        self.log = log
+        self.holder = holder
+
+    async def read(self, now: float) -> Result[ApplyOutcome, TableError]:
+        """Read the head and, if it is newer, what is missing; one read if nothing is new.
+
+        Returns
+        -------
+        Result of ApplyOutcome, TableError
+            An error leaves in force what there was.
+        """
+        head = await self.log.head()
+        if isinstance(head, Err):
+            return head
+        revision = self.holder.revision
+        if head.ok_value <= revision:
+            return Ok(ApplyOutcome(ApplyStatus.NOT_NEWER, revision))
+        part = await (self.log.read_after(revision) if revision else self.log.read_all())
+        return part.map(lambda taken: self.holder.apply(taken, now))
--- a/packages/burdockquay-state/src/burdockquay_state/_faulty.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_faulty.py
@@ -77,6 +77,7 @@
         return done
 
     def _view(self) -> MemoryTable:
+        self.reads += 1
         age = self.stale_reads.pop(0) if self.stale_reads else 0
         view = MemoryTable()
         view._rows = (
