--- a/benchmarks/_callers.py
+++ b/benchmarks/_callers.py
@@ -11,7 +11,7 @@
 import aiohttp
 import attrs
 
-from burdockquay_standins import expected_answer, parse_stream
+from burdockquay_standins import expected_answer, parse_stream, service_digest
 
 CONNECT_TIMEOUT_S = 5.0
 REQUEST_LIMIT_S = 60.0
@@ -34,6 +34,8 @@
         When the caller leaves if the answer is not whole, seconds.
     key : str
         Idempotency key; empty for none.
+    service_path : str
+        Path and query that a plain service is to see; empty for a chat request.
     """
 
     at_s: float
@@ -44,6 +46,12 @@
     body: dict[str, Any]
     patience_s: float = REQUEST_LIMIT_S
     key: str = ""
+    service_path: str = ""
+
+    @property
+    def content(self) -> bytes:
+        """The body as it is sent."""
+        return json.dumps(self.body).encode()
 
 
 @attrs.frozen
@@ -73,6 +81,8 @@
         What a refusal says of whether it ran.
     at_s : float
         When it was sent, seconds behind the start of the plan.
+    key : str
+        Idempotency key of the call.
     """
 
     organisation: str
@@ -87,6 +97,7 @@
     duration_s: float = 0.0
     run: str = ""
     at_s: float = 0.0
+    key: str = ""
 
 
 def new_session() -> aiohttp.ClientSession:
@@ -158,6 +169,7 @@
         headers = {
             "Authorization": f"Bearer {self.call.api_key}",
             "X-Service-Class": self.call.class_name,
+            "Content-Type": "application/json",
         }
         if self.call.key:
             headers["Idempotency-Key"] = self.call.key
@@ -167,7 +179,7 @@
         """Send the request and read the answer to its end."""
         pieces = []
         async with session.post(
-            self.call.url, json=self.call.body, headers=self.headers
+            self.call.url, data=self.call.content, headers=self.headers
         ) as response:
             self.status = response.status
             try:
@@ -184,6 +196,8 @@
             return self.result("refused", error=self.error)
         if self.error:
             return self.result("broken", error=self.error)
+        if self.call.service_path:
+            return self._judge_service()
         tokens, finished = self._tokens()
         expected = expected_answer(self.call.body, self.seed)
         if tokens != expected[: len(tokens)]:
@@ -208,8 +222,14 @@
             duration_s=time.monotonic() - self.sent_at,
             run=self.run,
             at_s=self.call.at_s,
+            key=self.call.key,
         )
 
+    def _judge_service(self) -> CallResult:
+        self._note(1)
+        digest = service_digest("POST", self.call.service_path, self.call.content)
+        return self.result("whole" if json.loads(self.content)["digest"] == digest else "mixed")
+
     def _tokens(self) -> tuple[list[str], bool]:
         if self.call.body.get("stream"):
             return parse_stream(self.content)
