--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -18,7 +18,7 @@
 from _processes import Process, Processes, daemon_command, standin_command
 
 from burdockquay_standins import EngineParameters, PlatformParameters, ServiceParameters
-from burdockquay_state import RecordLog, VmEntry, VmState
+from burdockquay_state import RecordLog, VmEntry, VmState, change_of
 from burdockquay_transport import HttpTable
 
 PEER_KEY = "5b" * 32
@@ -105,22 +105,18 @@
         return self.entries[vm]
 
     async def put_records(self, records: Sequence[Any], author: str = "bench") -> int:
-        """Put records over whatever stands under their names; return the last revision.
+        """Put all records over whatever stands under their names; return the revision.
 
         Raises
         ------
         RuntimeError
-            If a record is not accepted.
+            If a record is not accepted; none of them is then.
         """
-        revision = 0
-        for item in records:
-            known = (await self.log.get(item.kind, item.name)).unwrap()
-            before = 0 if known is None else known.revision
-            accepted = await self.log.put([item], author, before, time.time())
-            if accepted.is_err():
-                raise RuntimeError(f"{item.kind}/{item.name} not accepted: {accepted.err()}")
-            revision = accepted.unwrap().revision
-        return revision
+        changes = [change_of([item], await self._revision_put(item)) for item in records]
+        accepted = await self.log.commit(changes, author, time.time())
+        if accepted.is_err():
+            raise RuntimeError(f"records not accepted: {accepted.err()}")
+        return accepted.unwrap().revision
 
     async def put_vm(self, entry: VmEntry) -> None:
         """Put a VM on the platform's list, or replace it."""
@@ -175,6 +171,10 @@
                     raise RuntimeError(f"{daemon.name} has not revision {revision} in force")
                 await asyncio.sleep(POLL_S)
 
+    async def _revision_put(self, item: Any) -> int:
+        known = (await self.log.get(item.kind, item.name)).unwrap()
+        return 0 if known is None else known.entry.revision
+
     async def _revision_of(self, daemon: Process) -> int:
         status = await self.read_json(f"{daemon.status_url}/status")
         return status["revision"]
--- a/benchmarks/_records.py
+++ b/benchmarks/_records.py
@@ -12,7 +12,7 @@
 
 def api_key(organisation: str) -> str:
     """Return the API key of an organisation of a benchmark."""
-    return f"key-of-{organisation}"
+    return f"{organisation}.secret-of-{organisation}"
 
 
 def organisation_record(name: str, **fields: float) -> OrganisationRecord:
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -165,9 +165,7 @@
 
 def count_wrong_effects(results: Sequence[CallResult], effects: Mapping[str, int]) -> int:
     """Return how many holds had an effect that differs from what their caller was told."""
-    return sum(
-        not _agrees(result, effects.get(result.key, 0)) for result in results if result.key
-    )
+    return sum(not _agrees(result, effects.get(result.key, 0)) for result in results if result.key)
 
 
 def _agrees(result: CallResult, count: int) -> bool:
--- a/packages/burdockquay-standins/src/burdockquay_standins/_answers.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_answers.py
@@ -41,7 +41,7 @@
     Parameters
     ----------
     body : mapping
-        Body of a chat request: ``model``, ``messages`` and ``max_tokens`` count.
+        Body of a chat request: ``model``, ``messages``, ``max_tokens`` and ``min_tokens`` count.
     seed : int
         Seed of the engines.
 
@@ -55,7 +55,7 @@
     """
     rng = random.Random(request_digest(body, seed))
     natural = max(1, round(MEDIAN_TOKENS * rng.lognormvariate(0.0, LENGTH_SIGMA)))
-    count = min(natural, answer_limit(body))
+    count = min(max(natural, body.get("min_tokens", 1)), answer_limit(body))
     return [f"w{rng.randrange(WORDS)} " for _ in range(count)]
 
 
--- a/packages/burdockquay-standins/src/burdockquay_standins/_chat.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_chat.py
@@ -8,9 +8,12 @@
 
 import attrs
 
+from burdockquay_state import Interval
+
 from ._answers import answer_limit
 
 DONE = b"data: [DONE]\n\n"
+_LIMIT = Interval(int, 1)
 
 
 @attrs.frozen
@@ -43,13 +46,13 @@
     model = body.get("model")
     messages = body.get("messages")
     resume = body.get("resume_tokens") or []
-    limit = answer_limit(body)
+    limits = (answer_limit(body), body.get("min_tokens", 1))
     if not isinstance(model, str):
         raise ValueError(f"expected a string 'model', got {model!r}")
     if not isinstance(messages, list) or not all(isinstance(part, dict) for part in messages):
         raise ValueError("expected a list of objects 'messages'")
-    if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
-        raise ValueError(f"expected an integer 'max_tokens' of at least 1, got {limit!r}")
+    if not all(_LIMIT.accepts(limit) for limit in limits):
+        raise ValueError(f"max_tokens, min_tokens: expected {_LIMIT} each, got {limits!r}")
     if not isinstance(resume, list) or not all(isinstance(token, str) for token in resume):
         raise ValueError("expected a list of strings 'resume_tokens'")
     characters = sum(len(str(part.get("content", ""))) for part in messages)
--- a/packages/burdockquay-standins/src/burdockquay_standins/tests/test_engine.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/tests/test_engine.py
@@ -166,6 +166,7 @@
         {"messages": "hello"},
         {"max_tokens": 0},
         {"max_tokens": True},
+        {"min_tokens": "3"},
         {"resume_tokens": [1]},
     ],
 )
