Do not read an unchanged VM list anew

An entry reads the list every second, although it seldom changes. The adapter now sends the entity tag of the last list and takes status 304 for no change; from a server without tags, equal content is not parsed again. The platform stand-in gives the tag. After: no body and no parsing while nothing changes; a change still costs a whole list.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_platform.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import hashlib
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -237,10 +238,14 @@
             return web.Response(status=404)
         return web.Response(body=content)
 
-    async def _list_vms(self, _: web.Request) -> web.Response:
+    async def _list_vms(self, request: web.Request) -> web.Response:
         self.counts["vm_reads"] += 1
         served = self._served_vms.read(time.monotonic())
-        return web.json_response({"vms": [_vm_to_json(entry) for entry in served.values()]})
+        response = web.json_response({"vms": [_vm_to_json(entry) for entry in served.values()]})
+        response.etag = hashlib.sha256(response.body).hexdigest()
+        if response.etag in (request.if_none_match or ()):
+            return web.Response(status=304)
+        return response
 
     async def _put_vm(self, request: web.Request) -> web.Response:
         body = await read_object(request)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
@@ -71,6 +71,7 @@
 class _Reply:
     status: int
     content: bytes
+    etag: str = ""
 
 
 @attrs.frozen
@@ -91,7 +92,12 @@
     session: aiohttp.ClientSession
 
     async def call(
-        self, method: str, path: str, content: bytes | None, lost: TableErrorKind
+        self,
+        method: str,
+        path: str,
+        content: bytes | None,
+        lost: TableErrorKind,
+        known_etag: str = "",
     ) -> Result[_Reply, TableError]:
         """Send one request and return the reply.
 
@@ -101,6 +107,8 @@
         content : bytes or None
         lost : TableErrorKind
             The error if the request may have arrived and no reply came.
+        known_etag : str
+            Entity tag of the content that is known already; status 304 says that it still holds.
 
         Notes
         -----
@@ -114,10 +122,12 @@
                 method,
                 f"{self.url.rstrip('/')}{path}",
                 data=content,
+                headers={"If-None-Match": known_etag} if known_etag else None,
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                return Ok(_Reply(response.status, await _read(response)))
+                etag = response.headers.get("ETag", "")
+                return Ok(_Reply(response.status, await _read(response), etag))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Nothing was sent: no connection came about.
             return _fail(TableErrorKind.UNAVAILABLE, error)
@@ -237,6 +247,11 @@
     timeout_s : float
         Limit on a call, seconds.
     session : aiohttp.ClientSession
+
+    Notes
+    -----
+    The list is read every second and seldom changes. A server that gives an entity tag sends it
+    only after a change; where it gives none, equal content is not parsed again.
     """
 
     def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
@@ -245,13 +260,28 @@
         self.session = session
         self._client = _Client(url, timeout_s, session)
         self._reported: set[str] = set()
+        self._reply: _Reply | None = None
+        self._entries: list[VmEntry] = []
 
     async def list(self) -> Result[list[VmEntry], TableError]:
         """Return the entries that are well formed; the others are left out with an event."""
-        reply = await self._client.call("GET", "/vms", None, TableErrorKind.UNAVAILABLE)
-        if reply.is_err():
-            return reply
-        return _interpret(reply.ok(), TableErrorKind.UNAVAILABLE, self._read_entries)
+        etag = self._reply.etag if self._reply else ""
+        answer = await self._client.call("GET", "/vms", None, TableErrorKind.UNAVAILABLE, etag)
+        if answer.is_err():
+            return answer
+        reply = answer.ok()
+        if self._is_known(reply):
+            return Ok(list(self._entries))
+        read = _interpret(reply, TableErrorKind.UNAVAILABLE, self._read_entries)
+        if read.is_ok():
+            self._reply = reply
+            self._entries = list(read.ok())
+        return read
+
+    def _is_known(self, reply: _Reply) -> bool:
+        if self._reply is None:
+            return False
+        return reply.status == 304 or (reply.status, reply.content) == (200, self._reply.content)
 
     def _read_entries(self, answer: Any) -> list[VmEntry]:
         results = [_read_entry(item) for item in _list(answer, "vms")]
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_platform_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import hashlib
 import io
 
 import aiohttp
@@ -47,6 +48,8 @@
         self.table = MemoryTable()
         self.objects = MemoryObjectStore()
         self.vms = []
+        self.tags_vm_list = False
+        self.lists_sent = 0
         self.calls = 0
         self.respond = None
 
@@ -91,7 +94,13 @@
         return web.Response(status=404) if content is None else web.Response(body=content)
 
     async def list_vms(self, request):
-        return web.json_response({"vms": self.vms})
+        response = web.json_response({"vms": self.vms})
+        if self.tags_vm_list:
+            response.etag = hashlib.sha256(response.body).hexdigest()
+            if request.if_none_match and response.etag in request.if_none_match:
+                return web.Response(status=304)
+        self.lists_sent += 1
+        return response
 
 
 @pytest.fixture
@@ -219,10 +228,9 @@
     assert (await table.get(["a"])).err().kind is UNAVAILABLE
 
 
-async def test_malformed_entries_of_the_vm_list_leave_the_others(platform, session):
-    """One line of the list is broken; without the others no request would find an upstream."""
-    good = {
-        "vm": "s1",
+def vm_fields(name):
+    return {
+        "vm": name,
         "role": "slot",
         "host": "127.0.0.1",
         "port": 7000,
@@ -230,8 +238,32 @@
         "failure_domain": "medeu",
         "group": "desk",
         "state": "leaving",
-        "rack": "the platform's own field",
     }
+
+
+@pytest.mark.parametrize(("tagged", "lists_sent"), [(False, 5), (True, 3)])
+async def test_an_unchanged_vm_list_is_not_read_anew_and_a_change_is(
+    platform, session, tagged, lists_sent, monkeypatch
+):
+    platform.tags_vm_list = tagged
+    vm_list = vm_lists.get("http")(platform.url, 60.0, session)
+    parsed = []
+    read_entry = _platform_http._read_entry
+    monkeypatch.setattr(
+        _platform_http, "_read_entry", lambda item: parsed.append(item) or read_entry(item)
+    )
+    for names in (["a"], ["a"], ["a", "b"], ["b"], ["b"]):
+        platform.vms = [vm_fields(name) for name in names]
+        entries = (await vm_list.list()).ok()
+        assert [entry.vm for entry in entries] == names
+        entries.clear()
+    assert [item["vm"] for item in parsed] == ["a", "a", "b", "b"]
+    assert platform.lists_sent == lists_sent
+
+
+async def test_malformed_entries_of_the_vm_list_leave_the_others(platform, session):
+    """One line of the list is broken; without the others no request would find an upstream."""
+    good = {**vm_fields("s1"), "rack": "the platform's own field"}
     bad = [{**good, "port": "7000"}, {**good, "state": "gone"}, {**good, "vm": ""}, {}, None, 7]
     platform.vms = [*bad, good]
     log = io.StringIO()
