Add queues, slot scheduling, admission, placement, health, retries, quarantine, routing

Cause: entry and slot need the decisions under load behind settled interfaces.

Change: queue policies "fifo" and "class_share" (strict priority, guaranteed shares by deficit, turns for aged requests, deficit round robin between organisations over generated tokens), the slot scheduler with grants, places kept free and pausing, admission, five placement policies, prefix index, subset choice, health monitor and probe gate, retry rules and budget, quarantine book, usage ledger, route table and API keys.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -3,6 +3,7 @@
 No sockets and no clock: the present time is an argument, randomness a parameter.
 """
 
+from ._admission import AdmissionController, TokenBucket
 from ._configuration import (
     ApplyOutcome,
     ApplyStatus,
@@ -10,28 +11,66 @@
     ConfigurationReader,
     next_read_delay,
 )
+from ._health import HealthMonitor, ProbeGate
 from ._once_entry import SETTLED_KINDS, OnceResolver, OnceTicket, Settled, SettledState
 from ._once_slot import OnceGuard
 from ._outcomes import OutcomeWriter
+from ._placement import PlacementPolicy, placement_policies
+from ._prefixes import PrefixIndex
+from ._quarantine import QuarantineBook, Verdict
+from ._queues import QueuePolicy, queue_policies
+from ._retries import RetryBudget, RetryDecision, RetryRule, rule_of, should_retry
+from ._routing import RouteTable, authenticate, make_key_digest
+from ._shares import Contender, ShareLedger
+from ._slots import SlotScheduler
+from ._subsets import choose_subset
 from ._types import Candidate, PlaceGrant, PlacementRequest, SlotCounts, Waiting, Work
+from ._usage import AttainmentRow, LatencyTarget, UsageLedger, UsageRow
 
 __all__ = [
+    "AdmissionController",
     "ApplyOutcome",
     "ApplyStatus",
+    "AttainmentRow",
     "Candidate",
     "ConfigurationHolder",
     "ConfigurationReader",
+    "Contender",
+    "HealthMonitor",
+    "LatencyTarget",
     "OnceGuard",
     "OnceResolver",
     "OnceTicket",
     "OutcomeWriter",
     "PlaceGrant",
+    "PlacementPolicy",
     "PlacementRequest",
+    "PrefixIndex",
+    "ProbeGate",
+    "QuarantineBook",
+    "QueuePolicy",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryRule",
+    "RouteTable",
     "SETTLED_KINDS",
     "Settled",
     "SettledState",
+    "ShareLedger",
     "SlotCounts",
+    "SlotScheduler",
+    "TokenBucket",
+    "UsageLedger",
+    "UsageRow",
+    "Verdict",
     "Waiting",
     "Work",
+    "authenticate",
+    "choose_subset",
+    "make_key_digest",
     "next_read_delay",
+    "placement_policies",
+    "queue_policies",
+    "rule_of",
+    "should_retry",
 ]
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_admission.py
@@ -0,0 +1,219 @@
+"""Whether an entry takes a request or refuses it early."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import attrs
+from result import Err, Ok, Result
+
+from burdockquay_protocol import ErrorKind, RequestError
+from burdockquay_state import ClassRecord, OrganisationRecord, PolicyRecord
+
+from ._queues import QueuePolicy
+
+RATE_WINDOW_S = 5.0
+"""Time constant of the rate of starts of a class, seconds."""
+MIN_RETRY_AFTER_S = 0.1
+"""Smallest time that a refused caller is told to wait, seconds."""
+BURST_S = 1.0
+"""How many seconds of its rate an organisation may send at once."""
+
+
+class TokenBucket:
+    """Limits a rate and allows short bursts.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens a second.
+    burst : float
+        Most tokens that are kept.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(rate=2.0, burst=1.0)
+    >>> bucket.take(0.0), bucket.take(0.0), bucket.take(0.5)
+    (True, False, True)
+    """
+
+    def __init__(self, rate: float, burst: float):
+        self.rate = rate
+        self.burst = burst
+        self._tokens = burst
+        self._filled_at = -math.inf
+
+    def wait_s(self, now: float) -> float:
+        """Return the seconds until a token is there."""
+        self._fill(now)
+        return max(0.0, (1.0 - self._tokens) / self.rate)
+
+    def take(self, now: float) -> bool:
+        """Take a token; False if there is none."""
+        self._fill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _fill(self, now: float) -> None:
+        if now > self._filled_at:
+            self._tokens = min(self.burst, self._tokens + (now - self._filled_at) * self.rate)
+            self._filled_at = now
+
+
+@attrs.define
+class _StartRate:
+    """Starts of one class since it last had an empty queue, decayed over time."""
+
+    since: float
+    counted: float = 0.0
+    at: float = 0.0
+
+    def add(self, now: float) -> None:
+        self.counted = self._decayed(now) + 1.0
+        self.at = now
+
+    def per_second(self, now: float) -> float:
+        elapsed = max(now - self.since, 1e-6)
+        observed_s = RATE_WINDOW_S * -math.expm1(-elapsed / RATE_WINDOW_S)
+        return (self._decayed(now) + 1.0) / observed_s
+
+    def _decayed(self, now: float) -> float:
+        return self.counted * math.exp(-max(0.0, now - self.at) / RATE_WINDOW_S)
+
+
+@attrs.define
+class _Account:
+    bucket: TokenBucket
+    outstanding: int = 0
+
+
+class AdmissionController:
+    """Refuses requests that exceed a limit or would wait longer than their class allows.
+
+    Notes
+    -----
+    The expected wait is the number of requests that would leave before the new one, divided by the
+    recent rate at which requests of the class start. The rate is counted from the time at which the
+    queue was last empty: an idle class has no rate, and its first burst must not be refused for it.
+    One start more than was seen is assumed, so that a class is admitted until there is evidence.
+
+    A lower class is served more slowly, so it is refused before a higher one. A protected class is
+    never refused by the estimate; only its organisation's limits and its patience in the queue end
+    its wait. Refusing it could make room for lower work only.
+    """
+
+    def __init__(self) -> None:
+        self._classes: Mapping[str, ClassRecord] = {}
+        self._organisations: Mapping[str, OrganisationRecord] = {}
+        self._shedding = True
+        self._accounts: dict[str, _Account] = {}
+        self._rates: dict[str, _StartRate] = {}
+
+    def configure(
+        self,
+        classes: Mapping[str, ClassRecord],
+        organisations: Mapping[str, OrganisationRecord],
+        policy: PolicyRecord,
+        now: float,
+    ) -> None:
+        """Take new records; requests admitted before keep counting."""
+        self._classes = classes
+        self._organisations = organisations
+        self._shedding = policy.shedding
+        for name in list(self._accounts):
+            record = organisations.get(name)
+            if record is not None:
+                bucket = self._accounts[name].bucket
+                bucket.rate, bucket.burst = record.requests_per_s, _burst(record)
+            elif not self._accounts[name].outstanding:
+                del self._accounts[name]
+        self._rates = {name: rate for name, rate in self._rates.items() if name in classes}
+
+    def admit(
+        self, organisation: str, class_name: str, queue: QueuePolicy, now: float
+    ) -> Result[None, RequestError]:
+        """Take a request, or say why not and when to try again.
+
+        Returns
+        -------
+        Result of None or RequestError
+            ``ORGANISATION_LIMIT`` or ``OVERLOADED`` with ``retry_after_s``. After Ok the request
+            counts as outstanding until :meth:`finished`.
+        """
+        refusal = self._over_limit(organisation, now) or self._overloaded(
+            organisation, class_name, queue, now
+        )
+        if refusal is not None:
+            return Err(refusal)
+        account = self._account(organisation)
+        if account is not None:
+            account.bucket.take(now)
+            account.outstanding += 1
+        return Ok(None)
+
+    def started(self, class_name: str, waited_s: float, now: float) -> None:
+        """Note that a request of the class was sent to a slot after waiting in the queue."""
+        rate = self._rates.setdefault(class_name, _StartRate(since=now - waited_s))
+        rate.add(now)
+
+    def finished(self, organisation: str, class_name: str, now: float) -> None:
+        """Note that an admitted request has ended, however it did."""
+        account = self._accounts.get(organisation)
+        if account is None:
+            return
+        account.outstanding = max(0, account.outstanding - 1)
+        if not account.outstanding and organisation not in self._organisations:
+            del self._accounts[organisation]
+
+    def expected_wait_s(
+        self, organisation: str, class_name: str, queue: QueuePolicy, now: float
+    ) -> float:
+        """Estimate how long a new request would wait in the queue, seconds."""
+        ahead = queue.ahead(class_name, organisation)
+        if not ahead:
+            self._rates[class_name] = _StartRate(since=now, at=now)
+            return 0.0
+        rate = self._rates.setdefault(class_name, _StartRate(since=now, at=now))
+        return ahead / rate.per_second(now)
+
+    def _account(self, organisation: str) -> _Account | None:
+        record = self._organisations.get(organisation)
+        if organisation not in self._accounts and record is not None:
+            bucket = TokenBucket(record.requests_per_s, _burst(record))
+            self._accounts[organisation] = _Account(bucket)
+        return self._accounts.get(organisation)
+
+    def _over_limit(self, organisation: str, now: float) -> RequestError | None:
+        account = self._account(organisation)
+        record = self._organisations.get(organisation)
+        if account is None or record is None:
+            return None
+        if account.outstanding >= record.outstanding:
+            detail = f"expected at most {record.outstanding} requests at a time"
+            return RequestError(ErrorKind.ORGANISATION_LIMIT, detail)
+        wait_s = account.bucket.wait_s(now)
+        if wait_s > 0:
+            detail = f"expected at most {record.requests_per_s} requests a second"
+            retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
+            return RequestError(ErrorKind.ORGANISATION_LIMIT, detail, retry_after_s=retry_after_s)
+        return None
+
+    def _overloaded(
+        self, organisation: str, class_name: str, queue: QueuePolicy, now: float
+    ) -> RequestError | None:
+        record = self._classes.get(class_name)
+        expected_s = self.expected_wait_s(organisation, class_name, queue, now)
+        if record is None or record.protected or not self._shedding:
+            return None
+        if expected_s <= record.patience_s:
+            return None
+        detail = f"expected wait {expected_s:.1f} s, class {class_name} waits {record.patience_s} s"
+        retry_after_s = max(expected_s - record.patience_s, MIN_RETRY_AFTER_S)
+        return RequestError(ErrorKind.OVERLOADED, detail, retry_after_s=retry_after_s)
+
+
+def _burst(record: OrganisationRecord) -> float:
+    return max(1.0, record.requests_per_s * BURST_S)
