--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -12,6 +12,7 @@
     next_read_delay,
 )
 from ._health import HealthMonitor, ProbeGate
+from ._membership import MembershipBook
 from ._once_entry import SETTLED_KINDS, OnceResolver, OnceTicket, Settled, SettledState
 from ._once_slot import OnceGuard
 from ._outcomes import OutcomeWriter
@@ -38,6 +39,7 @@
     "Contender",
     "HealthMonitor",
     "LatencyTarget",
+    "MembershipBook",
     "OnceGuard",
     "OnceResolver",
     "OnceTicket",
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_membership.py
@@ -0,0 +1,242 @@
+"""Which slots an entry keeps connections to, and which of them take new work."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from burdockquay_state import GroupRecord, VmEntry, VmState
+
+from ._subsets import choose_subset
+
+RECONNECT_FIRST_S = 0.1
+"""Longest wait before the first attempt to connect, seconds."""
+
+RECONNECT_MAX_S = 5.0
+"""Longest wait between two attempts to connect, seconds."""
+
+STABLE_S = 2.0
+"""A connection that lasted so long, in seconds, counts as a success."""
+
+LOST_AFTER_S = 3.0
+"""Time without a connection after which another slot is taken besides, seconds."""
+
+
+@attrs.frozen
+class MemberView:
+    """A slot as the status shows it.
+
+    Parameters
+    ----------
+    vm : str
+    incarnation : str
+        Of the present or last connection, empty if there was none.
+    connected, leaving : bool
+    """
+
+    vm: str
+    incarnation: str
+    connected: bool
+    leaving: bool
+
+
+@attrs.frozen
+class MembershipChange:
+    """What a reading of the VM list changed, as names of VMs."""
+
+    appeared: tuple[str, ...] = ()
+    vanished: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+
+
+@attrs.define
+class _Member:
+    """What is known of one VM."""
+
+    entry: VmEntry
+    listed: bool = True
+    incarnation: str = ""
+    connected_at: float | None = None
+    failures: int = 0
+    failing_since: float | None = None
+    left: set[str] = attrs.field(factory=set)
+
+    @property
+    def connected(self) -> bool:
+        return self.connected_at is not None
+
+    @property
+    def leaving(self) -> bool:
+        said = bool(self.incarnation) and self.incarnation in self.left
+        return said or self.entry.state is VmState.LEAVING
+
+    def lost(self, now: float) -> bool:
+        since = self.failing_since
+        return not self.connected and since is not None and now - since >= LOST_AFTER_S
+
+
+class MembershipBook:
+    """What an entry knows of the VMs: from the list, and from its own connections.
+
+    Parameters
+    ----------
+    own_vm : str
+        Name of the VM of this process.
+
+    Notes
+    -----
+    The list of the platform lags, so it serves for discovery only. A VM that the list no longer
+    shows is kept while its connection lives; one that the list still shows is not used while there
+    is no connection. Either the list or the slot itself may say first that a VM leaves, and
+    either is enough. A word of leaving belongs to the incarnation that said it: a process that
+    started again on the same VM or address is another member.
+    """
+
+    def __init__(self, own_vm: str):
+        self.own_vm = own_vm
+        self._members: dict[str, _Member] = {}
+
+    @property
+    def processes(self) -> int:
+        """Number of VMs in the list as last read, at least 1."""
+        return max(1, sum(member.listed for member in self._members.values()))
+
+    @property
+    def members(self) -> list[MemberView]:
+        """Every known slot, by name."""
+        return [
+            MemberView(vm, member.incarnation, member.connected, member.leaving)
+            for vm, member in sorted(self._members.items())
+            if member.entry.role == "slot"
+        ]
+
+    def update_list(self, entries: Iterable[VmEntry], now: float) -> MembershipChange:
+        """Take in a reading of the VM list. While it cannot be read, nothing needs to be called."""
+        listed = {entry.vm: entry for entry in entries}
+        appeared = tuple(sorted(listed.keys() - self._members.keys()))
+        leaving = []
+        for vm, entry in listed.items():
+            member = self._members.setdefault(vm, _Member(entry))
+            if entry.state is VmState.LEAVING and member.entry.state is not VmState.LEAVING:
+                leaving.append(vm)
+            member.entry = entry
+            member.listed = True
+        missing = sorted(self._members.keys() - listed.keys())
+        vanished = tuple(vm for vm in missing if self._members[vm].listed)
+        for vm in missing:
+            self._members[vm].listed = False
+            self._forget_if_gone(vm)
+        return MembershipChange(appeared, vanished, tuple(sorted(leaving)))
+
+    def learn(self, entry: VmEntry, now: float) -> None:
+        """Add a slot that was found without the list, by an address in the settings."""
+        self._members.setdefault(entry.vm, _Member(entry, listed=False))
+
+    def connected(self, vm: str, incarnation: str, now: float) -> bool:
+        """Record a connection; ``vm`` is the name that the other side gave in the handshake.
+
+        Returns
+        -------
+        bool
+            False if no VM of that name is known. The address then belongs to a VM that has
+            replaced the one that was dialled: close the connection, and wait for the list.
+        """
+        member = self._members.get(vm)
+        if member is None:
+            return False
+        member.incarnation = incarnation
+        member.connected_at = now
+        member.failing_since = None
+        return True
+
+    def disconnected(self, vm: str, incarnation: str, now: float) -> None:
+        """Record the end of a connection; one of an earlier incarnation changes nothing."""
+        member = self._members.get(vm)
+        if member is None or member.incarnation != incarnation or member.connected_at is None:
+            return
+        # A slot that accepts and closes at once must not be dialled without pause.
+        stable = now - member.connected_at >= STABLE_S
+        member.failures = 1 if stable else member.failures + 1
+        member.connected_at = None
+        member.failing_since = now
+        self._forget_if_gone(vm)
+
+    def connect_failed(self, vm: str, now: float) -> None:
+        """Record an attempt to connect that failed."""
+        member = self._members.get(vm)
+        if member is None or member.connected:
+            return
+        member.failures += 1
+        if member.failing_since is None:
+            member.failing_since = now
+
+    def said_leaving(self, vm: str, incarnation: str, now: float) -> None:
+        """Record that a slot said itself that it takes no new work."""
+        member = self._members.get(vm)
+        if member is not None:
+            member.left.add(incarnation)
+
+    def targets(self, group: GroupRecord, now: float) -> list[VmEntry]:
+        """Return the slots of a group to be connected to, by name.
+
+        Parameters
+        ----------
+        group : GroupRecord
+        now : float
+
+        Returns
+        -------
+        list of VmEntry
+            The fixed subset of the group, and for each of it that is lost one more. A connection
+            to a slot that is not among them is closed once nothing runs over it.
+
+        Notes
+        -----
+        With a failure domain a whole part of the subset is lost at once, while the list goes on
+        showing it. Others are taken in its place; the lost ones are still dialled, so that the
+        fixed subset is in use again as soon as the domain is back.
+        """
+        members = [
+            member
+            for member in self._members.values()
+            if member.entry.role == "slot"
+            and member.entry.group == group.name
+            and not member.leaving
+        ]
+        fixed = choose_subset(self.own_vm, [member.entry for member in members], group.subset)
+        healthy = [member.entry for member in members if not member.lost(now)]
+        present = choose_subset(self.own_vm, healthy, group.subset)
+        chosen = {entry.vm: entry for entry in [*fixed, *present]}
+        return [chosen[vm] for vm in sorted(chosen)]
+
+    def usable(self, vm: str, now: float) -> bool:
+        """Return whether new work may be sent to a slot."""
+        member = self._members.get(vm)
+        return member is not None and member.connected and not member.leaving
+
+    def incarnation(self, vm: str) -> str:
+        """Return the incarnation of the present or last connection, empty if there was none."""
+        member = self._members.get(vm)
+        return member.incarnation if member else ""
+
+    def reconnect_delay(self, vm: str, rng: random.Random, now: float) -> float:
+        """Return how long to wait before the next attempt to connect, seconds.
+
+        Notes
+        -----
+        The bound doubles with each failure up to ``RECONNECT_MAX_S``, and the wait is drawn evenly
+        below it. When a failure domain or an entry's network returns, thousands of attempts are
+        due; without the draw they would arrive together, time out together and come again
+        together.
+        """
+        member = self._members.get(vm)
+        failures = min(member.failures, 16) if member else 0
+        bound = min(RECONNECT_MAX_S, RECONNECT_FIRST_S * 2.0**failures)
+        return rng.uniform(0.0, bound)
+
+    def _forget_if_gone(self, vm: str) -> None:
+        member = self._members[vm]
+        if not member.listed and not member.connected:
+            del self._members[vm]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_subsets.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_subsets.py
@@ -50,4 +50,4 @@
 
 
 def _score(own_vm: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{own_vm}\n{name}")
+    return xxhash.xxh64_intdigest(f"{own_vm}\n{name}".encode())
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -0,0 +1,348 @@
+"""Takes one call through its attempts to a whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+from result import Err
+
+from burdockquay_coordination import (
+    SETTLED_KINDS,
+    LatencyTarget,
+    OnceResolver,
+    QuarantineBook,
+    RetryBudget,
+    Settled,
+    SettledState,
+    UsageLedger,
+    Verdict,
+    should_retry,
+)
+from burdockquay_protocol import (
+    PART_BODY,
+    PART_END,
+    PART_HEAD,
+    PART_TOKEN,
+    AnswerEnd,
+    AnswerHead,
+    ErrorKind,
+    Failed,
+    Frame,
+    NotRun,
+    RequestError,
+    RunState,
+    decode_part,
+)
+from burdockquay_state import StoredAnswer
+
+from ._answer_store import split_answer
+from ._call import Call, CallError, PeerLost, Refused
+from ._clock import Clock
+from ._dispatcher import GroupDispatcher
+from ._events import Event, log_event
+from ._metrics import MetricsSink, timers
+
+SETTLE_TRIES = 4
+"""How often the claim row of a lost attempt is read while it may still end."""
+
+SETTLE_PAUSE_S = 0.25
+"""Time between these reads, seconds."""
+
+
+@attrs.frozen
+class Tokens:
+    """Tokens of an answer, as many as had arrived."""
+
+    texts: list[str]
+
+
+@attrs.frozen
+class Body:
+    """Piece of the body of a plain answer."""
+
+    data: bytes
+
+
+AnswerItem = AnswerHead | Tokens | Body | AnswerEnd
+
+
+class CallRunner:
+    """Runs calls: waits for frames, retries where that is safe, and tells the truth at the end.
+
+    Parameters
+    ----------
+    resolver : OnceResolver
+    quarantine : QuarantineBook
+    budget : RetryBudget
+    ledger : UsageLedger
+    metrics : MetricsSink
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        resolver: OnceResolver,
+        quarantine: QuarantineBook,
+        budget: RetryBudget,
+        ledger: UsageLedger,
+        metrics: MetricsSink,
+        clock: Clock,
+    ):
+        self.resolver = resolver
+        self.quarantine = quarantine
+        self.budget = budget
+        self.ledger = ledger
+        self.metrics = metrics
+        self.clock = clock
+        self._handlers: dict[type, Callable] = {
+            NotRun: self._on_not_run,
+            Failed: self._on_failed,
+            PeerLost: self._on_peer_lost,
+        }
+
+    async def run(self, call: Call, dispatcher: GroupDispatcher) -> AsyncIterator[AnswerItem]:
+        """Yield the answer of a call: head, pieces, end.
+
+        Raises
+        ------
+        CallError
+            If the call ends without a whole answer.
+        """
+        self.budget.deposit(self.clock.now())
+        whole = False
+        try:
+            self._check_quarantine(call)
+            dispatcher.submit(call, self.clock.now())
+            while not whole:
+                event = await self._next_event(call)
+                for item in await self._handle(call, dispatcher, event):
+                    whole = whole or isinstance(item, AnswerEnd)
+                    yield item
+        finally:
+            dispatcher.abandon(call, self.clock.now())
+            self._account(call, whole)
+
+    async def _next_event(self, call: Call) -> Any:
+        remaining = call.asked.deadline - self.clock.now()
+        try:
+            async with asyncio.timeout(remaining):
+                return await call.inbox.get()
+        except TimeoutError:
+            raise await self._deadline_passed(call) from None
+
+    async def _handle(
+        self, call: Call, dispatcher: GroupDispatcher, event: Any
+    ) -> list[AnswerItem]:
+        if isinstance(event, Frame):
+            return self._take_frames(call, dispatcher, event)
+        if isinstance(event, Refused):
+            raise call.fail_with(event.error)
+        return await self._handlers[type(event)](call, dispatcher, event)
+
+    def _take_frames(
+        self, call: Call, dispatcher: GroupDispatcher, first: Frame
+    ) -> list[AnswerItem]:
+        """Return what the frames that have arrived hold; tokens come in one piece."""
+        items: list[AnswerItem] = []
+        texts: list[str] = []
+        frame: Any = first
+        while True:
+            if not self._in_order(call, frame):
+                call.link.give_up(call)
+                failed = Failed(
+                    frame.request, frame.attempt, ErrorKind.PEER_LOST, "a frame is missing"
+                )
+                call.inbox.put(failed)
+                break
+            if frame.part == PART_TOKEN:
+                texts.append(frame.data.decode(errors="replace"))
+            else:
+                items += self._flush(call, dispatcher, texts)
+                texts = []
+                items += self._take_part(call, frame)
+            frame = call.inbox.get_if(Frame)
+            if frame is None:
+                break
+        return items + self._flush(call, dispatcher, texts)
+
+    def _in_order(self, call: Call, frame: Frame) -> bool:
+        if frame.attempt != call.attempt or frame.sequence != call.next_sequence:
+            return False
+        call.next_sequence += 1
+        return True
+
+    def _flush(self, call: Call, dispatcher: GroupDispatcher, texts: list[str]) -> list[AnswerItem]:
+        if not texts:
+            return []
+        now = self.clock.now()
+        self._time_tokens(call, now)
+        call.delivered += texts
+        dispatcher.charge(call, len(texts), now)
+        return [Tokens(texts)]
+
+    def _time_tokens(self, call: Call, now: float) -> None:
+        asked = call.asked
+        name = asked.service_class.name
+        if not call.delivered:
+            call.first_token_s = now - call.started_at
+            call.first_token_at = now
+            self.metrics.timing(timers.first_token(name), call.first_token_s)
+        else:
+            self.metrics.timing(timers.between_tokens(name), now - call.token_at)
+        call.token_at = now
+
+    def _take_part(self, call: Call, frame: Frame) -> list[AnswerItem]:
+        if frame.part == PART_BODY:
+            return [Body(frame.data)]
+        if frame.part not in (PART_HEAD, PART_END):
+            raise call.fail(ErrorKind.INTERNAL, f"unknown part {frame.part}")
+        cls = AnswerHead if frame.part == PART_HEAD else AnswerEnd
+        decoded = decode_part(cls, frame.data)
+        if isinstance(decoded, Err):
+            raise call.fail(ErrorKind.INTERNAL, decoded.err().detail)
+        call.may_have_run = True
+        if frame.part == PART_END:
+            call.link.end(call)
+            return [decoded.ok()]
+        # A continued answer has a head of its own, which the caller has had already.
+        if call.has_head:
+            return []
+        call.has_head = True
+        return [decoded.ok()]
+
+    async def _on_not_run(
+        self, call: Call, dispatcher: GroupDispatcher, event: NotRun
+    ) -> list[AnswerItem]:
+        now = self.clock.now()
+        error = RequestError(event.kind, event.detail)
+        if event.kind is ErrorKind.CLAIM_LOST:
+            return await self._settle(call, dispatcher, error, claim_lost=True)
+        dispatcher.refused(call, event.kind, now)
+        self._retry_or_fail(call, dispatcher, error, certainly_not_run=True)
+        return []
+
+    async def _on_failed(
+        self, call: Call, dispatcher: GroupDispatcher, event: Failed
+    ) -> list[AnswerItem]:
+        log_event(Event.ATTEMPT_FAILED, request=event.request, kind=event.kind.value)
+        call.may_have_run = True
+        call.avoid.add(call.link.vm)
+        dispatcher.health.observe_failure(call.link.vm, self.clock.now())
+        error = RequestError(event.kind, event.detail)
+        if not call.asked.idempotent:
+            return await self._settle(call, dispatcher, error)
+        self._retry_or_fail(call, dispatcher, error)
+        return []
+
+    async def _on_peer_lost(
+        self, call: Call, dispatcher: GroupDispatcher, event: PeerLost
+    ) -> list[AnswerItem]:
+        failed = Failed(*call.attempt_key, ErrorKind.PEER_LOST, f"lost {event.vm}")
+        return await self._on_failed(call, dispatcher, failed)
+
+    def _retry_or_fail(
+        self,
+        call: Call,
+        dispatcher: GroupDispatcher,
+        error: RequestError,
+        certainly_not_run: bool = False,
+    ) -> None:
+        """Bring a call to another slot, or end it."""
+        repeatable = certainly_not_run or call.asked.idempotent
+        can_resume = not call.has_head or bool(call.delivered)
+        decision = should_retry(error.kind, repeatable, call.attempt, can_resume)
+        if not decision.retry:
+            raise call.fail_with(error)
+        now = self.clock.now()
+        if decision.needs_budget and not self.budget.withdraw(now):
+            log_event(Event.RETRY_BUDGET_EMPTY)
+            self.metrics.count("retries.budget_empty")
+            raise call.fail_with(error)
+        self._check_quarantine(call)
+        self.metrics.count(f"retries.{decision.reason}")
+        log_event(Event.REQUEST_RETRIED, request=call.asked.request, kind=error.kind.value)
+        call.link = None
+        dispatcher.submit(call, now)
+
+    def _check_quarantine(self, call: Call) -> None:
+        verdict = self.quarantine.verdict(call.asked.digest, self.clock.wall())
+        if verdict is Verdict.QUARANTINED:
+            raise call.fail(ErrorKind.QUARANTINED, f"digest {call.asked.digest}")
+        call.apart = verdict is Verdict.SUSPECT
+
+    async def _settle(
+        self,
+        call: Call,
+        dispatcher: GroupDispatcher,
+        error: RequestError,
+        claim_lost: bool = False,
+    ) -> list[AnswerItem]:
+        """Find out from the claim row what became of an attempt, and act on it."""
+        for remaining in reversed(range(SETTLE_TRIES)):
+            settled = await self.resolver.settle(call.ticket, self.clock.wall, claim_lost)
+            if settled.state is not SettledState.IN_PROGRESS or not remaining:
+                break
+            await asyncio.sleep(SETTLE_PAUSE_S)
+        return self._act_on(call, dispatcher, settled, error)
+
+    def _act_on(
+        self, call: Call, dispatcher: GroupDispatcher, settled: Settled, error: RequestError
+    ) -> list[AnswerItem]:
+        if settled.state is SettledState.STORED and not call.has_head:
+            return _as_items(settled.answer)
+        if settled.state is SettledState.NOT_RUN:
+            call.may_have_run = False
+            call.ticket = attrs.evolve(call.ticket, expected_version=settled.row_version)
+            self._retry_or_fail(call, dispatcher, error, certainly_not_run=True)
+            return []
+        raise CallError(_settled_error(settled))
+
+    async def _deadline_passed(self, call: Call) -> CallError:
+        if call.link is None or call.asked.idempotent:
+            call.may_have_run = call.may_have_run or call.link is not None
+            return call.fail(ErrorKind.DEADLINE_EXCEEDED)
+        settled = await self.resolver.settle(call.ticket, self.clock.wall)
+        if settled.state is SettledState.NOT_RUN:
+            return CallError(RequestError(ErrorKind.DEADLINE_EXCEEDED, run=RunState.NOT_RUN))
+        return CallError(RequestError(ErrorKind.OUTCOME_UNKNOWN, "the deadline has passed"))
+
+    def _account(self, call: Call, whole: bool) -> None:
+        asked = call.asked
+        names = (asked.organisation.name, asked.service_class.name)
+        if whole:
+            self.quarantine.note_finished(asked.digest, self.clock.wall())
+            self.ledger.add_generated(*names, len(call.delivered))
+        else:
+            self.ledger.add_wasted(*names, len(call.delivered))
+        self.ledger.add_attainment(
+            asked.service_class.name, whole and self._first_in_time(call), LatencyTarget.FIRST_TOKEN
+        )
+        if len(call.delivered) > 1:
+            met = whole and self._pace_in_time(call)
+            name = asked.service_class.name
+            self.ledger.add_attainment(name, met, LatencyTarget.BETWEEN_TOKENS)
+
+    def _first_in_time(self, call: Call) -> bool:
+        took_s = call.first_token_s if call.delivered else self.clock.now() - call.started_at
+        return took_s <= call.asked.service_class.first_token_target_s
+
+    def _pace_in_time(self, call: Call) -> bool:
+        mean_s = (call.token_at - call.first_token_at) / (len(call.delivered) - 1)
+        return mean_s <= call.asked.service_class.between_tokens_target_s
+
+
+def _settled_error(settled: Settled) -> RequestError:
+    """Return what a caller hears of a settled state that brings it no answer."""
+    if settled.state is SettledState.STORED:
+        detail = "the answer broke off; repeat the key to get it whole"
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail, RunState.RAN)
+    return RequestError(SETTLED_KINDS[settled.state], settled.detail)
+
+
+def _as_items(answer: StoredAnswer) -> list[AnswerItem]:
+    head, body, end = split_answer(answer)
+    piece = Tokens([body.decode()]) if end.generated_tokens else Body(body)
+    return [head, piece, end]
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -0,0 +1,292 @@
+"""Brings the waiting calls of one upstream group to its slots."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from burdockquay_coordination import (
+    AdmissionController,
+    Candidate,
+    HealthMonitor,
+    PlacementRequest,
+    PrefixIndex,
+    QueuePolicy,
+    Waiting,
+    placement_policies,
+    queue_policies,
+)
+from burdockquay_protocol import ErrorKind, Grant, RequestError, ReturnGrant
+from burdockquay_state import Snapshot
+
+from ._call import Call, Refused
+from ._clock import Clock
+from ._slot_link import SlotLink
+
+DEMAND_INTERVAL_S = 0.02
+"""Shortest time between two demand messages that are not urgent, seconds."""
+
+DEMAND_BYTES = 40
+"""Size of a demand message on the wire, bytes."""
+
+DEMAND_BYTES_PER_S = 2000.0
+"""Traffic that demand messages to all slots together may cause, bytes a second."""
+
+PREFIX_BLOCKS_PER_VM = 2048
+"""Prompt blocks remembered of what was sent to one slot."""
+
+
+class GroupDispatcher:
+    """The queue of one upstream group at an entry, and the choice of slots.
+
+    Parameters
+    ----------
+    group : str
+    snapshot : Snapshot
+    failure_domain : str
+        Of the entry.
+    clock : Clock
+    rng : random.Random
+    admission : AdmissionController
+        Told how long calls waited.
+    is_usable : callable
+        Says of the name of a VM whether the membership lets it have new work.
+
+    Notes
+    -----
+    With the binding ``"grant"`` a call waits here, in one sorted queue, until a slot has a place
+    for its class; with ``"slot_queue"`` it is sent at once and waits there. See
+    docs/design/queues.md for the comparison.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        snapshot: Snapshot,
+        failure_domain: str,
+        clock: Clock,
+        rng: random.Random,
+        admission: AdmissionController,
+        is_usable: Callable[[str], bool],
+    ):
+        self.group = group
+        self.snapshot = snapshot
+        self.failure_domain = failure_domain
+        self.clock = clock
+        self.rng = rng
+        self.admission = admission
+        self.is_usable = is_usable
+        self.links: dict[str, SlotLink] = {}
+        self.health = HealthMonitor()
+        self.prefixes = PrefixIndex(PREFIX_BLOCKS_PER_VM)
+        self._calls: dict[str, Call] = {}
+        self._queue_name = snapshot.policy.queue
+        self._queue = self._make_queue()
+        self._placement = placement_policies.get(snapshot.policy.placement)()
+        self._demand_changed = False
+        self._demand_told_at = 0.0
+
+    @property
+    def queue(self) -> QueuePolicy:
+        """The waiting calls."""
+        return self._queue
+
+    @property
+    def ready(self) -> bool:
+        """Whether any slot takes work."""
+        return any(link.takes_work for link in self.links.values())
+
+    def configure(self, snapshot: Snapshot, now: float) -> None:
+        """Take over a new configuration; waiting calls keep their order of arrival."""
+        policy = snapshot.policy
+        changed_queue = policy.queue != self._queue_name
+        self.snapshot = snapshot
+        self._placement = placement_policies.get(policy.placement)()
+        if not changed_queue:
+            self._queue.set_classes(snapshot.classes, self._weights(), now)
+            return
+        self._queue_name = policy.queue
+        older = self._queue
+        self._queue = self._make_queue()
+        while waiting := older.pop(now):
+            self._queue.push(waiting, now)
+
+    def forget(self, vm: str) -> None:
+        """Forget a slot that is no longer connected to."""
+        self.links.pop(vm, None)
+        self.health.forget(vm)
+        self.prefixes.forget(vm)
+
+    def submit(self, call: Call, now: float) -> None:
+        """Bring a call to a slot now, or let it wait."""
+        if self.snapshot.policy.binding == "slot_queue":
+            link = self._choose(call, self._usable_links(), now)
+            if link is None:
+                call.inbox.put(Refused(RequestError(ErrorKind.NO_UPSTREAM)))
+            else:
+                self._start(call, link, 0, now)
+            return
+        if not self._anyone_before(call):
+            link = self._choose(call, self._free_links(call), now)
+            if link is not None:
+                self._start(call, link, 0, now)
+                return
+        self._wait(call, now)
+
+    def refused(self, call: Call, kind: ErrorKind, now: float) -> None:
+        """Note that the slot of a call's last attempt refused it without running it."""
+        link = call.link
+        if link is None:
+            return
+        if kind is ErrorKind.NO_PLACE:
+            link.full_for.add(call.asked.service_class.name)
+        else:
+            call.avoid.add(link.vm)
+
+    def take_grant(self, link: SlotLink, grant: Grant, now: float) -> None:
+        """Use a promised place for the best waiting call of its class, or give it back."""
+        told = link.told_demand
+        if grant.class_name in told:
+            told[grant.class_name] -= 1
+        call = self._next_call(grant.class_name, now) if self.is_usable(link.vm) else None
+        if call is None:
+            link.post(ReturnGrant(grant.grant))
+        else:
+            self._start(call, link, grant.grant, now)
+        self._demand_changed = True
+
+    def abandon(self, call: Call, now: float) -> None:
+        """Forget a call: it waits no more, and its live attempt is cancelled."""
+        if self._calls.pop(call.asked.request, None) is not None:
+            self._queue.remove(call.asked.request, now)
+            self._demand_changed = True
+        if call.link is not None:
+            call.link.give_up(call)
+
+    def charge(self, call: Call, tokens: int, now: float) -> None:
+        """Charge generated tokens to the call's class and organisation."""
+        asked = call.asked
+        self._queue.charge(asked.service_class.name, asked.organisation.name, tokens, now)
+
+    def observe_status(self, link: SlotLink, now: float) -> None:
+        """Take in the pace that a slot reports, and send it what may be waiting."""
+        if link.status.step_s:
+            self.health.observe_step(link.vm, link.status.step_s, now)
+        if len(self._queue):
+            self._demand_changed = True
+
+    def tick(self, now: float) -> None:
+        """Refuse calls that waited too long, and tell the slots what waits."""
+        for waiting in self._queue.expire(now):
+            call = self._calls.pop(waiting.request, None)
+            if call is not None:
+                late = now >= waiting.deadline
+                kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.PATIENCE_EXCEEDED
+                call.inbox.put(Refused(RequestError(kind)))
+                self._demand_changed = True
+        self._tell_demand(now)
+
+    def _make_queue(self) -> QueuePolicy:
+        return queue_policies.get(self._queue_name)(self.snapshot.classes, self._weights())
+
+    def _weights(self) -> dict[str, float]:
+        return {name: item.weight for name, item in self.snapshot.organisations.items()}
+
+    def _wait(self, call: Call, now: float) -> None:
+        asked = call.asked
+        self._calls[asked.request] = call
+        self._queue.push(
+            Waiting(
+                asked.request,
+                asked.organisation.name,
+                asked.service_class.name,
+                call.started_at,
+                asked.deadline,
+            ),
+            now,
+        )
+        self._demand_changed = True
+        self._tell_demand(now)
+
+    def _next_call(self, class_name: str, now: float) -> Call | None:
+        waiting = self._queue.pop(now, class_name)
+        return None if waiting is None else self._calls.pop(waiting.request)
+
+    def _start(self, call: Call, link: SlotLink, grant: int, now: float) -> None:
+        if call.attempt == 0:
+            self.admission.started(call.asked.service_class.name, now - call.started_at, now)
+        self.prefixes.note(link.vm, call.asked.prefix, now)
+        link.start(call, grant, now)
+
+    def _anyone_before(self, call: Call) -> bool:
+        own = call.asked.service_class
+        classes = self.snapshot.classes
+        return any(
+            name not in classes or classes[name].priority >= own.priority
+            for name in (item.class_name for item in self._queue.demand(self.clock.now()))
+        )
+
+    def _usable_links(self) -> list[SlotLink]:
+        return [link for link in self.links.values() if link.takes_work and self.is_usable(link.vm)]
+
+    def _free_links(self, call: Call) -> list[SlotLink]:
+        own = call.asked.service_class
+        links = [link for link in self._usable_links() if own.name not in link.full_for]
+        if own.protected:
+            # The slot may pause lower work for it, which only the slot can see.
+            return links
+        kept = 0
+        if self.snapshot.policy.reserve:
+            kept = sum(
+                item.reserved_places
+                for item in self.snapshot.classes.values()
+                if item.priority > own.priority
+            )
+        return [
+            link
+            for link in links
+            if link.estimate_load() < link.status.places - kept + link.status.protected_running
+        ]
+
+    def _choose(self, call: Call, links: list[SlotLink], now: float) -> SlotLink | None:
+        if not links:
+            return None
+        asked = call.asked
+        candidates: list[Candidate] = [
+            link.describe_candidate(
+                self.health.weight(link.vm, now),
+                self.prefixes.overlap(link.vm, asked.prefix),
+                now,
+            )
+            for link in links
+        ]
+        request = PlacementRequest(
+            asked.service_class.name,
+            asked.service_class.protected,
+            self.failure_domain,
+            len(asked.prefix),
+            frozenset(call.avoid),
+        )
+        chosen = self._placement.choose(candidates, request, now, self.rng)
+        return None if chosen is None else self.links[chosen.vm]
+
+    def _tell_demand(self, now: float) -> None:
+        if not self._demand_changed:
+            return
+        demands = self._queue.demand(now)
+        interval = max(DEMAND_INTERVAL_S, DEMAND_BYTES * len(self.links) / DEMAND_BYTES_PER_S)
+        if now - self._demand_told_at >= interval:
+            self._demand_told_at = now
+            self._demand_changed = False
+            targets = [link for link in self.links.values() if link.connected]
+        else:
+            # A slot that believes that nothing waits would let a place stand empty.
+            targets = [
+                link
+                for link in self.links.values()
+                if link.connected
+                and any(link.told_demand.get(item.class_name, 0) <= 0 for item in demands)
+            ]
+        for link in targets:
+            if demands or link.told_demand:
+                link.tell_demand(demands)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -0,0 +1,170 @@
+"""Client of model engines: OpenAI-style streams plus the engines' control calls."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+
+from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
+
+from ._upstream import (
+    BROKEN_ERRORS,
+    CONNECT_ERRORS,
+    CONTROL_TIMEOUT,
+    PROBE_TIMEOUT,
+    AnswerPart,
+    SendOnce,
+    Token,
+    UpstreamClient,
+    UpstreamError,
+    upstream_clients,
+)
+
+_STREAM_HEADERS = [["content-type", "text/event-stream"]]
+_DATA = b"data: "
+_DONE = b"data: [DONE]"
+_DETAIL_BYTES = 200
+_REFUSED_BODY_BYTES = 4096
+
+
+def engine_request_id(run: Run) -> str:
+    """Return the id under which the engine knows an attempt."""
+    return f"{run.request}-{run.attempt}"
+
+
+@upstream_clients.register("engine")
+class EngineClient(UpstreamClient):
+    """Client of one model engine.
+
+    Notes
+    -----
+    The engine is always asked for a stream, also where the caller wants one piece: the slot then
+    counts tokens as they come, can cancel at any moment, and after a crash the entry knows which
+    tokens another engine need not generate again.
+    """
+
+    can_pause = True
+    can_resume_answers = True
+
+    async def call(self, run: Run, priority: int) -> AsyncIterator[AnswerPart]:
+        """Send the request and yield its answer; see :meth:`UpstreamClient.call`."""
+        answered = False
+        try:
+            async with self._post(run, priority) as response:
+                await _check_accepted(response)
+                answered = True
+                yield AnswerHead(response.status, _STREAM_HEADERS)
+                async for part in _read_events(response):
+                    yield part
+        except CONNECT_ERRORS as error:
+            raise UpstreamError(ErrorKind.NO_UPSTREAM, str(error), sent=False) from error
+        except BROKEN_ERRORS as error:
+            detail = f"{type(error).__name__} {'during' if answered else 'before'} the answer"
+            raise UpstreamError(
+                ErrorKind.UPSTREAM_FAILED, detail, sent=True, crashed=True
+            ) from error
+
+    def _post(self, run: Run, priority: int):
+        body = json.loads(run.body)
+        body["stream"] = True
+        if run.resume_text:
+            body["resume_tokens"] = run.resume_text
+        headers = dict(run.headers)
+        headers["X-Request-Id"] = engine_request_id(run)
+        headers["X-Priority"] = str(priority)
+        if run.key:
+            headers["Idempotency-Key"] = run.key
+        return self.sessions.for_run(run).post(
+            self.url + run.path,
+            json=body,
+            headers=headers,
+            allow_redirects=False,
+            middlewares=(SendOnce(),),
+        )
+
+    async def probe(self) -> bool:
+        """Return whether the engine says that it is healthy."""
+        try:
+            async with self.sessions.kept.get(
+                self.url + "/healthz", timeout=PROBE_TIMEOUT
+            ) as response:
+                return response.status == 200
+        except BROKEN_ERRORS:
+            return False
+
+    async def pause(self, request: str) -> bool:
+        """Pause a running request; False if the engine does not run it."""
+        return await self._control(request, "pause")
+
+    async def resume(self, request: str) -> bool:
+        """Resume a paused request; False if the engine does not hold it."""
+        return await self._control(request, "resume")
+
+    async def cancel(self, request: str) -> None:
+        """Tell the engine that nobody waits for the answer."""
+        await self._control(request, "cancel")
+
+    async def _control(self, request: str, verb: str) -> bool:
+        url = f"{self.url}/requests/{request}/{verb}"
+        try:
+            async with self.sessions.kept.post(url, timeout=CONTROL_TIMEOUT) as response:
+                return response.status == 200
+        except BROKEN_ERRORS:
+            return False
+
+
+async def _check_accepted(response: aiohttp.ClientResponse) -> None:
+    if response.status == 200:
+        return
+    text = (await response.content.read(_REFUSED_BODY_BYTES)).decode(errors="replace")
+    detail = f"the engine answered {response.status}: {text[:_DETAIL_BYTES]}"
+    kind = ErrorKind.NO_UPSTREAM if response.status == 503 else ErrorKind.UPSTREAM_REFUSED
+    raise UpstreamError(kind, detail, sent=False)
+
+
+async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[AnswerPart]:
+    """Yield the tokens of a stream and its end.
+
+    Raises
+    ------
+    UpstreamError
+        If the stream ends before it says so: the rest of the answer is missing.
+    """
+    rest = b""
+    finish_reason = ""
+    usage: dict[str, Any] = {}
+    while chunk := await response.content.readany():
+        *events, rest = (rest + chunk).split(b"\n\n")
+        for event in events:
+            if event == _DONE:
+                yield AnswerEnd(
+                    int(usage.get("prompt_tokens", 0)),
+                    int(usage.get("completion_tokens", 0)),
+                    finish_reason,
+                )
+                return
+            parsed = _parse_event(event)
+            choice = parsed["choices"][0] if parsed.get("choices") else {}
+            text = choice.get("delta", {}).get("content")
+            if text:
+                yield Token(text)
+            finish_reason = choice.get("finish_reason") or finish_reason
+            usage = parsed.get("usage") or usage
+    raise UpstreamError(
+        ErrorKind.UPSTREAM_FAILED, "the stream ended too early", sent=True, crashed=True
+    )
+
+
+def _parse_event(event: bytes) -> dict[str, Any]:
+    if not event.startswith(_DATA):
+        return {}
+    try:
+        parsed = json.loads(event[len(_DATA) :])
+    except ValueError as error:
+        raise UpstreamError(
+            ErrorKind.UPSTREAM_FAILED, "an event of the stream is no JSON", sent=True
+        ) from error
+    return parsed if isinstance(parsed, dict) else {}
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -0,0 +1,369 @@
+"""One authenticated connection between an entry and a slot.
+
+Each connection has a reader, which is the task that owns the connection, and a writer task. The
+rest of the process hands messages to :meth:`PeerConnection.post`, which never waits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+from websockets.exceptions import ConnectionClosed
+
+from burdockquay_protocol import (
+    MAX_FRAME_BYTES,
+    NONCE_BYTES,
+    PROTOCOL_VERSIONS,
+    FaultKind,
+    Frame,
+    Frames,
+    Hello,
+    Proof,
+    ProtocolFault,
+    Welcome,
+    check_proof,
+    choose_version,
+    decode,
+    encode,
+    make_proof,
+)
+
+from ._events import Event, log_event
+
+MAX_PENDING_BYTES = 32 << 20
+"""Bytes that may wait for one peer before the connection is given up."""
+
+MAX_BATCH_BYTES = MAX_FRAME_BYTES // 2
+"""Payload after which a shared frame is sent without waiting for more."""
+
+HANDSHAKE_TIMEOUT_S = 5.0
+"""Longest handshake, seconds."""
+
+WEBSOCKET_OPTIONS = {
+    "max_size": MAX_FRAME_BYTES,
+    "compression": None,
+    "ping_interval": None,
+    "close_timeout": 1.0,
+}
+"""Options of both ends: no compression, since tokens are short; our own heartbeats, since they
+carry the revision."""
+
+
+@attrs.frozen
+class Identity:
+    """Who a process is.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+    incarnation : str
+        Drawn anew at each start.
+    group : str
+        Upstream group of a slot, empty for an entry.
+    """
+
+    vm: str
+    failure_domain: str
+    incarnation: str
+    group: str = ""
+
+
+@attrs.define
+class TrafficCounts:
+    """Messages and payload bytes of one connection, or of many added up."""
+
+    messages_sent: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    bytes_received: int = 0
+
+
+class PeerConnection:
+    """An authenticated connection.
+
+    Parameters
+    ----------
+    websocket : websockets connection
+    peer : Identity
+        The other side, proved by the handshake.
+    version : int
+        Agreed protocol version.
+    flush_interval_s : float
+        Longest time a frame waits for others, seconds.
+    traffic : TrafficCounts
+        Counters to add to.
+    """
+
+    def __init__(
+        self,
+        websocket: Any,
+        peer: Identity,
+        version: int,
+        flush_interval_s: float,
+        traffic: TrafficCounts,
+    ):
+        self.websocket = websocket
+        self.peer = peer
+        self.version = version
+        self.flush_interval_s = flush_interval_s
+        self.traffic = traffic
+        self._pending: deque[Any] = deque()
+        self._pending_bytes = 0
+        self._wake = asyncio.Event()
+        self._closing = False
+        self.traffic_mark_sent = 0
+        self.traffic_mark_received = 0
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection takes no more messages."""
+        return self._closing
+
+    def post(self, message: Any) -> None:
+        """Queue a message; after the connection closed it is dropped."""
+        if self._closing or message.since > self.version:
+            return
+        self._pending.append(message)
+        self._wake.set()
+
+    def post_frame(self, frame: Frame) -> None:
+        """Queue a piece of an answer; it shares a message with others queued beside it."""
+        if self._closing:
+            return
+        self._pending.append(frame)
+        self._pending_bytes += len(frame.data)
+        # A peer that reads too slowly would fill the memory of this process, and every other
+        # caller would notice. Giving up its connection ends only its own requests.
+        if self._pending_bytes > MAX_PENDING_BYTES:
+            self._closing = True
+        self._wake.set()
+
+    def keep_alive(self, interval_s: float, timeout_s: float, make_heartbeat: Callable) -> None:
+        """Send a heartbeat whenever the connection was idle, and give up a silent peer.
+
+        Parameters
+        ----------
+        interval_s : float
+            Idle time after which a heartbeat is sent, seconds.
+        timeout_s : float
+            Silence of the peer after which the connection is closed, seconds.
+        make_heartbeat : callable
+            Returns the message to send.
+
+        Notes
+        -----
+        A peer whose VM vanished sends neither an answer nor a reset. Without the timeout its
+        requests would wait until their deadlines.
+        """
+        loop = asyncio.get_running_loop()
+        sent = self.traffic_mark_sent
+        received = self.traffic_mark_received
+        last_received = loop.time()
+
+        def tick() -> None:
+            nonlocal sent, received, last_received
+            if self._closing:
+                return
+            if self.traffic_mark_received != received:
+                received = self.traffic_mark_received
+                last_received = loop.time()
+            elif loop.time() - last_received > timeout_s:
+                self._closing = True
+                self._wake.set()
+                return
+            if self.traffic_mark_sent == sent:
+                self.post(make_heartbeat())
+            sent = self.traffic_mark_sent
+            loop.call_later(interval_s, tick)
+
+        loop.call_later(interval_s, tick)
+
+    async def write(self) -> None:
+        """Send what is queued until the connection closes; run as a task."""
+        try:
+            while not self._closing:
+                await self._wake.wait()
+                if self.flush_interval_s and self._only_small_frames():
+                    await asyncio.sleep(self.flush_interval_s)
+                self._wake.clear()
+                await self._send_pending()
+        except ConnectionClosed:
+            pass
+        finally:
+            await self.close("")
+
+    async def receive(self) -> Result[Any, ProtocolFault]:
+        """Return the next message.
+
+        Raises
+        ------
+        ConnectionClosed
+            If the peer closed the connection, or it broke.
+        """
+        data = await self.websocket.recv()
+        if isinstance(data, str):
+            return Err(ProtocolFault(FaultKind.MALFORMED, "expected a binary frame, got text"))
+        self.traffic_mark_received += 1
+        self.traffic.messages_received += 1
+        self.traffic.bytes_received += len(data)
+        return decode(data, self.version)
+
+    async def close(self, reason: str) -> None:
+        """Close the connection."""
+        self._closing = True
+        self._wake.set()
+        await self.websocket.close(reason=reason[:100])
+
+    async def drain(self) -> None:
+        """Send what is queued now."""
+        await self._send_pending()
+
+    def _only_small_frames(self) -> bool:
+        return self._pending_bytes < MAX_BATCH_BYTES and all(
+            isinstance(item, Frame) for item in self._pending
+        )
+
+    async def _send_pending(self) -> None:
+        while self._pending:
+            item = self._pending.popleft()
+            message = self._gather_frames(item) if isinstance(item, Frame) else item
+            data = encode(message)
+            self.traffic_mark_sent += 1
+            self.traffic.messages_sent += 1
+            self.traffic.bytes_sent += len(data)
+            await self.websocket.send(data)
+
+    def _gather_frames(self, first: Frame) -> Frames:
+        frames = [first]
+        size = len(first.data)
+        while self._pending and size < MAX_BATCH_BYTES and isinstance(self._pending[0], Frame):
+            frame = self._pending.popleft()
+            frames.append(frame)
+            size += len(frame.data)
+        self._pending_bytes = max(0, self._pending_bytes - size)
+        return Frames(frames)
+
+
+_FAULT_EVENTS = {
+    FaultKind.MALFORMED: Event.PEER_MALFORMED,
+    FaultKind.OVERSIZED: Event.PEER_OVERSIZED,
+    FaultKind.UNKNOWN_TYPE: Event.PEER_UNKNOWN_TYPE,
+    FaultKind.WRONG_VERSION: Event.PEER_OUT_OF_ORDER,
+}
+
+
+def report_fault(fault: ProtocolFault, vm: str, count: Callable[[str], None]) -> None:
+    """Log and count bytes of a peer that are no message."""
+    log_event(_FAULT_EVENTS[fault.kind], vm=vm, detail=fault.detail)
+    count(f"peer.fault.{fault.kind.value}")
+
+
+def report_out_of_order(message: Any, vm: str, count: Callable[[str], None]) -> None:
+    """Log and count a message that its sender must not send at this point."""
+    log_event(Event.PEER_OUT_OF_ORDER, vm=vm, detail=type(message).__name__)
+    count("peer.fault.out_of_order")
+
+
+async def greet_slot(
+    websocket: Any, identity: Identity, key: bytes, traffic: TrafficCounts
+) -> Result[PeerConnection, str]:
+    """Carry out the entry's side of the handshake.
+
+    Parameters
+    ----------
+    websocket : websockets connection
+    identity : Identity
+        Of this entry.
+    key : bytes
+        Shared key.
+    traffic : TrafficCounts
+
+    Returns
+    -------
+    Result of PeerConnection, str
+        The reason for the refusal in case of an error.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    hello = Hello(
+        list(PROTOCOL_VERSIONS),
+        identity.vm,
+        identity.failure_domain,
+        identity.incarnation,
+        nonce,
+    )
+    await websocket.send(encode(hello))
+    welcome = await _receive_one(websocket, Welcome)
+    if isinstance(welcome, Err):
+        return welcome
+    answer = welcome.ok()
+    if answer.version not in PROTOCOL_VERSIONS:
+        return Err(f"protocol version {answer.version} is not one of {PROTOCOL_VERSIONS}")
+    if not check_proof(
+        answer.proof, key, "slot", answer.vm, answer.incarnation, answer.nonce, nonce
+    ):
+        return Err("the slot's proof is wrong: its peer key differs")
+    proof = make_proof(key, "entry", identity.vm, identity.incarnation, nonce, answer.nonce)
+    await websocket.send(encode(Proof(proof)))
+    peer = Identity(answer.vm, answer.failure_domain, answer.incarnation, answer.group)
+    return Ok(PeerConnection(websocket, peer, answer.version, 0.0, traffic))
+
+
+async def greet_entry(
+    websocket: Any,
+    identity: Identity,
+    key: bytes,
+    flush_interval_s: float,
+    traffic: TrafficCounts,
+) -> Result[PeerConnection, str]:
+    """Carry out the slot's side of the handshake; see :func:`greet_slot`."""
+    received = await _receive_one(websocket, Hello)
+    if isinstance(received, Err):
+        return received
+    hello = received.ok()
+    version = choose_version(PROTOCOL_VERSIONS, hello.versions)
+    if version is None:
+        return Err(f"no common protocol version: ours {PROTOCOL_VERSIONS}, got {hello.versions}")
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = make_proof(key, "slot", identity.vm, identity.incarnation, nonce, hello.nonce)
+    welcome = Welcome(
+        version,
+        identity.vm,
+        identity.failure_domain,
+        identity.incarnation,
+        nonce,
+        proof,
+        identity.group,
+    )
+    await websocket.send(encode(welcome))
+    received = await _receive_one(websocket, Proof)
+    if isinstance(received, Err):
+        return received
+    if not check_proof(
+        received.ok().proof, key, "entry", hello.vm, hello.incarnation, hello.nonce, nonce
+    ):
+        return Err("the entry's proof is wrong: its peer key differs")
+    peer = Identity(hello.vm, hello.failure_domain, hello.incarnation)
+    return Ok(PeerConnection(websocket, peer, version, flush_interval_s, traffic))
+
+
+async def _receive_one(websocket: Any, expected: type) -> Result[Any, str]:
+    try:
+        data = await asyncio.wait_for(websocket.recv(), HANDSHAKE_TIMEOUT_S)
+    except TimeoutError:
+        return Err(f"expected {expected.__name__} within {HANDSHAKE_TIMEOUT_S} s, got nothing")
+    except ConnectionClosed:
+        return Err(f"expected {expected.__name__}, the connection was closed")
+    if isinstance(data, str):
+        return Err(f"expected {expected.__name__}, got text")
+    message = decode(data, max(PROTOCOL_VERSIONS))
+    if isinstance(message, Err):
+        return Err(message.err().detail)
+    if not isinstance(message.ok(), expected):
+        return Err(f"expected {expected.__name__}, got {type(message.ok()).__name__}")
+    return Ok(message.ok())
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform.py
@@ -0,0 +1,62 @@
+"""Opens the platform's services with the adapters that the settings name."""
+
+from __future__ import annotations
+
+import aiohttp
+import attrs
+
+from burdockquay_state import (
+    ObjectStore,
+    TableService,
+    VmList,
+    object_stores,
+    table_services,
+    vm_lists,
+)
+
+from . import _platform_http  # noqa: F401 (it registers the adapters named "http")
+from ._settings import PlatformSettings
+
+_CONNECTIONS = 16
+"""Connections to the platform that one process keeps at most."""
+
+
+@attrs.frozen
+class Platform:
+    """The platform's services.
+
+    Parameters
+    ----------
+    table : TableService
+    objects : ObjectStore
+    vms : VmList
+    session : aiohttp.ClientSession
+        Shared by the adapters.
+    """
+
+    table: TableService
+    objects: ObjectStore
+    vms: VmList
+    session: aiohttp.ClientSession
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+
+def open_platform(settings: PlatformSettings) -> Platform:
+    """Return adapters for the platform; call it inside a running event loop.
+
+    Raises
+    ------
+    UnknownNameError
+        If no adapter has a name that the settings give.
+    """
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=_CONNECTIONS))
+    timeout_s = settings.timeout_s
+    return Platform(
+        table_services.get(settings.table)(settings.table_url, timeout_s, session),
+        object_stores.get(settings.objects)(settings.objects_url, timeout_s, session),
+        vm_lists.get(settings.vms)(settings.vms_url, timeout_s, session),
+        session,
+    )
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
@@ -0,0 +1,306 @@
+"""The entry's connection to one slot: a task that connects, reads and reconnects."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from result import Err
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from burdockquay_coordination import Candidate, MembershipBook
+from burdockquay_protocol import (
+    Cancel,
+    ClassDemand,
+    Demand,
+    Failed,
+    FetchLog,
+    Frames,
+    Goodbye,
+    Grant,
+    Heartbeat,
+    LogPart,
+    NotRun,
+    SlotStatus,
+    Suspicions,
+)
+from burdockquay_state import VmEntry
+
+from ._call import Call, PeerLost
+from ._events import Event, log_event
+from ._peer import (
+    HANDSHAKE_TIMEOUT_S,
+    WEBSOCKET_OPTIONS,
+    Identity,
+    PeerConnection,
+    TrafficCounts,
+    greet_slot,
+    report_fault,
+    report_out_of_order,
+)
+
+HEARTBEAT_S = 1.0
+"""Idle time after which a heartbeat is sent, seconds."""
+
+SILENCE_S = 5.0
+"""Silence after which a connection is given up, seconds."""
+
+
+class LinkListener:
+    """What a link tells the entry; the entry implements it."""
+
+    def link_up(self, link: SlotLink) -> None:
+        """The handshake is done."""
+
+    def link_status(self, link: SlotLink) -> None:
+        """A status message came."""
+
+    def link_grant(self, link: SlotLink, grant: Grant) -> None:
+        """A place was promised."""
+
+    def link_suspicions(self, link: SlotLink, message: Suspicions) -> None:
+        """Suspicions came."""
+
+
+class SlotLink:
+    """Connection to one slot.
+
+    Parameters
+    ----------
+    target : VmEntry
+        Where the slot listens.
+    identity : Identity
+        Of this entry.
+    key : bytes
+        Shared key.
+    book : MembershipBook
+    sync : ConfigurationSync
+    listener : LinkListener
+    traffic : TrafficCounts
+    clock : Clock
+    rng : random.Random
+    count : callable
+        Called with the name of a counter.
+    """
+
+    def __init__(
+        self,
+        target: VmEntry,
+        identity: Identity,
+        key: bytes,
+        book: MembershipBook,
+        sync: Any,
+        listener: LinkListener,
+        traffic: TrafficCounts,
+        clock: Any,
+        rng: Any,
+        count: Callable[[str], None],
+    ):
+        self.target = target
+        self.identity = identity
+        self.key = key
+        self.book = book
+        self.sync = sync
+        self.listener = listener
+        self.traffic = traffic
+        self.clock = clock
+        self.rng = rng
+        self.count = count
+        self.connection: PeerConnection | None = None
+        self.status: SlotStatus | None = None
+        self.told_demand: dict[str, int] = {}
+        self.full_for: set[str] = set()
+        self._status_at = 0.0
+        self._outstanding_at_status = 0
+        self._attempts: dict[tuple[str, int], Call] = {}
+        self._handlers = self._make_handlers()
+
+    @property
+    def vm(self) -> str:
+        """Name of the slot's VM."""
+        return self.target.vm
+
+    @property
+    def connected(self) -> bool:
+        """Whether messages can be sent."""
+        return self.connection is not None and not self.connection.closing
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether the slot, by its own word, takes new work."""
+        status = self.status
+        return self.connected and status is not None and status.healthy and not status.leaving
+
+    @property
+    def outstanding(self) -> int:
+        """Attempts of this entry there."""
+        return len(self._attempts)
+
+    def describe_candidate(self, weight: float, prefix_overlap: int, now: float) -> Candidate:
+        """Return what placement policies want to know of the slot."""
+        status = self.status
+        return Candidate(
+            self.vm,
+            self.target.failure_domain,
+            status.places,
+            self.outstanding,
+            status.running + status.queued,
+            now - self._status_at,
+            self._outstanding_at_status,
+            status.step_s,
+            weight,
+            prefix_overlap,
+        )
+
+    def estimate_load(self) -> int:
+        """Return how many places are taken there: as reported, plus what this entry sent since."""
+        reported = self.status.running + self.status.queued
+        return max(self.outstanding, reported + self.outstanding - self._outstanding_at_status)
+
+    def start(self, call: Call, grant: int, now: float) -> None:
+        """Send the next attempt of a call to the slot."""
+        run = call.begin_attempt(self, grant, now)
+        self._attempts[call.attempt_key] = call
+        self.connection.post(run)
+
+    def give_up(self, call: Call) -> None:
+        """Cancel the live attempt of a call; what it still sends is dropped."""
+        if self._attempts.pop(call.attempt_key, None) is not None and self.connected:
+            self.connection.post(Cancel(*call.attempt_key))
+
+    def end(self, call: Call) -> None:
+        """Forget an attempt that has come to its end."""
+        self._attempts.pop(call.attempt_key, None)
+
+    def post(self, message: Any) -> None:
+        """Send a message if the slot is connected."""
+        if self.connection is not None:
+            self.connection.post(message)
+
+    def tell_demand(self, demands: list[ClassDemand]) -> None:
+        """Tell the slot what waits for it."""
+        self.told_demand = {item.class_name: item.waiting for item in demands}
+        self.post(Demand(demands))
+
+    async def run(self) -> None:
+        """Stay connected until cancelled; run as a task."""
+        while True:
+            await self._serve_once()
+            await asyncio.sleep(self.book.reconnect_delay(self.vm, self.rng, self.clock.now()))
+
+    async def _serve_once(self) -> None:
+        uri = f"ws://{self.target.host}:{self.target.port}"
+        try:
+            async with connect(
+                uri, open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **WEBSOCKET_OPTIONS
+            ) as websocket:
+                await self._serve(websocket)
+        except (OSError, TimeoutError, WebSocketException):
+            self.book.connect_failed(self.vm, self.clock.now())
+
+    async def _serve(self, websocket: Any) -> None:
+        greeted = await greet_slot(websocket, self.identity, self.key, self.traffic)
+        if isinstance(greeted, Err):
+            log_event(Event.HANDSHAKE_REFUSED, vm=self.vm, reason=greeted.err())
+            self.count("peer.handshake_refused")
+            return
+        connection = greeted.ok()
+        if not self.vm:
+            self._learn(connection.peer)
+        if connection.peer.vm != self.vm:
+            # Another VM has got the address; the list will say so in time.
+            log_event(Event.HANDSHAKE_REFUSED, vm=self.vm, reason=f"got {connection.peer.vm}")
+            self.count("peer.other_vm")
+            return
+        writer = asyncio.create_task(connection.write())
+        try:
+            self._come_up(connection)
+            await self._read_messages(connection)
+        except ConnectionClosed:
+            pass
+        finally:
+            self._go_down(connection)
+            await connection.close("")
+            writer.cancel()
+
+    def _learn(self, peer: Identity) -> None:
+        """Take the identity of a slot of which only the address was known."""
+        self.target = attrs.evolve(
+            self.target, vm=peer.vm, failure_domain=peer.failure_domain, group=peer.group
+        )
+        self.book.learn(self.target, self.clock.now())
+
+    def _come_up(self, connection: PeerConnection) -> None:
+        self.connection = connection
+        self.book.connected(self.vm, connection.peer.incarnation, self.clock.now())
+        log_event(Event.PEER_CONNECTED, vm=self.vm, incarnation=connection.peer.incarnation)
+        connection.keep_alive(HEARTBEAT_S, SILENCE_S, self.sync.heartbeat)
+        self.sync.add_peer(connection)
+        self.listener.link_up(self)
+
+    def _go_down(self, connection: PeerConnection) -> None:
+        self.sync.remove_peer(connection)
+        self.book.disconnected(self.vm, connection.peer.incarnation, self.clock.now())
+        log_event(Event.PEER_DISCONNECTED, vm=self.vm, incarnation=connection.peer.incarnation)
+        self.connection = None
+        self.status = None
+        self.told_demand = {}
+        self.full_for = set()
+        calls = list(self._attempts.values())
+        self._attempts.clear()
+        for call in calls:
+            call.inbox.put(PeerLost(self.vm))
+
+    async def _read_messages(self, connection: PeerConnection) -> None:
+        while True:
+            received = await connection.receive()
+            if isinstance(received, Err):
+                report_fault(received.err(), self.vm, self.count)
+                return
+            message = received.ok()
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                report_out_of_order(message, self.vm, self.count)
+                return
+            handler(message)
+
+    def _make_handlers(self) -> dict[type, Callable[[Any], None]]:
+        return {
+            Frames: self._on_frames,
+            NotRun: self._on_attempt_over,
+            Failed: self._on_attempt_over,
+            SlotStatus: self._on_status,
+            Grant: lambda message: self.listener.link_grant(self, message),
+            Heartbeat: lambda message: self.sync.peer_has(self.connection, message.revision),
+            FetchLog: lambda message: self.sync.answer_fetch(self.connection, message),
+            LogPart: lambda message: self.sync.receive_part(self.connection, message),
+            Suspicions: lambda message: self.listener.link_suspicions(self, message),
+            Goodbye: lambda message: None,
+        }
+
+    def _on_frames(self, message: Frames) -> None:
+        attempts = self._attempts
+        for frame in message.frames:
+            # Frames of an attempt that was given up find no call and are dropped here, so that an
+            # answer is never made of two attempts.
+            call = attempts.get((frame.request, frame.attempt))
+            if call is not None:
+                call.inbox.put(frame)
+
+    def _on_attempt_over(self, message: NotRun | Failed) -> None:
+        call = self._attempts.pop((message.request, message.attempt), None)
+        if call is not None:
+            call.inbox.put(message)
+
+    def _on_status(self, message: SlotStatus) -> None:
+        self.status = message
+        self._status_at = self.clock.now()
+        self._outstanding_at_status = self.outstanding
+        self.full_for = set()
+        if message.leaving:
+            self.book.said_leaving(self.vm, self.connection.peer.incarnation, self.clock.now())
+        self.sync.peer_has(self.connection, message.revision)
+        self.listener.link_status(self)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -0,0 +1,199 @@
+"""A small deployment inside the test's process: stand-ins, slots and entries on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+from typing import Any
+
+import aiohttp
+
+from burdockquay_coordination import make_key_digest
+from burdockquay_standins import (
+    EngineParameters,
+    EngineStandin,
+    PlatformParameters,
+    PlatformStandin,
+    ServiceParameters,
+    ServiceStandin,
+)
+from burdockquay_state import (
+    ClassRecord,
+    GroupRecord,
+    OrganisationRecord,
+    PolicyRecord,
+    RecordLog,
+    RouteRecord,
+    VmEntry,
+)
+from burdockquay_transport import EntrySettings, PlatformSettings, SlotSettings
+from burdockquay_transport.entry import Entry
+from burdockquay_transport.slot import Slot
+
+PEER_KEY = "ab" * 32
+API_KEY = "parish.secret"
+MODEL = "standin"
+_SALT = "00" * 8
+
+RECORDS = [
+    ClassRecord("hold", 100, 0.5, 0.05, 5.0, 0.2, True, False, 1),
+    ClassRecord("draft", 10, 2.0, 0.1, 5.0, 0.3),
+    GroupRecord("drafting", "engine", [MODEL], places=4),
+    GroupRecord("booking", "service", [], places=4),
+    RouteRecord("chat", "draft", "drafting", path_prefix="/v1/"),
+    RouteRecord("urgent-chat", "hold", "drafting", 5, path_prefix="/v1/", service_class="hold"),
+    RouteRecord("booking", "hold", "booking", path_prefix="/services/booking", idempotent=False),
+    OrganisationRecord("parish", _SALT, [make_key_digest(_SALT, API_KEY)]),
+    PolicyRecord(),
+]
+
+
+async def put_records(log: RecordLog, records: list[Any]) -> int:
+    """Put records into the log in order and return the last revision."""
+    revision = 0
+    for record in records:
+        found = (await log.get(record.kind, record.name)).ok()
+        expected = found.revision if found else 0
+        accepted = await log.put([record], "test", expected, 0.0)
+        revision = accepted.ok().revision
+    return revision
+
+
+class Deployment:
+    """Stand-ins and our processes' objects, started and stopped together."""
+
+    def __init__(self, engines: int = 2, services: int = 0, entries: int = 1, **engine: Any):
+        self.engine_parameters = {"base_step_s": 0.001, "per_running_s": 0.0, **engine}
+        self.counts = (engines, services, entries)
+        self.platform = PlatformStandin(PlatformParameters())
+        self.engines: list[EngineStandin] = []
+        self.services: list[ServiceStandin] = []
+        self.slots: list[Slot] = []
+        self.entries: list[Entry] = []
+
+    async def __aenter__(self) -> Deployment:
+        await self.platform.start()
+        self.log = RecordLog(self.platform.table)
+        self.revision = await put_records(self.log, RECORDS)
+        engines, services, entries = self.counts
+        for _ in range(engines):
+            await self.add_engine()
+        for _ in range(services):
+            await self.add_service()
+        for index in range(entries):
+            await self.add_entry(f"entry-{index}")
+        self.session = aiohttp.ClientSession()
+        for entry in self.entries:
+            await until(lambda entry=entry: self.is_connected(entry))
+        return self
+
+    async def __aexit__(self, *details: Any) -> None:
+        await self.session.close()
+        for process in [*self.entries, *self.slots]:
+            await process.close()
+        for standin in [*self.engines, *self.services, self.platform]:
+            await standin.stop()
+
+    def is_connected(self, entry: Entry) -> bool:
+        """Whether an entry is ready and connected to every slot."""
+        members = entry.describe()["members"]
+        connected = [member for member in members if member["connected"]]
+        return entry.ready and len(connected) == len(self.slots)
+
+    async def add_engine(self) -> EngineStandin:
+        """Start an engine and its slot."""
+        engine = EngineStandin(EngineParameters(**self.engine_parameters))
+        await engine.start()
+        self.engines.append(engine)
+        await self.add_slot(f"engine-{len(self.engines)}", "drafting", engine.url)
+        return engine
+
+    async def add_service(self) -> ServiceStandin:
+        """Start a plain service and its slot."""
+        service = ServiceStandin(ServiceParameters())
+        await service.start()
+        self.services.append(service)
+        await self.add_slot(f"service-{len(self.services)}", "booking", service.url)
+        return service
+
+    async def add_slot(self, vm: str, group: str, upstream_url: str) -> Slot:
+        """Start a slot and list it."""
+        settings = SlotSettings(
+            vm,
+            "north",
+            PEER_KEY,
+            self._platform(),
+            group=group,
+            upstream_url=upstream_url,
+            probe_interval_s=0.02,
+            poll_interval_s=0.1,
+        )
+        slot = Slot(settings, rng=random.Random(1))
+        await slot.start()
+        self.slots.append(slot)
+        self.platform.put_vm(
+            VmEntry(vm, "slot", "127.0.0.1", slot.port, slot.status_port, "north", group)
+        )
+        return slot
+
+    async def add_entry(self, vm: str) -> Entry:
+        """Start an entry and list it."""
+        settings = EntrySettings(
+            vm, "north", PEER_KEY, self._platform(), vm_list_interval_s=0.05, poll_interval_s=0.1
+        )
+        entry = Entry(settings, rng=random.Random(2))
+        await entry.start()
+        self.entries.append(entry)
+        self.platform.put_vm(
+            VmEntry(vm, "entry", "127.0.0.1", entry.port, entry.status_port, "north")
+        )
+        return entry
+
+    def _platform(self) -> PlatformSettings:
+        url = self.platform.url
+        return PlatformSettings(url, url, url)
+
+    def url(self, path: str, entry: int = 0) -> str:
+        """Return the URL of a path at an entry."""
+        return f"http://127.0.0.1:{self.entries[entry].port}{path}"
+
+    def post(self, path: str, body: Any, entry: int = 0, **headers: str):
+        """Post JSON with the API key; a context manager as of aiohttp."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.session.post(
+            self.url(path, entry),
+            json=body,
+            headers={"Authorization": f"Bearer {API_KEY}", **named},
+        )
+
+
+def chat_body(text: str = "", stream: bool = False, max_tokens: int = 20) -> dict[str, Any]:
+    """Return the body of a chat request."""
+    message = {"role": "user", "content": text or secrets.token_hex(4)}
+    return {"model": MODEL, "messages": [message], "stream": stream, "max_tokens": max_tokens}
+
+
+async def read_stream(response: aiohttp.ClientResponse) -> tuple[str, bool, dict | None]:
+    """Return the text of a stream, whether it ended properly, and its error event."""
+    text, whole, error = [], False, None
+    try:
+        async for line in response.content:
+            if line == b"data: [DONE]\n":
+                whole = True
+            elif line.startswith(b"data: "):
+                event = json.loads(line[6:])
+                error = event.get("error", error)
+                for choice in event.get("choices", []):
+                    text.append(choice["delta"].get("content", ""))
+    except aiohttp.ClientError:
+        whole = False
+    return "".join(text), whole, error
+
+
+async def until(condition: Any, timeout_s: float = 20.0) -> None:
+    """Wait until a condition holds; a condition that never does fails the test."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
@@ -0,0 +1,134 @@
+"""A request from the caller through entry and slot to the upstream and back."""
+
+import asyncio
+import json
+
+from burdockquay_standins import expected_answer
+
+from ._deployment import API_KEY, chat_body, read_stream, until
+
+
+async def test_plain_chat_answer_is_whole(deployment):
+    async with deployment() as running:
+        body = chat_body("dosage")
+        async with running.post("/v1/chat/completions", body) as response:
+            answer = await response.json()
+        assert response.status == 200
+        expected = expected_answer(body, seed=1)
+        assert answer["choices"][0]["message"]["content"] == "".join(expected)
+        assert answer["usage"]["completion_tokens"] == len(expected)
+        assert response.headers["X-Request-Id"]
+
+
+async def test_streamed_chat_answers_do_not_mix(deployment):
+    async with deployment() as running:
+
+        async def ask(index):
+            body = chat_body(f"eulogy {index}", stream=True)
+            async with running.post("/v1/chat/completions", body) as response:
+                text, whole, error = await read_stream(response)
+            assert (whole, error) == (True, None)
+            assert text == "".join(expected_answer(body, seed=1))
+
+        await asyncio.gather(*(ask(index) for index in range(30)))
+
+
+async def test_service_call_runs_once_and_a_repeat_gets_the_stored_answer(deployment):
+    async with deployment(engines=1, services=1, entries=2) as running:
+        answers = []
+        for entry in (0, 1):
+            async with running.post(
+                "/services/booking/holds", {"chapel": 7}, entry, Idempotency_Key="h-1"
+            ) as response:
+                assert response.status == 200
+                answers.append(await response.read())
+        assert answers[0] == answers[1]
+        assert running.services[0].effects == {"h-1": 1}
+
+
+async def test_key_with_another_body_is_refused(deployment):
+    async with deployment(engines=1, services=1) as running:
+        for chapel, status in ((7, 200), (8, 422)):
+            async with running.post(
+                "/services/booking/holds", {"chapel": chapel}, Idempotency_Key="h-1"
+            ) as response:
+                assert response.status == status
+                answer = await response.read()
+        assert b'"run": "not_run"' in answer
+        assert sum(running.services[0].effects.values()) == 1
+
+
+async def test_engine_crash_mid_answer_leaves_neither_gap_nor_repeat(deployment):
+    """An engine dies while it streams an answer to a caller.
+
+    Without care the caller sees the answer stop, start again from the beginning, or end as if it
+    were whole.
+    """
+    async with deployment(base_step_s=0.005, restart_s=60.0) as running:
+        body = chat_body("ceremony", stream=True, max_tokens=400)
+        async with running.post("/v1/chat/completions", body) as response:
+            await until(lambda: any(engine.tokens_generated > 5 for engine in running.engines))
+            busy = max(running.engines, key=lambda engine: engine.tokens_generated)
+            busy.crash(60.0)
+            text, whole, error = await read_stream(response)
+        assert (whole, error) == (True, None)
+        assert text == "".join(expected_answer(body, seed=1))
+
+
+async def test_answer_that_cannot_be_finished_never_ends_properly(deployment):
+    """The only engine dies while it streams an answer.
+
+    A caller that reads only the text would take half a eulogy for a whole one, if the stream
+    ended like any other.
+    """
+    async with deployment(engines=1, base_step_s=0.005, restart_s=60.0) as running:
+        body = chat_body("ceremony", stream=True, max_tokens=400)
+        async with running.post("/v1/chat/completions", body) as response:
+            await until(lambda: running.engines[0].tokens_generated > 5)
+            running.engines[0].crash(60.0)
+            text, whole, error = await read_stream(response)
+        assert not whole
+        assert error["run"] == "unknown"
+        assert "".join(expected_answer(body, seed=1)).startswith(text)
+
+
+async def test_caller_that_leaves_frees_its_place(deployment):
+    """A caller closes its connection in the middle of a long answer.
+
+    If nobody told the engine, it would go on generating for nobody, and others would wait.
+    """
+    async with deployment(engines=1, base_step_s=0.005) as running:
+        body = chat_body("ceremony", stream=True, max_tokens=4000)
+        response = await running.post("/v1/chat/completions", body)
+        await until(lambda: running.engines[0].tokens_generated > 5)
+        response.close()
+        await until(lambda: not running.engines[0].batch.running)
+        await until(lambda: running.slots[0].describe()["running"] == 0)
+
+
+async def test_bad_requests_get_clear_errors(deployment):
+    async with deployment(engines=1) as running:
+        good = {"Authorization": f"Bearer {API_KEY}"}
+        chat = "/v1/chat/completions"
+        cases = [
+            ({}, b"{}", 401, "unauthenticated"),
+            ({"Authorization": "Bearer parish.wrong"}, b"{}", 401, "unauthenticated"),
+            (good, b"", 400, "bad_request"),
+            (good, b"{", 400, "bad_request"),
+            (good, b"[1]", 400, "bad_request"),
+            (good, b"x" * (2 << 20), 413, "body_too_large"),
+            ({**good, "X-Deadline-Seconds": "soon"}, _encoded(chat_body()), 400, "bad_request"),
+            (good, _encoded({**chat_body(), "model": "none"}), 404, "unknown_model"),
+        ]
+        for headers, body, status, kind in cases:
+            async with running.session.post(
+                running.url(chat), data=body, headers=headers
+            ) as response:
+                answer = await response.json()
+            assert (response.status, answer["error"]["code"]) == (status, kind)
+            assert answer["error"]["run"] == "not_run"
+            assert response.headers["X-Request-Id"]
+
+
+def _encoded(body):
+    return json.dumps(body).encode()
--- /dev/null
+++ b/packages/burdockquay/src/burdockquay/daemon.py
@@ -0,0 +1,116 @@
+"""The daemon ``burdockquayd``: one process of either role.
+
+Exit codes: 0 after a shutdown, 1 after an internal error, 2 for wrong arguments or settings, 3 if
+an address cannot be listened on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+from cyclopts import App
+
+from burdockquay_transport import Event, log_event, setup_logging
+
+from ._settings_file import load_settings
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+app = App(name="burdockquayd", help="Run one process of burdockquay.", version="0.1.0")
+
+
+@app.command
+def entry(*, settings: Path) -> int:
+    """Run an entry: the process that callers talk to.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file, JSON with comments.
+    """
+    return _run("entry", settings)
+
+
+@app.command
+def slot(*, settings: Path) -> int:
+    """Run a slot: the process beside one upstream.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file, JSON with comments.
+    """
+    return _run("slot", settings)
+
+
+def _run(role: str, path: Path) -> int:
+    loaded = load_settings(path, role)
+    if loaded.is_err():
+        for fault in loaded.err():
+            print(fault, file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.ok().settings
+    setup_logging(settings.log_level, sys.stderr)
+    log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=str(path))
+    for fault in loaded.ok().renamed:
+        log_event(Event.SETTING_RENAMED, fault=str(fault))
+    return uvloop.run(_serve(role, settings))
+
+
+async def _serve(role: str, settings: Any) -> int:
+    """Run a process until a signal stops it.
+
+    The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends it at once.
+    """
+    stop_wanted = asyncio.Event()
+    kill_wanted = asyncio.Event()
+
+    def on_signal() -> None:
+        (kill_wanted if stop_wanted.is_set() else stop_wanted).set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    process = _make_process(role, settings)
+    try:
+        await process.start()
+    except OSError as error:
+        print(f"cannot listen on {settings.host}:{settings.port}: {error}", file=sys.stderr)
+        return EXIT_ADDRESS
+    ports = {"vm": settings.vm, "port": process.port, "status_port": process.status_port}
+    print(json.dumps(ports), flush=True)
+    await stop_wanted.wait()
+    stopping = asyncio.create_task(process.stop())
+    killing = asyncio.create_task(kill_wanted.wait())
+    await asyncio.wait((stopping, killing), return_when=asyncio.FIRST_COMPLETED)
+    if not stopping.done():
+        stopping.cancel()
+        await process.abort()
+    else:
+        stopping.result()
+    killing.cancel()
+    return EXIT_OK
+
+
+def _make_process(role: str, settings: Any) -> Any:
+    # Each role is imported alone: a slot has little memory and needs nothing of the entry.
+    if role == "entry":
+        from burdockquay_transport.entry import Entry
+
+        return Entry(settings)
+    from burdockquay_transport.slot import Slot
+
+    return Slot(settings)
+
+
+def main() -> None:
+    """Run the daemon's command line."""
+    sys.exit(app())
