Keep exact step times in the engine stand-in and start benchmarks faster

Cause: the engine timed its steps by the clock of the event loop, which is cached and has whole milliseconds, so that the length of a step depended on when a request came; and with Python told to write no compiled modules, each process of a benchmark compiled all modules again.

Change: the engine uses the monotonic clock; the harness gives its processes a cache of compiled modules in the directory for temporary files where there is none.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import json
+import os
 import sys
+import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -116,6 +118,7 @@
 
     def __init__(self, directory: Path):
         self.directory = directory
+        self.environment = _environment()
         self.started: list[Process] = []
 
     async def start(self, name: str, command: Sequence[str]) -> Process:
@@ -129,7 +132,10 @@
         log = self.directory / f"{name}.log"
         with log.open("ab") as errors:
             started = await asyncio.create_subprocess_exec(
-                *command, stdout=asyncio.subprocess.PIPE, stderr=errors
+                *command,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+                env=self.environment,
             )
         process = Process(name, started, log)
         self.started.append(process)
@@ -143,6 +149,20 @@
         self.started.clear()
 
 
+def _environment() -> dict[str, str]:
+    """Return the environment of the processes, with compiled modules cached.
+
+    Where Python is told to write no compiled modules, each of some sixty processes would compile
+    every module again, which takes longer than the measurement. The cache then stands in the
+    directory for temporary files.
+    """
+    environment = {k: v for k, v in os.environ.items() if k != "PYTHONDONTWRITEBYTECODE"}
+    if sys.dont_write_bytecode:
+        cache = Path(tempfile.gettempdir()) / f"burdockquay-modules-{os.getuid()}"
+        environment.setdefault("PYTHONPYCACHEPREFIX", str(cache))
+    return environment
+
+
 def standin_command(kind: str, parameters: Any = None) -> list[str]:
     """Return the command of a stand-in with its parameters, an attrs object, as options."""
     command = [sys.executable, "-m", "burdockquay_standins", kind, "--port", "0"]
--- a/packages/burdockquay-standins/src/burdockquay_standins/_engine.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_engine.py
@@ -152,23 +152,23 @@
         self.spawn(self._generate())
 
     async def _generate(self) -> None:
-        loop = asyncio.get_running_loop()
-        due = loop.time()
+        # The clock of the event loop is coarse and cached: with it a step would last up to a
+        # millisecond longer, depending on when a request comes.
+        due = time.monotonic()
         while True:
             if not self.batch.running:
                 self._work.clear()
                 await self._work.wait()
-                due = loop.time()
+                due = time.monotonic()
             due += self._step_s()
             await self._sleep_until(due)
-            if loop.time() - due > LATE_STEP_S:
-                due = loop.time()
+            if time.monotonic() - due > LATE_STEP_S:
+                due = time.monotonic()
             self._step()
 
     async def _sleep_until(self, due: float) -> None:
-        loop = asyncio.get_running_loop()
-        await asyncio.sleep(max(0.0, due - loop.time()))
-        while (stalled := self.faults.stalled_until - loop.time()) > 0.0:
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        while (stalled := self.faults.stalled_until - time.monotonic()) > 0.0:
             await asyncio.sleep(stalled)
 
     def _step(self) -> None:
