Wake idle processes rarely and load the command line library only when needed

Without work for a second the ticks now come every 0.1 s. Work that arrives in an idle process may find its first expiry up to 0.1 s late; nothing that must happen at once waits for a tick.

The library for command lines stayed in memory for the life of the daemon.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_clock.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_clock.py
@@ -2,8 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Callable
+
+TICK_S = 0.02
+"""Time between two ticks while there is work, seconds."""
+
+IDLE_TICK_S = 0.1
+"""Time between two ticks while there is none, seconds."""
+
+IDLE_AFTER_S = 1.0
+"""Time without work after which the ticks become rarer, seconds."""
 
 
 class Clock(ABC):
@@ -28,3 +39,27 @@
     def wall(self) -> float:
         """Return seconds since the epoch."""
         return time.time()
+
+
+async def ticks(clock: Clock, is_busy: Callable[[], bool]) -> AsyncIterator[float]:
+    """Yield the time again and again, until cancelled.
+
+    Parameters
+    ----------
+    clock : Clock
+    is_busy : callable
+        Returns whether anything waits for a moment in time.
+
+    Notes
+    -----
+    Fifty wake-ups a second alone cost an idle process most of a hundredth of a core, which is all
+    that a node may spend on control. Work that arrives in an idle process finds the first tick up
+    to ``IDLE_TICK_S`` away; what must happen at once does not wait for a tick.
+    """
+    busy_at = clock.now()
+    while True:
+        now = clock.now()
+        if is_busy():
+            busy_at = now
+        await asyncio.sleep(TICK_S if now - busy_at < IDLE_AFTER_S else IDLE_TICK_S)
+        yield clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -26,7 +26,7 @@
 
 from ._call_runner import CallRunner
 from ._caller_http import CallerServer
-from ._clock import Clock, SystemClock
+from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._dispatcher import GroupDispatcher
 from ._events import Event, log_event
@@ -36,9 +36,6 @@
 from ._settings import EntrySettings
 from ._slot_link import LinkListener, SlotLink
 
-TICK_S = 0.02
-"""Time between two looks at the queues, seconds."""
-
 METRICS_FLUSH_S = 1.0
 """Time between two flushes of the metrics, seconds."""
 
@@ -344,12 +341,13 @@
                 other.post(Suspicions(news))
 
     async def _watch_time(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = self._clock.now()
+        async for now in ticks(self._clock, self._has_waiting):
             for dispatcher in self._dispatchers.values():
                 dispatcher.tick(now)
 
+    def _has_waiting(self) -> bool:
+        return any(len(dispatcher.queue) for dispatcher in self._dispatchers.values())
+
     async def _flush_metrics(self) -> None:
         while True:
             await asyncio.sleep(METRICS_FLUSH_S)
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -40,7 +40,7 @@
 from burdockquay_state import ClaimStore, GroupCommitter, GroupRecord, RecordLog
 
 from . import _engine_client, _service_client  # noqa: F401 (they register upstream clients)
-from ._clock import Clock, SystemClock
+from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
 from ._metrics import make_sink
@@ -66,9 +66,6 @@
 SILENCE_S = 5.0
 """Silence after which a connection is given up, seconds."""
 
-TICK_S = 0.02
-"""Time between two looks at deadlines and lapsed grants, seconds."""
-
 QUARANTINE_RETENTION_S = 3600.0
 """How long a suspicion against a request is kept, seconds."""
 
@@ -416,13 +413,14 @@
             peer.post(grant)
 
     async def _watch_time(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = self._clock.now()
+        async for now in ticks(self._clock, self._has_deadlines):
             due = self._scheduler.next_deadline(now)
             if due is not None and due <= now:
                 self._runner.expire(now)
 
+    def _has_deadlines(self) -> bool:
+        return self._scheduler.next_deadline(self._clock.now()) is not None
+
     def _wake_status(self) -> None:
         now = self._clock.now()
         if self._leaving or not self._health.healthy:
--- a/packages/burdockquay/src/burdockquay/daemon.py
+++ b/packages/burdockquay/src/burdockquay/daemon.py
@@ -14,7 +14,6 @@
 from typing import Any
 
 import uvloop
-from cyclopts import App
 
 from burdockquay_transport import Event, log_event, setup_logging
 
@@ -24,34 +23,17 @@
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 
-app = App(name="burdockquayd", help="Run one process of burdockquay.", version="0.1.0")
 
-
-@app.command
-def entry(*, settings: Path) -> int:
-    """Run an entry: the process that callers talk to.
-
-    Parameters
-    ----------
-    settings : Path
-        Settings file, JSON with comments.
-    """
-    return _run("entry", settings)
-
-
-@app.command
-def slot(*, settings: Path) -> int:
-    """Run a slot: the process beside one upstream.
+def run(role: str, path: Path) -> int:
+    """Run one process until it is stopped; return the exit code.
 
     Parameters
     ----------
-    settings : Path
-        Settings file, JSON with comments.
+    role : str
+        ``"entry"`` or ``"slot"``.
+    path : Path
+        Settings file.
     """
-    return _run("slot", settings)
-
-
-def _run(role: str, path: Path) -> int:
     loaded = load_settings(path, role)
     if loaded.is_err():
         for fault in loaded.err():
@@ -112,5 +94,16 @@
 
 
 def main() -> None:
-    """Run the daemon's command line."""
+    """Run the daemon's command line.
+
+    Notes
+    -----
+    The library for command lines takes several megabytes, which a process would keep for its life.
+    It is only loaded if it has something to do: help, version, or a mistake to explain.
+    """
+    match sys.argv[1:]:
+        case ["entry" | "slot" as role, "--settings", path]:
+            sys.exit(run(role, Path(path)))
+    from ._daemon_command import app
+
     sys.exit(app())
