Let slots leave reading of the head revision to their entries

A slot estimated the number of processes from its own connections. With 1,900 entries, 5,700 slots and 48 entries a slot that gave an interval of 1 s, by calculation 5,700 reads a second where the table has 2,000 and the budget is 300. A slot hears of every change from its entries; it now reads itself every (1 + entries) intervals, by calculation 116 reads a second, and 191 with those of the entries.

--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -233,8 +233,12 @@
         return self._holder.snapshot.groups.get(self.settings.group)
 
     def _count_processes(self) -> int:
-        # A slot knows its entries only; each of them stands for itself and the slots it serves.
-        return 1 + 2 * len(self._peers)
+        # A slot hears of every change from its entries, which share the budget of reads among all
+        # processes by the VM list. It reads by itself only in case all of them are cut off from
+        # the table, the more rarely the more of them there are. With a read every interval from
+        # each, thousands of slots would take more reads than the table has.
+        readers_in_budget = self.settings.table_read_budget * self.settings.poll_interval_s
+        return round(readers_in_budget * (1 + len(self._peers)))
 
     def _reconfigure(self) -> None:
         snapshot = self._holder.snapshot
