Keep stragglers out of the grants and let their own slots bring them back

Cause: an ejected slot still granted places, because only placement looked at the health, and an upstream without work brought no figures, so that it would have stayed out for ever. A new test then ejected a healthy engine: the silence of an idle engine counted as its step time as soon as it got a request.

Change: demand goes to usable slots only and grants of others are returned; an idle slot measures its engine with a small request of its own; silence counts from the last token of answers that have begun. Suspicions against requests are kept in the table, so that they outlive the processes that raised them.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -25,6 +25,7 @@
 from ._shares import Contender, ShareLedger
 from ._slots import SlotScheduler
 from ._subsets import choose_subset
+from ._suspicion_store import SuspicionStore, load_until_read
 from ._types import Candidate, PlaceGrant, PlacementRequest, SlotCounts, Waiting, Work
 from ._usage import AttainmentRow, LatencyTarget, UsageLedger, UsageRow
 
@@ -61,6 +62,7 @@
     "ShareLedger",
     "SlotCounts",
     "SlotScheduler",
+    "SuspicionStore",
     "TokenBucket",
     "UsageLedger",
     "UsageRow",
@@ -69,6 +71,7 @@
     "Work",
     "authenticate",
     "choose_subset",
+    "load_until_read",
     "make_key_digest",
     "next_read_delay",
     "placement_policies",
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_suspicion_store.py
@@ -0,0 +1,131 @@
+"""Suspicions against requests in the table, for processes that start after a crash."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+import cbor2
+from result import Err, Ok, Result
+
+from burdockquay_protocol import Suspicion
+from burdockquay_state import (
+    ABSENT,
+    Delete,
+    Put,
+    Row,
+    TableError,
+    TableErrorKind,
+    TableService,
+)
+
+PREFIX = "suspicion/"
+"""Start of the keys of the rows."""
+
+SAVE_TRIES = 3
+"""How often a row that another process changed meanwhile is tried again."""
+
+RELOAD_S = 2.0
+"""Mean time between two tries to read the rows while the table is down, seconds."""
+
+
+class SuspicionStore:
+    """Rows of the table that outlive the processes which saw an upstream crash.
+
+    Parameters
+    ----------
+    table : TableService
+
+    Notes
+    -----
+    Processes tell each other of suspicions with their messages. If all of them are replaced, the
+    next caller's repeat would crash upstreams again; the rows keep that from happening. They are
+    written at crashes only, which are rare, and read once by each process at its start.
+    """
+
+    def __init__(self, table: TableService):
+        self.table = table
+
+    async def save(self, suspicions: Sequence[Suspicion], now: float) -> Result[None, TableError]:
+        """Write suspicions; figures of a row that knows more are kept."""
+        for suspicion in suspicions:
+            saved = await self._save_one(suspicion)
+            if isinstance(saved, Err):
+                return saved
+        return Ok(None)
+
+    async def load(self, now: float) -> Result[list[Suspicion], TableError]:
+        """Return the suspicions in force, and delete rows that have expired."""
+        found: list[Suspicion] = []
+        after = ""
+        while True:
+            page = await self.table.scan(PREFIX, after)
+            if isinstance(page, Err):
+                return page
+            rows = page.ok()
+            if not rows:
+                return Ok(found)
+            after = rows[-1].key
+            found += await self._sort_out(rows, now)
+
+    async def _sort_out(self, rows: list[Row], now: float) -> list[Suspicion]:
+        read = [(row, _decode(row)) for row in rows]
+        for row, suspicion in read:
+            if suspicion is None or suspicion.expires_at <= now:
+                # Conditional: a crash in this moment renews the row.
+                await self.table.transact([Delete(row.key, row.version)])
+        return [one for _, one in read if one is not None and one.expires_at > now]
+
+    async def _save_one(self, suspicion: Suspicion) -> Result[None, TableError]:
+        key = PREFIX + suspicion.digest
+        result: Result = Ok(None)
+        for _ in range(SAVE_TRIES):
+            rows = await self.table.get([key])
+            if isinstance(rows, Err):
+                return rows
+            (row,) = rows.ok()
+            merged = _merge(suspicion, _decode(row) if row else None)
+            version = row.version if row else ABSENT
+            result = await self.table.transact([Put(key, _encode(merged), version)])
+            if isinstance(result, Ok):
+                return Ok(None)
+            if result.err().kind is not TableErrorKind.CONFLICT:
+                return result
+        return result
+
+
+async def load_until_read(
+    store: SuspicionStore, clock: Callable[[], float], rng: random.Random
+) -> list[Suspicion]:
+    """Return the suspicions in force, trying until the table answers."""
+    while True:
+        loaded = await store.load(clock())
+        if isinstance(loaded, Ok):
+            return loaded.ok()
+        await asyncio.sleep(RELOAD_S * rng.uniform(0.5, 1.5))
+
+
+def _merge(one: Suspicion, other: Suspicion | None) -> Suspicion:
+    if other is None:
+        return one
+    return attrs.evolve(
+        one,
+        crashes=max(one.crashes, other.crashes),
+        alone=max(one.alone, other.alone),
+        expires_at=max(one.expires_at, other.expires_at),
+    )
+
+
+def _encode(suspicion: Suspicion) -> bytes:
+    return cbor2.dumps([suspicion.crashes, suspicion.alone, suspicion.expires_at])
+
+
+def _decode(row: Row) -> Suspicion | None:
+    """Return the suspicion of a row, None if the row cannot be read."""
+    try:
+        crashes, alone, expires_at = cbor2.loads(row.value)
+        return Suspicion(row.key.removeprefix(PREFIX), int(crashes), int(alone), float(expires_at))
+    except (cbor2.CBORDecodeError, ValueError, TypeError):
+        return None
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -21,6 +21,7 @@
 
 from ._call import Call, Refused
 from ._clock import Clock
+from ._events import Event, log_event
 from ._slot_link import SlotLink
 
 DEMAND_INTERVAL_S = 0.02
@@ -83,6 +84,7 @@
         self._queue_name = snapshot.policy.queue
         self._queue = self._make_queue()
         self._placement = placement_policies.get(snapshot.policy.placement)()
+        self._ejected: frozenset[str] = frozenset()
         self._demand_changed = False
         self._demand_told_at = 0.0
 
@@ -120,14 +122,14 @@
     def submit(self, call: Call, now: float) -> None:
         """Bring a call to a slot now, or let it wait."""
         if self.snapshot.policy.binding == "slot_queue":
-            link = self._choose(call, self._usable_links(), now)
+            link = self._choose(call, self._usable_links(now), now)
             if link is None:
                 call.inbox.put(Refused(RequestError(ErrorKind.NO_UPSTREAM)))
             else:
                 self._start(call, link, 0, now)
             return
         if not self._anyone_before(call):
-            link = self._choose(call, self._free_links(call), now)
+            link = self._choose(call, self._free_links(call, now), now)
             if link is not None:
                 self._start(call, link, 0, now)
                 return
@@ -148,7 +150,8 @@
         told = link.told_demand
         if grant.class_name in told:
             told[grant.class_name] -= 1
-        call = self._next_call(grant.class_name, now) if self.is_usable(link.vm) else None
+        wanted = link in self._usable_links(now)
+        call = self._next_call(grant.class_name, now) if wanted else None
         if call is None:
             link.post(ReturnGrant(grant.grant))
         else:
@@ -184,6 +187,7 @@
                 kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.PATIENCE_EXCEEDED
                 call.inbox.put(Refused(RequestError(kind)))
                 self._demand_changed = True
+        self._note_ejections(now)
         self._tell_demand(now)
 
     def _make_queue(self) -> QueuePolicy:
@@ -226,12 +230,26 @@
             for name in (item.class_name for item in self._queue.demand(self.clock.now()))
         )
 
-    def _usable_links(self) -> list[SlotLink]:
-        return [link for link in self.links.values() if link.takes_work and self.is_usable(link.vm)]
-
-    def _free_links(self, call: Call) -> list[SlotLink]:
+    def _usable_links(self, now: float) -> list[SlotLink]:
+        """Return the slots that may get work; ejected ones only if there are no others."""
+        usable = [
+            link for link in self.links.values() if link.takes_work and self.is_usable(link.vm)
+        ]
+        ejected = self.health.ejected(now)
+        return [link for link in usable if link.vm not in ejected] or usable
+
+    def _note_ejections(self, now: float) -> None:
+        ejected = self.health.ejected(now)
+        for vm in sorted(ejected - self._ejected):
+            log_event(Event.STRAGGLER_EJECTED, vm=vm, group=self.group)
+        for vm in sorted(self._ejected - ejected):
+            log_event(Event.STRAGGLER_RETURNED, vm=vm, group=self.group)
+        self._demand_changed = self._demand_changed or ejected != self._ejected
+        self._ejected = ejected
+
+    def _free_links(self, call: Call, now: float) -> list[SlotLink]:
         own = call.asked.service_class
-        links = [link for link in self._usable_links() if own.name not in link.full_for]
+        links = [link for link in self._usable_links(now) if own.name not in link.full_for]
         if own.protected:
             # The slot may pause lower work for it, which only the slot can see.
             return links
@@ -287,6 +305,8 @@
                 if link.connected
                 and any(link.told_demand.get(item.class_name, 0) <= 0 for item in demands)
             ]
+        wanted = self._usable_links(now)
         for link in targets:
-            if demands or link.told_demand:
-                link.tell_demand(demands)
+            told = demands if link in wanted else []
+            if told or link.told_demand:
+                link.tell_demand(told)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator
 from typing import Any
@@ -26,6 +27,7 @@
 _STREAM_HEADERS = [["content-type", "text/event-stream"]]
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
+_PROBE_TOKENS = 8
 _DETAIL_BYTES = 200
 _REFUSED_BODY_BYTES = 4096
 
@@ -95,6 +97,28 @@
         except BROKEN_ERRORS:
             return False
 
+    async def measure(self, model: str) -> float | None:
+        """Return the time between tokens of one small request, seconds, None if unknown."""
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": "probe"}],
+            "stream": True,
+            "max_tokens": _PROBE_TOKENS,
+        }
+        loop = asyncio.get_running_loop()
+        times = []
+        try:
+            async with self.sessions.kept.post(
+                self.url + "/v1/chat/completions", json=body, timeout=PROBE_TIMEOUT
+            ) as response:
+                await _check_accepted(response)
+                async for part in _read_events(response):
+                    if isinstance(part, Token):
+                        times.append(loop.time())
+        except (UpstreamError, *BROKEN_ERRORS):
+            return None
+        return (times[-1] - times[0]) / (len(times) - 1) if len(times) > 1 else None
+
     async def pause(self, request: str) -> bool:
         """Pause a running request; False if the engine does not run it."""
         return await self._control(request, "pause")
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -19,6 +19,7 @@
 from burdockquay_protocol import (
     MAX_FRAME_BYTES,
     NONCE_BYTES,
+    PART_END,
     PROTOCOL_VERSIONS,
     FaultKind,
     Frame,
@@ -95,7 +96,7 @@
     version : int
         Agreed protocol version.
     flush_interval_s : float
-        Longest time a frame waits for others, seconds.
+        Shortest time between two messages with frames, unless they are full, seconds.
     traffic : TrafficCounts
         Counters to add to.
     """
@@ -116,7 +117,9 @@
         self._pending: deque[Any] = deque()
         self._pending_bytes = 0
         self._wake = asyncio.Event()
+        self._urgent = asyncio.Event()
         self._closing = False
+        self._flush_at = 0.0
         self.traffic_mark_sent = 0
         self.traffic_mark_received = 0
 
@@ -142,6 +145,8 @@
         # caller would notice. Giving up its connection ends only its own requests.
         if self._pending_bytes > MAX_PENDING_BYTES:
             self._closing = True
+        if frame.part == PART_END:
+            self._urgent.set()
         self._wake.set()
 
     def keep_alive(self, interval_s: float, timeout_s: float, make_heartbeat: Callable) -> None:
@@ -185,13 +190,23 @@
         loop.call_later(interval_s, tick)
 
     async def write(self) -> None:
-        """Send what is queued until the connection closes; run as a task."""
+        """Send what is queued until the connection closes; run as a task.
+
+        Notes
+        -----
+        A frame waits for others only if one was sent within the flush interval and no answer ends
+        with it, so that a lone answer is not delayed, while under load the messages a second
+        stay bounded.
+        """
+        loop = asyncio.get_running_loop()
         try:
             while not self._closing:
                 await self._wake.wait()
-                if self.flush_interval_s and self._only_small_frames():
-                    await asyncio.sleep(self.flush_interval_s)
+                if self._only_small_frames():
+                    await self._wait_for_others(self._flush_at - loop.time())
                 self._wake.clear()
+                self._urgent.clear()
+                self._flush_at = loop.time() + self.flush_interval_s
                 await self._send_pending()
         except ConnectionClosed:
             pass
@@ -224,6 +239,15 @@
         """Send what is queued now."""
         await self._send_pending()
 
+    async def _wait_for_others(self, wait_s: float) -> None:
+        if wait_s <= 0:
+            return
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._urgent.wait()
+        except TimeoutError:
+            return
+
     def _only_small_frames(self) -> bool:
         return self._pending_bytes < MAX_BATCH_BYTES and all(
             isinstance(item, Frame) for item in self._pending
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -129,6 +129,18 @@
         """Attempts that the slot holds, queued ones included."""
         return len(self._attempts)
 
+    def silence_s(self, now: float) -> float:
+        """Return the time since the latest token of any answer that is under way, seconds.
+
+        Answers that have not begun do not count: the upstream may be reading their prompts.
+        """
+        begun = [
+            attempt.token_at
+            for attempt in self._attempts.values()
+            if attempt.token_at > attempt.sent_at and not attempt.was_paused
+        ]
+        return now - max(begun) if begun else 0.0
+
     def accept(self, connection: PeerConnection, run: Run, now: float) -> None:
         """Take an attempt or refuse it."""
         work = Work(
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
@@ -88,6 +88,10 @@
     async def probe(self) -> bool:
         """Return whether the upstream serves one small request."""
 
+    async def measure(self, model: str) -> float | None:
+        """Return the time between tokens of one small request, seconds, None if unknown."""
+        return None
+
     async def pause(self, request: str) -> bool:
         """Pause a running request; False if the upstream does not run it."""
         return False
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
@@ -36,15 +36,29 @@
         self.first_token_s = _smooth(self.first_token_s, seconds)
         self._token_at = now
 
-    def step_s(self, running: int, now: float) -> float:
+    def is_stale(self, age_s: float, now: float) -> bool:
+        """Return whether the last token is older than ``age_s`` seconds."""
+        return now - self._token_at > age_s
+
+    def replace(self, step_s: float, now: float) -> None:
+        """Take a fresh measurement in place of the running mean."""
+        self._step_s = step_s
+        self._token_at = now
+
+    def step_s(self, silence_s: float) -> float:
         """Return the time between tokens.
 
+        Parameters
+        ----------
+        silence_s : float
+            Time since the latest token of any answer that is under way; 0 if none is.
+
+        Notes
+        -----
         An upstream that stalls brings no more samples, and its last mean would look healthy for
         ever. So the silence counts once it is longer than the mean.
         """
-        if not running or not self._token_at:
-            return self._step_s
-        return max(self._step_s, now - self._token_at)
+        return max(self._step_s, silence_s)
 
 
 def _smooth(mean: float, sample: float) -> float:
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -18,8 +18,10 @@
     QuarantineBook,
     RetryBudget,
     RouteTable,
+    SuspicionStore,
     UsageLedger,
     choose_subset,
+    load_until_read,
 )
 from burdockquay_protocol import Goodbye, Grant, Suspicions
 from burdockquay_state import ClaimStore, RecordLog, VmEntry
@@ -102,6 +104,7 @@
             self._follow_vm_list(),
             self._watch_time(),
             self._flush_metrics(),
+            self._load_suspicions(),
         ):
             self._spawn(task)
         log_event(Event.PROCESS_LISTENING, role="entry", vm=settings.vm, port=self.port)
@@ -340,6 +343,12 @@
             if other is not link:
                 other.post(Suspicions(news))
 
+    async def _load_suspicions(self) -> None:
+        """Take over what was known of dangerous requests before this process began."""
+        store = SuspicionStore(self._platform.table)
+        loaded = await load_until_read(store, self._clock.wall, self._rng)
+        self.quarantine.merge(loaded, self._clock.wall())
+
     async def _watch_time(self) -> None:
         async for now in ticks(self._clock, self._has_waiting):
             for dispatcher in self._dispatchers.values():
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -20,6 +20,8 @@
     PlaceGrant,
     QuarantineBook,
     SlotScheduler,
+    SuspicionStore,
+    load_until_read,
 )
 from burdockquay_protocol import (
     Cancel,
@@ -69,6 +71,9 @@
 QUARANTINE_RETENTION_S = 3600.0
 """How long a suspicion against a request is kept, seconds."""
 
+IDLE_PROBE_FACTOR = 4.0
+"""Interval of the measurements of an idle upstream, in intervals of the probes."""
+
 STATUS_BYTES = 60
 """Size of a status message on the wire, bytes."""
 
@@ -125,7 +130,13 @@
         self._open_runner()
         self._handlers = self._make_handlers()
         await self._listen()
-        for task in (self._sync.run(), self._watch_time(), self._send_status()):
+        for task in (
+            self._sync.run(),
+            self._watch_time(),
+            self._send_status(),
+            self._measure_when_idle(),
+            self._load_suspicions(),
+        ):
             self._spawn(task)
         log_event(Event.PROCESS_LISTENING, role="slot", vm=settings.vm, port=self.port)
 
@@ -205,6 +216,7 @@
         self._outcomes = OutcomeWriter(claims, self._clock.wall)
         self._guard = OnceGuard(claims, self._outcomes, self.identity.incarnation)
         self._quarantine = QuarantineBook(QUARANTINE_RETENTION_S)
+        self._store = SuspicionStore(self._platform.table)
         kind = "engine"
         self._client = upstream_clients.get(kind)(settings.upstream_url, self._sessions)
         self._scheduler = SlotScheduler(
@@ -408,6 +420,7 @@
         self.metrics.count("upstream.crashed")
         log_event(Event.QUARANTINE_SUSPECTED, digests=",".join(item.digest for item in news))
         self._tell_suspicions(news)
+        self._spawn(self._store.save(news, self._clock.wall()))
 
     def _post_grant(self, place: PlaceGrant, grant: Grant) -> None:
         peer = self._peers.get(place.peer)
@@ -425,6 +438,29 @@
     def _has_deadlines(self) -> bool:
         return self._scheduler.next_deadline(self._clock.now()) is not None
 
+    async def _measure_when_idle(self) -> None:
+        """Refresh the pace of an upstream that has no work.
+
+        Entries give no work to an upstream that was slow. Without work it would bring no figures,
+        and stay out for ever; so a small request of the slot's own takes the place of users' ones.
+        """
+        interval_s = IDLE_PROBE_FACTOR * self.settings.probe_interval_s
+        while True:
+            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
+            idle = self.ready and self._health.healthy and not self._runner.held
+            models = self._group.models if idle else []
+            if not models or not self._runner.pace.is_stale(interval_s, self._clock.now()):
+                continue
+            step_s = await self._client.measure(models[0])
+            if step_s is not None and not self._runner.held:
+                self._runner.pace.replace(step_s, self._clock.now())
+                self._status_wanted.set()
+
+    async def _load_suspicions(self) -> None:
+        """Take over what was known of dangerous requests before this process began."""
+        loaded = await load_until_read(self._store, self._clock.wall, self._rng)
+        self._quarantine.merge(loaded, self._clock.wall())
+
     def _wake_status(self) -> None:
         now = self._clock.now()
         if self._leaving or not self._health.healthy:
@@ -456,7 +492,7 @@
             counts.running + counts.granted,
             counts.queued,
             counts.protected_running,
-            round(self._runner.pace.step_s(counts.running, now), 5),
+            round(self._runner.pace.step_s(self._runner.silence_s(now)), 5),
             round(self._runner.pace.first_token_s, 5),
             self._health.healthy,
             self._leaving,
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -151,6 +151,20 @@
         )
         return entry
 
+    def slot(self, vm: str) -> Slot:
+        """Return the slot on a VM."""
+        return next(slot for slot in self.slots if slot.identity.vm == vm)
+
+    async def ask(self, path: str, body: Any, **headers: str) -> tuple[int, Any]:
+        """Return status and JSON of the answer of the first entry."""
+        async with self.post(path, body, **headers) as response:
+            return response.status, await response.json()
+
+    async def ask_stream(self, body: Any, **headers: str) -> tuple[str, bool, dict | None]:
+        """Return what :func:`read_stream` makes of a streamed chat."""
+        async with self.post("/v1/chat/completions", body, **headers) as response:
+            return await read_stream(response)
+
     def _platform(self) -> PlatformSettings:
         url = self.platform.url
         return PlatformSettings(url, url, url)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
@@ -0,0 +1,58 @@
+"""Upstreams that are slow, and what was known of crashes before a process began."""
+
+import json
+
+from burdockquay_protocol import Suspicion
+from burdockquay_transport._caller_http import digest_request
+
+from ._deployment import chat_body, until
+
+
+async def test_straggler_is_left_out_and_comes_back_by_its_own_probes(deployment):
+    """One of four engines becomes fifty times slower, as with a failing accelerator.
+
+    Callers whose answers it generates wait fifty times longer. So it gets no more work until its
+    own slot has measured that it is as fast as the others; no caller's request is used for that.
+    """
+    async with deployment(engines=4, base_step_s=0.002) as running:
+        slow = running.engines[0]
+        slow.faults.slow_factor = 50.0
+        health = running.entries[0].dispatcher("drafting").health
+        now = running.entries[0].now
+
+        async def ask_some():
+            for _ in range(8):
+                status, _ = await running.ask("/v1/chat/completions", chat_body(max_tokens=4))
+                assert status == 200
+
+        while health.ejected(now()) != {"engine-1"}:
+            await ask_some()
+        started = len([request for request in slow.starts if request.endswith("-1")])
+        await ask_some()
+        assert len([request for request in slow.starts if request.endswith("-1")]) == started
+        slow.faults.slow_factor = 1.0
+        await until(lambda: not health.ejected(now()))
+
+
+async def test_quarantine_outlives_every_process(deployment):
+    """All processes are replaced after a request crashed engines; then its caller repeats it.
+
+    It is refused as before, since what was known of it is in the table.
+    """
+    async with deployment(engines=1) as running:
+        body = chat_body("POISON")
+        _, answer = await running.ask("/v1/chat/completions", body)
+        assert "choices" in answer
+        digest = _digest_of(body)
+        store = running.slots[0]._store
+        suspicion = Suspicion(digest, 2, 1, running.entries[0].wall() + 60.0)
+        await store.save([suspicion], running.entries[0].wall())
+        entry = await running.add_entry("entry-new")
+        await until(lambda: entry.ready and entry.describe()["quarantine"])
+        async with running.post("/v1/chat/completions", body, entry=1) as response:
+            answer = await response.json()
+        assert (response.status, answer["error"]["code"]) == (422, "quarantined")
+
+
+def _digest_of(body):
+    return digest_request("parish", "POST", "/v1/chat/completions", json.dumps(body).encode())
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -0,0 +1,111 @@
+"""What an entry and a slot do with peers that break the protocol."""
+
+import asyncio
+
+import cbor2
+import pytest
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from burdockquay_protocol import MAX_FRAME_BYTES, Heartbeat, SlotStatus, encode
+from burdockquay_standins import expected_answer
+from burdockquay_transport._peer import Identity, TrafficCounts, greet_slot
+
+from ._deployment import PEER_KEY, chat_body, until
+
+ROGUE = Identity("rogue", "north", "rogue-1")
+
+
+async def open_peer(slot, key=PEER_KEY):
+    websocket = await connect(f"ws://127.0.0.1:{slot.port}", proxy=None, compression=None)
+    return websocket, await greet_slot(websocket, ROGUE, bytes.fromhex(key), TrafficCounts())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xff\xff",
+        cbor2.dumps([999]),
+        cbor2.dumps([8, "r", 1]),
+        encode(SlotStatus(1, 0, 0, 0, 0.0, 0.0, True, False, 1, [])),
+        encode(Heartbeat(1))[:-1],
+        "text",
+        bytes(MAX_FRAME_BYTES + 1),
+    ],
+    ids=["malformed", "unknown type", "missing fields", "out of order", "cut", "text", "oversized"],
+)
+async def test_peer_that_breaks_the_protocol_disturbs_nobody_else(deployment, data):
+    """An entry of a faulty release, or an attacker with the key, sends a slot something else than
+    a message.
+
+    Its connection is closed. The answer that another entry's caller is reading goes on.
+    """
+    async with deployment(engines=1, base_step_s=0.005) as running:
+        body = chat_body("ceremony", stream=True, max_tokens=60)
+        reading = asyncio.create_task(running.ask_stream(body))
+        await until(lambda: running.engines[0].tokens_generated > 2)
+        websocket, greeted = await open_peer(running.slots[0])
+        assert greeted.is_ok()
+        with pytest.raises(ConnectionClosed):
+            await websocket.send(data)
+            while True:
+                await websocket.recv()
+        text, whole, error = await reading
+        assert (whole, error) == (True, None)
+        assert text == "".join(expected_answer(body, seed=1))
+
+
+async def test_peer_without_the_key_is_refused_by_both_sides(deployment):
+    """Somebody who reached the network, but has not got the key, connects to a slot.
+
+    It learns nothing but the refusal and cannot have a request run.
+    """
+    async with deployment(engines=1) as running:
+        websocket, greeted = await open_peer(running.slots[0], key="cd" * 32)
+        assert "peer key" in greeted.err()
+        await websocket.close()
+        assert len(running.slots[0].describe()["members"]) == 1
+
+
+async def test_frame_that_is_missing_never_shortens_an_answer(deployment, monkeypatch):
+    """One piece of an answer gets lost between slot and entry.
+
+    A caller would read a sentence with a word missing. The entry sees it by the number of the next
+    piece, and goes on elsewhere behind what the caller has.
+    """
+    async with deployment(base_step_s=0.002) as running:
+        dropped = []
+        for slot in running.slots:
+            for peer in slot._peers.values():
+                original = peer.post_frame
+
+                def post_frame(frame, original=original):
+                    if frame.sequence == 5 and not dropped:
+                        dropped.append(frame)
+                    else:
+                        original(frame)
+
+                monkeypatch.setattr(peer, "post_frame", post_frame)
+        body = chat_body("ceremony", stream=True, max_tokens=60)
+        text, whole, error = await running.ask_stream(body)
+        assert dropped
+        assert (whole, error) == (True, None)
+        assert text == "".join(expected_answer(body, seed=1))
+
+
+async def test_connection_that_breaks_mid_answer_costs_the_caller_nothing(deployment):
+    """The network between entry and slot breaks while an answer is under way.
+
+    The caller sees neither the break nor a word twice.
+    """
+    async with deployment(base_step_s=0.005) as running:
+        body = chat_body("ceremony", stream=True, max_tokens=100)
+        reading = asyncio.create_task(running.ask_stream(body))
+        await until(lambda: any(engine.tokens_generated > 5 for engine in running.engines))
+        busy = next(slot for slot in running.slots if slot.describe()["running"])
+        for peer in list(busy._peers.values()):
+            peer.websocket.transport.abort()
+        text, whole, error = await reading
+        assert (whole, error) == (True, None)
+        assert text == "".join(expected_answer(body, seed=1))
+        await until(lambda: running.is_connected(running.entries[0]))
