Flush the metrics of slots, and those of both roles every ten seconds

A slot counted crashes and faults of the protocol but never sent what its sink held, neither regularly nor at its end. Both roles now share one task that flushes, and close the sink when they stop. The interval is the ten seconds of the sink's own budget in place of the entry's one second: 20 samples of a timer at each flush are meant to keep a node under 2 kB a second.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import re
 from abc import ABC, abstractmethod
@@ -21,7 +22,7 @@
 from ._settings import MetricsSettings
 
 FLUSH_INTERVAL_S = 10.0
-"""How often to call :meth:`MetricsSink.flush`, seconds; a collector's usual window."""
+"""How often :func:`keep_flushing` sends what a sink holds, seconds; a collector's usual window."""
 
 MAX_SAMPLES = 20
 """Samples of one timer that are sent at each flush; with four timers in each of four classes and
@@ -130,6 +131,13 @@
     return metrics_sinks.get(settings.sink)(settings)
 
 
+async def keep_flushing(sink: MetricsSink) -> None:
+    """Flush a sink regularly until cancelled; run as a task."""
+    while True:
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+        sink.flush()
+
+
 @metrics_sinks.register("none")
 class NullSink(MetricsSink):
     """Sink that keeps nothing."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -32,15 +32,12 @@
 from ._config_sync import ConfigurationSync
 from ._dispatcher import GroupDispatcher
 from ._events import Event, log_event
-from ._metrics import make_sink
+from ._metrics import keep_flushing, make_sink
 from ._peer import Identity, TrafficCounts
 from ._platform import open_platform
 from ._settings import EntrySettings
 from ._slot_link import LinkListener, SlotLink
 
-METRICS_FLUSH_S = 1.0
-"""Time between two flushes of the metrics, seconds."""
-
 QUARANTINE_RETENTION_S = 3600.0
 """How long a suspicion against a request is kept, seconds."""
 
@@ -103,7 +100,7 @@
             self._sync.run(),
             self._follow_vm_list(),
             self._watch_time(),
-            self._flush_metrics(),
+            keep_flushing(self.metrics),
             self._load_suspicions(),
         ):
             self._spawn(task)
@@ -357,11 +354,6 @@
     def _has_waiting(self) -> bool:
         return any(len(dispatcher.queue) for dispatcher in self._dispatchers.values())
 
-    async def _flush_metrics(self) -> None:
-        while True:
-            await asyncio.sleep(METRICS_FLUSH_S)
-            self.metrics.flush()
-
     def describe(self) -> dict[str, Any]:
         """Return what ``/status`` shows."""
         return {
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -45,7 +45,7 @@
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
-from ._metrics import make_sink
+from ._metrics import keep_flushing, make_sink
 from ._peer import (
     WEBSOCKET_OPTIONS,
     Identity,
@@ -132,6 +132,7 @@
         await self._listen()
         for task in (
             self._sync.run(),
+            keep_flushing(self.metrics),
             self._watch_time(),
             self._send_status(),
             self._measure_when_idle(),
@@ -195,6 +196,7 @@
         await self._status_server.close()
         await self._sessions.close()
         await self._platform.close()
+        self.metrics.close()
 
     def _open_configuration(self) -> None:
         self._holder = ConfigurationHolder()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_metrics.py
@@ -6,7 +6,15 @@
 import pytest
 
 from burdockquay_protocol import ErrorKind
-from burdockquay_transport import MetricsSettings, StatsdSink, make_sink, metrics_sinks
+from burdockquay_transport import (
+    EntrySettings,
+    MetricsSettings,
+    PlatformSettings,
+    SlotSettings,
+    StatsdSink,
+    make_sink,
+    metrics_sinks,
+)
 from burdockquay_transport._metrics import (
     MAX_NAMES,
     MAX_SAMPLES,
@@ -16,6 +24,8 @@
     retry_counter,
     timers,
 )
+from burdockquay_transport.entry import Entry
+from burdockquay_transport.slot import Slot
 
 
 @pytest.fixture
@@ -107,5 +117,22 @@
     assert set(names.values()) == {1} and len(names) == 2 * len(ErrorKind)
 
 
+@pytest.mark.parametrize("role", ["entry", "slot"])
+async def test_a_process_that_stops_sends_the_figures_it_holds(role, collector):
+    """A slot counts a crash of its upstream, is replaced, and nobody ever sees the figure."""
+    url = "http://127.0.0.1:1"
+    metrics = MetricsSettings(sink="statsd", port=collector.getsockname()[1])
+    common = ("vm", "domain", "0" * 32, PlatformSettings(url, url, url))
+    if role == "entry":
+        process = Entry(EntrySettings(*common, metrics=metrics))
+    else:
+        settings = SlotSettings(*common, metrics=metrics, group="g", upstream_url=url)
+        process = Slot(settings)
+    await process.start()
+    process.metrics.count("upstream.crashed")
+    await process.stop()
+    assert "burdockquay.upstream.crashed:1|c" in received(collector)
+
+
 def test_a_name_of_a_class_opens_no_level():
     assert timers.whole("a.b:c|d") == "classes.a_b_c_d.whole"
