--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_membership.py
@@ -0,0 +1,158 @@
+"""The list that lags, connections that come and go, and slots that leave."""
+
+import random
+
+import attrs
+import pytest
+
+from burdockquay_coordination import MembershipBook
+from burdockquay_state import GroupRecord, VmEntry, VmState
+
+GROUP = GroupRecord("desk", subset=4)
+DOMAINS = ("praha-hall", "plzen-hall", "kolin-hall")
+
+
+def slot(number, state=VmState.LIVE, name="s"):
+    domain = DOMAINS[number % len(DOMAINS)]
+    return VmEntry(f"{name}{number}", "slot", "127.0.0.1", 7000 + number, 0, domain, "desk", state)
+
+
+@pytest.fixture
+def book():
+    book = MembershipBook("e1")
+    book.update_list([slot(number) for number in range(12)], 0.0)
+    return book
+
+
+def connect_all(book, now, incarnation="a"):
+    for entry in book.targets(GROUP, now):
+        book.connected(entry.vm, f"{entry.vm}-{incarnation}", now)
+
+
+def names(entries):
+    return {entry.vm for entry in entries}
+
+
+def test_subset_stays_while_vms_come_and_go(book):
+    before = names(book.targets(GROUP, 0.0))
+    assert len(before) == 4
+    others = [slot(number) for number in range(12) if f"s{number}" not in before]
+    book.update_list([slot(number) for number in range(12) if slot(number) != others[0]], 1.0)
+    assert names(book.targets(GROUP, 1.0)) == before
+    book.update_list([slot(number) for number in range(13)], 2.0)
+    assert len(before & names(book.targets(GROUP, 2.0))) >= 3
+
+
+def test_list_that_forgets_everybody_takes_no_live_connection_away(book):
+    """The platform's list lags or comes back empty after an outage. Slots that answer go on being
+    used; one whose connection ends as well is gone.
+    """
+    before = names(book.targets(GROUP, 0.0))
+    connect_all(book, 0.0)
+    book.update_list([], 1.0)
+    assert names(book.targets(GROUP, 1.0)) == before
+    gone = min(before)
+    book.disconnected(gone, f"{gone}-a", 2.0)
+    assert names(book.targets(GROUP, 2.0)) == before - {gone}
+
+
+@pytest.mark.parametrize("source", ["list", "slot"])
+def test_either_word_of_leaving_is_enough(book, source):
+    """A VM leaves. The list may say so long after the slot, or the slot may be silent; in both
+    cases no new work goes there, and another slot takes its place.
+    """
+    connect_all(book, 0.0)
+    vm = min(names(book.targets(GROUP, 0.0)))
+    if source == "list":
+        entries = [slot(number) for number in range(12)]
+        change = book.update_list(
+            [
+                attrs.evolve(entry, state=VmState.LEAVING) if entry.vm == vm else entry
+                for entry in entries
+            ],
+            1.0,
+        )
+        assert change.leaving == (vm,)
+    else:
+        book.said_leaving(vm, f"{vm}-a", 1.0)
+    assert not book.usable(vm, 1.0)
+    assert vm not in names(book.targets(GROUP, 1.0))
+    assert len(book.targets(GROUP, 1.0)) == 4
+
+
+def test_word_of_leaving_ends_with_the_incarnation(book):
+    connect_all(book, 0.0)
+    vm = min(names(book.targets(GROUP, 0.0)))
+    book.said_leaving(vm, f"{vm}-a", 1.0)
+    book.connected(vm, f"{vm}-b", 2.0)
+    assert book.usable(vm, 2.0)
+    # The end of the old connection is noticed late and must not count against the new one.
+    book.disconnected(vm, f"{vm}-a", 3.0)
+    assert book.usable(vm, 3.0)
+    assert book.incarnation(vm) == f"{vm}-b"
+    book.said_leaving(vm, f"{vm}-a", 4.0)
+    assert book.usable(vm, 4.0)
+
+
+def test_replacement_on_the_same_address_is_not_its_predecessor(book):
+    """A VM is replaced and another gets its address. The entry dials the old VM and the new one
+    answers under its own name, which the list does not show yet: the connection is not used.
+    """
+    assert not book.connected("t3", "t3-a", 1.0)
+    assert not book.usable("t3", 1.0)
+    entries = [slot(number) for number in range(12) if number != 3]
+    book.update_list([*entries, attrs.evolve(slot(3), vm="t3")], 2.0)
+    assert book.connected("t3", "t3-a", 2.0)
+    assert book.usable("t3", 2.0)
+    assert not book.usable("s3", 2.0)
+
+
+def test_lost_failure_domain_is_made_up_for_and_taken_back(book):
+    """A whole failure domain goes while the list still shows it. Slots of the other domains take
+    the load after a few seconds, and the fixed subset is in use again when the domain returns.
+    """
+    connect_all(book, 0.0)
+    fixed = names(book.targets(GROUP, 0.0))
+    domain = "praha-hall"
+    lost = {f"s{number}" for number in range(12) if DOMAINS[number % 3] == domain}
+    assert fixed & lost
+    for vm in fixed & lost:
+        book.disconnected(vm, f"{vm}-a", 10.0)
+    assert names(book.targets(GROUP, 10.5)) == fixed
+    for now in (14.0, 18.0, 22.0):
+        for vm in names(book.targets(GROUP, now)) & lost:
+            book.connect_failed(vm, now)
+    chosen = names(book.targets(GROUP, 26.0))
+    assert fixed <= chosen
+    assert len(chosen - lost) == 4
+    for vm in fixed & lost:
+        book.connected(vm, f"{vm}-b", 30.0)
+    assert names(book.targets(GROUP, 30.0)) == fixed
+
+
+def test_returning_domain_makes_no_storm():
+    """A failure domain of 400 slots returns to 100 entries that all have dialled in vain. Their
+    next attempts are spread over the whole bound instead of coming at once.
+    """
+    due = []
+    for number in range(100):
+        book = MembershipBook(f"e{number}")
+        rng = random.Random(number)
+        book.update_list([slot(0)], 0.0)
+        for attempt in range(10):
+            book.connect_failed("s0", float(attempt))
+        due.append(book.reconnect_delay("s0", rng, 10.0))
+    assert max(due) <= 5.0
+    busiest = max(sum(start <= wait < start + 0.5 for wait in due) for start in range(5))
+    assert busiest <= 25
+
+
+def test_slot_that_closes_at_once_is_not_dialled_without_pause(book):
+    rng = random.Random(1)
+    for attempt in range(8):
+        book.connected("s1", f"s1-{attempt}", float(attempt))
+        book.disconnected("s1", f"s1-{attempt}", attempt + 0.01)
+    assert sum(book.reconnect_delay("s1", rng, 9.0) for _ in range(50)) / 50 > 1.5
+    book.connected("s1", "s1-x", 10.0)
+    book.disconnected("s1", "s1-x", 20.0)
+    assert book.reconnect_delay("s1", rng, 20.0) <= 0.2
--- /dev/null
+++ b/packages/burdockquay/src/burdockquay/cli.py
@@ -0,0 +1,31 @@
+"""The operators' command ``burdockquay``.
+
+Exit codes: 0 done; 1 faulty input, arguments or check; 2 no such record; 3 somebody else changed
+the record first; 4 the platform does not answer; 5 the change may have been accepted or not;
+6 some process did not answer. Only with 0 or 5 can anything have been written.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from cyclopts import App
+
+from ._record_command import record_app
+from ._settings_command import settings_app
+from ._status_command import status, usage
+
+app = App(name="burdockquay", help=__doc__, version="0.1.0")
+app.command(record_app)
+app.command(settings_app)
+app.command(status)
+app.command(usage)
+
+
+def main() -> None:
+    """Run the command line and leave with its exit code."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
