--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_places.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_places.py
@@ -80,6 +80,11 @@
         """Places taken by ready and running attempts and by grants."""
         return self._total
 
+    @property
+    def classes(self) -> set[str]:
+        """Classes of the attempts that have or had a place."""
+        return {hold.work.class_name for hold in self.holds.values()}
+
     def configure(self, places: int, classes: Mapping[str, ClassRecord], reserve: bool) -> None:
         """Take a new number of places and new reservations."""
         self.places = places
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_queues.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_queues.py
@@ -85,6 +85,11 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def classes_waiting(self) -> set[str]:
+        """Classes with waiting requests."""
+        return set(self._lines)
+
     def waiting(self, class_name: str) -> int:
         """Return how many requests of a class wait."""
         line = self._lines.get(class_name)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_slots.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_slots.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import enum
-import math
 from collections.abc import Iterable, Mapping
 
 from result import Err, Ok, Result
@@ -11,25 +9,18 @@
 from burdockquay_protocol import ClassDemand, ErrorKind
 from burdockquay_state import ClassRecord, PolicyRecord
 
+from ._contention import Contention, Source
 from ._demands import DemandBook
 from ._places import Hold, HoldState, PlaceTable
 from ._preemption import choose_victims
-from ._queues import QueuePolicy, queue_policies
-from ._shares import Contender, ShareLedger
-from ._types import PlaceGrant, SlotCounts, Waiting, Work
+from ._shares import ShareLedger
+from ._slot_queue import SlotQueue, attempt_name
+from ._types import PlaceGrant, SlotCounts, Work
 
 GRANT_VALID_S = 0.1
 """How long a place is kept for an entry that was granted it, seconds."""
 
 
-class Source(enum.Enum):
-    """Where the next work of a class comes from; the first that has some is taken."""
-
-    PAUSED = "paused"
-    QUEUE = "queue"
-    DEMAND = "demand"
-
-
 class SlotScheduler:
     """The authority on the places of one upstream.
 
@@ -80,9 +71,8 @@
         self._demands = DemandBook()
         self._places = PlaceTable(places)
         self._places.configure(places, classes, policy.reserve)
-        self._queue = queue_policies.get(policy.queue)(classes, weights)
-        self._queued: dict[str, Work] = {}
-        self._suspects: dict[str, Work] = {}
+        self._queue = SlotQueue(policy.queue, classes, weights)
+        self._contention = Contention(self._places, self._queue, self._demands, self._ledger)
         self._grants_given = 0
 
     def configure(
@@ -94,11 +84,8 @@
         now: float,
     ) -> None:
         """Take a new configuration; nothing that runs or waits is lost."""
-        self._ledger.configure(classes, in_use=self._classes_in_use())
-        if policy.queue == self.policy.queue:
-            self._queue.set_classes(classes, weights, now)
-        else:
-            self._queue = self._moved_queue(policy.queue, classes, weights, now)
+        self._ledger.configure(classes, in_use=self._contention.classes | self._places.classes)
+        self._queue.configure(policy.queue, classes, weights, now)
         self.policy = policy
         self._places.configure(places, self._ledger.classes, policy.reserve)
         self._refresh()
@@ -113,22 +100,23 @@
         self._refresh()
 
     def forget_peer(self, peer: str, now: float) -> list[Work]:
-        """Drop everything of an entry that is gone.
+        """Drop everything of an entry that is gone, but for what is on the upstream.
 
         Returns
         -------
         list of Work
-            Its attempts, queued ones and those on the upstream, which the caller cancels there.
+            Its attempts, also those on the upstream. The caller cancels the latter there; they keep
+            their places until :meth:`finish`, because until then they use the upstream.
         """
         self._demands.forget(peer)
         for grant in [one for one in self._places.grants.values() if one.peer == peer]:
             self._places.drop_grant(grant.grant)
-        queued = [work for work in self._queued.values() if work.peer == peer]
-        held = [hold.work for hold in self._places.holds.values() if hold.work.peer == peer]
-        for work in queued + held:
+        ready = [hold.work for hold in self._places.in_state(HoldState.READY)]
+        waiting = [work for work in ready if work.peer == peer] + self._queue.of_peer(peer)
+        for work in waiting:
             self.finish(work.request, work.attempt, now)
         self._refresh()
-        return queued + held
+        return waiting + [work for work in self.running(now) if work.peer == peer]
 
     def offer(self, work: Work, grant: int, now: float) -> Result[None, ErrorKind]:
         """Accept work or refuse it.
@@ -152,14 +140,14 @@
         """
         self._lapse_grants(now)
         if self._holds(work):
-            raise ValueError(f"expected a new attempt, got {_name(work)} again")
+            raise ValueError(f"expected a new attempt, got {work.request}/{work.attempt} again")
         has_place = self._use_grant(work, grant) or self._take_free_place(work, now)
         if has_place and self._must_wait_apart(work):
-            self._suspects[_name(work)] = work
+            self._queue.add_suspect(work)
         elif has_place:
             self._places.add(work, now)
         elif self._makes_way(work, now) or self.policy.binding == "slot_queue":
-            self._enqueue(work, now)
+            self._queue.add(work, now)
         else:
             self._check_refusal(work, now)
             return Err(ErrorKind.NO_PLACE)
@@ -171,15 +159,10 @@
         for hold in self._places.in_state(HoldState.READY):
             self._places.run(hold, now)
             return hold.work
-        work = self._startable_suspect()
+        work = self._startable_suspect() or self._startable_work(now)
         if work is None:
-            class_name = self._take_best(Source.QUEUE, now)
-            if class_name is None:
-                return None
-            work = self._queued.pop(self._queue.pop(now, class_name).request)
-        if self._must_wait_apart(work):
-            self._suspects[_name(work)] = work
-            return self.next_start(now)
+            return None
+        self._queue.discard(attempt_name(work.request, work.attempt), now)
         self._places.run(self._places.add(work, now), now)
         self._refresh()
         return work
@@ -187,8 +170,7 @@
     def next_pause(self, now: float) -> Work | None:
         """Return running work to pause on the upstream; its place is free from now on."""
         claimed = 0
-        for class_name, count in self._protected_waiting():
-            record = self._ledger.record(class_name)
+        for record, count in self._contention.protected_waiting():
             claimed += count
             if claimed > self._free_for(record):
                 victims = self._victims(record, now)
@@ -203,7 +185,7 @@
         class_name = self._take_best(Source.PAUSED, now)
         if class_name is None:
             return None
-        hold = self._paused(class_name)[0]
+        hold = self._contention.paused(class_name)[0]
         self._places.run(hold, now)
         self._refresh()
         return hold.work
@@ -233,21 +215,17 @@
         bool
             Whether the slot held it.
         """
-        name = f"{request}/{attempt}"
         held = self._places.drop((request, attempt)) is not None
-        suspect = self._suspects.pop(name, None) is not None
-        queued = self._queued.pop(name, None) is not None
-        if queued:
-            self._queue.remove(name, now)
+        queued = self._queue.discard(attempt_name(request, attempt), now)
         self._refresh()
-        return held or queued or suspect
+        return held or queued
 
     def charge(self, request: str, attempt: int, tokens: float, now: float) -> None:
         """Account tokens that an attempt generated; unknown attempts are ignored."""
         hold = self._places.holds.get((request, attempt))
         if hold is not None:
             self._ledger.charge(hold.work.class_name, tokens)
-            self._queue.charge(hold.work.class_name, hold.work.organisation, tokens, now)
+            self._queue.charge(hold.work, tokens, now)
 
     def counts(self, now: float) -> SlotCounts:
         """Return how many attempts there are in each state."""
@@ -256,7 +234,7 @@
         return SlotCounts(
             running=len(running),
             paused=len(self._places.in_state(HoldState.PAUSED)),
-            queued=len(self._queued) + len(self._suspects) + len(ready),
+            queued=len(self._queue) + len(ready),
             granted=len(self._places.grants),
             protected_running=sum(self._record(hold.work).protected for hold in running),
         )
@@ -269,7 +247,6 @@
     def next_deadline(self, now: float) -> float | None:
         """Return when a grant lapses or queued work expires next, seconds; None for never."""
         times = [grant.expires_at for grant in self._places.grants.values()]
-        times += [work.deadline for work in self._suspects.values()]
         expiry = self._queue.next_expiry()
         return min(times if expiry is None else [*times, expiry], default=None)
 
@@ -282,9 +259,7 @@
             Work that did not run: its deadline or its class's patience has passed.
         """
         self._lapse_grants(now)
-        expired = [self._queued.pop(waiting.request) for waiting in self._queue.expire(now)]
-        late = [name for name, work in self._suspects.items() if work.deadline <= now]
-        expired += [self._suspects.pop(name) for name in late]
+        expired = self._queue.expire(now)
         self._refresh()
         return expired
 
@@ -294,14 +269,9 @@
     def _free_for(self, record: ClassRecord) -> int:
         return self._places.free_for(record, self._ledger.classes)
 
-    def _paused(self, class_name: str) -> list[Hold]:
-        paused = self._places.in_state(HoldState.PAUSED)
-        return [hold for hold in paused if hold.work.class_name == class_name]
-
     def _holds(self, work: Work) -> bool:
-        name = _name(work)
         held = (work.request, work.attempt) in self._places.holds
-        return held or name in self._queued or name in self._suspects
+        return held or attempt_name(work.request, work.attempt) in self._queue
 
     def _lapse_grants(self, now: float) -> None:
         lapsed = [one for one in self._places.grants.values() if one.expires_at <= now]
@@ -326,10 +296,12 @@
         record = self._record(work)
         if self._free_for(record) <= 0 and not self._revoke_lower_grant(record):
             return False
-        rivals = [one for one in self._contenders(now) if one.class_name != work.class_name]
+        rivals = [
+            one for one in self._contention.contenders(now) if one.class_name != work.class_name
+        ]
         if record.protected:
             rivals = [one for one in rivals if self._ledger.record(one.class_name).protected]
-        contenders = [*rivals, self._contender(work.class_name, 0.0)]
+        contenders = [*rivals, self._contention.contender(work.class_name, 0.0)]
         if self._queue.choose_class(contenders, self._ledger) != work.class_name:
             return False
         self._ledger.started(work.class_name, contenders)
@@ -357,7 +329,7 @@
         record = self._record(work)
         if not record.protected:
             return False
-        expected = sum(count for _, count in self._protected_waiting())
+        expected = sum(count for _, count in self._contention.protected_waiting())
         return len(self._victims(record, now)) > expected
 
     def _victims(self, record: ClassRecord, now: float) -> list[Hold]:
@@ -370,7 +342,7 @@
         record = self._record(work)
         if not record.protected:
             return
-        rivals = [self._ledger.record(one.class_name) for one in self._contenders(now)]
+        rivals = [self._ledger.record(one.class_name) for one in self._contention.contenders(now)]
         lower_only = not any(other.protected for other in rivals)
         if self._makes_way(work, now) or (lower_only and self._free_for(record) > 0):
             self.protected_shed += 1
@@ -380,104 +352,28 @@
         return work.apart and any(hold.work.apart for hold in self._places.holds.values())
 
     def _startable_suspect(self) -> Work | None:
-        for name, work in self._suspects.items():
-            if self._must_wait_apart(work) or self._free_for(self._record(work)) <= 0:
-                return None
-            return self._suspects.pop(name)
-        return None
+        work = self._queue.first_suspect()
+        if work is None or self._must_wait_apart(work) or self._free_for(self._record(work)) <= 0:
+            return None
+        return work
 
-    def _enqueue(self, work: Work, now: float) -> None:
-        name = _name(work)
-        self._queued[name] = work
-        waiting = Waiting(name, work.organisation, work.class_name, now, work.deadline)
-        self._queue.push(waiting, now)
-
-    def _protected_waiting(self) -> list[tuple[str, int]]:
-        """Return the protected classes with queued work and how much, the most urgent first."""
-        records = [record for record in self._ledger.classes.values() if record.protected]
-        records.sort(key=lambda record: (-record.priority, record.name))
-        counts = [(record.name, self._queue.waiting(record.name)) for record in records]
-        return [(name, count) for name, count in counts if count]
-
-    def _contender(self, class_name: str, wait_s: float) -> Contender:
-        allowed = math.ceil(self._ledger.record(class_name).share * self._places.places)
-        below = self._places.occupied_by(class_name) < allowed
-        return Contender(class_name, wait_s, may_claim_share=below)
-
-    def _waits(self, now: float) -> dict[str, float]:
-        """Return the longest wait of each class with paused, queued or announced requests."""
-        waits = self._demands.oldest_waits(now)
-        queued = {one.class_name: one.oldest_wait_s for one in self._queue.demand(now)}
-        paused: dict[str, float] = {}
-        for hold in reversed(self._places.in_state(HoldState.PAUSED)):
-            paused[hold.work.class_name] = now - hold.since
-        for more in (queued, paused):
-            for class_name, wait in more.items():
-                waits[class_name] = max(wait, waits.get(class_name, 0.0))
-        return waits
-
-    def _contenders(self, now: float) -> list[Contender]:
-        """Return the classes that wait and have a place they may take."""
-        return [
-            self._contender(class_name, wait)
-            for class_name, wait in self._waits(now).items()
-            if self._free_for(self._ledger.record(class_name)) > 0
-        ]
+    def _startable_work(self, now: float) -> Work | None:
+        """Return the next queued work of the class to serve, if its next work is queued."""
+        while (class_name := self._take_best(Source.QUEUE, now)) is not None:
+            work = self._queue.pop(class_name, now)
+            if not self._must_wait_apart(work):
+                return work
+            self._queue.add_suspect(work)
+        return None
 
     def _take_best(self, source: Source, now: float) -> str | None:
         """Return the class to serve now if its next work comes from the source, and note it."""
-        contenders = self._contenders(now)
-        chosen = self._choose(contenders)
-        if chosen is None or self._source(chosen) is not source:
+        contenders = self._contention.contenders(now)
+        chosen = self._contention.choose(contenders, self.policy.binding)
+        if chosen is None or self._contention.source(chosen) is not source:
             return None
         self._ledger.started(chosen, contenders)
         return chosen
 
-    def _choose(self, contenders: list[Contender]) -> str | None:
-        """Return the class to serve.
-
-        Notes
-        -----
-        With grants the slot's own queue holds only protected work that others were paused for. It
-        takes the place so freed before any turn or share is looked at: otherwise the place would go
-        to a lower class and one more request would be paused.
-        """
-        if self.policy.binding == "grant":
-            names = {contender.class_name for contender in contenders}
-            for class_name, _ in self._protected_waiting():
-                if class_name in names:
-                    return class_name
-        return self._queue.choose_class(contenders, self._ledger)
-
-    def _source(self, class_name: str) -> Source:
-        if self._paused(class_name):
-            return Source.PAUSED
-        return Source.QUEUE if self._queue.waiting(class_name) else Source.DEMAND
-
     def _refresh(self) -> None:
-        self._ledger.set_active(self._classes_waiting())
-
-    def _classes_waiting(self) -> set[str]:
-        paused = {hold.work.class_name for hold in self._places.in_state(HoldState.PAUSED)}
-        queued = {work.class_name for work in self._queued.values()}
-        return self._demands.classes | paused | queued
-
-    def _classes_in_use(self) -> set[str]:
-        held = {hold.work.class_name for hold in self._places.holds.values()}
-        return self._classes_waiting() | held
-
-    def _moved_queue(
-        self,
-        name: str,
-        classes: Mapping[str, ClassRecord],
-        weights: Mapping[str, float],
-        now: float,
-    ) -> QueuePolicy:
-        queue = queue_policies.get(name)(classes, weights)
-        while (waiting := self._queue.pop(now)) is not None:
-            queue.push(waiting, now)
-        return queue
-
-
-def _name(work: Work) -> str:
-    return f"{work.request}/{work.attempt}"
+        self._ledger.set_active(self._contention.classes)
