Prove the claims by a state machine, and keep the rows that entries rely on

The state machine drives the real claims, guard and resolver, with every call of the table, message and send held at a gate, and an oracle that counts effects. Change: an entry that relies on a row older than half the start limit writes it again first.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_once_entry.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_once_entry.py
@@ -18,8 +18,12 @@
     ClaimStore,
     StoredAnswer,
     TableError,
+    TableErrorKind,
 )
 
+ROW_AGE_LIMIT_S = START_LIMIT_S / 2
+"""How much older than a request a row may be for the entry to rely on its staying, seconds."""
+
 
 @attrs.frozen
 class OnceTicket:
@@ -125,8 +129,13 @@
             # After a long pause the row may have expired, and a row that is missing then does
             # not show that nothing ran.
             return Settled(SettledState.UNKNOWN, detail="the entry was paused for too long")
-        outcome: CancelOutcome = found.ok()
-        return await self._judge(ticket, outcome, clock())
+        row = found.ok().row
+        if not claim_lost and row.written_at < ticket.started_at - ROW_AGE_LIMIT_S:
+            kept = await self._keep(ticket, row, clock())
+            if kept.is_err():
+                return Settled(SettledState.UNKNOWN, detail=kept.err().detail)
+            row = kept.ok()
+        return await self._judge(ticket, row, clock())
 
     async def check_repeat(self, ticket: OnceTicket, clock: Callable[[], float]) -> Settled:
         """Read what is known of a key without any attempt having been made.
@@ -142,7 +151,7 @@
         row = read.ok()
         if row is None:
             return Settled(SettledState.NOT_RUN)
-        return await self._judge(ticket, CancelOutcome(False, row), clock())
+        return await self._judge(ticket, row, clock())
 
     async def _find(
         self, ticket: OnceTicket, now: float, claim_lost: bool
@@ -158,8 +167,25 @@
             ticket.organisation, ticket.key, ticket.expected_version, ticket.digest, now
         )
 
-    async def _judge(self, ticket: OnceTicket, outcome: CancelOutcome, now: float) -> Settled:
-        row = outcome.row
+    async def _keep(
+        self, ticket: OnceTicket, row: ClaimRow, now: float
+    ) -> Result[ClaimRow, TableError]:
+        """Make an old row stay until the attempt that it shuts out can start no more.
+
+        Notes
+        -----
+        An attempt that waits in a paused slot fails because the row is there. A row that
+        expires first, or was written long ago by a process paused at the write, would let it run
+        although the caller was told that it did not.
+        """
+        if row.state is not ClaimState.RUNNING:
+            return await self.claims.refresh(ticket.organisation, ticket.key, row, now)
+        if row.digest == ticket.digest:
+            return Ok(row)
+        detail = "another request with the key left no outcome"
+        return Err(TableError(TableErrorKind.CONFLICT, detail))
+
+    async def _judge(self, ticket: OnceTicket, row: ClaimRow, now: float) -> Settled:
         if row.digest != ticket.digest:
             detail = "the key was first used with another request"
             return Settled(SettledState.KEY_REUSED, detail=detail)
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/once_world.py
@@ -0,0 +1,467 @@
+"""Entries, slots, a table and an upstream whose every step waits until a test lets it go on.
+
+The claims, the guard of the slot and the resolver of the entry are the real ones. Around them each
+call of the table, each message, the moment before a request is sent upstream and the moment
+before its outcome is written is a :class:`Gate`. A process is paused as long as a test leaves
+its gates closed, and crashes when they are thrown away. The :class:`Oracle` counts effects.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import attrs
+from result import Err
+
+from burdockquay_coordination import (
+    OnceGuard,
+    OnceResolver,
+    OnceTicket,
+    OutcomeWriter,
+    SettledState,
+)
+from burdockquay_protocol import ErrorKind, NotRun, Run
+from burdockquay_state import (
+    ClaimState,
+    ClaimStore,
+    ClaimSweep,
+    GroupCommitter,
+    MemoryObjectStore,
+    MemoryTable,
+    StoredAnswer,
+    TableError,
+    TableErrorKind,
+    TableService,
+)
+
+ORGANISATION = "parish"
+DEADLINE_S = 60.0
+RETENTION_S = 86400.0
+MAX_ATTEMPTS = 2
+PUMP_TURNS = 40
+INLINE_BYTES = 64
+
+
+class OracleError(AssertionError):
+    """What was promised to a caller does not hold."""
+
+
+@attrs.define
+class Call:
+    """A request of a caller, and what the caller was told."""
+
+    name: str
+    key: str
+    digest: str
+    generation: int
+    started_at: float
+    told: str = ""
+    answer: StoredAnswer | None = None
+    attempt: int = 0
+    reply: asyncio.Future | None = None
+
+
+class Oracle:
+    """Count the effects at the upstream and compare them with what callers were told."""
+
+    def __init__(self):
+        self.calls: list[Call] = []
+        self.generations: Counter[str] = Counter()
+        self.effects: Counter[str] = Counter()
+        self.effects_by_key: Counter[tuple[str, int]] = Counter()
+        self.answers: dict[bytes, Call] = {}
+
+    def add_call(self, key: str, digest: str, now: float) -> Call:
+        generation = self.generations[key]
+        call = Call(f"call-{len(self.calls)}", key, digest, generation, now)
+        self.calls.append(call)
+        return call
+
+    def add_effect(self, run: Run) -> StoredAnswer:
+        call = next(call for call in self.calls if call.name == run.request)
+        self.effects[call.name] += 1
+        self.effects_by_key[call.key, call.generation] += 1
+        body = f"{run.digest} by {run.request}/{run.attempt}, {len(self.answers)}".encode()
+        self.answers[body] = call
+        # One answer in two is too large for the row and goes through the object store.
+        return StoredAnswer(200, [["x", "y" * (len(self.answers) % 2 * INLINE_BYTES)]], body)
+
+    def forget(self, key: str, expired_at: float) -> None:
+        """Start a new generation, which calls that came after the expiry belong to already."""
+        self.generations[key] += 1
+        for call in self.calls:
+            if call.key == key and call.started_at > expired_at:
+                call.generation = self.generations[key]
+
+    def check(self) -> None:
+        for (key, generation), count in self.effects_by_key.items():
+            if count > 1:
+                raise OracleError(f"{count} effects of key {key} in generation {generation}")
+        for call in self.calls:
+            if call.told == "not_run" and self.effects[call.name]:
+                raise OracleError(f"{call.name} had an effect and was told that it did not run")
+            if call.told == "answer":
+                self._check_answer(call)
+
+    def _check_answer(self, call: Call) -> None:
+        ran = self.answers.get(call.answer.body)
+        if ran is None or (ran.key, ran.digest) != (call.key, call.digest):
+            raise OracleError(f"{call.name} got an answer that is not its own: {call.answer}")
+
+
+@attrs.define(eq=False)
+class Gate:
+    """A step of a process that waits for the test."""
+
+    kind: str
+    process: Process
+    future: asyncio.Future
+    operations: list | None = None
+    keys: list | None = None
+    result: object = None
+
+
+@attrs.frozen
+class LateWrite:
+    """A write that is still on its way to the table, and when it was given up."""
+
+    sent_at: float
+    operations: list
+
+
+class Process:
+    """An entry or slot: its incarnation, and whether it still lives."""
+
+    def __init__(self, world: World, incarnation: str):
+        self.world = world
+        self.incarnation = incarnation
+        self.dead = False
+        table = GatedTable(self)
+        self.claims = world.claim_store(table, world.objects, inline_bytes=INLINE_BYTES)
+
+
+class GatedTable(TableService):
+    """The world's table as one process reaches it."""
+
+    def __init__(self, process: Process):
+        self.process = process
+
+    async def get(self, keys):
+        return await self.process.world.wait("table", self.process, keys=keys)
+
+    async def scan(self, prefix, after="", limit=1000):
+        raise NotImplementedError
+
+    async def transact(self, operations):
+        return await self.process.world.wait("table", self.process, operations=operations)
+
+
+class Slot(Process):
+    """Runs attempts on the upstream."""
+
+    def __init__(self, world: World, incarnation: str):
+        super().__init__(world, incarnation)
+        self.outcomes = OutcomeWriter(self.claims, world.clock, retry_s=0.0)
+        self.guard = OnceGuard(self.claims, self.outcomes, incarnation)
+
+    async def serve(self, run: Run, call: Call) -> None:
+        begun = await self.guard.begin(run, self.world.clock)
+        if begun.is_err():
+            self.world.reply(call, run, begun.err())
+            return
+        if await self.world.wait("send", self) == "refused":
+            await self.guard.abandon(begun.ok())
+            refusal = NotRun(run.request, run.attempt, ErrorKind.UPSTREAM_REFUSED)
+            self.world.reply(call, run, refusal)
+            return
+        answer = self.world.oracle.add_effect(run)
+        await self.world.wait("answer", self)
+        self.world.reply(call, run, answer)
+        await self.guard.finish(begun.ok(), answer)
+
+
+class Entry(Process):
+    """Takes calls, and tells callers what became of them."""
+
+    def __init__(self, world: World, incarnation: str):
+        super().__init__(world, incarnation)
+        self.resolver = OnceResolver(self.claims)
+
+    async def handle(self, call: Call, slots: list[int]) -> None:
+        ticket = OnceTicket(ORGANISATION, call.key, call.digest, call.started_at)
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            run = make_run(ticket, call, attempt)
+            reply = await self._attempt(run, call, slots[attempt % len(slots)])
+            if isinstance(reply, StoredAnswer):
+                return self._tell(call, "answer", reply)
+            lost = isinstance(reply, NotRun) and reply.kind is ErrorKind.CLAIM_LOST
+            if isinstance(reply, NotRun) and not lost:
+                if reply.kind is ErrorKind.TABLE_UNAVAILABLE:
+                    break
+                continue
+            settled = await self.resolver.settle(ticket, self.world.clock, claim_lost=lost)
+            if settled.state is not SettledState.NOT_RUN:
+                return self._tell_settled(call, settled)
+            ticket = attrs.evolve(ticket, expected_version=settled.row_version)
+        return self._tell(call, "not_run")
+
+    async def _attempt(self, run: Run, call: Call, slot: int):
+        call.attempt = run.attempt
+        call.reply = asyncio.get_running_loop().create_future()
+        self.world.spawn(self._deliver(run, call, slot))
+        return await call.reply
+
+    async def _deliver(self, run: Run, call: Call, slot: int) -> None:
+        receiver = self.world.slots[slot]
+        await self.world.wait("message", receiver)
+        await receiver.serve(run, call)
+
+    def _tell_settled(self, call: Call, settled) -> None:
+        told = {SettledState.STORED: "answer", SettledState.KEY_REUSED: "not_run"}
+        self._tell(call, told.get(settled.state, settled.state.value), settled.answer)
+
+    def _tell(self, call: Call, told: str, answer: StoredAnswer | None = None) -> None:
+        call.told, call.answer = told, answer
+
+
+def make_run(ticket: OnceTicket, call: Call, attempt: int) -> Run:
+    return Run(
+        request=call.name,
+        attempt=attempt,
+        grant=0,
+        organisation=ticket.organisation,
+        class_name="holds",
+        method="POST",
+        path="/holds",
+        headers=[],
+        body=b"",
+        stream=False,
+        deadline_s=DEADLINE_S,
+        idempotent=False,
+        key=ticket.key,
+        expected_version=ticket.expected_version,
+        digest=ticket.digest,
+        started_at=ticket.started_at,
+    )
+
+
+class World:
+    """Two entries, two slots and one table; every step is taken by the test.
+
+    Parameters
+    ----------
+    claim_store : type
+        The class of the claims, a broken one in the mutation tests.
+    """
+
+    def __init__(self, claim_store: type[ClaimStore] = ClaimStore):
+        self.claim_store = claim_store
+        self.loop = asyncio.new_event_loop()
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.oracle = Oracle()
+        self.now = 1_000_000.0
+        self.gates: list[Gate] = []
+        self.late: list[LateWrite] = []
+        self.landed_after_retention = False
+        self.crashed: set[str] = set()
+        self._tasks: list[asyncio.Task] = []
+        self._incarnations = 0
+        self.entries = [self._make(Entry) for _ in range(2)]
+        self.slots = [self._make(Slot) for _ in range(2)]
+
+    def clock(self) -> float:
+        return self.now
+
+    def _make(self, role: type[Process]) -> Process:
+        self._incarnations += 1
+        return self.run(self._construct(role, f"{role.__name__}-{self._incarnations}"))
+
+    async def _construct(self, role: type[Process], incarnation: str) -> Process:
+        return role(self, incarnation)
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    def spawn(self, work) -> None:
+        self._tasks.append(self.loop.create_task(work))
+
+    def pump(self) -> None:
+        """Let every task go on until it waits at a gate."""
+
+        async def turn():
+            for _ in range(PUMP_TURNS):
+                await asyncio.sleep(0)
+
+        self.run(turn())
+        for task in self._tasks:
+            if task.done() and task.exception() is not None:
+                raise task.exception()
+        self._tasks = [task for task in self._tasks if not task.done()]
+        self.oracle.check()
+
+    async def wait(self, kind: str, process: Process, operations=None, keys=None):
+        """Wait at a gate; a dead process waits for ever."""
+        future = asyncio.get_running_loop().create_future()
+        if not process.dead:
+            self.gates.append(Gate(kind, process, future, operations, keys))
+        return await future
+
+    def reply(self, call: Call, run: Run, message) -> None:
+        """Hand a slot's message to the entry, unless the entry gave the attempt up."""
+        if call.attempt == run.attempt and not call.reply.done():
+            call.reply.set_result(message)
+
+    def call(self, entry: int, key: str, digest: str, slots: list[int]) -> Call:
+        call = self.oracle.add_call(key, digest, self.now)
+        self.spawn(self.entries[entry].handle(call, slots))
+        self.pump()
+        return call
+
+    def lose_peer(self, index: int) -> None:
+        """Let an entry lose the slot, or give up waiting; the slot notices nothing."""
+        waiting = [c for c in self.oracle.calls if c.reply is not None and not c.reply.done()]
+        if waiting:
+            waiting[index % len(waiting)].reply.set_result(None)
+            self.pump()
+
+    def crash(self, role: str, index: int) -> None:
+        """Replace a process; its calls under way may still reach the table."""
+        processes = self._processes(role)
+        process = processes[index]
+        process.dead = True
+        self.crashed.add(process.incarnation)
+        for gate in self._gates_of(process):
+            self.add_late(gate)
+        self.gates = [gate for gate in self.gates if gate.process is not process]
+        processes[index] = self._make(type(process))
+
+    def _gates_of(self, process: Process) -> list[Gate]:
+        return [gate for gate in self.gates if gate.process is process]
+
+    def open(self, index: int, action: int) -> None:
+        """Open a gate, in one of the ways that its kind allows."""
+        if not self.gates:
+            return
+        gate = self.gates.pop(index % len(self.gates))
+        ways = WAYS[gate.kind]
+        ways[action % len(ways)](self, gate)
+        self.pump()
+
+    def open_first(self, paused: tuple[str, int] | None) -> None:
+        """Open the oldest gate as it should be, leaving those of a paused process closed."""
+        held = None if paused is None else self._processes(paused[0])[paused[1]]
+        for index, gate in enumerate(self.gates):
+            if gate.process is not held:
+                self.open(index, 0)
+                return
+
+    def _processes(self, role: str) -> list[Process]:
+        return self.slots if role == "slot" else self.entries
+
+    def land_late(self, index: int) -> None:
+        """Let a write arrive that its sender has given up."""
+        if self.late:
+            write = self.late.pop(index % len(self.late))
+            self.landed_after_retention |= self.now - write.sent_at > RETENTION_S
+            self.run(self.table.transact(write.operations))
+            self.oracle.check()
+
+    def add_late(self, gate: Gate) -> None:
+        """Keep a write that its sender gave up and that may still take effect."""
+        if gate.operations:
+            self.late.append(LateWrite(self.now, gate.operations))
+
+    def sweep(self) -> None:
+        """Delete expired rows; a key whose outcome is forgotten starts a new generation."""
+        before = {key: self._read(key) for key in sorted({call.key for call in self.oracle.calls})}
+        sweep = ClaimSweep(self.table, GroupCommitter(self.table), RETENTION_S)
+        self.run(sweep.sweep_page("", lambda name: name not in self.crashed, self.now))
+        for key, row in before.items():
+            had_outcome = row is not None and row.state is not ClaimState.CANCELLED
+            if had_outcome and self._read(key) is None:
+                self.oracle.forget(key, row.written_at + RETENTION_S)
+
+    def _read(self, key: str):
+        return self.run(ClaimStore(self.table, self.objects).read(ORGANISATION, key)).ok()
+
+    def heal(self) -> None:
+        """Open every gate as it should be, until nothing waits."""
+        while self.gates or self.late:
+            if self.gates:
+                self.open(0, 0)
+            else:
+                self.land_late(0)
+
+    def check_rows(self) -> None:
+        """Check that a healed system left no key undecided but by a crash.
+
+        A claim that the table carries out a day late, after its row expired, harms nobody but
+        leaves a row in state running; no such history is checked.
+        """
+        if self.landed_after_retention:
+            return
+        for call in self.oracle.calls:
+            row = self._read(call.key)
+            if row is None or row.incarnation in self.crashed:
+                continue
+            if row.state is ClaimState.RUNNING:
+                raise OracleError(f"key {call.key} stays running although all slots live")
+
+    def close(self) -> None:
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.run(asyncio.wait(tasks))
+        self.loop.close()
+
+
+def _carry_out(world: World, gate: Gate):
+    work = world.table.get(gate.keys) if gate.keys else world.table.transact(gate.operations)
+    return world.run(work)
+
+
+def _go(world: World, gate: Gate) -> None:
+    gate.future.set_result(_carry_out(world, gate))
+
+
+def _lose_answer(world: World, gate: Gate) -> None:
+    _carry_out(world, gate)
+    gate.future.set_result(Err(TableError(TableErrorKind.UNCERTAIN)))
+
+
+def _time_out(world: World, gate: Gate) -> None:
+    world.add_late(gate)
+    gate.future.set_result(Err(TableError(TableErrorKind.UNCERTAIN)))
+
+
+def _refuse(world: World, gate: Gate) -> None:
+    gate.future.set_result(Err(TableError(TableErrorKind.UNAVAILABLE)))
+
+
+def _answer_later(world: World, gate: Gate) -> None:
+    result = _carry_out(world, gate)
+    held = Gate("table-answer", gate.process, gate.future, result=result)
+    world.gates.append(held)
+
+
+def _hand_over(world: World, gate: Gate) -> None:
+    gate.future.set_result(gate.result)
+
+
+def _pass(world: World, gate: Gate) -> None:
+    gate.future.set_result("passed")
+
+
+def _refuse_connection(world: World, gate: Gate) -> None:
+    gate.future.set_result("refused")
+
+
+WAYS = {
+    "table": (_go, _go, _go, _lose_answer, _time_out, _refuse, _answer_later),
+    "table-answer": (_hand_over, _time_out),
+    "message": (_pass,),
+    "send": (_pass, _pass, _refuse_connection),
+    "answer": (_pass,),
+}
--- a/packages/burdockquay-state/src/burdockquay_state/_claims.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_claims.py
@@ -283,6 +283,16 @@
             return await self.abandon(Claim(request.organisation, request.key, row), now)
         return Ok(None)
 
+    async def refresh(
+        self, organisation: str, key: str, row: ClaimRow, now: float
+    ) -> Result[ClaimRow, TableError]:
+        """Write a row that nobody runs again as it is, so that its retention starts anew."""
+        fresh = attrs.evolve(row, written_at=now)
+        written = await self._write(claim_row_key(organisation, key), fresh, row.version)
+        if written.is_err():
+            return Err(written.err())
+        return Ok(attrs.evolve(fresh, version=written.ok()))
+
     async def read(self, organisation: str, key: str) -> Result[ClaimRow | None, TableError]:
         """Return the row of an idempotency key, None if there is none."""
         return await self._read_row(claim_row_key(organisation, key))
--- a/packages/burdockquay-state/src/burdockquay_state/_table.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_table.py
@@ -28,7 +28,8 @@
     key : str
     value : bytes
     version : int
-        Grows with every write of the row; never :data:`ABSENT`.
+        Grows with every write of the row; never :data:`ABSENT`. A row that was deleted and
+        written again never shows a version that it had before: claims rely on it.
     """
 
     key: str
