--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -21,6 +21,7 @@
 from _open_loop import run_plan_apart
 from _report import print_result, print_table, quantile
 from _summary import attained, attainment, delivered_tokens, failures, goodput_tokens, wrong_answers
+from _variants import count_generated
 
 from burdockquay_standins import EngineParameters
 
@@ -121,14 +122,6 @@
         return Run(results, await count_generated(self.cluster) - before)
 
 
-async def count_generated(cluster: Cluster) -> int:
-    """Return the tokens that all engines have generated since their start."""
-    stats = await asyncio.gather(
-        *(cluster.read_json(f"{engine.url}/stats") for engine in cluster.upstreams.values())
-    )
-    return sum(part["tokens_generated"] for part in stats)
-
-
 def find_min_share(deployment: Deployment, results: Sequence[CallResult]) -> float:
     """Return the least part of its guaranteed tokens that a class got; 1 or more is right.
 
