Add the benchmark of configuration, membership and stopping

Three entries and eight slots under load: changes of records, two operators on one record with lost confirmations, reads of old states, an outage with an entry started meanwhile, a slot that only the list calls leaving, and the replacement of every process. An earlier run stopped because a slot ended with exit code 1 on SIGTERM; the benchmark now prints its log.

--- a/benchmarks/_callers.py
+++ b/benchmarks/_callers.py
@@ -68,7 +68,8 @@
     status : int
         HTTP status, 0 if there was none.
     error : str
-        Error kind of a refusal or break, ``"connection"`` if the connection broke.
+        Error kind of a refusal or break, ``"connection"`` if the connection broke, ``"connect"``
+        if there was none.
     first_token_s : float
         From sending to the first token, seconds; for a whole answer that is not streamed, to its
         end.
@@ -142,6 +143,8 @@
             await reader.read(session)
     except TimeoutError:
         return reader.result("left")
+    except aiohttp.ClientConnectorError:
+        return reader.result("broken", error="connect")
     except (aiohttp.ClientError, ConnectionError):
         return reader.result("broken", error=reader.error or "connection")
     return reader.judge()
--- /dev/null
+++ b/benchmarks/_spread.py
@@ -0,0 +1,98 @@
+"""Watches which revision every process has in force, and when."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+import attrs
+from _harness import Cluster
+from _processes import Process
+
+LOOK_S = 0.1
+"""Time between two looks at a process, seconds; the times found are too long by up to it."""
+
+
+@attrs.define
+class Seen:
+    """What one incarnation showed.
+
+    Parameters
+    ----------
+    first_at : float
+        Time of the first answer with a configuration.
+    reached : list of (float, int)
+        Time and revision, whenever it changed.
+    last_at : float
+        Time of the last answer.
+    reverts : int
+        How often the revision went down.
+    """
+
+    first_at: float
+    reached: list[tuple[float, int]]
+    last_at: float
+    reverts: int = 0
+
+
+class SpreadWatch:
+    """Asks every process for its status, again and again.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    """
+
+    def __init__(self, cluster: Cluster):
+        self.cluster = cluster
+        self.seen: dict[tuple[str, str], Seen] = {}
+        self._accepted: list[tuple[float, int]] = []
+
+    def accepted(self, revision: int, at: float) -> None:
+        """Note that a change was accepted; it must be in force everywhere soon after ``at``."""
+        self._accepted.append((at, revision))
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            daemons = [*self.cluster.slots.values(), *self.cluster.entries.values()]
+            await asyncio.gather(*map(self._look, daemons), asyncio.sleep(LOOK_S))
+
+    async def _look(self, daemon: Process) -> None:
+        try:
+            page = await self.cluster.read_json(f"{daemon.status_url}/status")
+        except aiohttp.ClientError:
+            return
+        now, revision = time.monotonic(), page["revision"]
+        if not revision:
+            return
+        key = (page["vm"], page["incarnation"])
+        seen = self.seen.setdefault(key, Seen(now, [(now, revision)], now))
+        seen.last_at = now
+        known = seen.reached[-1][1]
+        seen.reverts += revision < known
+        if revision != known:
+            seen.reached.append((now, revision))
+
+    @property
+    def reverts(self) -> int:
+        """How often any process went back."""
+        return sum(seen.reverts for seen in self.seen.values())
+
+    def delays(self) -> list[float]:
+        """Return, for each change, how long it took until the last process had it, seconds.
+
+        A process that started later or ended before is left out of that change.
+        """
+        delays = []
+        for at, revision in self._accepted:
+            worst = 0.0
+            for seen in self.seen.values():
+                reached = next((when for when, value in seen.reached if value >= revision), None)
+                if reached is None:
+                    worst = max(worst, seen.last_at - at)
+                elif seen.first_at < at:
+                    worst = max(worst, reached - at)
+            delays.append(worst)
+        return delays
--- /dev/null
+++ b/benchmarks/bench_config.py
@@ -0,0 +1,362 @@
+"""Configuration, membership and stopping of real processes under load.
+
+Three entries and eight slots serve a steady load while operators change records, two of them the
+same one at once, while the table answers with old states, loses confirmations and goes down, and
+while every process is replaced, at most three at a time. The VM list lags all the time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+import aiohttp
+import attrs
+import uvloop
+from _balancer import Balancer, BalancerCounts
+from _callers import PlannedCall
+from _harness import Cluster
+from _processes import Process
+from _records import CHAT_PATH, api_key, class_route, organisation_record
+from _report import print_result, print_table
+from _spread import SpreadWatch
+
+from burdockquay_standins import EngineParameters, PlatformParameters
+from burdockquay_state import (
+    ClassRecord,
+    ClassRecordV1,
+    GroupRecord,
+    RecordLog,
+    RefusalKind,
+    VmState,
+    decode_record,
+)
+
+SEED = 1
+ENTRIES = 3
+SLOTS = 8
+VM_LIST_LAG_S = 2.5
+RATE = 16.0
+DOMAINS = ("praha-hall", "plzen-hall", "kolin-hall")
+ORGANISATION = "families"
+COUNTER = "counter"
+CHANGES = 5
+CHANGE_PAUSE_S = 0.4
+INCREMENTS = 12
+LOST_CONFIRMATIONS = 0.2
+STALE_S = 1.5
+OUTAGE_S = 2.0
+LOOK_S = 0.05
+LIST_WATCH_S = 2.0
+AT_ONCE = 3
+ENGINE = EngineParameters(seed=SEED, places=6, base_step_s=0.004, per_running_s=0.0)
+GROUP = GroupRecord("drafting", models=["standin"], places=ENGINE.places, subset=SLOTS)
+CLASS = ClassRecord("draft", 10, 5.0, 1.0, 20.0, 0.5)
+OLD_CLASS = ClassRecordV1("draft", 10, 5.0, 20.0)
+CALL = PlannedCall(
+    0.0,
+    "",
+    ORGANISATION,
+    "draft",
+    api_key(ORGANISATION),
+    {"model": "standin", "stream": True, "lengths": (50, 250)},
+)
+
+
+@attrs.define
+class Figures:
+    """What the run gave besides the spread and the callers' counts.
+
+    Parameters
+    ----------
+    increments : int
+        Accepted increments of the counter.
+    counter : int
+        What the counter shows at the end.
+    new_work_s : list of float
+        For each slot that left, how long after its word or the list's it still began new work.
+    refusals : dict of str to int
+        Refused changes by kind.
+    ready_in_outage : bool
+        Whether an entry that started while the platform was down became ready meanwhile.
+    """
+
+    increments: int = 0
+    counter: int = 0
+    new_work_s: list[float] = attrs.field(factory=list)
+    refusals: dict[str, int] = attrs.field(factory=dict)
+    ready_in_outage: bool = False
+
+
+class ConfigRun:
+    """One deployment and what is done to it.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    """
+
+    def __init__(self, cluster: Cluster):
+        self.cluster = cluster
+        self.watch = SpreadWatch(cluster)
+        self.figures = Figures()
+        self.engines: dict[str, Process] = {}
+
+    async def start(self) -> None:
+        """Start platform, engines, slots and entries."""
+        cluster = self.cluster
+        await cluster.start_platform(PlatformParameters(seed=SEED, vm_list_lag_s=VM_LIST_LAG_S))
+        organisation = organisation_record(ORGANISATION, requests_per_s=1e6, outstanding=100_000)
+        counter = organisation_record(COUNTER, outstanding=1)
+        route = class_route("draft", GROUP.name)
+        await cluster.put_records([GROUP, CLASS, organisation, counter, route])
+        await asyncio.gather(*(self.start_slot(f"slot-{i}", i) for i in range(SLOTS)))
+        await asyncio.gather(*(self.start_entry(f"entry-{i}", i) for i in range(ENTRIES)))
+        await cluster.wait_ready()
+
+    async def start_slot(self, vm: str, number: int) -> None:
+        """Start a slot with an engine of its own."""
+        engine = await self.cluster.start_engine(ENGINE, name=f"engine-{vm}")
+        self.engines[vm] = engine
+        domain = DOMAINS[number % len(DOMAINS)]
+        await self.cluster.start_slot(vm, GROUP.name, domain, engine.url)
+
+    async def start_entry(self, vm: str, number: int) -> None:
+        """Start an entry that knows some slots without the list."""
+        seeds = [f"127.0.0.1:{slot.listening['port']}" for slot in self.cluster.slots.values()]
+        domain = DOMAINS[number % len(DOMAINS)]
+        await self.cluster.start_entry(vm, domain, seed_slots=seeds)
+
+    async def measure(self) -> BalancerCounts:
+        """Send the load while everything happens."""
+        stop = asyncio.Event()
+        watching = asyncio.create_task(self.watch.run())
+        load = asyncio.create_task(Balancer(self.cluster, SEED).run(CHAT_PATH, CALL, RATE, stop))
+        try:
+            await self._change_records()
+            await self._count_together()
+            await self._change_with_old_reads()
+            await self._lose_platform()
+            await self._leave_by_list()
+            await self._replace_all()
+            await self._change_records()
+            await asyncio.sleep(1.0)
+        finally:
+            stop.set()
+            counts = await load
+            watching.cancel()
+        return counts
+
+    async def _change_records(self) -> None:
+        """Change one record again and again, its old schema beside the new one at times."""
+        for number in range(CHANGES):
+            record = attrs.evolve(CLASS, priority=10 + number)
+            old = attrs.evolve(OLD_CLASS, priority=10 + number)
+            await self._put([old, record] if number % 2 else [record], "operator")
+            await asyncio.sleep(CHANGE_PAUSE_S)
+
+    async def _put(self, records: Sequence, author: str) -> bool:
+        log = self.cluster.log
+        first = records[0]
+        row = await log.get(first.kind, first.name)
+        expected = row.ok().entry.revision if row.ok() else 0
+        return await self._put_at(log, records, author, expected)
+
+    async def _put_at(self, log: RecordLog, records: Sequence, author: str, expected: int) -> bool:
+        result = await log.put(records, author, expected, time.time())
+        if result.is_ok():
+            self.watch.accepted(result.ok().revision, time.monotonic())
+            return True
+        kind = result.err().kind
+        name = kind.value
+        self.figures.refusals[name] = self.figures.refusals.get(name, 0) + 1
+        if kind is RefusalKind.INVALID:
+            raise RuntimeError(f"change not accepted: {result.err()}")
+        return False
+
+    async def _count_together(self) -> None:
+        """Let two operators increment the same record at once, with confirmations lost."""
+        platform = self.cluster.platform
+        await self.cluster.switch_faults(platform, lose_confirmation=LOST_CONFIRMATIONS)
+        await asyncio.gather(self._count("first"), self._count("second"))
+        await self.cluster.switch_faults(platform, lose_confirmation=0)
+        self.figures.counter = await self._read_counter() - 1
+
+    async def _count(self, author: str) -> None:
+        log = self.cluster.log
+        left = INCREMENTS
+        while left:
+            row = (await log.get("organisation", COUNTER)).unwrap()
+            entry = row.entry
+            record = decode_record(entry.kind, entry.name, entry.bodies).unwrap()
+            changed = attrs.evolve(record, outstanding=record.outstanding + 1)
+            if await self._put_at(log, [changed], author, entry.revision):
+                left -= 1
+                self.figures.increments += 1
+            await asyncio.sleep(0.01)
+
+    async def _read_counter(self) -> int:
+        row = (await self.cluster.log.get("organisation", COUNTER)).unwrap()
+        entry = row.entry
+        return decode_record(entry.kind, entry.name, entry.bodies).unwrap().outstanding
+
+    async def _change_with_old_reads(self) -> None:
+        """Change a record while a process that reads the table sees the state before it."""
+        platform = self.cluster.platform
+        row = (await self.cluster.log.get("class", "draft")).unwrap()
+        await self.cluster.switch_faults(platform, stale_reads_s=STALE_S)
+        # The conditions of a write are checked against the present state, so that this one is
+        # accepted; what is measured begins when reads can show it.
+        begun = time.monotonic()
+        result = await self.cluster.log.put(
+            [attrs.evolve(CLASS, priority=50)], "operator", row.entry.revision, time.time()
+        )
+        if result.is_ok():
+            self.watch.accepted(result.ok().revision, begun + STALE_S)
+        await asyncio.sleep(max(0.0, begun + STALE_S - time.monotonic()))
+
+    async def _lose_platform(self) -> None:
+        """Take the platform away, replace an entry meanwhile, and try to change a record."""
+        platform = self.cluster.platform
+        await self.cluster.switch_faults(platform, outage=True)
+        begun = time.monotonic()
+        refused = not await self._put_in_outage()
+        if not refused:
+            raise RuntimeError("a change was accepted while the table was down")
+        vm = "entry-outage"
+        await self.start_entry(vm, 0)
+        while time.monotonic() < begun + OUTAGE_S:
+            self.figures.ready_in_outage |= await self._is_ready(self.cluster.entries[vm])
+            await asyncio.sleep(LOOK_S)
+        await self.cluster.switch_faults(platform, outage=False)
+        await self._put([attrs.evolve(CLASS, priority=60)], "operator")
+
+    async def _put_in_outage(self) -> bool:
+        result = await self.cluster.log.put([CLASS], "operator", 1, time.time())
+        return result.is_ok()
+
+    async def _is_ready(self, process: Process) -> bool:
+        try:
+            async with self.cluster.session.get(f"{process.status_url}/readyz") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _leave_by_list(self) -> None:
+        """Let the list alone say that a slot leaves, and then replace the slot."""
+        vm = "slot-0"
+        await self.cluster.set_vm_state(vm, VmState.LEAVING)
+        shown_at = time.monotonic() + VM_LIST_LAG_S
+        await self._note_new_work(vm, shown_at, lambda: time.monotonic() < shown_at + LIST_WATCH_S)
+        await self._replace_slot(vm, 0)
+
+    async def _replace_all(self) -> None:
+        """Replace every other slot, three at a time, and every entry."""
+        slots = [f"slot-{i}" for i in range(1, SLOTS)]
+        for first in range(0, len(slots), AT_ONCE):
+            batch = slots[first : first + AT_ONCE]
+            await asyncio.gather(*(self._replace_slot(vm, first + i) for i, vm in enumerate(batch)))
+        for number, vm in enumerate([*self.cluster.entries]):
+            await self._replace_entry(vm, number)
+
+    async def _replace_slot(self, vm: str, number: int) -> None:
+        await self.start_slot(f"{vm}-new", number)
+        await self._wait_ready(self.cluster.slots[f"{vm}-new"])
+        process = self.cluster.slots[vm]
+        left_at = time.monotonic()
+        process.terminate()
+        await self._note_new_work(vm, left_at, lambda: process.running)
+        await self._forget(vm, self.cluster.slots)
+
+    async def _replace_entry(self, vm: str, number: int) -> None:
+        await self.start_entry(f"{vm}-new", number)
+        await self._wait_ready(self.cluster.entries[f"{vm}-new"])
+        process = self.cluster.entries[vm]
+        process.terminate()
+        await process.wait(limit_s=10.0)
+        await self._forget(vm, self.cluster.entries)
+
+    async def _forget(self, vm: str, processes: dict[str, Process]) -> None:
+        """Take an ended process off; the list goes on showing it for its lag."""
+        process = processes.pop(vm)
+        code = await process.wait()
+        if code != 0:
+            raise RuntimeError(f"{vm} ended with {code}: {process.log_tail()}")
+        await self.cluster.remove_vm(vm)
+
+    async def _wait_ready(self, process: Process) -> None:
+        while not await self._is_ready(process):
+            await asyncio.sleep(LOOK_S)
+
+    async def _note_new_work(self, vm: str, left_at: float, goes_on) -> None:
+        """Note how long behind ``left_at`` the engine of a slot began to run new requests."""
+        engine = self.engines[vm]
+        begun = await self._count_starts(engine)
+        last_at = left_at
+        while goes_on():
+            await asyncio.sleep(LOOK_S)
+            now_begun = await self._count_starts(engine)
+            if now_begun != begun:
+                begun, last_at = now_begun, time.monotonic()
+        self.figures.new_work_s.append(max(0.0, last_at - left_at))
+
+    async def _count_starts(self, engine: Process) -> int:
+        stats = await self.cluster.read_json(f"{engine.url}/stats")
+        return sum(stats["starts"].values())
+
+
+def report(run: ConfigRun, counts: BalancerCounts) -> None:
+    """Print the figures."""
+    figures, watch = run.figures, run.watch
+    delays = watch.delays()
+    print_table(
+        "Changes",
+        ("accepted", "in force max s", "median s", "incarnations", "refused"),
+        [
+            (
+                len(delays),
+                max(delays),
+                sorted(delays)[len(delays) // 2],
+                len(watch.seen),
+                str(figures.refusals),
+            )
+        ],
+    )
+    print_table(
+        "Callers",
+        ("whole", "refused", "cut", "sent to another entry"),
+        [(counts.whole, str(counts.refused), len(counts.cut), counts.moved)],
+    )
+    for result in counts.cut[:5]:
+        print(f"  cut: {result.outcome} {result.error} tokens {result.tokens}")
+    print_table(
+        "New work after leaving, s",
+        ("slot", "seconds"),
+        list(enumerate(figures.new_work_s)),
+    )
+    print_result(
+        {
+            "in_force_s_max": max(delays),
+            "reverts": watch.reverts,
+            "lost_updates": figures.increments - figures.counter,
+            "new_work_after_leaving_s_max": max(figures.new_work_s),
+            "cut_requests": len(counts.cut),
+            "refused_requests": sum(counts.refused.values()),
+            "whole_requests": counts.whole,
+            "ready_in_outage": figures.ready_in_outage,
+        }
+    )
+
+
+async def main() -> None:
+    """Run the benchmark."""
+    async with Cluster("config") as cluster:
+        run = ConfigRun(cluster)
+        await run.start()
+        counts = await run.measure()
+    report(run, counts)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
