Finish a shutdown although a peer is gone or does not read

A slot that stopped together with an entry sent its farewell on a connection that the entry had closed; the exception ended the slot with exit code 1 and left its other connections and its listener open. Draining now ends when the peer closed, and after one second when it does not read.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -37,6 +37,9 @@
 
 from ._events import Event, log_event
 
+DRAIN_LIMIT_S = 1.0
+"""Longest wait for a peer that does not read while the process stops, seconds."""
+
 MAX_PENDING_BYTES = 32 << 20
 """Bytes that may wait for one peer before the connection is given up."""
 
@@ -236,8 +239,19 @@
         await self.websocket.close(reason=reason[:100])
 
     async def drain(self) -> None:
-        """Send what is queued now."""
-        await self._send_pending()
+        """Send what is queued now, if the peer still takes it.
+
+        Notes
+        -----
+        When entry and slot stop together, the peer may have closed the connection already, or no
+        longer read. Neither may fail or hold up the shutdown: what follows it, such as closing
+        the listener, would be left out, and the process would end with an error.
+        """
+        try:
+            async with asyncio.timeout(DRAIN_LIMIT_S):
+                await self._send_pending()
+        except (ConnectionClosed, TimeoutError):
+            return
 
     async def _wait_for_others(self, wait_s: float) -> None:
         if wait_s <= 0:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -5,10 +5,11 @@
 import cbor2
 import pytest
 from websockets.asyncio.client import connect
-from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import ConnectionClosed, ConnectionClosedOK
 
 from burdockquay_protocol import MAX_FRAME_BYTES, Heartbeat, SlotStatus, encode
 from burdockquay_standins import expected_answer
+from burdockquay_transport import _peer
 from burdockquay_transport._peer import Identity, TrafficCounts, greet_slot
 
 from ._deployment import PEER_KEY, chat_body, until
@@ -109,3 +110,30 @@
         assert (whole, error) == (True, None)
         assert text == "".join(expected_answer(body, seed=1))
         await until(lambda: running.is_connected(running.entries[0]))
+
+
+async def raise_closed(data):
+    raise ConnectionClosedOK(None, None)
+
+
+async def never_return(data):
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("send", [raise_closed, never_return], ids=["closed", "not reading"])
+async def test_peer_that_is_gone_or_stuck_does_not_spoil_a_shutdown(deployment, monkeypatch, send):
+    """Entry and slot are stopped together and the entry closes the connection first, or an entry
+    is paused and reads no more.
+
+    The slot would end with an error, or not at all, and leave its other connections open.
+    """
+    monkeypatch.setattr(_peer, "DRAIN_LIMIT_S", 0.01)
+    async with deployment(engines=1) as running:
+        slot = running.slots[0]
+        port = slot.port
+        (peer,) = slot._peers.values()
+        with monkeypatch.context() as patched:
+            patched.setattr(peer.websocket, "send", send)
+            await slot.stop()
+        with pytest.raises(OSError):
+            await connect(f"ws://127.0.0.1:{port}", proxy=None)
