--- /dev/null
+++ b/benchmarks/_accounting.py
@@ -0,0 +1,65 @@
+"""What the operating system has counted for a process: processor time, memory, socket traffic."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import attrs
+
+SWITCH_NS = 1e-9
+
+
+@attrs.frozen
+class Reading:
+    """Counters of one process at one moment.
+
+    Parameters
+    ----------
+    at_s : float
+        Monotonic clock.
+    cpu_s : float
+        Processor time of all threads, user and system.
+    rss_mb : float
+        Resident memory, shared pages of libraries included.
+    private_mb : float
+        Resident anonymous memory: what another process does not share.
+    bytes_read, bytes_written : int
+        Bytes that went through the calls ``read`` and ``write``; the processes have no files, so
+        these are the bytes of their TCP sockets (and of log lines).
+    calls : int
+        Those calls.
+    """
+
+    at_s: float
+    cpu_s: float
+    rss_mb: float
+    private_mb: float
+    bytes_read: int
+    bytes_written: int
+    calls: int
+
+
+def read_process(pid: int) -> Reading:
+    """Return the counters of a process."""
+    directory = Path(f"/proc/{pid}")
+    threads = (directory / "task").iterdir()
+    # The scheduler counts nanoseconds; the usual process times count 10 ms and would show an idle
+    # process as 0 % or 1 % of a core.
+    cpu_s = sum(int((t / "schedstat").read_text().split()[0]) for t in threads) * SWITCH_NS
+    status = _fields(directory / "status")
+    io = _fields(directory / "io")
+    return Reading(
+        time.monotonic(),
+        cpu_s,
+        int(status["VmRSS"].split()[0]) / 1024,
+        int(status["RssAnon"].split()[0]) / 1024,
+        int(io["rchar"]),
+        int(io["wchar"]),
+        int(io["syscr"]) + int(io["syscw"]),
+    )
+
+
+def _fields(path: Path) -> dict[str, str]:
+    lines = (line.partition(":") for line in path.read_text().splitlines())
+    return {name: value.strip() for name, _, value in lines}
--- /dev/null
+++ b/benchmarks/_crowd.py
@@ -0,0 +1,95 @@
+"""Many slots or many entries in one process, as the peers of a measured process.
+
+``python benchmarks/_crowd.py slots|entries SETTINGS`` prints its port as one JSON line.
+``POST /grow {"count": n}`` starts members until there are ``n`` and answers with the VM list's
+entries of the new ones; ``GET /revision`` answers with the lowest revision in force among them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import attrs
+import uvloop
+from aiohttp import web
+
+from burdockquay_state import VmEntry
+from burdockquay_transport import EntrySettings, PlatformSettings, SlotSettings
+from burdockquay_transport.entry import Entry
+from burdockquay_transport.slot import Slot
+
+ROLES = {
+    "slots": ("slot", Slot, SlotSettings),
+    "entries": ("entry", Entry, EntrySettings),
+}
+
+
+class Crowd:
+    """Members of one role in this process.
+
+    Parameters
+    ----------
+    kind : str
+        ``"slots"`` or ``"entries"``.
+    settings : dict
+        Settings that all members share.
+    """
+
+    def __init__(self, kind: str, settings: dict[str, Any]):
+        self.kind = kind
+        self.settings = settings
+        self.members: list[Any] = []
+
+    async def grow(self, request: web.Request) -> web.Response:
+        """Start members; see the module's text."""
+        wanted = (await request.json())["count"]
+        entries = [await self._add(index) for index in range(len(self.members), wanted)]
+        return web.json_response([attrs.asdict(e) | {"state": e.state.value} for e in entries])
+
+    async def read_revision(self, _: web.Request) -> web.Response:
+        """Return the revision that every member has; see the module's text."""
+        revisions = [member.describe()["revision"] for member in self.members]
+        return web.json_response({"revision": min(revisions, default=None)})
+
+    async def _add(self, index: int) -> VmEntry:
+        role, cls, settings_cls = ROLES[self.kind]
+        platform = PlatformSettings(**self.settings["platform"])
+        vm = f"crowd-{role}-{index}"
+        fields = {**self.settings, "vm": vm, "platform": platform}
+        member = cls(settings_cls(**fields))
+        await member.start()
+        self.members.append(member)
+        return VmEntry(
+            vm=vm,
+            role=role,
+            host="127.0.0.1",
+            port=member.port,
+            status_port=member.status_port,
+            failure_domain=self.settings["failure_domain"],
+            group=self.settings.get("group", ""),
+        )
+
+
+async def run(kind: str, settings: dict[str, Any]) -> None:
+    """Serve until a signal comes."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    app = web.Application()
+    crowd = Crowd(kind, settings)
+    app.router.add_post("/grow", crowd.grow)
+    app.router.add_get("/revision", crowd.read_revision)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    print(json.dumps({"port": runner.addresses[0][1]}), flush=True)
+    await stopped.wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(run(sys.argv[1], json.loads(Path(sys.argv[2]).read_text())))
--- /dev/null
+++ b/scripts/capacity_model.py
@@ -0,0 +1,268 @@
+"""The planned size, and what each role costs there by the measured lines."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from burdockquay_state import GroupRecord
+from burdockquay_transport.slot import STATUS_BYTES_PER_S
+
+DAY_S = 86400.0
+
+
+def show(value: float) -> str:
+    """Return a figure with three digits, or in whole units from a thousand."""
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
+@attrs.frozen
+class Plan:
+    """The planned size, and what follows from it.
+
+    Parameters
+    ----------
+    entries, slots : int
+    requests_per_s, tokens_per_s : float
+    classes, organisations, models, domains : int
+    changes_a_day : int
+    vm_changes_a_day : int
+        Failures, restarts and replacements.
+    """
+
+    entries: int = 1900
+    slots: int = 5700
+    requests_per_s: float = 64_000.0
+    tokens_per_s: float = 23e6
+    classes: int = 4
+    organisations: int = 5700
+    models: int = 9
+    domains: int = 14
+    changes_a_day: int = 25_000
+    vm_changes_a_day: int = 1340
+
+    @property
+    def subset(self) -> int:
+        """Slots of one group that an entry connects to."""
+        return GroupRecord("g").subset
+
+    @property
+    def entry_peers(self) -> int:
+        """Connections of an entry: a subset for each model."""
+        return self.models * self.subset
+
+    @property
+    def slot_peers(self) -> float:
+        """Connections of a slot, on the mean."""
+        return self.entries * self.entry_peers / self.slots
+
+    @property
+    def vms(self) -> int:
+        """Lines of the VM list."""
+        return self.entries + self.slots
+
+    @property
+    def records(self) -> int:
+        """Records: organisations, classes, and a group, a route a class and an order a model."""
+        return self.organisations + self.classes + self.models * (2 + self.classes)
+
+    @property
+    def changes_per_s(self) -> float:
+        """Changes of configuration a second, on the mean of a day."""
+        return self.changes_a_day / DAY_S
+
+
+PLAN = Plan()
+
+
+@attrs.frozen
+class Part:
+    """One part of a cost at the planned size.
+
+    Parameters
+    ----------
+    name, mechanism : str
+    formula : str
+    slope : float
+        Cost of one unit.
+    units : float
+    reach : str
+        Largest number of units measured; empty if the cost is not a measured slope.
+    residual : float
+        Of the line, in the unit of the cost.
+    """
+
+    name: str
+    mechanism: str
+    formula: str
+    slope: float
+    units: float
+    reach: str = ""
+    residual: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Cost at the planned size."""
+        return self.slope * self.units
+
+
+class Costs:
+    """The costs of both roles at the planned size.
+
+    Parameters
+    ----------
+    results : dict
+        Content of the measurement file.
+    plan : Plan
+    """
+
+    def __init__(self, results: dict[str, Any], plan: Plan = PLAN):
+        self.results = results
+        self.plan = plan
+
+    def line(self, role: str, stage: str, cost: str) -> dict[str, float]:
+        """Return a fitted line; ``bytes_per_s`` and ``messages_per_s`` add both directions."""
+        fitted = self.results["lines"][f"{role}.{stage}"]
+        both = {
+            "bytes_per_s": ("read_bytes_per_s", "written_bytes_per_s"),
+            "messages_per_s": ("messages_received_per_s", "messages_sent_per_s"),
+        }.get(cost)
+        if both is None:
+            return fitted[cost]
+        first, second = (fitted[name] for name in both)
+        added = {name: first[name] + second[name] for name in ("slope", "intercept", "residual")}
+        return first | added
+
+    def peers(self, role: str) -> float:
+        """Return the connections of a process of a role."""
+        return {"entry": float(self.plan.entry_peers), "slot": self.plan.slot_peers}[role]
+
+    def measured_peers(self, role: str) -> float:
+        """Return the connections with which changes were measured."""
+        return self.line(role, "peers", "cpu_share")["high"]
+
+    def memory(self, role: str) -> list[Part]:
+        """Return the parts of a process's memory, MB."""
+        parts = [
+            self._base(role, "rss_mb"),
+            self._per("peers", role, "rss_mb", self.peers(role), "connection", "`_peer`"),
+            self._per(
+                "organisations",
+                role,
+                "rss_mb",
+                self.plan.records,
+                "record",
+                "`_configuration`: every process holds every record",
+            ),
+        ]
+        if role == "entry":
+            where = "`_platform_http`, `_membership`: every entry holds the whole list"
+            parts.append(self._per("vms", role, "rss_mb", self.plan.vms, "VM", where))
+        return parts
+
+    def processor(self, role: str) -> list[Part]:
+        """Return the parts of a process's processor time for control, cores."""
+        where = "`_peer`: heartbeats on idle connections only"
+        return [
+            self._base(role, "cpu_share"),
+            self._per("peers", role, "cpu_share", self.peers(role), "connection", where),
+            self._per_change(role, "cpu_share"),
+        ]
+
+    def traffic(self, role: str) -> list[Part]:
+        """Return the parts of a process's control traffic, bytes a second in both directions."""
+        where = "`_peer`: heartbeats on idle connections only"
+        parts = [
+            self._base(role, "bytes_per_s"),
+            self._per("peers", role, "bytes_per_s", self.peers(role), "connection", where),
+            self._per_change(role, "bytes_per_s"),
+            self._status(role),
+        ]
+        if role == "entry":
+            parts.append(self._vm_list())
+        return parts
+
+    def messages(self, role: str) -> list[Part]:
+        """Return the parts of a process's control messages a second, both directions."""
+        where = "`_peer`: heartbeats on idle connections only"
+        return [
+            self._per("peers", role, "messages_per_s", self.peers(role), "connection", where),
+            self._per_change(role, "messages_per_s"),
+        ]
+
+    def data(self, role: str) -> list[Part]:
+        """Return the processor time of the requests themselves, cores."""
+        processes = {"entry": self.plan.entries, "slot": self.plan.slots}[role]
+        tokens = self.line(role, "tokens", "cpu_share")["slope"]
+        answer = self.results["short_answer_tokens"]
+        requests = max(0.0, self.line(role, "requests", "cpu_share")["slope"] - answer * tokens)
+        share = self.plan.requests_per_s / processes
+        return [
+            Part(
+                "requests",
+                "`_caller_http`, `_dispatcher`, `_slot_runner`",
+                f"requests / {processes}",
+                requests,
+                share,
+                *self._reach(role, "requests", "cpu_share"),
+            ),
+            Part(
+                "tokens",
+                "`_peer`: the streams of a slot to an entry share messages",
+                f"tokens / {processes}",
+                tokens,
+                self.plan.tokens_per_s / processes,
+                *self._reach(role, "tokens", "cpu_share"),
+            ),
+        ]
+
+    def _base(self, role: str, cost: str) -> Part:
+        intercept = self.line(role, "peers", cost)["intercept"]
+        mechanism = "interpreter and libraries" if cost == "rss_mb" else "polls of the platform"
+        return Part("process alone", mechanism, "", intercept, 1.0)
+
+    def _per(
+        self, stage: str, role: str, cost: str, units: float, unit: str, mechanism: str
+    ) -> Part:
+        slope = self.line(role, stage, cost)["slope"]
+        reach = self._reach(role, stage, cost)
+        return Part(f"per {unit}", mechanism, f"{unit}s", slope, units, *reach)
+
+    def _per_change(self, role: str, cost: str) -> Part:
+        measured = self.measured_peers(role)
+        slope = self.line(role, "changes", cost)["slope"] / measured
+        reach, residual = self._reach(role, "changes", cost)
+        return Part(
+            "per change and connection",
+            "`_config_sync`: revision on heartbeats, log from one peer",
+            "changes/s × connections",
+            slope,
+            self.plan.changes_per_s * self.peers(role),
+            f"{reach}/s × {measured:.0f}",
+            residual,
+        )
+
+    def _status(self, role: str) -> Part:
+        sent = STATUS_BYTES_PER_S
+        received = sent * self.plan.entry_peers / self.plan.slot_peers
+        return Part(
+            "status under load",
+            "`slot.STATUS_BYTES_PER_S`: a limit, not measured",
+            "limit" if role == "slot" else "limit × connections / connections of a slot",
+            sent if role == "slot" else received,
+            1.0,
+        )
+
+    def _vm_list(self) -> Part:
+        return Part(
+            "VM list",
+            "`_platform_http`: the whole list after each change, else status 304",
+            "VMs × changes of the list/s",
+            self.results["vm_list_bytes"],
+            self.plan.vms * self.plan.vm_changes_a_day / DAY_S,
+        )
+
+    def _reach(self, role: str, stage: str, cost: str) -> tuple[str, float]:
+        line = self.line(role, stage, cost)
+        return show(line["high"]), line["residual"]
