--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -12,9 +12,19 @@
     next_read_delay,
 )
 from ._health import HealthMonitor, ProbeGate
+from ._load_turns import LoadTurns
 from ._membership import MembershipBook
 from ._once_entry import SETTLED_KINDS, OnceResolver, OnceTicket, Settled, SettledState
 from ._once_slot import OnceGuard
+from ._orders import (
+    EngineOrder,
+    OrderFailure,
+    OrderRunner,
+    OrderState,
+    OrderTarget,
+    concerns,
+    order_id,
+)
 from ._outcomes import OutcomeWriter
 from ._placement import PlacementPolicy, placement_policies
 from ._prefixes import PrefixIndex
@@ -38,12 +48,18 @@
     "ConfigurationHolder",
     "ConfigurationReader",
     "Contender",
+    "EngineOrder",
     "HealthMonitor",
     "LatencyTarget",
+    "LoadTurns",
     "MembershipBook",
     "OnceGuard",
     "OnceResolver",
     "OnceTicket",
+    "OrderFailure",
+    "OrderRunner",
+    "OrderState",
+    "OrderTarget",
     "OutcomeWriter",
     "PlaceGrant",
     "PlacementPolicy",
@@ -71,9 +87,11 @@
     "Work",
     "authenticate",
     "choose_subset",
+    "concerns",
     "load_until_read",
     "make_key_digest",
     "next_read_delay",
+    "order_id",
     "placement_policies",
     "queue_policies",
     "rule_of",
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
@@ -0,0 +1,279 @@
+"""Orders to engines: each placement record is acted on at most once by each engine."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import hashlib
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import attrs
+import cbor2
+from result import Result
+
+from burdockquay_state import (
+    ABSENT,
+    ORDER_ORGANISATION,
+    START_LIMIT_S,
+    Claim,
+    ClaimRequest,
+    ClaimRow,
+    ClaimState,
+    ClaimStore,
+    Lease,
+    LeaseStore,
+    PlacementRecord,
+    RefusalReason,
+    StoredAnswer,
+)
+
+from ._load_turns import LoadTurns
+from ._outcomes import OutcomeWriter
+
+LOAD_PREFIX = "load_"
+"""Start of the names of orders that read from the weight store."""
+
+_RENEWALS = 3
+_STATUS_DONE = 200
+
+
+@attrs.frozen
+class EngineOrder:
+    """An order as it goes to an engine.
+
+    Parameters
+    ----------
+    order_id : str
+        The same for every try to carry out one record on one engine.
+    order, argument : str
+        As in the placement record.
+    fencing : int
+        Fencing number of the lease on the engine.
+    """
+
+    order_id: str
+    order: str
+    argument: str
+    fencing: int
+
+
+@attrs.frozen
+class OrderFailure:
+    """An order that was not confirmed.
+
+    Parameters
+    ----------
+    detail : str
+    acted : bool
+        False only if the engine certainly did not act: it was not reached, or it refused.
+    """
+
+    detail: str
+    acted: bool
+
+
+class OrderTarget(ABC):
+    """An engine as the receiver of orders."""
+
+    @abstractmethod
+    async def send(self, order: EngineOrder) -> Result[None, OrderFailure]:
+        """Send an order once, without any repeat by a library."""
+
+
+class OrderState(enum.Enum):
+    """Where a placement record stands on one engine."""
+
+    DONE = "done"
+    """The engine acted, and that is recorded."""
+    STARTED = "started"
+    """It was sent, by this process or another, and has no outcome; it is not sent again."""
+    WAITING = "waiting"
+    """Not sent yet: no lease, no turn, or the table or engine did not answer."""
+
+
+def order_id(record: PlacementRecord, engine: str) -> str:
+    """Return the id of a record's order to one engine.
+
+    A record that is changed under its name is another order.
+
+    Examples
+    --------
+    >>> record = PlacementRecord("p1", "advisor", "load_adapter", "renewals-2")
+    >>> order_id(record, "engine-1").split("/")[:2]
+    ['engine-1', 'p1']
+    """
+    content = cbor2.dumps([record.group, record.order, record.argument])
+    digest = hashlib.blake2b(content, digest_size=8).hexdigest()
+    return f"{engine}/{record.name}/{digest}"
+
+
+def concerns(record: PlacementRecord, group: str, vm: str) -> bool:
+    """Return whether a record is meant for the engine of a VM."""
+    return record.group == group and (not record.vms or vm in record.vms)
+
+
+class OrderRunner:
+    """Carry out placement records on the engine beside this slot.
+
+    Parameters
+    ----------
+    claims : ClaimStore
+    leases : LeaseStore
+    outcomes : OutcomeWriter
+    turns : LoadTurns
+    target : OrderTarget
+    engine : str
+        Names the engine's life: the VM's name, since a replaced VM bears another.
+    incarnation : str
+        Incarnation of the slot.
+    lease_s : float
+        Duration of the lease on the engine, seconds.
+
+    Notes
+    -----
+    Two slots may stand beside one engine for a while: the one of a VM that is believed gone, and
+    its successor. The lease makes one of them wait. One that is paused past its lease may still
+    act; an engine that checks fencing numbers refuses its order, and for one that does not
+    the claim row of the order has let only one of them through.
+    """
+
+    def __init__(
+        self,
+        claims: ClaimStore,
+        leases: LeaseStore,
+        outcomes: OutcomeWriter,
+        turns: LoadTurns,
+        target: OrderTarget,
+        engine: str,
+        incarnation: str,
+        lease_s: float = 15.0,
+    ):
+        self.claims = claims
+        self.leases = leases
+        self.outcomes = outcomes
+        self.turns = turns
+        self.target = target
+        self.engine = engine
+        self.incarnation = incarnation
+        self.lease_s = lease_s
+        self._settled: dict[str, OrderState] = {}
+        self._tries = 0
+
+    async def act(
+        self,
+        record: PlacementRecord,
+        wall: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> OrderState:
+        """Carry out a record unless that was done or begun before.
+
+        Parameters
+        ----------
+        record : PlacementRecord
+        wall, clock : callable
+            Return seconds since the epoch, and seconds on the clock of this process.
+
+        Returns
+        -------
+        OrderState
+            After ``WAITING`` the caller tries again later.
+        """
+        name = order_id(record, self.engine)
+        if name in self._settled:
+            return self._settled[name]
+        found = await self.claims.read(ORDER_ORGANISATION, name)
+        if found.is_err():
+            return OrderState.WAITING
+        row = found.ok()
+        if row is not None and row.state is not ClaimState.CANCELLED:
+            return self._settle(name, row)
+        return await self._act_under_lease(record, name, row, wall, clock)
+
+    def _settle(self, name: str, row: ClaimRow) -> OrderState:
+        if row.state is ClaimState.DONE:
+            self._settled[name] = OrderState.DONE
+            return OrderState.DONE
+        # The sender may still record an outcome, so the row is read again next time.
+        return OrderState.STARTED
+
+    async def _act_under_lease(
+        self,
+        record: PlacementRecord,
+        name: str,
+        row: ClaimRow | None,
+        wall: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> OrderState:
+        held = await self.leases.acquire(
+            f"engine/{self.engine}", self.incarnation, self.lease_s, clock()
+        )
+        if held.is_err():
+            return OrderState.WAITING
+        if not record.order.startswith(LOAD_PREFIX):
+            return await self._claim_and_send(record, name, row, held.ok(), wall, clock)
+        turn = await self.turns.take(clock())
+        if turn.is_err():
+            return OrderState.WAITING
+        keeper = asyncio.create_task(self._keep(turn.ok(), clock))
+        try:
+            return await self._claim_and_send(record, name, row, held.ok(), wall, clock)
+        finally:
+            # The turn is not released: kept to its end, it also bounds the loads a second.
+            keeper.cancel()
+
+    async def _claim_and_send(
+        self,
+        record: PlacementRecord,
+        name: str,
+        row: ClaimRow | None,
+        lease: Lease,
+        wall: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> OrderState:
+        request = self._make_request(record, name, row, wall())
+        claimed = await self.claims.claim(request, wall())
+        if claimed.is_err():
+            if claimed.err().reason is RefusalReason.UNCERTAIN:
+                self.outcomes.withdraw(request)
+            return OrderState.WAITING
+        claim = claimed.ok()
+        if not lease.is_usable(clock()) or wall() >= claim.row.not_after:
+            await self.outcomes.abandon(claim)
+            return OrderState.WAITING
+        order = EngineOrder(name, record.order, record.argument, lease.fencing)
+        return await self._record(name, claim, await self.target.send(order))
+
+    async def _record(
+        self, name: str, claim: Claim, sent: Result[None, OrderFailure]
+    ) -> OrderState:
+        if sent.is_ok():
+            await self.outcomes.complete(claim, StoredAnswer(_STATUS_DONE, [], b""))
+            self._settled[name] = OrderState.DONE
+            return OrderState.DONE
+        if not sent.err().acted:
+            await self.outcomes.abandon(claim)
+            return OrderState.WAITING
+        return OrderState.STARTED
+
+    def _make_request(
+        self, record: PlacementRecord, name: str, row: ClaimRow | None, now: float
+    ) -> ClaimRequest:
+        self._tries += 1
+        return ClaimRequest(
+            organisation=ORDER_ORGANISATION,
+            key=name,
+            expected_version=row.version if row else ABSENT,
+            attempt=self._tries,
+            attempt_id=f"{name}/{self._tries}",
+            incarnation=self.incarnation,
+            digest=record.order,
+            not_after=now + START_LIMIT_S,
+        )
+
+    async def _keep(self, lease: Lease, clock: Callable[[], float]) -> None:
+        while True:
+            await asyncio.sleep(lease.duration_s / _RENEWALS)
+            renewed = await self.leases.renew(lease, clock())
+            if renewed.is_ok():
+                lease = renewed.ok()
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -1,6 +1,6 @@
 """What lasts: record kinds and schemas, the platform's interfaces, claims, leases, record log."""
 
-from ._claim_rows import ClaimRow, ClaimState, StoredAnswer
+from ._claim_rows import ORDER_ORGANISATION, ClaimRow, ClaimState, StoredAnswer
 from ._claim_sweep import MIN_RETENTION_S, START_LIMIT_S, ClaimSweep, SweepPage
 from ._claims import CancelOutcome, Claim, ClaimRefusal, ClaimRequest, ClaimStore, RefusalReason
 from ._faulty import FaultyTable
@@ -120,6 +120,7 @@
     "MemoryObjectStore",
     "MemoryTable",
     "NAME",
+    "ORDER_ORGANISATION",
     "ObjectStore",
     "OneOf",
     "Operation",
--- a/packages/burdockquay-state/src/burdockquay_state/_claim_rows.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_claim_rows.py
@@ -14,6 +14,9 @@
 CLAIM_PREFIX = "claim/"
 """Prefix of the table keys of all claims."""
 
+ORDER_ORGANISATION = "_orders"
+"""Stands for the organisation in the claims of orders; no organisation can bear the name."""
+
 ROW_SCHEMA = 1
 """Schema number that the rows written by this release carry."""
 
--- a/packages/burdockquay-state/src/burdockquay_state/_claim_sweep.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_claim_sweep.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Ok, Result
 
-from ._claim_rows import CLAIM_PREFIX, ClaimRow, ClaimState, decode_row
+from ._claim_rows import CLAIM_PREFIX, ORDER_ORGANISATION, ClaimRow, ClaimState, decode_row
 from ._group_commit import GroupCommitter
 from ._table import Delete, Row, TableError, TableService
 from ._validation import Constraint, Interval, check_parameters
@@ -58,6 +58,9 @@
     would find that nothing ran. Both refuse to act later than ``START_LIMIT_S`` after the request
     arrived, and the retention is at least twice as long.
 
+    The claims of orders stay: a record may be in force for longer than any retention, and its order
+    would be given again.
+
     A row in state ``RUNNING`` has no such end: its slot may be paused right before it sends. It
     stays until the caller of the sweep knows that the slot's process is gone for ever.
     """
@@ -105,6 +108,8 @@
         return Ok(SweepPage(len(rows.ok()), deleted, last))
 
     def _is_expired(self, row: Row, may_act: Callable[[str], bool], now: float) -> bool:
+        if row.key.startswith(f"{CLAIM_PREFIX}{ORDER_ORGANISATION}/"):
+            return False
         decoded = decode_row(row)
         if decoded.is_err():
             return False
