Run entries of two releases beside each other, and add annotated records

A record of unknown schemas gets its own event, E1103, instead of E1102. The state machine now keeps so few log rows that processes fall behind the log.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_config_sync.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_config_sync.py
@@ -118,7 +118,9 @@
     def _tell(self, outcome: ApplyOutcome, before: int) -> None:
         """Log what a part of the log brought, and tell the peers if it changed anything."""
         for fault in outcome.faults:
-            log_event(Event.RECORD_FAULT, fault=str(fault))
+            is_unknown = fault.key == "schema"
+            event = Event.RECORD_SCHEMA_UNKNOWN if is_unknown else Event.RECORD_FAULT
+            log_event(event, fault=str(fault))
         if self.holder.revision == before:
             return
         log_event(Event.CONFIGURATION_APPLIED, revision=self.holder.revision)
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Collection
 from typing import Any
 
 import attrs
@@ -58,6 +59,8 @@
         None takes the clocks of the operating system.
     rng : random.Random or None
         Placement and jitter; None seeds one from the operating system.
+    known_schemas : collection of (str, int) or None
+        Record schemas that the process acts on; None for all of this release.
     """
 
     def __init__(
@@ -65,10 +68,12 @@
         settings: EntrySettings,
         clock: Clock | None = None,
         rng: random.Random | None = None,
+        known_schemas: Collection[tuple[str, int]] | None = None,
     ):
         self.settings = settings
         self.clock = clock
         self.rng = rng
+        self.known_schemas = known_schemas
 
     async def start(self) -> None:
         """Listen for callers, and begin to follow the configuration and the VM list.
@@ -178,7 +183,7 @@
 
     def _open_parts(self) -> None:
         settings = self.settings
-        self._holder = ConfigurationHolder()
+        self._holder = ConfigurationHolder(self.known_schemas)
         self._sync = ConfigurationSync(
             self._holder,
             RecordLog(self._platform.table),
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -55,7 +55,7 @@
     revision = 0
     for record in records:
         found = (await log.get(record.kind, record.name)).ok()
-        expected = found.revision if found else 0
+        expected = found.entry.revision if found else 0
         accepted = await log.put([record], "test", expected, 0.0)
         revision = accepted.ok().revision
     return revision
@@ -138,12 +138,12 @@
         )
         return slot
 
-    async def add_entry(self, vm: str) -> Entry:
+    async def add_entry(self, vm: str, **parts: Any) -> Entry:
         """Start an entry and list it."""
         settings = EntrySettings(
             vm, "north", PEER_KEY, self._platform(), vm_list_interval_s=0.05, poll_interval_s=0.1
         )
-        entry = Entry(settings, rng=random.Random(2))
+        entry = Entry(settings, rng=random.Random(2), **parts)
         await entry.start()
         self.entries.append(entry)
         self.platform.put_vm(
--- a/packages/burdockquay/src/burdockquay/tests/test_cli.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import threading
+from pathlib import Path
 
 import pytest
 
@@ -22,6 +23,9 @@
 ]"""
 
 
+EXAMPLES = Path(__file__).parents[5] / "examples" / "records"
+
+
 @pytest.fixture
 def platform():
     """Platform stand-in in a thread, as the command runs an event loop of its own."""
@@ -139,3 +143,9 @@
     assert json.loads(out)["processes"] == [{"vm": "e1", "listed": "live", "status": None}]
     assert "e1: http://127.0.0.1:1/status cannot be read" in err
     assert call("usage", "--json")[0] == ExitCode.INCOMPLETE
+
+
+def test_examples_are_accepted_together(call):
+    for name in ("classes", "routes", "organisation", "quarantine-withdrawal"):
+        assert call("record", "put", text=(EXAMPLES / f"{name}.jsonc").read_text())[0] == 0
+    assert len(list(EXAMPLES.iterdir())) == 4
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -31,6 +31,9 @@
 OPERATORS = st.integers(0, 1)
 KEY = st.sampled_from(KEYS)
 VALUE = st.integers(1, 9)
+KEPT = 6
+"""Log rows kept, so few that processes fall behind the log and take the whole."""
+
 SCHEMAS = st.sampled_from([(1,), (2,), (1, 2)])
 
 
@@ -86,6 +89,7 @@
         self.refused = set()
         self.unknown = set()
         self.parts = []
+        self.rows = []
 
     @initialize()
     def start(self):
@@ -108,17 +112,15 @@
         return self.loop.run_until_complete(coroutine)
 
     def truth(self):
-        """Return the rows of the log as they are, past all faults."""
+        """Return all rows that the log ever had, read past all faults before they are removed."""
         view = MemoryTable()
         view._rows = self.table._rows
         view._keys = sorted(view._rows)
-
-        async def read():
-            log = RecordLog(view)
-            head = (await log.head()).ok()
-            return [(await log.read_row(revision)).ok() for revision in range(1, head + 1)]
-
-        return self.run_async(read())
+        log = RecordLog(view)
+        head = self.run_async(log.head()).ok()
+        for revision in range(len(self.rows) + 1, head + 1):
+            self.rows.append(self.run_async(log.read_row(revision)).ok())
+        return self.rows
 
     # Operators
 
@@ -128,7 +130,7 @@
     async def write(self, operator, key, records):
         self.ids += 1
         change_id = f"change-{self.ids}"
-        log = RecordLog(self.table, new_change_id=lambda: change_id)
+        log = RecordLog(self.table, KEPT, lambda: change_id)
         expected = self.expected_revision(operator, key)
         author = f"operator-{operator}"
         if records:
@@ -225,6 +227,21 @@
     def part_is_on_its_way(self, sender, revision):
         self.parts.append(self.holders[sender].log_after(revision))
 
+    @rule(sender=HOLDERS, receiver=HOLDERS)
+    def part_before_it_is_lost(self, sender, receiver):
+        part = self.holders[sender].log_after(self.holders[receiver].revision + 1)
+        self.holders[receiver].apply(part, 1.0)
+
+    @rule(receiver=HOLDERS, key=KEY)
+    def whole_after_a_withdrawal(self, receiver, key):
+        self.operator_withdraws(0, key)
+        self.whole_is_on_its_way()
+        self.part_arrives(receiver, self.parts[-1:])
+
+    def part_arrives(self, receiver, parts):
+        for part in parts:
+            self.holders[receiver].apply(part, 1.0)
+
     @rule()
     def whole_is_on_its_way(self):
         part = self.run_async(RecordLog(self.table).read_all())
@@ -238,8 +255,7 @@
         self.part_is_on_its_way(receiver, 0)
         self.operator_edits(0, key, value, (1, 2))
         self.read_table(receiver)
-        for part in self.parts[-2:]:
-            self.holders[receiver].apply(part, 1.0)
+        self.part_arrives(receiver, self.parts[-2:])
 
     @rule(receiver=HOLDERS, data=st.data())
     def part_arrives_late(self, receiver, data):
