Measure where requests wait at the planned latency

Cause: grants were to be weighed against queues in the slots at the latencies between failure domains, and the loopback has none.

--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -10,6 +10,7 @@
 import tempfile
 import time
 from collections.abc import Sequence
+from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any, Self
 
@@ -17,7 +18,7 @@
 import attrs
 from _processes import Process, Processes, daemon_command, standin_command
 
-from burdockquay_standins import EngineParameters, PlatformParameters, ServiceParameters
+from burdockquay_standins import DelayLine, EngineParameters, PlatformParameters, ServiceParameters
 from burdockquay_state import RecordLog, VmEntry, VmState, change_of
 from burdockquay_transport import HttpTable
 
@@ -36,6 +37,8 @@
         Prefix of the directory for settings and logs.
     keep : bool
         Leave that directory behind.
+    delay_s : float or None
+        One-way latency between entries and slots, seconds; None connects them directly.
 
     Examples
     --------
@@ -49,9 +52,12 @@
     ...         await cluster.wait_ready()
     """
 
-    def __init__(self, name: str, keep: bool = False):
+    def __init__(self, name: str, keep: bool = False, delay_s: float | None = None):
         self.name = name
         self.keep = keep
+        self.delay_s = delay_s
+        self.lines: list[DelayLine] = []
+        self._stack = AsyncExitStack()
         self.platform: Process | None = None
         self.upstreams: dict[str, Process] = {}
         self.slots: dict[str, Process] = {}
@@ -68,6 +74,7 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.session.close()
+        await self._stack.aclose()
         await self.processes.stop_all()
         if not self.keep:
             self._directory.cleanup()
@@ -200,6 +207,11 @@
         self.upstreams[name] = process
         return process
 
+    async def _start_delay_line(self, port: int) -> int:
+        line = await self._stack.enter_async_context(DelayLine("127.0.0.1", port, self.delay_s))
+        self.lines.append(line)
+        return line.listening_port
+
     async def _start_daemon(
         self, role: str, vm: str, failure_domain: str, settings: dict[str, Any]
     ) -> Process:
@@ -209,12 +221,15 @@
         identity = {"vm": vm, "failure_domain": failure_domain, "peer_key": PEER_KEY}
         path.write_text(json.dumps({**identity, "platform": platform, **settings}))
         process = await self.processes.start(vm, daemon_command(role, path))
+        port = process.listening["port"]
+        if role == "slot" and self.delay_s is not None:
+            port = await self._start_delay_line(port)
         await self.put_vm(
             VmEntry(
                 vm=vm,
                 role=role,
                 host="127.0.0.1",
-                port=process.listening["port"],
+                port=port,
                 status_port=process.listening["status_port"],
                 failure_domain=failure_domain,
                 group=settings.get("group", ""),
