Do not give up an answer for the time it has been under way

Cause: a call whose answer broke off went back to the queue with the time of its arrival, so that its own answer counted as waiting. With the engine's death a second later than the patience of the class, the caller lost all it had read.

Change: such a call queues with half the patience of its class, ahead of most others, and is queued again rather than refused while its deadline lasts. An attempt sent twice is no longer answered "not run", which would be untrue of the one that is held.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -182,7 +182,10 @@
         """Refuse calls that waited too long, and tell the slots what waits."""
         for waiting in self._queue.expire(now):
             call = self._calls.pop(waiting.request, None)
-            if call is not None:
+            if call is not None and call.delivered and now < waiting.deadline:
+                # Giving up now would waste what the caller has got of the answer already.
+                self._wait(call, now)
+            elif call is not None:
                 late = now >= waiting.deadline
                 kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.PATIENCE_EXCEEDED
                 call.inbox.put(Refused(RequestError(kind)))
@@ -204,7 +207,7 @@
                 asked.request,
                 asked.organisation.name,
                 asked.service_class.name,
-                call.started_at,
+                self._enqueued_at(call, now),
                 asked.deadline,
             ),
             now,
@@ -212,6 +215,16 @@
         self._demand_changed = True
         self._tell_demand(now)
 
+    def _enqueued_at(self, call: Call, now: float) -> float:
+        """Return the time from which a call's wait counts.
+
+        An answer that broke off goes before most of its class, since tokens were spent on it. Its
+        first wait does not count: the patience of its class would have ended during the answer.
+        """
+        if not call.delivered:
+            return call.started_at
+        return now - call.asked.service_class.patience_s / 2
+
     def _next_call(self, class_name: str, now: float) -> Call | None:
         waiting = self._queue.pop(now, class_name)
         return None if waiting is None else self._calls.pop(waiting.request)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -155,7 +155,8 @@
         )
         attempt = Attempt(run, connection, work)
         if attempt.key in self._attempts:
-            attempt.post_not_run(ErrorKind.BAD_REQUEST, "the attempt was sent before")
+            # No answer: "not run" would be untrue of the attempt that is held.
+            log_event(Event.PEER_OUT_OF_ORDER, vm=connection.peer.vm, detail="attempt sent twice")
             return
         offered = self.scheduler.offer(work, run.grant, now)
         if isinstance(offered, Err):
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from burdockquay_standins import expected_answer
+from burdockquay_state import ClassRecord
 
 from ._deployment import chat_body, until
 
@@ -191,3 +192,29 @@
         ):
             assert (whole, error) == (True, None)
             assert text == "".join(expected_answer(body, seed=1))
+
+
+async def test_answer_that_broke_off_is_not_given_up_for_its_age(deployment):
+    """An engine dies when an answer has been under way for longer than its class would wait for
+    a place, and the other engine is full.
+
+    If the time of the answer counted as waiting, the caller would lose all it has read.
+    """
+    async with deployment(engines=2, base_step_s=0.01, restart_s=60.0) as running:
+        record = ClassRecord("draft", 10, 2.0, 0.1, 0.5, 0.3)
+        revision = (await running.log.get("class", "draft")).ok().entry.revision
+        assert (await running.log.put([record], "test", revision, 0.0)).is_ok()
+        await until(lambda: running.entries[0].snapshot.classes["draft"].patience_s == 0.5)
+        body = chat_body("ceremony", stream=True, max_tokens=600)
+        body["min_tokens"] = 200
+        reading = asyncio.create_task(running.ask_stream(body))
+        await until(lambda: any(engine.tokens_generated > 80 for engine in running.engines))
+        first = max(running.engines, key=lambda engine: engine.tokens_generated)
+        others = [{**chat_body(f"draft {n}", True, 600), "min_tokens": 150} for n in range(5)]
+        filling = [asyncio.create_task(running.ask_stream(other)) for other in others]
+        await until(lambda: sum(slot.describe()["running"] for slot in running.slots) >= 6)
+        first.crash(60.0)
+        text, whole, error = await reading
+        assert (whole, error) == (True, None)
+        assert text == "".join(expected_answer(body, seed=1))
+        await asyncio.gather(*filling)
