Wait in tests until both sides of a connection are through with the handshake

Cause: test_frame_that_is_missing_never_shortens_an_answer failed once in a run of all tests with the machine's load average at 12. An entry is through with the handshake before the slot has read the last message of it, so that the test could miss one of the two connections it looks into.

Change: the deployment of the tests counts as connected when both sides say so.

Conclusion: a race of the test's set-up; what the test asserts is as it was.

--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -98,9 +98,11 @@
 
     def is_connected(self, entry: Entry) -> bool:
         """Whether an entry is ready and connected to every slot."""
-        members = entry.describe()["members"]
-        connected = [member for member in members if member["connected"]]
-        return entry.ready and len(connected) == len(self.slots)
+        # Both sides must say so: an entry is through with the handshake before the slot is.
+        connected = [member for member in entry.describe()["members"] if member["connected"]]
+        peers = [member["vm"] for slot in self.slots for member in slot.describe()["members"]]
+        is_known = peers.count(entry.identity.vm) == len(self.slots)
+        return entry.ready and is_known and len(connected) == len(self.slots)
 
     async def add_engine(self) -> EngineStandin:
         """Start an engine and its slot."""
