Follow placement records and expire claims in the slot

The orders and the expiry of claims existed without anything that called them. Claims name the VM of their slot, so that a claim without an outcome expires once the VM list says that the VM is gone; an empty list expires nothing. A slot that waits for a turn looks at one turn, drawn at random, instead of all: a few reads a minute each.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_load_turns.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_load_turns.py
@@ -5,7 +5,7 @@
 import random
 from typing import ClassVar
 
-from result import Err, Ok, Result
+from result import Result
 
 from burdockquay_state import (
     Constraint,
@@ -64,21 +64,31 @@
         self.turns = turns
         self.duration_s = duration_s
         check_parameters(self)
+        self._ended: list[tuple[float, Lease]] = []
 
     async def take(self, now: float) -> Result[Lease, LeaseHeld]:
-        """Take any free turn.
+        """Take one of the turns, drawn at random, if it is free.
 
         Parameters
         ----------
         now : float
             Seconds on the clock of this process.
+
+        Notes
+        -----
+        Only one turn is looked at in each try: thousands of slots that wait for a turn would
+        otherwise read every row of the turns each time.
         """
-        first = self.rng.randrange(self.turns)
-        refused = Err(LeaseHeld(TURN_PREFIX, "", "no turn"))
-        for step in range(self.turns):
-            name = f"{TURN_PREFIX}{(first + step) % self.turns}"
-            taken = await self.leases.acquire(name, self.holder, self.duration_s, now)
-            if taken.is_ok():
-                return Ok(taken.ok())
-            refused = taken
-        return refused
+        name = f"{TURN_PREFIX}{self.rng.randrange(self.turns)}"
+        return await self.leases.acquire(name, self.holder, self.duration_s, now)
+
+    def keep_until_due(self, lease: Lease, taken_at: float) -> None:
+        """Give a turn back once it has lasted its duration; :meth:`tend` does so."""
+        self._ended.append((taken_at + self.duration_s, lease))
+
+    async def tend(self, now: float) -> None:
+        """Give back the turns that are due. One that cannot be given back expires."""
+        due = [lease for due_at, lease in self._ended if due_at <= now]
+        self._ended = [part for part in self._ended if part[0] > now]
+        for lease in due:
+            await self.leases.release(lease)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
@@ -179,6 +179,7 @@
         OrderState
             After ``WAITING`` the caller tries again later.
         """
+        await self.turns.tend(clock())
         name = order_id(record, self.engine)
         if name in self._settled:
             return self._settled[name]
@@ -188,7 +189,7 @@
         row = found.ok()
         if row is not None and row.state is not ClaimState.CANCELLED:
             return self._settle(name, row)
-        return await self._act_under_lease(record, name, row, wall, clock)
+        return await self._act_in_turn(record, name, row, wall, clock)
 
     def _settle(self, name: str, row: ClaimRow) -> OrderState:
         if row.state is ClaimState.DONE:
@@ -197,6 +198,28 @@
         # The sender may still record an outcome, so the row is read again next time.
         return OrderState.STARTED
 
+    async def _act_in_turn(
+        self,
+        record: PlacementRecord,
+        name: str,
+        row: ClaimRow | None,
+        wall: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> OrderState:
+        if not record.order.startswith(LOAD_PREFIX):
+            return await self._act_under_lease(record, name, row, wall, clock)
+        taken_at = clock()
+        turn = await self.turns.take(taken_at)
+        if turn.is_err():
+            return OrderState.WAITING
+        keeper = _Keeper(self.leases, turn.ok())
+        renewing = asyncio.create_task(keeper.run(clock))
+        try:
+            return await self._act_under_lease(record, name, row, wall, clock)
+        finally:
+            renewing.cancel()
+            self.turns.keep_until_due(keeper.lease, taken_at)
+
     async def _act_under_lease(
         self,
         record: PlacementRecord,
@@ -210,17 +233,7 @@
         )
         if held.is_err():
             return OrderState.WAITING
-        if not record.order.startswith(LOAD_PREFIX):
-            return await self._claim_and_send(record, name, row, held.ok(), wall, clock)
-        turn = await self.turns.take(clock())
-        if turn.is_err():
-            return OrderState.WAITING
-        keeper = asyncio.create_task(self._keep(turn.ok(), clock))
-        try:
-            return await self._claim_and_send(record, name, row, held.ok(), wall, clock)
-        finally:
-            # The turn is not released: kept to its end, it also bounds the loads a second.
-            keeper.cancel()
+        return await self._claim_and_send(record, name, row, held.ok(), wall, clock)
 
     async def _claim_and_send(
         self,
@@ -271,9 +284,17 @@
             not_after=now + START_LIMIT_S,
         )
 
-    async def _keep(self, lease: Lease, clock: Callable[[], float]) -> None:
+
+class _Keeper:
+    """Renews a lease for as long as an order takes."""
+
+    def __init__(self, leases: LeaseStore, lease: Lease):
+        self.leases = leases
+        self.lease = lease
+
+    async def run(self, clock: Callable[[], float]) -> None:
         while True:
-            await asyncio.sleep(lease.duration_s / _RENEWALS)
-            renewed = await self.leases.renew(lease, clock())
+            await asyncio.sleep(self.lease.duration_s / _RENEWALS)
+            renewed = await self.leases.renew(self.lease, clock())
             if renewed.is_ok():
-                lease = renewed.ok()
+                self.lease = renewed.ok()
--- a/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -6,7 +6,16 @@
 
 import attrs
 
-from burdockquay_state import NAME, Constraint, InstanceOf, Interval, ListOf, Matches, OneOf
+from burdockquay_state import (
+    MIN_RETENTION_S,
+    NAME,
+    Constraint,
+    InstanceOf,
+    Interval,
+    ListOf,
+    Matches,
+    OneOf,
+)
 
 _HOST = Matches(r"[0-9a-fA-F:.]+", "an IP address")
 _URL = Matches(r"https?://[^\s]+", "an http:// or https:// URL")
@@ -176,6 +185,10 @@
         Time between two probes of an upstream that failed, seconds.
     claim_retention_s : float
         How long the outcome of an idempotency key is kept, seconds.
+    load_turns : int
+        Engines that read from the weight store at a time, over all VMs; the same everywhere.
+    load_turn_s : float
+        Shortest time that one of them counts as reading, seconds.
     """
 
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
@@ -186,7 +199,9 @@
         "flush_interval_s": [Interval(float, 0.0, 1.0)],
         "status_interval_s": _POSITIVE_S,
         "probe_interval_s": _POSITIVE_S,
-        "claim_retention_s": [Interval(float, 60.0, 31_536_000)],
+        "claim_retention_s": [Interval(float, MIN_RETENTION_S, 31_536_000)],
+        "load_turns": [Interval(int, 1, 1000)],
+        "load_turn_s": [Interval(float, 0.1, 3600.0)],
     }
 
     group: str = attrs.field(kw_only=True)
@@ -196,3 +211,5 @@
     status_interval_s: float = 0.02
     probe_interval_s: float = 0.5
     claim_retention_s: float = 86400.0
+    load_turns: int = 4
+    load_turn_s: float = 10.0
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -15,7 +15,9 @@
 
 from burdockquay_coordination import (
     ConfigurationHolder,
+    LoadTurns,
     OnceGuard,
+    OrderRunner,
     OutcomeWriter,
     PlaceGrant,
     QuarantineBook,
@@ -39,13 +41,15 @@
     Suspicion,
     Suspicions,
 )
-from burdockquay_state import ClaimStore, GroupCommitter, GroupRecord, RecordLog
+from burdockquay_state import ClaimStore, GroupCommitter, GroupRecord, LeaseStore, RecordLog
 
 from . import _engine_client, _service_client  # noqa: F401 (they register upstream clients)
+from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
 from ._metrics import keep_flushing, make_sink
+from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import (
     WEBSOCKET_OPTIONS,
     Identity,
@@ -137,6 +141,8 @@
             self._send_status(),
             self._measure_when_idle(),
             self._load_suspicions(),
+            self._expiry.run(),
+            self._orders.run(),
         ):
             self._spawn(task)
         log_event(Event.PROCESS_LISTENING, role="slot", vm=settings.vm, port=self.port)
@@ -216,7 +222,12 @@
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
         self._outcomes = OutcomeWriter(claims, self._clock.wall)
-        self._guard = OnceGuard(claims, self._outcomes, self.identity.incarnation)
+        holder = claim_incarnation(settings.vm, self.identity.incarnation)
+        self._guard = OnceGuard(claims, self._outcomes, holder)
+        self._expiry = ClaimExpiry(
+            self._platform, holder, settings.claim_retention_s, self._clock, self._rng
+        )
+        self._orders = self._make_follower(claims, holder)
         self._quarantine = QuarantineBook(QUARANTINE_RETENTION_S)
         self._store = SuspicionStore(self._platform.table)
         kind = "engine"
@@ -242,6 +253,27 @@
         )
         self._runner.health = self._health
 
+    def _make_follower(self, claims: ClaimStore, holder: str) -> OrderFollower:
+        settings = self.settings
+        leases = LeaseStore(self._platform.table)
+        runner = OrderRunner(
+            claims,
+            leases,
+            self._outcomes,
+            LoadTurns(leases, holder, self._rng, settings.load_turns, settings.load_turn_s),
+            HttpOrderTarget(settings.upstream_url, self._sessions),
+            settings.vm,
+            holder,
+        )
+        return OrderFollower(
+            runner,
+            settings.group,
+            settings.vm,
+            lambda: self._holder.snapshot,
+            self._clock,
+            self._rng,
+        )
+
     @property
     def _group(self) -> GroupRecord | None:
         return self._holder.snapshot.groups.get(self.settings.group)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_slot_duties.py
@@ -0,0 +1,109 @@
+"""What a slot does beside requests: orders to its engine, and the expiry of claims."""
+
+import asyncio
+import random
+
+from result import Ok
+
+from burdockquay_state import (
+    ClaimRequest,
+    ClaimStore,
+    MemoryObjectStore,
+    MemoryTable,
+    PlacementRecord,
+    StoredAnswer,
+    VmEntry,
+    VmList,
+)
+from burdockquay_transport._claim_expiry import ClaimExpiry, claim_incarnation
+from burdockquay_transport._clock import Clock
+from burdockquay_transport._platform import Platform
+
+from ._deployment import put_records
+
+RETENTION_S = 7200.0
+LIMIT_S = 20.0
+
+
+async def test_placement_record_reaches_each_engine_once(deployment):
+    """An operator puts a placement record. Each slot of the group reads it, and reads it again with
+    every change of the configuration; an engine that were told twice would load twice.
+    """
+    async with deployment(engines=2) as running:
+        placements = [
+            PlacementRecord("adapter", "drafting", "load_adapter", "eulogy-2"),
+            PlacementRecord("role", "drafting", "change_role", "prefill"),
+        ]
+        await put_records(running.log, placements)
+        async with asyncio.timeout(LIMIT_S):
+            while any(engine.orders.effects.total() < 2 for engine in running.engines):
+                await asyncio.sleep(0.05)
+        for slot in running.slots:
+            await slot._orders.follow()
+        for engine in running.engines:
+            assert set(engine.orders.effects.values()) == {1}
+            assert "eulogy-2" in engine.orders.models
+
+
+class FixedClock(Clock):
+    """Shows one time."""
+
+    def __init__(self, at):
+        self.at = at
+
+    def now(self):
+        return self.at
+
+    def wall(self):
+        return self.at
+
+
+class FixedVms(VmList):
+    """Lists the given VMs."""
+
+    def __init__(self, names):
+        self.names = names
+
+    async def list(self):
+        return Ok([VmEntry(name, "slot", "127.0.0.1", 1, 2, "medeu") for name in self.names])
+
+
+async def make_claims(claims):
+    for vm, ended in (("here", True), ("here", False), ("gone", False)):
+        holder = claim_incarnation(vm, "i1")
+        request = ClaimRequest("parish", f"{vm}-{ended}", 0, 1, "a1", holder, "d", 60.0)
+        claim = (await claims.claim(request, now=0.0)).ok()
+        if ended:
+            await claims.complete(claim, StoredAnswer(200, [], b""), now=0.0)
+
+
+async def left_after_sweep(vms, at):
+    table = MemoryTable()
+    claims = ClaimStore(table, MemoryObjectStore())
+    await make_claims(claims)
+    platform = Platform(table, claims.objects, FixedVms(vms), session=None)
+    expiry = ClaimExpiry(platform, "here/i2", RETENTION_S, FixedClock(at), random.Random(1))
+    await expiry.sweep()
+    names = ("here-True", "here-False", "gone-False")
+    return [name for name in names if (await claims.read("parish", name)).ok() is not None]
+
+
+async def test_claims_expire_only_when_nobody_can_act_on_them():
+    """Rows older than the retention are deleted. A claim without an outcome whose slot may only be
+    paused stays: the slot could wake and send, and the key would run again beside it.
+    """
+    late = RETENTION_S + 1.0
+    assert await left_after_sweep(["here"], RETENTION_S) == [
+        "here-True",
+        "here-False",
+        "gone-False",
+    ]
+    assert await left_after_sweep(["here"], late) == ["here-False"]
+    assert await left_after_sweep(["here", "gone"], late) == ["here-False", "gone-False"]
+
+
+async def test_empty_vm_list_expires_nothing():
+    """The platform's list comes back empty by a fault. Every VM would look gone, and claims whose
+    slots are alive would be deleted.
+    """
+    assert len(await left_after_sweep([], RETENTION_S + 1.0)) == 3
