--- a/examples/demo.py
+++ b/examples/demo.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import uvloop
+from cyclopts import App
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "benchmarks"))
 
@@ -26,6 +27,8 @@
 from burdockquay_standins import EngineParameters, ServiceParameters
 from burdockquay_state import ClassRecord, GroupRecord, RouteRecord
 
+app = App(name="demo", result_action="return_int_as_exit_code_else_zero")
+
 SEED = 1
 BURST_S = 6.0
 HOLDS_PER_S = 4.0
@@ -91,30 +94,32 @@
     await cluster.wait_ready()
 
 
-def plan_calls(urls: Sequence[str], rng: random.Random) -> list[PlannedCall]:
-    """Return the calls of the burst, evenly drawn over its length."""
+def plan_calls(urls: Sequence[str], burst_s: float, rng: random.Random) -> list[PlannedCall]:
+    """Return the calls of a burst of ``burst_s`` seconds, evenly drawn over its length."""
     calls = []
     for class_name, rate in (("hold", HOLDS_PER_S), ("eulogy", EULOGIES_PER_S)):
-        for number in range(round(rate * BURST_S)):
-            calls.append(_plan_chat(class_name, number, rng.choice(urls), rng))
-    for number in range(round(SERVICE_HOLDS_PER_S * BURST_S)):
-        calls.append(_plan_service(number, rng.choice(urls), rng))
+        for number in range(round(rate * burst_s)):
+            at_s = rng.uniform(0.0, burst_s)
+            calls.append(_plan_chat(class_name, number, at_s, rng.choice(urls), rng))
+    for number in range(round(SERVICE_HOLDS_PER_S * burst_s)):
+        calls.append(_plan_service(number, rng.uniform(0.0, burst_s), rng.choice(urls), rng))
     return calls
 
 
-def _plan_chat(class_name: str, number: int, url: str, rng: random.Random) -> PlannedCall:
+def _plan_chat(
+    class_name: str, number: int, at_s: float, url: str, rng: random.Random
+) -> PlannedCall:
     organisation = rng.choice(ORGANISATIONS)
     message = {"role": "user", "content": f"{class_name} {number} of {organisation}"}
     body = {"model": "standin", "messages": [message], "stream": True, "max_tokens": 200}
-    at_s = rng.uniform(0.0, BURST_S)
     key = api_key(organisation)
     return PlannedCall(at_s, url + CHAT_PATH, organisation, class_name, key, body)
 
 
-def _plan_service(number: int, url: str, rng: random.Random) -> PlannedCall:
+def _plan_service(number: int, at_s: float, url: str, rng: random.Random) -> PlannedCall:
     organisation = rng.choice(ORGANISATIONS)
     return PlannedCall(
-        rng.uniform(0.0, BURST_S),
+        at_s,
         f"{url}/services/bookings/chapel",
         organisation,
         "hold",
@@ -174,14 +179,14 @@
     return count == 0 if result.run == "not_run" else count <= 1
 
 
-async def main() -> int:
+async def run(burst_s: float) -> int:
     """Run the demo and return its exit status."""
     async with Cluster("demo") as cluster:
         began = time.monotonic()
         await start(cluster)
         print(f"2 entries and 5 slots ready after {time.monotonic() - began:.1f} s")
         urls = [entry.url for entry in cluster.entries.values()]
-        results = await run_burst(plan_calls(urls, random.Random(SEED)))
+        results = await run_burst(plan_calls(urls, burst_s, random.Random(SEED)))
         engines = [p for name, p in cluster.upstreams.items() if name.startswith("engine")]
         stats = [await cluster.read_json(f"{engine.url}/stats") for engine in engines]
         effects = await cluster.read_json(f"{cluster.upstreams['service-1'].url}/effects")
@@ -192,5 +197,17 @@
     return 1 if wrong or effects_wrong else 0
 
 
+@app.default
+def main(*, seconds: float = BURST_S) -> int:
+    """Send a burst of holds and eulogy drafts through a deployment on the loopback.
+
+    Parameters
+    ----------
+    seconds : float
+        Length of the burst.
+    """
+    return uvloop.run(run(seconds))
+
+
 if __name__ == "__main__":
-    sys.exit(uvloop.run(main()))
+    app()
