--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -43,7 +43,14 @@
 from ._clock import Clock
 from ._dispatcher import GroupDispatcher
 from ._events import Event, log_event
-from ._metrics import MetricsSink, timers
+from ._metrics import (
+    TOKENS,
+    TOKENS_WASTED,
+    MetricsSink,
+    class_counter,
+    retry_counter,
+    timers,
+)
 
 SETTLE_TRIES = 4
 """How often the claim row of a lost attempt is read while it may still end."""
@@ -262,7 +269,7 @@
             self.metrics.count("retries.budget_empty")
             raise call.fail_with(error)
         self._check_quarantine(call)
-        self.metrics.count(f"retries.{decision.reason}")
+        self.metrics.count(retry_counter(error.kind))
         log_event(Event.REQUEST_RETRIED, request=call.asked.request, kind=error.kind.value)
         call.link = None
         dispatcher.submit(call, now)
@@ -317,13 +324,15 @@
             self.ledger.add_generated(*names, len(call.delivered))
         else:
             self.ledger.add_wasted(*names, len(call.delivered))
-        self.ledger.add_attainment(
-            asked.service_class.name, whole and self._first_in_time(call), LatencyTarget.FIRST_TOKEN
-        )
+        name = asked.service_class.name
+        in_time = whole and self._first_in_time(call)
+        self.ledger.add_attainment(name, in_time, LatencyTarget.FIRST_TOKEN)
         if len(call.delivered) > 1:
             met = whole and self._pace_in_time(call)
-            name = asked.service_class.name
             self.ledger.add_attainment(name, met, LatencyTarget.BETWEEN_TOKENS)
+        self.metrics.count(TOKENS if whole else TOKENS_WASTED, len(call.delivered))
+        self.metrics.count(class_counter(name, "in_time" if in_time else "late"))
+        self.metrics.timing(timers.whole(name), self.clock.now() - call.started_at)
 
     def _first_in_time(self, call: Call) -> bool:
         took_s = call.first_token_s if call.delivered else self.clock.now() - call.started_at
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -26,7 +26,7 @@
 from ._call_runner import Body, Tokens
 from ._chat import ChatRequest, ChunkWriter, parse_chat
 from ._events import Event, log_event
-from ._metrics import refusal_counter
+from ._metrics import REQUESTS, refusal_counter
 from ._status_http import add_status_routes
 
 if TYPE_CHECKING:
@@ -165,6 +165,7 @@
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         with _Handling(self):
             organisation = self._check_caller(request)
+            self.entry.metrics.count(REQUESTS)
             body = await _read_body(request)
             parsed = parse_chat(body)
             if isinstance(parsed, Err):
@@ -180,6 +181,7 @@
     async def _service(self, request: web.Request) -> web.StreamResponse:
         with _Handling(self):
             organisation = self._check_caller(request)
+            self.entry.metrics.count(REQUESTS)
             body = await _read_body(request)
             route = self._find_route(request, organisation, "")
             path = "/" + request.match_info["path"]
--- a/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import re
 from abc import ABC, abstractmethod
@@ -32,13 +33,11 @@
 """Names that a sink holds between two flushes; more are counted and dropped."""
 
 REQUESTS = "requests"
-"""Counter of requests that arrived at an entry."""
+"""Counter of requests with a valid API key that arrived at an entry."""
 TOKENS = "tokens.generated"
-"""Counter of tokens handed to callers."""
+"""Counter of tokens of answers that ended whole."""
 TOKENS_WASTED = "tokens.wasted"
-"""Counter of tokens generated that no caller received."""
-PEER_FAULTS = "peers.faults"
-"""Counter of connections closed for a breach of the protocol."""
+"""Counter of tokens of answers that did not."""
 TIMINGS_DROPPED = "metrics.timings_dropped"
 """Counter of timer samples that were not sent, to keep to :data:`MAX_SAMPLES`."""
 NAMES_DROPPED = "metrics.names_dropped"
@@ -68,7 +67,7 @@
 
 
 def class_counter(class_name: str, outcome: str) -> str:
-    """Return the name of a counter of one class, such as ``classes.hold.attained``."""
+    """Return the name of a counter of one class, such as ``classes.hold.in_time``."""
     return f"classes.{_plain(class_name)}.{outcome}"
 
 
@@ -90,12 +89,8 @@
         """Arrival at the entry to the end of the answer."""
         return f"classes.{_plain(class_name)}.whole"
 
-    @staticmethod
-    def queue_wait(class_name: str) -> str:
-        """Wait in the queue of the entry."""
-        return f"classes.{_plain(class_name)}.queue_wait"
-
 
+@functools.lru_cache(MAX_NAMES)
 def _plain(name: str) -> str:
     # A dot would open a new level in the collector's tree, and ':' or '|' end the name on the wire.
     return re.sub(r"[^A-Za-z0-9_-]", "_", name)
