Keep places free only where their class is served, and never give up begun answers by patience

A group kept places for classes that no route leads to it: 4 places, 2 of them always empty. A request whose engine crashed mid-answer waited again with the patience counted from its arrival, so that it was refused and its answer cut.

Change: classes_of_group leaves out reservations of classes not routed to the group; entry and slot use it. A waiting request carries whether its answer has begun; such ones leave first in their class and end by their deadline only. The entry's estimate of free places no longer counts protected requests beyond the reserved places as room.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -31,7 +31,7 @@
 from ._quarantine import QuarantineBook, Verdict
 from ._queues import QueuePolicy, queue_policies
 from ._retries import RetryBudget, RetryDecision, RetryRule, rule_of, should_retry
-from ._routing import RouteTable, authenticate, make_key_digest
+from ._routing import RouteTable, authenticate, classes_of_group, make_key_digest
 from ._shares import Contender, ShareLedger
 from ._slots import SlotScheduler
 from ._subsets import choose_subset
@@ -87,6 +87,7 @@
     "Work",
     "authenticate",
     "choose_subset",
+    "classes_of_group",
     "concerns",
     "load_until_read",
     "make_key_digest",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_queues.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_queues.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self.by_age = LazyHeap()
+        self.begun = LazyHeap()
         self.by_organisation: dict[str, LazyHeap] = {}
         self.counts: dict[str, int] = {}
         self.count = 0
@@ -38,6 +39,8 @@
         """Add an entry; return whether it is the only one of its organisation."""
         waiting = entry.waiting
         self.by_age.push(waiting.enqueued_at, entry)
+        if waiting.begun:
+            self.begun.push(waiting.enqueued_at, entry)
         line = self.by_organisation.setdefault(waiting.organisation, LazyHeap())
         line.push(waiting.enqueued_at, entry)
         self.count += 1
@@ -48,6 +51,8 @@
         """Drop a dead entry; return whether its organisation has none left."""
         organisation = entry.waiting.organisation
         self.by_age.discard()
+        if entry.waiting.begun:
+            self.begun.discard()
         self.by_organisation[organisation].discard()
         self.count -= 1
         self.counts[organisation] -= 1
@@ -72,6 +77,10 @@
     Times are seconds on one clock that does not run backwards. Push, pop and remove take time
     logarithmic in the number of requests and linear in the number of classes with requests.
     Call :meth:`expire` before :meth:`pop`: a request is given out until it was expired.
+
+    A request whose answer has begun leaves first in its class, whatever the policy, and is not
+    subject to the class's patience. Its upstream has crashed and tokens were spent on it; refusing
+    it would cut an answer that its caller is reading.
     """
 
     def __init__(self, classes: Mapping[str, ClassRecord], weights: Mapping[str, float]):
@@ -129,7 +138,7 @@
         chosen = class_name or self.choose_class(contenders, self._ledger)
         if chosen is None or chosen not in self._lines:
             return None
-        entry = self._choose_entry(chosen)
+        entry = self._next_entry(chosen)
         self._take(entry)
         self._started(entry.waiting, contenders)
         return entry.waiting
@@ -137,7 +146,7 @@
     def peek(self, now: float) -> Waiting | None:
         """Return the request that :meth:`pop` would take out."""
         chosen = self.choose_class(self._contenders(now), self._ledger)
-        return self._choose_entry(chosen).waiting if chosen else None
+        return self._next_entry(chosen).waiting if chosen else None
 
     def remove(self, request: str, now: float) -> Waiting | None:
         """Take out one request by its id; None if it does not wait."""
@@ -148,7 +157,7 @@
         return entry.waiting
 
     def expire(self, now: float) -> list[Waiting]:
-        """Take out the requests whose deadline has passed or whose class's patience is used up."""
+        """Take out requests whose deadline has passed or whose class's patience is used up."""
         expired = []
         while (due := self._expiries.peek_key()) is not None and due <= now:
             entry = self._expiries.peek()
@@ -208,7 +217,12 @@
         """Note that a request was taken out to be run while the contenders waited."""
         self._ledger.started(waiting.class_name, contenders)
 
+    def _next_entry(self, class_name: str) -> _Entry:
+        return self._lines[class_name].begun.peek() or self._choose_entry(class_name)
+
     def _expiry(self, waiting: Waiting) -> float:
+        if waiting.begun:
+            return waiting.deadline
         patience = self._ledger.record(waiting.class_name).patience_s
         return min(waiting.deadline, waiting.enqueued_at + patience)
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_routing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_routing.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from burdockquay_protocol import ErrorKind, RequestError
-from burdockquay_state import ANY, OrganisationRecord, RouteRecord, Snapshot
+from burdockquay_state import ANY, ClassRecord, OrganisationRecord, RouteRecord, Snapshot
 
 _UNKNOWN_ORGANISATION = OrganisationRecord("unknown", "0" * 32, ["0" * 64])
 """Compared against when the organisation does not exist, so that both cases take equal time."""
@@ -151,5 +151,20 @@
         return bucket.matches(path) if bucket else iter(())
 
 
+def classes_of_group(snapshot: Snapshot, group: str) -> dict[str, ClassRecord]:
+    """Return the class records as they apply to the upstreams of one group.
+
+    Notes
+    -----
+    A class that no route leads to the group can have no request there. Places kept free for it
+    would stay empty for good, so it reserves none.
+    """
+    routed = {route.class_name for route in snapshot.routes.values() if route.group == group}
+    return {
+        name: record if name in routed else attrs.evolve(record, reserved_places=0)
+        for name, record in snapshot.classes.items()
+    }
+
+
 def _rank(route: RouteRecord) -> tuple[int, str]:
     return -route.precedence, route.name
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_types.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_types.py
@@ -16,6 +16,8 @@
     organisation, class_name : str
     enqueued_at, deadline : float
         Seconds on the clock of the process.
+    begun : bool
+        Whether the caller has got a part of the answer already, so that this is another attempt.
     """
 
     request: str
@@ -23,6 +25,7 @@
     class_name: str
     enqueued_at: float
     deadline: float
+    begun: bool = False
 
 
 @attrs.frozen
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_queues.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_queues.py
@@ -133,6 +133,21 @@
     assert [one.request for one in drain(queue)] == ["r3"]
 
 
+def test_an_answer_that_has_begun_is_not_given_up_by_patience(queue):
+    """An engine crashes in the middle of an answer and the request waits for another engine.
+
+    Its patience counts from its arrival and is long used up. Were it refused for that, the caller
+    would lose an answer of which it has read a part.
+    """
+    queue.push(waiting(1, at=0.0), 0.0)
+    begun = Waiting("r2", "north", "question", -30.0, 60.0, begun=True)
+    queue.push(begun, 0.0)
+    assert queue.expire(10.0) == []
+    assert queue.pop(10.0, "question") == begun
+    queue.push(begun, 10.0)
+    assert queue.expire(60.0)[-1] == begun
+
+
 def test_first_in_first_out_ignores_classes():
     queue = queue_policies.get("fifo")(CLASSES, {})
     order = ["batch", "hold", "summary", "hold", "question"]
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -13,6 +13,7 @@
     PrefixIndex,
     QueuePolicy,
     Waiting,
+    classes_of_group,
     placement_policies,
     queue_policies,
 )
@@ -72,6 +73,7 @@
     ):
         self.group = group
         self.snapshot = snapshot
+        self._classes = classes_of_group(snapshot, group)
         self.failure_domain = failure_domain
         self.clock = clock
         self.rng = rng
@@ -103,6 +105,7 @@
         policy = snapshot.policy
         changed_queue = policy.queue != self._queue_name
         self.snapshot = snapshot
+        self._classes = classes_of_group(snapshot, self.group)
         self._placement = placement_policies.get(policy.placement)()
         if not changed_queue:
             self._queue.set_classes(snapshot.classes, self._weights(), now)
@@ -209,6 +212,7 @@
                 asked.service_class.name,
                 self._enqueued_at(call, now),
                 asked.deadline,
+                begun=bool(call.delivered),
             ),
             now,
         )
@@ -270,13 +274,14 @@
         if self.snapshot.policy.reserve:
             kept = sum(
                 item.reserved_places
-                for item in self.snapshot.classes.values()
+                for item in self._classes.values()
                 if item.priority > own.priority
             )
         return [
             link
             for link in links
-            if link.estimate_load() < link.status.places - kept + link.status.protected_running
+            if link.estimate_load()
+            < link.status.places - max(0, kept - link.status.protected_running)
         ]
 
     def _choose(self, call: Call, links: list[SlotLink], now: float) -> SlotLink | None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -23,6 +23,7 @@
     QuarantineBook,
     SlotScheduler,
     SuspicionStore,
+    classes_of_group,
     load_until_read,
 )
 from burdockquay_protocol import (
@@ -296,7 +297,8 @@
             self._replace_client(group.upstream_kind)
         weights = {name: item.weight for name, item in snapshot.organisations.items()}
         places = group.places if group else 0
-        self._scheduler.configure(places, snapshot.classes, weights, snapshot.policy, now)
+        classes = classes_of_group(snapshot, self.settings.group)
+        self._scheduler.configure(places, classes, weights, snapshot.policy, now)
         for withdrawal in snapshot.withdrawals.values():
             self._quarantine.withdraw(withdrawal.digest, self._clock.wall())
         self._runner.fill_places(now)
