Let the demo fail by its exit status

Cause: the command line library returned the status instead of exiting with it, so that wrong answers would have ended with status 0.

Change: the status goes through sys.exit; a test lets the demo return 1.

Conclusion: make demo can fail now.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -210,4 +210,4 @@
 
 
 if __name__ == "__main__":
-    app()
+    sys.exit(app())
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -13,3 +13,13 @@
     assert done.returncode == 0, done.stdout + done.stderr
     assert "Attainment of latency targets" in done.stdout
     assert "Wrong answers 0, holds with a wrong effect 0" in done.stdout
+
+
+def test_wrong_answers_give_a_failing_exit_status():
+    # The command line library may return the status instead of exiting with it.
+    code = (
+        "import runpy, sys, uvloop; uvloop.run = lambda work: work.close() or 1; "
+        f"sys.argv = ['demo']; runpy.run_path({str(DEMO)!r}, run_name='__main__')"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=60)
+    assert done.returncode == 1, done.stderr
