Do not take an old read of a claim row for a cancellation

Cause: after a refused cancellation the row is read. A read that lags behind could show an earlier cancellation that an attempt has replaced since; the entry would say 'not run' of an attempt that runs. Change: a row counts only if its version is above the one that the write expected. The state machine now answers some reads from an earlier state of the table.

Conclusion: the reads of the table may lag; only its writes must be in order.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_once_entry.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_once_entry.py
@@ -161,7 +161,7 @@
             if read.is_err():
                 return Err(read.err())
             row = read.ok()
-            if row is not None and row.version != ticket.expected_version:
+            if row is not None and row.version > ticket.expected_version:
                 return Ok(CancelOutcome(False, row))
         return await self.claims.cancel(
             ticket.organisation, ticket.key, ticket.expected_version, ticket.digest, now
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/once_world.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/once_world.py
@@ -12,7 +12,7 @@
 from collections import Counter
 
 import attrs
-from result import Err
+from result import Err, Ok
 
 from burdockquay_coordination import (
     OnceGuard,
@@ -41,6 +41,7 @@
 MAX_ATTEMPTS = 2
 PUMP_TURNS = 40
 INLINE_BYTES = 64
+STALE_WRITES = 4
 
 
 class OracleError(AssertionError):
@@ -265,6 +266,7 @@
         self.gates: list[Gate] = []
         self.late: list[LateWrite] = []
         self.landed_after_retention = False
+        self.past: list[dict] = [{}]
         self.crashed: set[str] = set()
         self._tasks: list[asyncio.Task] = []
         self._incarnations = 0
@@ -365,9 +367,14 @@
         if self.late:
             write = self.late.pop(index % len(self.late))
             self.landed_after_retention |= self.now - write.sent_at > RETENTION_S
-            self.run(self.table.transact(write.operations))
+            self.write(write.operations)
             self.oracle.check()
 
+    def write(self, operations: list):
+        result = self.run(self.table.transact(operations))
+        self.past = [*self.past[-STALE_WRITES:], dict(self.table._rows)]
+        return result
+
     def add_late(self, gate: Gate) -> None:
         """Keep a write that its sender gave up and that may still take effect."""
         if gate.operations:
@@ -418,8 +425,17 @@
 
 
 def _carry_out(world: World, gate: Gate):
-    work = world.table.get(gate.keys) if gate.keys else world.table.transact(gate.operations)
-    return world.run(work)
+    if gate.keys:
+        return world.run(world.table.get(gate.keys))
+    return world.write(gate.operations)
+
+
+def _read_stale(world: World, gate: Gate) -> None:
+    """Answer a read from an earlier state of the table; writes are never stale."""
+    if not gate.keys:
+        return _go(world, gate)
+    rows = world.past[-1 - len(world.gates) % min(STALE_WRITES, len(world.past))]
+    return gate.future.set_result(Ok([rows.get(key) for key in gate.keys]))
 
 
 def _go(world: World, gate: Gate) -> None:
@@ -459,7 +475,7 @@
 
 
 WAYS = {
-    "table": (_go, _go, _go, _lose_answer, _time_out, _refuse, _answer_later),
+    "table": (_go, _go, _go, _lose_answer, _time_out, _refuse, _answer_later, _read_stale),
     "table-answer": (_hand_over, _time_out),
     "message": (_pass,),
     "send": (_pass, _pass, _refuse_connection),
--- a/packages/burdockquay-state/src/burdockquay_state/_claims.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_claims.py
@@ -238,9 +238,10 @@
         found = await self._read_row(row_key)
         if found.is_err():
             return found
-        if found.ok() is None:
-            # The row was there a moment ago and has expired since.
-            return Err(TableError(TableErrorKind.CONFLICT, f"{row_key} expired meanwhile"))
+        if found.ok() is None or found.ok().version <= expected_version:
+            # The row has expired since, or the read is older than the conflict. An old row could
+            # be a cancellation that an attempt has replaced: it must not count as "not run".
+            return Err(TableError(TableErrorKind.CONFLICT, f"{row_key} cannot be read as it is"))
         return Ok(CancelOutcome(found.ok().state is ClaimState.CANCELLED, found.ok()))
 
     async def complete(
@@ -350,7 +351,8 @@
             return Err(TableError(TableErrorKind.UNCERTAIN, f"{row_key}: no confirmation"))
         current = found.ok()
         version = current.version if current else ABSENT
-        if version == expected_version:
+        if version <= expected_version:
+            # Unchanged, or a read from before the version that the write expects.
             return None
         if current is not None and current.is_same_write(row):
             return Ok(version)
--- /dev/null
+++ b/packages/burdockquay-state/src/burdockquay_state/tests/test_claims.py
@@ -0,0 +1,34 @@
+"""Claims against a table whose reads lag behind its writes."""
+
+from result import Ok
+
+from burdockquay_state import ClaimRequest, ClaimStore, MemoryObjectStore, MemoryTable
+
+
+class LaggingTable(MemoryTable):
+    """Answers reads from the moment at which it was told to lag."""
+
+    old = None
+
+    def lag(self):
+        self.old = dict(self._rows)
+
+    async def get(self, keys):
+        if self.old is None:
+            return await super().get(keys)
+        return Ok([self.old.get(key) for key in keys])
+
+
+async def test_old_read_is_not_taken_for_a_cancellation():
+    """An attempt was cancelled, the next one claims, and its entry loses the slot. The table then
+    shows the entry the row as it was before the claim: cancelled. The caller would be told that
+    nothing ran while the request runs.
+    """
+    table = LaggingTable()
+    claims = ClaimStore(table, MemoryObjectStore())
+    cancelled = (await claims.cancel("parish", "k", 0, "d", now=0.0)).ok()
+    table.lag()
+    version = cancelled.row.version
+    request = ClaimRequest("parish", "k", version, 2, "a2", "slot-1", "d", 60.0)
+    assert (await claims.claim(request, now=1.0)).is_ok()
+    assert (await claims.cancel("parish", "k", version, "d", now=2.0)).is_err()
