Keep places only from requests that cannot be paused, and test the other decisions

A wrongly named request cleared the real cause of a crash for good. A request that was cleared and crashed again counted its old crashes on.

Change: reserved places are closed to requests that may not be paused, at the slot and in the entry's estimate. A resumed request may be paused again after 0.25 s instead of 1 s. A crash keeps its participants after it was explained, so that a later finding frees them. Reports older than a clearing are known by their expiry.

Conclusion: on engines pausing replaces the reserve; services keep it.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -27,6 +27,7 @@
 )
 from ._outcomes import OutcomeWriter
 from ._placement import PlacementPolicy, placement_policies
+from ._places import is_movable
 from ._prefixes import PrefixIndex
 from ._quarantine import QuarantineBook, Verdict
 from ._queues import QueuePolicy, queue_policies
@@ -89,6 +90,7 @@
     "choose_subset",
     "classes_of_group",
     "concerns",
+    "is_movable",
     "load_until_read",
     "make_key_digest",
     "next_read_delay",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_places.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_places.py
@@ -15,6 +15,11 @@
 """Request id and attempt."""
 
 
+def is_movable(record: ClassRecord) -> bool:
+    """Return whether requests of a class may be paused for a higher one."""
+    return record.preemptible and not record.protected
+
+
 class HoldState(enum.Enum):
     """Where an accepted attempt is."""
 
@@ -61,7 +66,9 @@
     Notes
     -----
     For each class with reserved places that it does not occupy now, that many places stay closed to
-    lower classes. One place stays open to every class whatever is reserved, so that no class is
+    lower classes. Where running requests can be paused, they are closed only to requests that may
+    not be: a place taken by any other is free again the moment it is needed, and keeping it empty
+    would waste it. One place stays open to every class whatever is reserved, so that no class is
     shut out for good.
     """
 
@@ -74,6 +81,7 @@
         self._total = 0
         self._started = 0
         self._reserved: dict[str, int] = {}
+        self.can_pause = False
 
     @property
     def occupied(self) -> int:
@@ -100,11 +108,13 @@
 
     def free_for(self, record: ClassRecord, classes: Mapping[str, ClassRecord]) -> int:
         """Return how many places the class could take now."""
-        kept = sum(
-            max(0, count - self.occupied_by(name))
-            for name, count in self._reserved.items()
-            if classes[name].priority > record.priority
-        )
+        kept = 0
+        if not (self.can_pause and is_movable(record)):
+            kept = sum(
+                max(0, count - self.occupied_by(name))
+                for name, count in self._reserved.items()
+                if classes[name].priority > record.priority
+            )
         return self.places - min(kept, self.places - 1) - self._total
 
     def add(self, work: Work, now: float) -> Hold:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_preemption.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_preemption.py
@@ -4,10 +4,10 @@
 
 from burdockquay_state import ClassRecord
 
-from ._places import Hold, HoldState, PlaceTable
+from ._places import Hold, HoldState, PlaceTable, is_movable
 from ._shares import ShareLedger
 
-MIN_RUN_S = 1.0
+MIN_RUN_S = 0.25
 """How long a resumed request runs before it may be paused again, seconds."""
 
 
@@ -39,7 +39,7 @@
     found = []
     for hold in places.in_state(HoldState.RUNNING):
         other = ledger.record(hold.work.class_name)
-        lower = other.preemptible and not other.protected and other.priority < record.priority
+        lower = is_movable(other) and other.priority < record.priority
         if lower and not (hold.resumed and now - hold.since < MIN_RUN_S):
             found.append((other.priority, -hold.started, hold))
     found.sort(key=lambda item: item[:2])
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_quarantine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_quarantine.py
@@ -23,10 +23,11 @@
     """Refuse it."""
 
 
-@attrs.frozen
+@attrs.define
 class _Crash:
     digests: frozenset[str]
     expires_at: float
+    taken_off: set[str] = attrs.field(factory=set)
 
 
 class QuarantineBook:
@@ -120,7 +121,7 @@
             self._clear(suspicion)
 
     def _blame(self, digest: str, alone: bool, now: float) -> Suspicion:
-        old = self._suspicions.get(digest) or self._cleared.pop(digest, None)
+        old = self._suspicions.get(digest)
         crashes, times_alone = (old.crashes, old.alone) if old else (0, 0)
         new = Suspicion(digest, crashes + 1, times_alone + alone, now + self.retention_s)
         self._suspicions[digest] = new
@@ -134,11 +135,11 @@
 
     def _explain(self, culprit: str) -> None:
         """Take the crashes of a quarantined request off what ran beside it."""
-        explained = [crash for crash in self._crashes if culprit in crash.digests]
-        self._crashes = [crash for crash in self._crashes if culprit not in crash.digests]
-        for crash in explained:
-            for digest in crash.digests - {culprit}:
-                self._take_off(digest)
+        for crash in self._crashes:
+            if culprit in crash.digests:
+                for digest in crash.digests - crash.taken_off - {culprit}:
+                    crash.taken_off.add(digest)
+                    self._take_off(digest)
 
     def _take_off(self, digest: str) -> None:
         old = self._suspicions.get(digest)
@@ -156,7 +157,7 @@
 
     def _merge(self, report: Suspicion) -> bool:
         cleared = self._cleared.get(report.digest)
-        if cleared is not None and report.crashes <= cleared.crashes:
+        if cleared is not None and report.expires_at <= cleared.expires_at:
             return False
         old = self._suspicions.get(report.digest)
         if old is None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_slots.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_slots.py
@@ -64,17 +64,27 @@
         grant_valid_s: float = GRANT_VALID_S,
     ):
         self.policy = policy
-        self.can_pause = can_pause
         self.grant_valid_s = grant_valid_s
         self.protected_shed = 0
         self._ledger = ShareLedger(classes)
         self._demands = DemandBook()
         self._places = PlaceTable(places)
         self._places.configure(places, classes, policy.reserve)
+        self.can_pause = can_pause
         self._queue = SlotQueue(policy.queue, classes, weights)
         self._contention = Contention(self._places, self._queue, self._demands, self._ledger)
         self._grants_given = 0
 
+    @property
+    def can_pause(self) -> bool:
+        """Whether the upstream can pause and resume a request."""
+        return self._can_pause
+
+    @can_pause.setter
+    def can_pause(self, value: bool) -> None:
+        self._can_pause = value
+        self._places.can_pause = value and self.policy.preemption
+
     def configure(
         self,
         places: int,
@@ -88,6 +98,7 @@
         self._queue.configure(policy.queue, classes, weights, now)
         self.policy = policy
         self._places.configure(places, self._ledger.classes, policy.reserve)
+        self.can_pause = self._can_pause
         self._refresh()
 
     def set_demand(self, peer: str, demands: Iterable[ClassDemand], now: float) -> None:
@@ -333,7 +344,7 @@
         return len(self._victims(record, now)) > expected
 
     def _victims(self, record: ClassRecord, now: float) -> list[Hold]:
-        if not (self.policy.preemption and self.can_pause):
+        if not self._places.can_pause:
             return []
         return choose_victims(self._places, self._ledger, record, now)
 
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_quarantine.py
@@ -0,0 +1,102 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockquay_coordination import QuarantineBook, Verdict
+from burdockquay_protocol import Suspicion
+
+
+@pytest.fixture
+def book():
+    return QuarantineBook(retention_s=100.0)
+
+
+def verdicts(book, digests, now=0.0):
+    return [book.verdict(digest, now).value for digest in digests]
+
+
+def test_the_second_crash_names_the_only_suspect(book):
+    """A request crashes each upstream that runs it, and its caller sends it again.
+
+    Without quarantine it would take down one upstream after the other, and what ran beside it.
+    """
+    book.note_crash(["poison", "a", "b"], 0.0)
+    assert verdicts(book, ["poison", "a", "b", "c"]) == ["suspect"] * 3 + ["clear"]
+    book.note_crash(["poison", "c"], 1.0)
+    assert verdicts(book, ["poison", "a", "b", "c"]) == ["quarantined", "clear", "clear", "clear"]
+
+
+def test_two_suspects_that_met_again_are_told_apart_by_the_third_crash(book):
+    book.note_crash(["poison", "a"], 0.0)
+    book.note_crash(["poison", "a"], 1.0)
+    assert verdicts(book, ["poison", "a"]) == ["suspect", "suspect"]
+    book.note_crash(["poison", "b"], 2.0)
+    assert verdicts(book, ["poison", "a", "b"]) == ["quarantined", "clear", "clear"]
+
+
+def test_a_wrongly_named_request_is_freed_when_the_cause_is_found(book):
+    """Two bad requests are about, and an innocent one happens to run beside each of them."""
+    book.note_crash(["first", "innocent"], 0.0)
+    book.note_crash(["second", "innocent"], 1.0)
+    assert book.verdict("innocent", 1.0) is Verdict.QUARANTINED
+    book.note_crash(["first"], 2.0)
+    book.note_crash(["first"], 3.0)
+    assert verdicts(book, ["first", "innocent"], 3.0) == ["quarantined", "suspect"]
+
+
+def test_a_request_that_ran_to_its_end_is_clear(book):
+    book.note_crash(["poison", "a"], 0.0)
+    report = book.suspicions(0.0)
+    book.note_finished("a", 1.0)
+    assert book.merge(report, 1.0) == []
+    assert verdicts(book, ["poison", "a"], 1.0) == ["suspect", "clear"]
+
+
+def test_suspicions_expire_and_can_be_withdrawn(book):
+    book.note_crash(["poison"], 0.0)
+    book.note_crash(["poison"], 50.0)
+    assert book.verdict("poison", 149.0) is Verdict.QUARANTINED
+    assert book.verdict("poison", 150.0) is Verdict.CLEAR
+    assert book.suspicions(150.0) == []
+    book.note_crash(["poison"], 200.0)
+    book.note_crash(["poison"], 201.0)
+    report = book.suspicions(201.0)
+    book.withdraw("poison", 202.0)
+    assert book.merge(report, 203.0) == []
+    assert book.verdict("poison", 203.0) is Verdict.CLEAR
+
+
+def test_merging_takes_the_larger_figures_and_says_what_is_new(book):
+    book.note_crash(["poison"], 0.0)
+    assert book.merge([Suspicion("poison", 1, 1, 100.0)], 0.0) == []
+    assert book.merge([Suspicion("old", 2, 1, 0.0)], 0.0) == []
+    worse = Suspicion("poison", 2, 1, 90.0)
+    assert book.merge([worse], 0.0) == [worse]
+    assert book.suspicions(0.0) == [Suspicion("poison", 2, 1, 100.0)]
+
+
+@given(
+    st.lists(st.lists(st.integers(0, 9), min_size=1, max_size=4, unique=True), max_size=8),
+    st.sets(st.integers(0, 7)),
+)
+def test_one_bad_request_is_named_in_two_crashes_and_no_other_is(company, late_news):
+    """The bad request is sent again and again, each time beside others.
+
+    `late_news` are the runs that other suspects share because the word had not reached the entry.
+    """
+    book = QuarantineBook(retention_s=1000.0)
+    alone = 0
+    for turn, others in enumerate(company):
+        if book.verdict("poison", turn) is Verdict.QUARANTINED:
+            break
+        names = [f"d{number}" for number in others]
+        if turn not in late_news:
+            names = [name for name in names if book.verdict(name, turn) is Verdict.CLEAR]
+        suspects = [name for name in names if book.verdict(name, turn) is Verdict.SUSPECT]
+        alone += not suspects and (turn > 0 or not names)
+        book.note_crash(["poison", *names], float(turn))
+        assert all(
+            book.verdict(f"d{number}", turn) is not Verdict.QUARANTINED for number in range(10)
+        )
+        named = book.verdict("poison", turn) is Verdict.QUARANTINED
+        assert named == (turn > 0 and alone > 0)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_slots.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_slots.py
@@ -5,6 +5,7 @@
 from result import Err, Ok
 
 from burdockquay_coordination import SlotScheduler, Work
+from burdockquay_coordination._preemption import MIN_RUN_S
 from burdockquay_protocol import ClassDemand, ErrorKind
 from burdockquay_state import ClassRecord, PolicyRecord
 
@@ -71,6 +72,18 @@
     assert slot.offer(work(4, "hold"), 0, 0.0) == Ok(None)
 
 
+def test_requests_that_can_be_paused_may_fill_every_place():
+    slot = scheduler(places=3)
+    begin(slot, work(1, "draft"), work(2, "draft"), work(3, "draft"))
+    slot.finish("r3", 1, 0.0)
+    assert slot.offer(work(4, "charge"), 0, 0.0) == Ok(None)
+    slot.finish("r1", 1, 0.0)
+    start(slot)
+    assert slot.offer(work(5, "firm"), 0, 0.0) == Err(ErrorKind.NO_PLACE)
+    slot.can_pause = False
+    assert slot.offer(work(6, "draft"), 0, 0.0) == Err(ErrorKind.NO_PLACE)
+
+
 def test_one_place_stays_open_to_every_class():
     slot = scheduler(places=1)
     assert slot.offer(work(1, "summary"), 0, 0.0) == Ok(None)
@@ -202,6 +215,8 @@
             for other in CLASSES.values()
             if other.priority > record.priority and self.policy.reserve
         )
+        if self.policy.preemption and record.preemptible:
+            kept = 0
         return self.places - len(taken) - min(kept, self.places - 1)
 
     def movable(self, record):
@@ -213,7 +228,7 @@
             for one in self.running.values()
             if CLASSES[one.class_name].preemptible
             and CLASSES[one.class_name].priority < record.priority
-            and self.now - self.resumed_at.get(one.request, -FAR) >= 1.0
+            and self.now - self.resumed_at.get(one.request, -FAR) >= MIN_RUN_S
         ]
 
     @rule(class_name=class_names, peer=peers, apart=st.booleans(), use_grant=st.booleans())
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -14,16 +14,18 @@
     QueuePolicy,
     Waiting,
     classes_of_group,
+    is_movable,
     placement_policies,
     queue_policies,
 )
 from burdockquay_protocol import ErrorKind, Grant, RequestError, ReturnGrant
-from burdockquay_state import Snapshot
+from burdockquay_state import ClassRecord, Snapshot
 
 from ._call import Call, Refused
 from ._clock import Clock
 from ._events import Event, log_event
 from ._slot_link import SlotLink
+from ._upstream import upstream_clients
 
 DEMAND_INTERVAL_S = 0.02
 """Shortest time between two demand messages that are not urgent, seconds."""
@@ -271,7 +273,7 @@
             # The slot may pause lower work for it, which only the slot can see.
             return links
         kept = 0
-        if self.snapshot.policy.reserve:
+        if self.snapshot.policy.reserve and not self._can_move(own):
             kept = sum(
                 item.reserved_places
                 for item in self._classes.values()
@@ -284,6 +286,12 @@
             < link.status.places - max(0, kept - link.status.protected_running)
         ]
 
+    def _can_move(self, record: ClassRecord) -> bool:
+        """Return whether the slots may pause requests of a class to make room."""
+        group = self.snapshot.groups.get(self.group)
+        pauses = group is not None and upstream_clients.get(group.upstream_kind).can_pause
+        return pauses and self.snapshot.policy.preemption and is_movable(record)
+
     def _choose(self, call: Call, links: list[SlotLink], now: float) -> SlotLink | None:
         if not links:
             return None
