--- /dev/null
+++ b/benchmarks/bench_health.py
@@ -0,0 +1,88 @@
+"""A model of one upstream's fall and slow recovery: who finds out that it is back.
+
+Users' requests as the test (half-open) against probes, and one success against three in a row.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from _report import print_result, print_table
+
+from burdockquay_coordination import ProbeGate
+
+RUNS = 400
+DOWN_S = 20.0
+STRUGGLING_S = 15.0
+"""After it was down, the upstream fails part of its requests for this long."""
+OK_WHILE_STRUGGLING = 0.5
+END_S = 90.0
+TEST_EVERY_S = 1.0
+REQUESTS_PER_S = 20.0
+
+
+@attrs.define
+class Tally:
+    """What users saw, summed over runs."""
+
+    failed: int = 0
+    lost_service_s: float = 0.0
+    returns: int = 0
+
+
+def succeeds(now: float, rng: random.Random) -> bool:
+    if now < DOWN_S:
+        return False
+    if now < DOWN_S + STRUGGLING_S:
+        return rng.random() < OK_WHILE_STRUGGLING
+    return True
+
+
+def run(by_users: bool, needed: int, rng: random.Random) -> Tally:
+    """Follow one fall and return, in steps of one request."""
+    gate = ProbeGate(successes_needed=needed)
+    tally = Tally()
+    next_test = 0.0
+    step = 1.0 / REQUESTS_PER_S
+    for turn in range(int(END_S * REQUESTS_PER_S)):
+        now = turn * step
+        if gate.healthy:
+            if not succeeds(now, rng):
+                tally.failed += 1
+                gate.failed(now)
+                next_test = now + TEST_EVERY_S
+            continue
+        tally.lost_service_s += step if now >= DOWN_S + STRUGGLING_S else 0.0
+        if now < next_test:
+            continue
+        next_test = now + TEST_EVERY_S
+        ok = succeeds(now, rng)
+        tally.failed += by_users and not ok
+        gate.probe_result(ok, now)
+        tally.returns += gate.healthy
+    return tally
+
+
+def main() -> None:
+    rows = []
+    result = {}
+    for by_users in (True, False):
+        for needed in (1, 3):
+            rng = random.Random(3)
+            tallies = [run(by_users, needed, rng) for _ in range(RUNS)]
+            name = f"{'users' if by_users else 'probes'}_{needed}"
+            failed = sum(tally.failed for tally in tallies) / RUNS
+            returns = sum(tally.returns for tally in tallies) / RUNS
+            late_s = sum(tally.lost_service_s for tally in tallies) / RUNS
+            rows.append((name, failed, returns, late_s))
+            result[f"{name}_failed_requests"] = failed
+            result[f"{name}_returns"] = returns
+            result[f"{name}_idle_s"] = late_s
+    header = ("tested by", "failed users' requests", "returns", "idle after recovery, s")
+    print_table(f"one fall and return, mean of {RUNS} runs (model)", header, rows)
+    print_result(result)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/bench_preemption_model.py
@@ -0,0 +1,166 @@
+"""A model of one slot under overload: places kept free, pausing, both, neither.
+
+Routine answers wait all the time; protected requests arrive in bursts.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from _report import print_result, print_table, quantile
+
+from burdockquay_coordination import SlotScheduler, Work
+from burdockquay_protocol import ClassDemand
+from burdockquay_state import ClassRecord, PolicyRecord
+
+PLACES = 4
+SECONDS = 2000.0
+DRAFT_S = 2.0
+HOLD_S = 0.2
+BURSTS_PER_S = 0.25
+BURST_SIZES = (1, 2, 3, 4)
+CLASSES = {
+    "hold": ClassRecord(
+        "hold", 100, 0.1, 0.1, 1e6, protected=True, preemptible=False, reserved_places=1
+    ),
+    "draft": ClassRecord("draft", 10, 1.0, 0.1, 1e6, share=0.5),
+}
+WAYS = {
+    "neither": (False, False),
+    "keeping places": (True, False),
+    "pausing": (False, True),
+    "both": (True, True),
+}
+
+
+class Model:
+    """Virtual time: an entry, a slot and its upstream, without delays between them."""
+
+    def __init__(self, reserve: bool, preemption: bool, seed: int):
+        policy = PolicyRecord(reserve=reserve, preemption=preemption)
+        self.slot = SlotScheduler(PLACES, CLASSES, {}, policy)
+        self.rng = random.Random(seed)
+        self.events: list[tuple[float, int, str, str]] = []
+        self.number = 0
+        self.arrived: dict[str, float] = {}
+        self.queue: list[str] = []
+        self.left_s: dict[str, float] = {}
+        self.ends_at: dict[str, float] = {}
+        self.waits: list[float] = []
+        self.done_s = 0.0
+        self.pauses = 0
+
+    def add_event(self, at: float, kind: str, name: str) -> None:
+        """Let something happen later."""
+        self.number += 1
+        heapq.heappush(self.events, (at, self.number, kind, name))
+
+    def run(self) -> None:
+        """Follow the events to the end."""
+        self.add_event(0.0, "burst", "")
+        while self.events and self.events[0][0] < SECONDS:
+            now, _, kind, name = heapq.heappop(self.events)
+            if kind == "burst":
+                self.burst(now)
+            elif self.ends_at.get(name) == now:
+                self.end(name, now)
+            self.pump(now)
+
+    def burst(self, now: float) -> None:
+        """Offer a burst of protected requests; those refused wait at the entry."""
+        for _ in range(self.rng.choice(BURST_SIZES)):
+            self.number += 1
+            name = f"hold-{self.number}"
+            self.arrived[name] = now
+            if self.slot.offer(self.work(name), 0, now).is_err():
+                self.queue.append(name)
+            self.pump(now)
+        self.add_event(now + self.rng.expovariate(BURSTS_PER_S), "burst", "")
+
+    def end(self, name: str, now: float) -> None:
+        """End a request."""
+        del self.ends_at[name]
+        self.done_s += self.left_s.pop(name)
+        self.slot.finish(name, 1, now)
+
+    @staticmethod
+    def work(name: str) -> Work:
+        """Return a request by its name, which starts with its class."""
+        return Work(name, 1, "entry", "north", name.split("-")[0], name, 1e9)
+
+    def pump(self, now: float) -> None:
+        """Do all that the scheduler allows."""
+        demand = [ClassDemand("draft", 9, 1.0), ClassDemand("hold", len(self.queue), 0.0)]
+        self.slot.set_demand("entry", demand, now)
+        acted = True
+        while acted:
+            acted = any((self.pause(now), self.start(now), self.resume(now), self.grant(now)))
+
+    def pause(self, now: float) -> bool:
+        """Pause a victim, if there is one."""
+        work = self.slot.next_pause(now)
+        if work is not None:
+            self.pauses += 1
+            left_s = self.ends_at.pop(work.request) - now
+            self.done_s += self.left_s[work.request] - left_s
+            self.left_s[work.request] = left_s
+        return work is not None
+
+    def start(self, now: float) -> bool:
+        """Start a request, if there is one, and draw its length."""
+        work = self.slot.next_start(now)
+        if work is not None:
+            mean_s = HOLD_S if work.class_name == "hold" else DRAFT_S
+            self.left_s[work.request] = self.rng.expovariate(1.0 / mean_s)
+            self.go(work.request, now)
+            if work.class_name == "hold":
+                self.waits.append(now - self.arrived.pop(work.request))
+        return work is not None
+
+    def resume(self, now: float) -> bool:
+        """Resume a paused request, if there is room."""
+        work = self.slot.next_resume(now)
+        if work is not None:
+            self.go(work.request, now)
+        return work is not None
+
+    def go(self, name: str, now: float) -> None:
+        """Let a request run for what is left of it."""
+        self.ends_at[name] = now + self.left_s[name]
+        self.add_event(self.ends_at[name], "end", name)
+
+    def grant(self, now: float) -> bool:
+        """Use a grant, if there is one."""
+        grant = self.slot.next_grant(now)
+        if grant is None:
+            return False
+        self.number += 1
+        name = self.queue.pop(0) if grant.class_name == "hold" else f"draft-{self.number}"
+        self.slot.offer(self.work(name), grant.grant, now)
+        return True
+
+
+def main() -> None:
+    rows = []
+    result = {}
+    for name, (reserve, preemption) in WAYS.items():
+        model = Model(reserve, preemption, seed=11)
+        model.run()
+        figures = {
+            "wait_s_mean": sum(model.waits) / len(model.waits),
+            "wait_s_p99": quantile(model.waits, 0.99),
+            "at_once_share": sum(wait == 0 for wait in model.waits) / len(model.waits),
+            "busy_share": model.done_s / (PLACES * SECONDS),
+            "pauses_per_100_holds": 100 * model.pauses / len(model.waits),
+        }
+        rows.append((name, *figures.values()))
+        for key, value in figures.items():
+            result[f"{name.replace(' ', '_')}_{key}"] = value
+    header = ("way", "mean wait s", "p99 wait s", "at once", "places busy", "pauses per 100")
+    print_table(f"protected requests at one slot of {PLACES} places (model)", header, rows)
+    print_result(result)
+
+
+if __name__ == "__main__":
+    main()
