Refuse unreadable authors and unknown adapters with a message

An author with control characters would rewrite the terminal of the operator who lists the log; a container user without a name ended in a traceback, as did an unknown adapter. Exit code 2 is now for wrong arguments, as the library for command lines and the daemon have it; a missing record is 7.

--- a/packages/burdockquay-state/src/burdockquay_state/_record_writer.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_writer.py
@@ -30,6 +30,7 @@
 )
 from ._record_state import StoredState, checked_state
 from ._table import ABSENT, Delete, Operation, Put, TableError, TableErrorKind
+from ._validation import Matches
 
 if TYPE_CHECKING:
     from ._record_log import RecordLog
@@ -45,6 +46,9 @@
 
 _REMOVED_AT_ONCE = 10
 
+# Others read the author in their terminals, so that no control characters may stand in it.
+_AUTHOR = Matches(r"[^\W_][\w .@+-]{0,63}", "1 to 64 letters, digits, ' ', '.', '@', '+', '-', '_'")
+
 
 class RecordWriter:
     """Brings changes into the log, over races, lost confirmations and stale reads.
@@ -123,6 +127,8 @@
         if not 1 <= len(self.changes) <= MAX_CHANGES:
             got = str(len(self.changes))
             faults.append(RecordFault("*", "", f"1 to {MAX_CHANGES} changes together", got))
+        if not _AUTHOR.accepts(self.author):
+            faults.append(RecordFault("*", "author", str(_AUTHOR), repr(self.author)))
         keys = [change.key for change in self.changes]
         for change in self.changes:
             if keys.count(change.key) > 1:
--- a/packages/burdockquay-state/src/burdockquay_state/tests/test_record_log.py
+++ b/packages/burdockquay-state/src/burdockquay_state/tests/test_record_log.py
@@ -180,3 +180,10 @@
     refusal = (await log.put([GROUP], "ada", 7, 1.0)).err()
     assert refusal.kind is RefusalKind.INVALID
     assert refusal.faults[0].key == "revision"
+
+
+@pytest.mark.parametrize("author", ["", "ada\x1b[2J", "a" * 65])
+async def test_author_that_others_could_not_read_is_refused(log, author):
+    refusal = (await log.put([GROUP], author, 0, 1.0)).err()
+    assert [fault.key for fault in refusal.faults] == ["author"]
+    assert (await log.head()).ok() == 0
--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform.py
@@ -52,11 +52,14 @@
     UnknownNameError
         If no adapter has a name that the settings give.
     """
+    table = table_services.get(settings.table)
+    objects = object_stores.get(settings.objects)
+    vms = vm_lists.get(settings.vms)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=_CONNECTIONS))
     timeout_s = settings.timeout_s
     return Platform(
-        table_services.get(settings.table)(settings.table_url, timeout_s, session),
-        object_stores.get(settings.objects)(settings.objects_url, timeout_s, session),
-        vm_lists.get(settings.vms)(settings.vms_url, timeout_s, session),
+        table(settings.table_url, timeout_s, session),
+        objects(settings.objects_url, timeout_s, session),
+        vms(settings.vms_url, timeout_s, session),
         session,
     )
--- a/packages/burdockquay/src/burdockquay/_output.py
+++ b/packages/burdockquay/src/burdockquay/_output.py
@@ -16,9 +16,9 @@
     DONE = 0
     """All went well."""
     FAULTS = 1
-    """The input or the arguments are faulty, or a check failed; nothing was written."""
-    NOT_FOUND = 2
-    """There is no such record."""
+    """The input is faulty, or a check failed; nothing was written."""
+    ARGUMENTS = 2
+    """The arguments are faulty; nothing was written."""
     CHANGED = 3
     """Somebody else changed the record first; nothing was written."""
     UNAVAILABLE = 4
@@ -27,6 +27,8 @@
     """The change may have been accepted or not."""
     INCOMPLETE = 6
     """Some process did not answer; what is shown lacks its part."""
+    NOT_FOUND = 7
+    """There is no such record."""
 
 
 def print_table(header: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
--- a/packages/burdockquay/src/burdockquay/_record_command.py
+++ b/packages/burdockquay/src/burdockquay/_record_command.py
@@ -242,7 +242,7 @@
     dry_run: bool,
     as_json: bool,
 ) -> int:
-    author = author or getpass.getuser()
+    author = author or _user_name()
 
     async def commit() -> Result[Accepted, PutRefusal]:
         async with connect_platform(options) as platform:
@@ -255,6 +255,14 @@
     return ExitCode.DONE
 
 
+def _user_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # A container may run under a user without a name; the writer then asks for an author.
+        return ""
+
+
 def _read(
     options: PlatformOptions,
     ask: Callable[[RecordLog], Awaitable[Result[Any, TableError]]],
--- a/packages/burdockquay/src/burdockquay/cli.py
+++ b/packages/burdockquay/src/burdockquay/cli.py
@@ -1,8 +1,8 @@
 """The operators' command ``burdockquay``.
 
-Exit codes: 0 done; 1 faulty input, arguments or check; 2 no such record; 3 somebody else changed
+Exit codes: 0 done; 1 faulty input or a failed check; 2 wrong arguments; 3 somebody else changed
 the record first; 4 the platform does not answer; 5 the change may have been accepted or not;
-6 some process did not answer. Only with 0 or 5 can anything have been written.
+6 some process did not answer; 7 no such record. Only with 0 or 5 can anything have been written.
 """
 
 from __future__ import annotations
@@ -11,6 +11,9 @@
 
 from cyclopts import App
 
+from burdockquay_state import UnknownNameError
+
+from ._output import ExitCode, print_error
 from ._record_command import record_app
 from ._settings_command import settings_app
 from ._status_command import status, usage
@@ -24,7 +27,12 @@
 
 def main() -> None:
     """Run the command line and leave with its exit code."""
-    sys.exit(app())
+    try:
+        code = app(sys.argv[1:])
+    except UnknownNameError as error:
+        print_error(error)
+        code = ExitCode.ARGUMENTS
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/packages/burdockquay/src/burdockquay/tests/test_cli.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_cli.py
@@ -8,7 +8,7 @@
 import pytest
 
 from burdockquay._output import ExitCode
-from burdockquay.cli import app
+from burdockquay.cli import app, main
 from burdockquay_standins import PlatformStandin
 from burdockquay_state import VmEntry
 
@@ -149,3 +149,11 @@
     for name in ("classes", "routes", "organisation", "quarantine-withdrawal"):
         assert call("record", "put", text=(EXAMPLES / f"{name}.jsonc").read_text())[0] == 0
     assert len(list(EXAMPLES.iterdir())) == 4
+
+
+def test_unknown_adapter_is_refused_with_the_known_ones(monkeypatch, capsys):
+    monkeypatch.setattr("sys.argv", ["burdockquay", "record", "list", "--table", "htpt"])
+    with pytest.raises(SystemExit) as ended:
+        main()
+    assert ended.value.code == ExitCode.ARGUMENTS
+    assert "did you mean 'http'" in capsys.readouterr().err
