Begin the callers' load when their processes are ready

Cause: caller processes were told a time to begin; on a busy machine they were late and sent all that was overdue at once, which looked like missed targets.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -8,6 +8,7 @@
 import os
 import sys
 import tempfile
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,8 @@
 
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 5.0
+BEGIN_S = 0.1
+"""From the word to the callers to their first request, seconds."""
 LOG_TAIL_CHARACTERS = 2000
 BIN = Path(sys.executable).parent
 
@@ -127,12 +130,30 @@
         await process.read_listening()
         return process
 
+    async def start_callers(
+        self, names: Sequence[str], commands: Sequence[Sequence[str]]
+    ) -> list[Process]:
+        """Start programs of callers and tell them, once all are ready, when to begin.
+
+        Notes
+        -----
+        On a busy machine a program may take seconds to start. Told a time beforehand it would send
+        all that is overdue at once, and the burst would be taken for a fault of the system.
+        """
+        callers = await asyncio.gather(*map(self.launch, names, commands))
+        await asyncio.gather(*(caller.read_listening() for caller in callers))
+        start_at = time.monotonic() + BEGIN_S
+        for caller in callers:
+            caller.process.stdin.write(f"{start_at}\n".encode())
+        return callers
+
     async def launch(self, name: str, command: Sequence[str]) -> Process:
         """Start a command and return at once."""
         log = self.directory / f"{name}.log"
         with log.open("ab") as errors:
             started = await asyncio.create_subprocess_exec(
                 *command,
+                stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=errors,
                 env=self.environment,
@@ -149,6 +170,12 @@
         self.started.clear()
 
 
+def wait_for_start() -> float:
+    """Say that a program of callers is ready, and return when it shall begin."""
+    print(json.dumps({"ready": True}), flush=True)
+    return float(sys.stdin.readline())
+
+
 def _environment() -> dict[str, str]:
     """Return the environment of the processes, with compiled modules cached.
 
--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -22,6 +23,11 @@
     print(json.dumps(_round(result)), flush=True)
 
 
+def print_load_average() -> None:
+    """Print how busy the machine was; above one per processor, latencies tell of the machine."""
+    print(f"\nLoad average {os.getloadavg()[0]:.1f} on {os.cpu_count()} processors")
+
+
 def quantile(values: Sequence[float], share: float) -> float:
     """Return the value that a share of the values does not exceed; 0 if there are none.
 
