Let an entry know by kind which upstreams can pause

Cause: the entry asked the registry of upstream clients, which only slots fill; in an entry process every routine request was answered with an internal error.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -25,7 +25,6 @@
 from ._clock import Clock
 from ._events import Event, log_event
 from ._slot_link import SlotLink
-from ._upstream import upstream_clients
 
 DEMAND_INTERVAL_S = 0.02
 """Shortest time between two demand messages that are not urgent, seconds."""
@@ -36,6 +35,12 @@
 DEMAND_BYTES_PER_S = 2000.0
 """Traffic that demand messages to all slots together may cause, bytes a second."""
 
+PAUSING_KINDS = frozenset({"engine"})
+"""Kinds of upstream that can pause a request.
+
+An entry does not load the clients of the upstreams, so that it cannot ask them.
+"""
+
 PREFIX_BLOCKS_PER_VM = 2048
 """Prompt blocks remembered of what was sent to one slot."""
 
@@ -289,7 +294,7 @@
     def _can_move(self, record: ClassRecord) -> bool:
         """Return whether the slots may pause requests of a class to make room."""
         group = self.snapshot.groups.get(self.group)
-        pauses = group is not None and upstream_clients.get(group.upstream_kind).can_pause
+        pauses = group is not None and group.upstream_kind in PAUSING_KINDS
         return pauses and self.snapshot.policy.preemption and is_movable(record)
 
     def _choose(self, call: Call, links: list[SlotLink], now: float) -> SlotLink | None:
