--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_once_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_once_machine.py
@@ -145,7 +145,7 @@
     slots could run one request. The oracle has to notice, or the test above proves nothing.
     """
     with pytest.raises(OracleError, match="had an effect and was told|effects of key"):
-        run_machine(mutation, number=5, examples=2000)
+        run_machine(mutation, number=2, examples=2000)
 
 
 def test_row_written_late_by_a_paused_entry_still_shuts_out_an_attempt():
@@ -164,3 +164,37 @@
     world.sweep()
     world.heal()
     world.close()
+
+
+def test_entry_paused_until_the_row_expired_does_not_say_not_run():
+    """An entry loses its slot and is paused for a day before it asks the table. The request ran,
+    its row expired, and the table looks as if nothing had happened.
+    """
+    world = World()
+    world.call(0, "k0", "d0", [0])
+    world.lose_peer(0)
+    for _ in range(8):
+        world.open_first(("entry", 0))
+    assert world.oracle.effects.total() == 1
+    world.now += RETENTION_S + 1.0
+    world.sweep()
+    world.heal()
+    assert world.oracle.calls[0].told == "unknown"
+    world.close()
+
+
+def test_slot_paused_until_the_cancellation_expired_does_not_run():
+    """A slot is paused for a day with an attempt in its socket. The caller heard that it was not
+    run, the cancelled row has expired, and the attempt finds no row, as it expects.
+    """
+    world = World()
+    world.call(0, "k0", "d0", [0])
+    for _ in range(2):
+        world.lose_peer(0)
+        world.open_first(("slot", 0))
+    assert world.oracle.calls[0].told == "not_run"
+    world.now += RETENTION_S + 1.0
+    world.sweep()
+    world.heal()
+    assert world.oracle.effects.total() == 0
+    world.close()
