Let the demo fail if a class is not served or meets an internal error

Cause: a fault in the entry answered every eulogy draft with an internal error, and the demo still ended with status 0, since a refusal is no wrong answer; so its test passed too.

Change: internal errors and classes without a whole answer make the demo fail.

Conclusion: the test of the demo holds that both classes are served by real processes.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,7 +1,7 @@
 """A burst of holds and eulogy drafts through two entries and five slots; run by ``make demo``.
 
 Everything runs on free ports of the loopback. Exit status 0 means that every answer was the
-caller's own and that each hold took effect at most once.
+caller's own, that each hold took effect at most once and that every class was served.
 """
 
 from __future__ import annotations
@@ -179,6 +179,13 @@
     return count == 0 if result.run == "not_run" else count <= 1
 
 
+def count_faulty(results: Sequence[CallResult]) -> int:
+    """Return how many requests met an internal error, plus the classes that got no whole answer."""
+    internal = sum(result.error == "internal" for result in results)
+    served = {result.class_name for result in results if result.outcome == "whole"}
+    return internal + len(set(CLASSES) - served)
+
+
 async def run(burst_s: float) -> int:
     """Run the demo and return its exit status."""
     async with Cluster("demo") as cluster:
@@ -193,8 +200,12 @@
     generated = sum(part["tokens_generated"] for part in stats)
     print_results(results, generated)
     wrong, effects_wrong = wrong_answers(results), count_wrong_effects(results, effects)
-    print(f"Wrong answers {wrong}, holds with a wrong effect {effects_wrong}")
-    return 1 if wrong or effects_wrong else 0
+    faulty = count_faulty(results)
+    print(
+        f"Wrong answers {wrong}, holds with a wrong effect {effects_wrong}, "
+        f"internal errors and classes without an answer {faulty}"
+    )
+    return 1 if wrong or effects_wrong or faulty else 0
 
 
 @app.default
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -12,7 +12,7 @@
     done = subprocess.run(command, capture_output=True, text=True, timeout=120)
     assert done.returncode == 0, done.stdout + done.stderr
     assert "Attainment of latency targets" in done.stdout
-    assert "Wrong answers 0, holds with a wrong effect 0" in done.stdout
+    assert "Wrong answers 0, holds with a wrong effect 0, " in done.stdout
 
 
 def test_wrong_answers_give_a_failing_exit_status():
