Tell the traffic of connections from that of polls on the capacity page

A slot polls the table the more rarely the more entries it has, so that its bytes fell with every connection and the slope came out negative.

--- a/scripts/capacity_model.py
+++ b/scripts/capacity_model.py
@@ -174,9 +174,9 @@
         """Return the parts of a process's control traffic, bytes a second in both directions."""
         where = "`_peer`: heartbeats on idle connections only"
         parts = [
-            self._base(role, "bytes_per_s"),
-            self._per("peers", role, "bytes_per_s", self.peers(role), "connection", where),
-            self._per_change(role, "bytes_per_s"),
+            self._polls(role),
+            self._per("peers", role, "peer_bytes_per_s", self.peers(role), "connection", where),
+            self._per_change(role, "peer_bytes_per_s"),
             self._status(role),
         ]
         if role == "entry":
@@ -222,6 +222,17 @@
         mechanism = "interpreter and libraries" if cost == "rss_mb" else "polls of the platform"
         return Part("process alone", mechanism, "", intercept, 1.0)
 
+    def _polls(self, role: str) -> Part:
+        chosen = [
+            sample
+            for sample in self.results["samples"]
+            if (sample["role"], sample["stage"]) == (role, "peers")
+        ]
+        socket = sum(s["read_bytes_per_s"] + s["written_bytes_per_s"] for s in chosen)
+        peers = sum(s["peer_bytes_per_s"] for s in chosen)
+        mean = (socket - peers) / len(chosen)
+        return Part("polls", "`_config_sync`, `_platform_http`, probes", "", mean, 1.0)
+
     def _per(
         self, stage: str, role: str, cost: str, units: float, unit: str, mechanism: str
     ) -> Part:
