Register the kinds of upstream in entry processes too

Since entries ask whether an upstream can pause, an entry process answered every engine request with an internal error (500, unknown): the modules that register the kinds were only loaded by slots. Tests run both roles in one process, which hid it; a test now loads each role alone.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -21,6 +21,7 @@
 from burdockquay_protocol import ErrorKind, Grant, RequestError, ReturnGrant
 from burdockquay_state import ClassRecord, Snapshot
 
+from . import _engine_client, _service_client  # noqa: F401 (they register the kinds of upstream)
 from ._call import Call, Refused
 from ._clock import Clock
 from ._events import Event, log_event
