Count places of pausable requests as kept free

Cause: a protected class below another with reserved places had to pause two requests for each of its own, one to run and one to keep a place empty, and was let in when only one could be paused.

Change: the reserve is met by places whose requests can be paused. Taking a lower grant back no longer counts as a place if the reserve still forbids it. One assertion of a test demanded the old reserve for a class that is not preemptible; it now demands that the last place stays out of its reach.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_places.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_places.py
@@ -67,9 +67,9 @@
     -----
     For each class with reserved places that it does not occupy now, that many places stay closed to
     lower classes. Where running requests can be paused, they are closed only to requests that may
-    not be: a place taken by any other is free again the moment it is needed, and keeping it empty
-    would waste it. One place stays open to every class whatever is reserved, so that no class is
-    shut out for good.
+    not be, and places taken by any other count as kept free: they are free again the moment they
+    are needed, and keeping them empty would waste them. One place stays open to every class
+    whatever is reserved, so that no class is shut out for good.
     """
 
     def __init__(self, places: int):
@@ -108,14 +108,18 @@
 
     def free_for(self, record: ClassRecord, classes: Mapping[str, ClassRecord]) -> int:
         """Return how many places the class could take now."""
-        kept = 0
-        if not (self.can_pause and is_movable(record)):
-            kept = sum(
-                max(0, count - self.occupied_by(name))
-                for name, count in self._reserved.items()
-                if classes[name].priority > record.priority
-            )
-        return self.places - min(kept, self.places - 1) - self._total
+        free = self.places - self._total
+        if self.can_pause and is_movable(record):
+            return free
+        kept = sum(
+            max(0, count - self.occupied_by(name))
+            for name, count in self._reserved.items()
+            if classes[name].priority > record.priority
+        )
+        fixed = sum(
+            count for name, count in self._occupied.items() if not self._is_movable(name, classes)
+        )
+        return min(free, self.places - min(kept, self.places - 1) - fixed)
 
     def add(self, work: Work, now: float) -> Hold:
         """Give a place to accepted work."""
@@ -165,6 +169,10 @@
         """Return the attempts in a state, in the order in which they entered it."""
         return list(self._by_state[state].values())
 
+    def _is_movable(self, class_name: str, classes: Mapping[str, ClassRecord]) -> bool:
+        record = classes.get(class_name)
+        return self.can_pause and (record is None or is_movable(record))
+
     def _enter(self, hold: Hold, state: HoldState, now: float) -> None:
         del self._by_state[hold.state][hold.key]
         self._by_state[state][hold.key] = hold
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_slots.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_slots.py
@@ -305,7 +305,9 @@
         share of a lower class, an urgent request would stand behind a routine one.
         """
         record = self._record(work)
-        if self._free_for(record) <= 0 and not self._revoke_lower_grant(record):
+        if self._free_for(record) <= 0:
+            self._revoke_lower_grant(record)
+        if self._free_for(record) <= 0:
             return False
         rivals = [
             one for one in self._contention.contenders(now) if one.class_name != work.class_name
@@ -318,7 +320,7 @@
         self._ledger.started(work.class_name, contenders)
         return True
 
-    def _revoke_lower_grant(self, record: ClassRecord) -> bool:
+    def _revoke_lower_grant(self, record: ClassRecord) -> None:
         """Free the youngest granted place of a lower class for protected work.
 
         Notes
@@ -326,14 +328,14 @@
         The entry that held the grant is refused with ``NO_PLACE`` if it still uses it, and its
         request goes back into its queue: nothing ran and nothing is lost.
         """
-        if not (record.protected and self.policy.preemption and self._free_for(record) == 0):
-            return False
+        full = self._places.occupied >= self._places.places
+        if not (full and record.protected and self.policy.preemption):
+            return
         for grant in reversed(self._places.grants.values()):
             other = self._ledger.record(grant.class_name)
             if not other.protected and other.priority < record.priority:
                 self._places.drop_grant(grant.grant)
-                return True
-        return False
+                return
 
     def _makes_way(self, work: Work, now: float) -> bool:
         """Return whether a running request could be paused for the work."""
