Split the slot, and let both roles share one process class

Change: Process holds what both roles have in common; connections of a slot, its status messages and the exchange of suspicions have modules of their own. A VM that gets another address under its name is connected to anew. A peer that does not read is cut off by its transport: before, the writer waited for it for ever, because it was never told to stop; a new test shows it.

Conclusion: behaviour is otherwise as it was.

--- a/packages/burdockquay-state/src/burdockquay_state/_table.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_table.py
@@ -176,6 +176,11 @@
     group: str = ""
     state: VmState = VmState.LIVE
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port where the process listens for peers."""
+        return (self.host, self.port)
+
 
 class VmList(ABC):
     """The platform's lagging list of VMs."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -9,7 +9,8 @@
 import asyncio
 import secrets
 from collections import deque
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 import attrs
@@ -59,6 +60,13 @@
 carry the revision."""
 
 
+HEARTBEAT_S = 1.0
+"""Idle time of a connection after which a heartbeat is sent, seconds."""
+
+SILENCE_S = 5.0
+"""Silence after which a connection is given up, seconds."""
+
+
 @attrs.frozen
 class Identity:
     """Who a process is.
@@ -147,7 +155,7 @@
         # A peer that reads too slowly would fill the memory of this process, and every other
         # caller would notice. Giving up its connection ends only its own requests.
         if self._pending_bytes > MAX_PENDING_BYTES:
-            self._closing = True
+            self._give_up()
         if frame.part == PART_END:
             self._urgent.set()
         self._wake.set()
@@ -182,8 +190,7 @@
                 received = self.traffic_mark_received
                 last_received = loop.time()
             elif loop.time() - last_received > timeout_s:
-                self._closing = True
-                self._wake.set()
+                self._give_up()
                 return
             if self.traffic_mark_sent == sent:
                 self.post(make_heartbeat())
@@ -192,6 +199,22 @@
 
         loop.call_later(interval_s, tick)
 
+    def _give_up(self) -> None:
+        # A peer that does not read keeps the writer waiting and would never answer a close, so
+        # the transport is cut; the reader then sees the connection closed.
+        self._closing = True
+        self._wake.set()
+        self.websocket.transport.abort()
+
+    @asynccontextmanager
+    async def writing(self) -> AsyncIterator[None]:
+        """Run the writer while the body runs."""
+        writer = asyncio.create_task(self.write())
+        try:
+            yield
+        finally:
+            writer.cancel()
+
     async def write(self) -> None:
         """Send what is queued until the connection closes; run as a task.
 
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -0,0 +1,215 @@
+"""What both roles have in common: identity, platform, configuration, tasks and shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Coroutine
+from typing import Any, ClassVar
+
+import attrs
+
+from burdockquay_coordination import ConfigurationHolder
+from burdockquay_state import RecordLog, Snapshot
+
+from ._clock import Clock, SystemClock
+from ._config_sync import ConfigurationSync
+from ._events import Event, log_event
+from ._metrics import keep_flushing, make_sink
+from ._peer import Identity, PeerConnection, TrafficCounts
+from ._platform import open_platform
+from ._suspicion_exchange import SuspicionExchange
+
+
+class Process(ABC):
+    """One process of either role.
+
+    Parameters
+    ----------
+    settings : EntrySettings or SlotSettings
+    clock : Clock or None
+        None takes the clocks of the operating system.
+    rng : random.Random or None
+        Placement and jitter; None seeds one from the operating system.
+    known_schemas : collection of (str, int) or None
+        Record schemas that the process acts on; None for all of this release.
+    """
+
+    role: ClassVar[str]
+
+    def __init__(
+        self,
+        settings: Any,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        known_schemas: Collection[tuple[str, int]] | None = None,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.known_schemas = known_schemas
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a graceful shutdown has begun."""
+        return self._leaving
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The configuration in force."""
+        return self._holder.snapshot
+
+    @property
+    @abstractmethod
+    def port(self) -> int:
+        """Port where others connect."""
+
+    @property
+    @abstractmethod
+    def ready(self) -> bool:
+        """Whether the process can do its work."""
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the configuration.
+
+        Raises
+        ------
+        OSError
+            If an address is in use.
+        """
+        self._open_common()
+        self._open_parts()
+        await self._listen()
+        common = (self._sync.run(), keep_flushing(self.metrics), self.suspicions.load())
+        for work in (*common, *self._duties()):
+            self._spawn(work)
+        log_event(Event.PROCESS_LISTENING, role=self.role, vm=self.settings.vm, port=self.port)
+
+    async def stop(self) -> None:
+        """Shut down gracefully: take no new work, finish what runs, then close.
+
+        Notes
+        -----
+        What still runs at ``stop_limit_s`` is cut, and its callers are told that it broke off.
+        """
+        log_event(Event.PROCESS_STOPPING, role=self.role, held=self._held())
+        self._leaving = True
+        self._leaving_began()
+        try:
+            async with asyncio.timeout(self.settings.stop_limit_s):
+                await self._finish_all()
+        except TimeoutError:
+            log_event(Event.STOP_LIMIT_REACHED, held=self._held())
+            await self._cut_all("the limit of the shutdown was reached")
+        await self.close()
+        log_event(Event.PROCESS_STOPPED, role=self.role)
+
+    async def abort(self) -> None:
+        """Stop at once; what runs is cut, and its callers are told that it broke off."""
+        self._leaving = True
+        await self._cut_all("the process was told to end at once")
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all at once."""
+        await self._close_parts()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._platform.close()
+        self.metrics.close()
+
+    def _open_common(self) -> None:
+        settings = self.settings
+        self._clock = self.clock or SystemClock()
+        self._rng = self.rng or random.Random(secrets.randbits(64))
+        self.identity = Identity(
+            settings.vm,
+            settings.failure_domain,
+            secrets.token_hex(8),
+            getattr(settings, "group", ""),
+        )
+        self.traffic = TrafficCounts()
+        self.metrics = make_sink(settings.metrics)
+        self._tasks: set[asyncio.Task] = set()
+        self._leaving = False
+        self._platform = open_platform(settings.platform)
+        self._holder = ConfigurationHolder(self.known_schemas)
+        self._sync = ConfigurationSync(
+            self._holder,
+            RecordLog(self._platform.table),
+            self._clock,
+            self._rng,
+            settings.poll_interval_s,
+            settings.table_read_budget,
+            self._count_processes,
+            self._reconfigure,
+        )
+        self.suspicions = SuspicionExchange(
+            self._platform.table, self._clock, self._rng, self._connected_peers
+        )
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _describe_common(self) -> dict[str, Any]:
+        """Return the part of ``/status`` that both roles show."""
+        return {
+            "vm": self.identity.vm,
+            "role": self.role,
+            "incarnation": self.identity.incarnation,
+            "revision": self._holder.revision,
+            "leaving": self._leaving,
+            "quarantine": [attrs.asdict(item) for item in self.suspicions.known()],
+            "table": {"healthy": self._sync.table_healthy},
+            "traffic": attrs.asdict(self.traffic),
+        }
+
+    @abstractmethod
+    def _open_parts(self) -> None:
+        """Make what only this role has."""
+
+    @abstractmethod
+    async def _listen(self) -> None:
+        """Open the servers."""
+
+    @abstractmethod
+    def _duties(self) -> Collection[Coroutine]:
+        """Return what runs as tasks until the process closes."""
+
+    @abstractmethod
+    def _reconfigure(self) -> None:
+        """Take over the configuration in force."""
+
+    @abstractmethod
+    def _count_processes(self) -> int:
+        """Return how many processes share the budget of reads of the table."""
+
+    @abstractmethod
+    def _connected_peers(self) -> list[PeerConnection]:
+        """Return the connections that are up."""
+
+    @abstractmethod
+    def _held(self) -> int:
+        """Return how many requests are not finished."""
+
+    @abstractmethod
+    def _leaving_began(self) -> None:
+        """Tell others that no new work is taken."""
+
+    @abstractmethod
+    async def _finish_all(self) -> None:
+        """Wait until nothing is held."""
+
+    @abstractmethod
+    async def _cut_all(self, reason: str) -> None:
+        """End what still runs, and tell the truth about it."""
+
+    @abstractmethod
+    async def _close_parts(self) -> None:
+        """Close what only this role has."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
@@ -33,6 +33,8 @@
 from ._events import Event, log_event
 from ._peer import (
     HANDSHAKE_TIMEOUT_S,
+    HEARTBEAT_S,
+    SILENCE_S,
     WEBSOCKET_OPTIONS,
     Identity,
     PeerConnection,
@@ -42,12 +44,6 @@
     report_out_of_order,
 )
 
-HEARTBEAT_S = 1.0
-"""Idle time after which a heartbeat is sent, seconds."""
-
-SILENCE_S = 5.0
-"""Silence after which a connection is given up, seconds."""
-
 
 class LinkListener:
     """What a link tells the entry; the entry implements it."""
@@ -215,16 +211,15 @@
             log_event(Event.HANDSHAKE_REFUSED, vm=self.vm, reason=f"got {connection.peer.vm}")
             self.count("peer.other_vm")
             return
-        writer = asyncio.create_task(connection.write())
-        try:
-            self._come_up(connection)
-            await self._read_messages(connection)
-        except ConnectionClosed:
-            pass
-        finally:
-            self._go_down(connection)
-            await connection.close("")
-            writer.cancel()
+        async with connection.writing():
+            try:
+                self._come_up(connection)
+                await self._read_messages(connection)
+            except ConnectionClosed:
+                pass
+            finally:
+                self._go_down(connection)
+                await connection.close("")
 
     def _learn(self, peer: Identity) -> None:
         """Take the identity of a slot of which only the address was known."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -3,45 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import random
-import secrets
-from collections.abc import Collection
+from collections.abc import Collection, Coroutine
 from typing import Any
 
-import attrs
 from result import Err
 
 from burdockquay_coordination import (
     AdmissionController,
-    ConfigurationHolder,
     MembershipBook,
     OnceResolver,
-    QuarantineBook,
     RetryBudget,
     RouteTable,
-    SuspicionStore,
     UsageLedger,
     choose_subset,
-    load_until_read,
 )
 from burdockquay_protocol import Goodbye, Grant, Suspicions
-from burdockquay_state import ClaimStore, RecordLog, VmEntry
+from burdockquay_state import ClaimStore, VmEntry
 
 from ._call_runner import CallRunner
 from ._caller_http import CallerServer
-from ._clock import Clock, SystemClock, ticks
-from ._config_sync import ConfigurationSync
+from ._clock import ticks
 from ._dispatcher import GroupDispatcher
 from ._events import Event, log_event
-from ._metrics import keep_flushing, make_sink
-from ._peer import Identity, TrafficCounts
-from ._platform import open_platform
-from ._settings import EntrySettings
+from ._peer import PeerConnection
+from ._process import Process
 from ._slot_link import LinkListener, SlotLink
 
-QUARANTINE_RETENTION_S = 3600.0
-"""How long a suspicion against a request is kept, seconds."""
-
 BOOTSTRAP_LINKS = 4
 """Slots connected to while there is no configuration yet."""
 
@@ -49,69 +36,10 @@
 """Retries that may be made at once, whatever the share of fresh traffic."""
 
 
-class Entry(LinkListener):
-    """One entry process.
-
-    Parameters
-    ----------
-    settings : EntrySettings
-    clock : Clock or None
-        None takes the clocks of the operating system.
-    rng : random.Random or None
-        Placement and jitter; None seeds one from the operating system.
-    known_schemas : collection of (str, int) or None
-        Record schemas that the process acts on; None for all of this release.
-    """
-
-    def __init__(
-        self,
-        settings: EntrySettings,
-        clock: Clock | None = None,
-        rng: random.Random | None = None,
-        known_schemas: Collection[tuple[str, int]] | None = None,
-    ):
-        self.settings = settings
-        self.clock = clock
-        self.rng = rng
-        self.known_schemas = known_schemas
-
-    async def start(self) -> None:
-        """Listen for callers, and begin to follow the configuration and the VM list.
-
-        Raises
-        ------
-        OSError
-            If the address is in use.
-        """
-        settings = self.settings
-        self._clock = self.clock or SystemClock()
-        self._rng = self.rng or random.Random(secrets.randbits(64))
-        self.identity = Identity(settings.vm, settings.failure_domain, secrets.token_hex(8))
-        self.traffic = TrafficCounts()
-        self.metrics = make_sink(settings.metrics)
-        self.ledger = UsageLedger()
-        self._tasks: set[asyncio.Task] = set()
-        self._links: dict[str, SlotLink] = {}
-        self._link_tasks: dict[str, asyncio.Task] = {}
-        self._dispatchers: dict[str, GroupDispatcher] = {}
-        self._listed: list[VmEntry] = []
-        self._wanted: set[str] = set()
-        self._steady = False
-        self._vm_list_healthy = True
-        self._leaving = False
-        self._platform = open_platform(settings.platform)
-        self._open_parts()
-        self._server = CallerServer(self)
-        await self._server.start(settings.host, settings.port)
-        for task in (
-            self._sync.run(),
-            self._follow_vm_list(),
-            self._watch_time(),
-            keep_flushing(self.metrics),
-            self._load_suspicions(),
-        ):
-            self._spawn(task)
-        log_event(Event.PROCESS_LISTENING, role="entry", vm=settings.vm, port=self.port)
+class Entry(Process, LinkListener):
+    """One entry process; see :class:`Process` for the parameters."""
+
+    role = "entry"
 
     @property
     def port(self) -> int:
@@ -132,89 +60,68 @@
             and any(dispatcher.ready for dispatcher in self._dispatchers.values())
         )
 
-    @property
-    def leaving(self) -> bool:
-        """Whether a graceful shutdown has begun."""
-        return self._leaving
-
-    @property
-    def snapshot(self):
-        """The configuration in force."""
-        return self._holder.snapshot
-
     def dispatcher(self, group: str) -> GroupDispatcher | None:
         """Return the dispatcher of an upstream group, None if no record names it."""
         return self._dispatchers.get(group)
 
-    async def stop(self) -> None:
-        """Shut down gracefully: unready, finish what runs, then close.
-
-        Notes
-        -----
-        What still runs at ``stop_limit_s`` is cut, and its callers are told that it broke off.
-        """
-        log_event(Event.PROCESS_STOPPING, role="entry", held=self._server.held)
-        self._leaving = True
-        try:
-            async with asyncio.timeout(self.settings.stop_limit_s):
-                await self._server.finish_all()
-        except TimeoutError:
-            log_event(Event.STOP_LIMIT_REACHED, held=self._server.held)
-            await self._server.cut_all()
-        await self.close()
-        log_event(Event.PROCESS_STOPPED, role="entry")
-
-    async def abort(self) -> None:
-        """Stop at once; callers are told that their answers broke off."""
-        await self._server.cut_all()
-        await self.close()
-
-    async def close(self) -> None:
-        """Close all at once."""
-        await self._server.close()
-        for link in self._links.values():
-            link.post(Goodbye("shutdown"))
-            if link.connection is not None:
-                await link.connection.drain()
-        tasks = [*self._tasks, *self._link_tasks.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        self.metrics.close()
-        await self._platform.close()
-
     def _open_parts(self) -> None:
         settings = self.settings
-        self._holder = ConfigurationHolder(self.known_schemas)
-        self._sync = ConfigurationSync(
-            self._holder,
-            RecordLog(self._platform.table),
-            self._clock,
-            self._rng,
-            settings.poll_interval_s,
-            settings.table_read_budget,
-            lambda: self._book.processes,
-            self._reconfigure,
-        )
+        self.ledger = UsageLedger()
+        self._links: dict[str, SlotLink] = {}
+        self._link_tasks: dict[str, asyncio.Task] = {}
+        self._dispatchers: dict[str, GroupDispatcher] = {}
+        self._listed: list[VmEntry] = []
+        self._wanted: set[str] = set()
+        self._steady = False
+        self._vm_list_healthy = True
         self._book = MembershipBook(settings.vm)
-        self.quarantine = QuarantineBook(QUARANTINE_RETENTION_S)
         self.admission = AdmissionController()
         self.budget = RetryBudget(self.snapshot.policy.retry_ratio, RETRY_BURST)
         self.routes = RouteTable(self.snapshot)
         claims = ClaimStore(self._platform.table, self._platform.objects)
         self.runner = CallRunner(
             OnceResolver(claims),
-            self.quarantine,
+            self.suspicions.book,
             self.budget,
             self.ledger,
             self.metrics,
             self._clock,
         )
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    async def _listen(self) -> None:
+        self._server = CallerServer(self)
+        await self._server.start(self.settings.host, self.settings.port)
+
+    def _duties(self) -> Collection[Coroutine]:
+        return (self._follow_vm_list(), self._watch_time())
+
+    def _count_processes(self) -> int:
+        return self._book.processes
+
+    def _connected_peers(self) -> list[PeerConnection]:
+        return [link.connection for link in self._links.values() if link.connected]
+
+    def _held(self) -> int:
+        return self._server.held
+
+    def _leaving_began(self) -> None:
+        """The readiness page says so from now on; nothing else is needed."""
+
+    async def _finish_all(self) -> None:
+        await self._server.finish_all()
+
+    async def _cut_all(self, reason: str) -> None:
+        await self._server.cut_all()
+
+    async def _close_parts(self) -> None:
+        await self._server.close()
+        for peer in self._connected_peers():
+            peer.post(Goodbye("shutdown"))
+            await peer.drain()
+        tasks = list(self._link_tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _reconfigure(self) -> None:
         snapshot = self.snapshot
@@ -222,8 +129,7 @@
         self.routes = RouteTable(snapshot)
         self.admission.configure(snapshot.classes, snapshot.organisations, snapshot.policy, now)
         self.budget.ratio = snapshot.policy.retry_ratio
-        for withdrawal in snapshot.withdrawals.values():
-            self.quarantine.withdraw(withdrawal.digest, self._clock.wall())
+        self.suspicions.withdraw(snapshot.withdrawals.values())
         for name in snapshot.groups:
             dispatcher = self._dispatchers.get(name)
             if dispatcher is not None:
@@ -295,7 +201,7 @@
         wanted = {target.vm: target for target in self._choose_targets()}
         for name, link in list(self._links.items()):
             target = wanted.get(link.vm)
-            is_same = target is not None and target.port == link.target.port
+            is_same = target is not None and target.address == link.target.address
             if not is_same and not link.outstanding and (wanted or not link.connected):
                 self._drop_link(name)
         linked = {link.vm for link in self._links.values()}
@@ -347,7 +253,7 @@
     def link_up(self, link: SlotLink) -> None:
         """Tell a newly connected slot the suspicions known here."""
         self._join_dispatcher(link)
-        link.post(Suspicions(self.quarantine.suspicions(self._clock.wall())))
+        self.suspicions.greet(link.connection)
 
     def link_status(self, link: SlotLink) -> None:
         """Hand a slot's state to its dispatcher."""
@@ -363,19 +269,7 @@
 
     def link_suspicions(self, link: SlotLink, message: Suspicions) -> None:
         """Take over suspicions, and pass them on if any was new."""
-        news = self.quarantine.merge(message.suspicions, self._clock.wall())
-        if not news:
-            return
-        log_event(Event.QUARANTINE_SUSPECTED, digests=",".join(item.digest for item in news))
-        for other in self._links.values():
-            if other is not link:
-                other.post(Suspicions(news))
-
-    async def _load_suspicions(self) -> None:
-        """Take over what was known of dangerous requests before this process began."""
-        store = SuspicionStore(self._platform.table)
-        loaded = await load_until_read(store, self._clock.wall, self._rng)
-        self.quarantine.merge(loaded, self._clock.wall())
+        self.suspicions.receive(link.connection, message)
 
     async def _watch_time(self) -> None:
         async for now in ticks(self._clock, self._has_waiting):
@@ -387,28 +281,20 @@
 
     def describe(self) -> dict[str, Any]:
         """Return what ``/status`` shows."""
+        members = [
+            {
+                "vm": link.vm,
+                "incarnation": link.connection.peer.incarnation if link.connection else "",
+                "connected": link.connected,
+                "leaving": bool(link.status and link.status.leaving),
+            }
+            for link in self._links.values()
+        ]
         return {
-            "vm": self.identity.vm,
-            "role": "entry",
-            "incarnation": self.identity.incarnation,
-            "revision": self._holder.revision,
-            "leaving": self._leaving,
-            "held": self._server.held,
+            **self._describe_common(),
+            "held": self._held(),
             "queued": {name: len(item.queue) for name, item in self._dispatchers.items()},
-            "members": [
-                {
-                    "vm": link.vm,
-                    "incarnation": link.connection.peer.incarnation if link.connection else "",
-                    "connected": link.connected,
-                    "leaving": bool(link.status and link.status.leaving),
-                }
-                for link in self._links.values()
-            ],
-            "quarantine": [
-                attrs.asdict(item) for item in self.quarantine.suspicions(self._clock.wall())
-            ],
-            "table": {"healthy": self._sync.table_healthy},
-            "traffic": attrs.asdict(self.traffic),
+            "members": members,
         }
 
     def describe_usage(self) -> dict[str, Any]:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -67,7 +67,7 @@
         running.services[0].delay_s = 0.3
         asking = asyncio.create_task(running.ask(HOLD, {"chapel": 1}, Idempotency_Key="h-1"))
         await until(lambda: running.services[0].requests)
-        for peer in list(running.slot("service-1")._peers.values()):
+        for peer in list(running.slot("service-1")._connected_peers()):
             peer.websocket.transport.abort()
         status, _ = await asking
         assert status == 200
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
@@ -44,7 +44,7 @@
         _, answer = await running.ask("/v1/chat/completions", body)
         assert "choices" in answer
         digest = _digest_of(body)
-        store = running.slots[0]._store
+        store = running.slots[0].suspicions.store
         suspicion = Suspicion(digest, 2, 1, running.entries[0].wall() + 60.0)
         await store.save([suspicion], running.entries[0].wall())
         entry = await running.add_entry("entry-new")
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -7,7 +7,14 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, ConnectionClosedOK
 
-from burdockquay_protocol import MAX_FRAME_BYTES, Heartbeat, SlotStatus, encode
+from burdockquay_protocol import (
+    MAX_FRAME_BYTES,
+    PART_TOKEN,
+    Frame,
+    Heartbeat,
+    SlotStatus,
+    encode,
+)
 from burdockquay_standins import expected_answer
 from burdockquay_transport import _peer
 from burdockquay_transport._peer import Identity, TrafficCounts, greet_slot
@@ -77,7 +84,7 @@
     async with deployment(base_step_s=0.002) as running:
         dropped = []
         for slot in running.slots:
-            for peer in slot._peers.values():
+            for peer in slot._connected_peers():
                 original = peer.post_frame
 
                 def post_frame(frame, original=original):
@@ -104,7 +111,7 @@
         reading = asyncio.create_task(running.ask_stream(body))
         await until(lambda: any(engine.tokens_generated > 5 for engine in running.engines))
         busy = next(slot for slot in running.slots if slot.describe()["running"])
-        for peer in list(busy._peers.values()):
+        for peer in list(busy._connected_peers()):
             peer.websocket.transport.abort()
         text, whole, error = await reading
         assert (whole, error) == (True, None)
@@ -131,9 +138,31 @@
     async with deployment(engines=1) as running:
         slot = running.slots[0]
         port = slot.port
-        (peer,) = slot._peers.values()
+        (peer,) = slot._connected_peers()
         with monkeypatch.context() as patched:
             patched.setattr(peer.websocket, "send", send)
             await slot.stop()
         with pytest.raises(OSError):
             await connect(f"ws://127.0.0.1:{port}", proxy=None)
+
+
+async def test_peer_that_does_not_read_is_cut_off(deployment, monkeypatch):
+    """An entry hangs and reads nothing more, while a slot has answers for it.
+
+    Without a bound the slot's memory fills with them, and it takes the answers of all other
+    entries down with it.
+    """
+    monkeypatch.setattr("burdockquay_transport._peer.MAX_PENDING_BYTES", 8 << 20)
+    async with deployment(engines=1) as running:
+        slot = running.slots[0]
+        websocket, greeted = await open_peer(slot)
+        assert greeted.is_ok()
+        await until(lambda: len(slot._connected_peers()) == 2)
+        (stuck,) = (peer for peer in slot._connected_peers() if peer.peer.vm == "rogue")
+        websocket.transport.pause_reading()
+        for sequence in range(64):
+            stuck.post_frame(Frame("r", 1, sequence, PART_TOKEN, bytes(1 << 20)))
+        await until(lambda: stuck not in slot._connected_peers())
+        status, _ = await running.ask("/v1/chat/completions", chat_body())
+        assert status == 200
+        websocket.transport.abort()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_table_reads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_table_reads.py
@@ -32,7 +32,7 @@
     platform = PlatformSettings(URL, URL, URL)
     settings = SlotSettings("s", "d", "0" * 32, platform, group="g", upstream_url=URL)
     slot = Slot(settings)
-    slot._peers = dict.fromkeys(range(entries * subset // slots))
+    slot._connected_peers = lambda: range(entries * subset // slots)
     entry_reads = entries * settings.table_read_budget / (entries + slots)
     slot_reads = slots / mean_delay(slot)
     assert entry_reads + slot_reads <= settings.table_read_budget
@@ -42,5 +42,5 @@
     platform = PlatformSettings(URL, URL, URL)
     settings = SlotSettings("s", "d", "0" * 32, platform, group="g", upstream_url=URL)
     slot = Slot(settings)
-    slot._peers = {}
+    slot._connected_peers = list
     assert mean_delay(slot) == pytest.approx(settings.poll_interval_s, rel=0.05)
--- a/scripts/capacity_model.py
+++ b/scripts/capacity_model.py
@@ -7,7 +7,7 @@
 import attrs
 
 from burdockquay_state import GroupRecord
-from burdockquay_transport.slot import STATUS_BYTES_PER_S
+from burdockquay_transport._status_sender import STATUS_BYTES_PER_S
 
 DAY_S = 86400.0
 
@@ -259,7 +259,7 @@
         received = sent * self.plan.entry_peers / self.plan.slot_peers
         return Part(
             "status under load",
-            "`slot.STATUS_BYTES_PER_S`: a limit, not measured",
+            "`_status_sender.STATUS_BYTES_PER_S`: a limit, not measured",
             "limit" if role == "slot" else "limit × connections / connections of a slot",
             sent if role == "slot" else received,
             1.0,
