Tell what a flooding organisation costs the others by class

Cause: one organisation at ten times its part costs the others more than a tenth of their attainment, and one figure over all classes does not say where.

Conclusion: the division holds inside a class; surplus in a higher class displaces lower ones of all organisations. Not mended here.

--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -20,8 +20,8 @@
 from _offered import plan_flood, plan_load
 from _open_loop import run_plan_apart
 from _report import print_load_average, print_result, print_table, quantile
-from _summary import attained, attainment, delivered_tokens, failures, goodput_tokens, wrong_answers
-from _variants import count_generated
+from _summary import attainment, delivered_tokens, failures, goodput_tokens, wrong_answers
+from _variants import attained_share, count_generated
 
 from burdockquay_standins import EngineParameters
 
@@ -142,17 +142,30 @@
     return min(ratios)
 
 
-def find_flood_ratio(measured: Measured) -> float:
-    """Return what is left of the attainment of the other organisations while one floods."""
-    before, during = (_others_attainment(measured, run) for run in (measured.ours, measured.flood))
-    return during / before
+def find_flood_ratios(measured: Measured) -> dict[str, float]:
+    """Return what is left of the other organisations' attainment while one floods.
 
+    Returns
+    -------
+    dict of str to float
+        By class, and over all requests under ``"all"``.
+    """
+    before, during = (_others_results(measured, run) for run in (measured.ours, measured.flood))
+    ratios = {"all": _ratio(measured.deployment, before, during)}
+    for name in measured.deployment.classes:
+        parts = ([r for r in part if r.class_name == name] for part in (before, during))
+        ratios[name] = _ratio(measured.deployment, *parts)
+    return ratios
 
-def _others_attainment(measured: Measured, run: Run) -> float:
-    others = [result for result in run.results if result.organisation != measured.flooding]
-    classes = measured.deployment.classes
-    met = sum(attained(result, classes[result.class_name]) for result in others)
-    return met / len(others)
+
+def _others_results(measured: Measured, run: Run) -> list[CallResult]:
+    return [result for result in run.results if result.organisation != measured.flooding]
+
+
+def _ratio(
+    deployment: Deployment, before: Sequence[CallResult], during: Sequence[CallResult]
+) -> float:
+    return attained_share(deployment, during) / max(1e-9, attained_share(deployment, before))
 
 
 def summarise(measured: Measured) -> dict[str, Any]:
@@ -171,7 +184,9 @@
         "wrong": sum(wrong_answers(run.results) for run in measured.runs.values()),
     }
     if measured.flood is not None:
-        summary["flood_ratio"] = find_flood_ratio(measured)
+        ratios = find_flood_ratios(measured)
+        summary["flood_ratio"] = ratios.pop("all")
+        summary["flood_ratio_by_class"] = ratios
     return summary
 
 
@@ -208,6 +223,8 @@
     ]
     print_table("Tokens", ("run", "goodput", "generated", "wasted share"), rows)
     ratios = [(name, value) for name, value in summary.items() if not isinstance(value, dict)]
+    by_class = summary.get("flood_ratio_by_class", {})
+    ratios += [(f"flood_ratio of {name}", value) for name, value in by_class.items()]
     print_table("Ratios and counts", ("figure", "value"), ratios)
 
 
