--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -14,7 +14,7 @@
 from burdockquay_coordination import ConfigurationHolder
 from burdockquay_state import RecordLog, Snapshot
 
-from ._clock import Clock, SystemClock
+from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
 from ._metrics import keep_flushing, make_sink
@@ -82,7 +82,12 @@
         self._open_common()
         self._open_parts()
         await self._listen()
-        common = (self._sync.run(), keep_flushing(self.metrics), self.suspicions.load())
+        common = (
+            self._sync.run(),
+            keep_flushing(self.metrics),
+            self.suspicions.load(),
+            self._tell_when_ready(),
+        )
         for work in (*common, *self._duties()):
             self._spawn(work)
         log_event(Event.PROCESS_LISTENING, role=self.role, vm=self.settings.vm, port=self.port)
@@ -151,6 +156,12 @@
             self._platform.table, self._clock, self._rng, self._connected_peers
         )
 
+    async def _tell_when_ready(self) -> None:
+        async for _ in ticks(self._clock, lambda: False):
+            if self.ready:
+                log_event(Event.PROCESS_READY, role=self.role, vm=self.settings.vm)
+                return
+
     def _spawn(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
@@ -109,6 +109,7 @@
         self.status: SlotStatus | None = None
         self.told_demand: dict[str, int] = {}
         self.full_for: set[str] = set()
+        self._unreachable = False
         self._status_at = 0.0
         self._outstanding_at_status = 0
         self._attempts: dict[tuple[str, int], Call] = {}
@@ -194,8 +195,15 @@
                 uri, open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **WEBSOCKET_OPTIONS
             ) as websocket:
                 await self._serve(websocket)
-        except (OSError, TimeoutError, WebSocketException):
+        except (OSError, TimeoutError, WebSocketException) as error:
             self.book.connect_failed(self.vm, self.clock.now())
+            self._note_unreachable(error)
+
+    def _note_unreachable(self, error: Exception) -> None:
+        # A slot that is gone is dialled until the list forgets it; one line for that is enough.
+        if not self._unreachable:
+            log_event(Event.PEER_UNREACHABLE, vm=self.vm, reason=error)
+        self._unreachable = True
 
     async def _serve(self, websocket: Any) -> None:
         greeted = await greet_slot(websocket, self.identity, self.key, self.traffic)
@@ -230,8 +238,12 @@
 
     def _come_up(self, connection: PeerConnection) -> None:
         self.connection = connection
-        self.book.connected(self.vm, connection.peer.incarnation, self.clock.now())
-        log_event(Event.PEER_CONNECTED, vm=self.vm, incarnation=connection.peer.incarnation)
+        self._unreachable = False
+        incarnation = connection.peer.incarnation
+        if incarnation != self.book.incarnation(self.vm) != "":
+            log_event(Event.PEER_INCARNATION_CHANGED, vm=self.vm, incarnation=incarnation)
+        self.book.connected(self.vm, incarnation, self.clock.now())
+        log_event(Event.PEER_CONNECTED, vm=self.vm, incarnation=incarnation)
         connection.keep_alive(HEARTBEAT_S, SILENCE_S, self.sync.heartbeat)
         self.sync.add_peer(connection)
         self.listener.link_up(self)
@@ -291,6 +303,8 @@
             call.inbox.put(message)
 
     def _on_status(self, message: SlotStatus) -> None:
+        if message.leaving and not (self.status and self.status.leaving):
+            log_event(Event.SLOT_LEAVING, vm=self.vm)
         self.status = message
         self._status_at = self.clock.now()
         self._outstanding_at_status = self.outstanding
