Count an engine's failure as run perhaps, and end orders before a slot stops

An engine that answered 500 counted as one that had not got the request: the claim was given up, the caller heard 'not run', and the request could run again. Statuses from 500 on, but for 503, count as sent now. The new test fails for 500 without the change.

A stop cut an order that the engine was carrying out, which left it without an outcome for ever; the slot now waits for it, and begins no other. /status shows the outcomes that wait, were retried or lost, and the table's calls.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -145,8 +145,13 @@
         return
     text = (await response.content.read(_REFUSED_BODY_BYTES)).decode(errors="replace")
     detail = f"the engine answered {response.status}: {text[:_DETAIL_BYTES]}"
-    kind = ErrorKind.NO_UPSTREAM if response.status == 503 else ErrorKind.UPSTREAM_REFUSED
-    raise UpstreamError(kind, detail, sent=False)
+    if response.status == 503:
+        raise UpstreamError(ErrorKind.NO_UPSTREAM, detail, sent=False)
+    if response.status >= 500:
+        # The engine failed inside the request. Taken for a refusal, a caller would hear "not run"
+        # of a request that may have run.
+        raise UpstreamError(ErrorKind.UPSTREAM_FAILED, detail, sent=True)
+    raise UpstreamError(ErrorKind.UPSTREAM_REFUSED, detail, sent=False)
 
 
 async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[AnswerPart]:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_order_follower.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_order_follower.py
@@ -133,6 +133,8 @@
         self.rng = rng
         self._pauses: dict[_RecordKey, _Pause] = {}
         self._done: set[_RecordKey] = set()
+        self._acting = asyncio.Lock()
+        self._stopped = False
 
     async def run(self) -> None:
         """Follow the records until cancelled."""
@@ -140,6 +142,17 @@
             await asyncio.sleep(LOOK_S)
             await self.follow()
 
+    async def stop(self) -> None:
+        """Send no further order, and wait for the outcome of the one under way.
+
+        Notes
+        -----
+        An order that is cut off stays without an outcome for ever, although the engine acted.
+        """
+        self._stopped = True
+        async with self._acting:
+            return
+
     async def follow(self) -> None:
         """Act on every record that is due, one after the other."""
         records = [
@@ -152,7 +165,10 @@
             pause = self._pauses.get(key)
             if key in self._done or (pause is not None and self.clock.now() < pause.until):
                 continue
-            state = await self.runner.act(record, self.clock.wall, self.clock.now)
+            async with self._acting:
+                if self._stopped:
+                    return
+                state = await self.runner.act(record, self.clock.wall, self.clock.now)
             self._note(record, state)
         in_force = {_key(record) for record in records}
         self._pauses = {key: self._pauses[key] for key in in_force & self._pauses.keys()}
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -113,6 +113,7 @@
 
     async def _finish_all(self) -> None:
         await self._runner.finish_all()
+        await self._orders.stop()
         await self._outcomes.flush()
 
     async def _cut_all(self, reason: str) -> None:
@@ -129,6 +130,7 @@
         self._sessions = UpstreamSessions()
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
+        self._claims = claims
         self._outcomes = OutcomeWriter(claims, self._clock.wall)
         holder = claim_incarnation(settings.vm, self.identity.incarnation)
         self._guard = OnceGuard(claims, self._outcomes, holder)
@@ -364,4 +366,12 @@
             "queued": status.queued,
             "protected_shed": self._scheduler.protected_shed,
             "members": members,
+            "claims": {
+                "outcomes_pending": self._outcomes.pending,
+                "outcomes_retried": self._outcomes.retries,
+                "outcomes_lost": self._outcomes.lost,
+                "table_transactions": self._committer.writes,
+                "table_writes": self._committer.operations,
+                "table_reads": self._claims.reads,
+            },
         }
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_no_hidden_repeat.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_no_hidden_repeat.py
@@ -6,6 +6,7 @@
 import pytest
 
 from burdockquay_protocol import AnswerHead, Run
+from burdockquay_transport._engine_client import EngineClient
 from burdockquay_transport._service_client import ServiceClient
 from burdockquay_transport._upstream import UpstreamError, UpstreamSessions
 
@@ -77,6 +78,19 @@
     )
 
 
+@pytest.mark.parametrize(("status", "sent"), [(400, False), (503, False), (500, True)])
+async def test_engine_that_fails_inside_a_request_may_have_run_it(status, sent):
+    """An engine answers 500 after it worked on a request. The caller of a request that runs at most
+    once would hear that it was not run, and the next attempt would run it again.
+    """
+    answer = f"HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n".encode()
+    async with connected([answer], False) as (_, service):
+        engine = EngineClient(service.url, service.sessions)
+        with pytest.raises(UpstreamError) as raised:
+            await read_all(engine, "POST")
+    assert raised.value.sent is sent
+
+
 async def read_all(client, method):
     return [part async for part in client.call(make_run(method), 0)]
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_slot_duties.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_slot_duties.py
@@ -5,18 +5,21 @@
 
 from result import Ok
 
+from burdockquay_coordination import OrderState
 from burdockquay_state import (
     ClaimRequest,
     ClaimStore,
     MemoryObjectStore,
     MemoryTable,
     PlacementRecord,
+    Snapshot,
     StoredAnswer,
     VmEntry,
     VmList,
 )
 from burdockquay_transport._claim_expiry import ClaimExpiry, claim_incarnation
 from burdockquay_transport._clock import Clock
+from burdockquay_transport._order_follower import OrderFollower
 from burdockquay_transport._platform import Platform
 
 from ._deployment import put_records
@@ -45,6 +48,42 @@
             assert "eulogy-2" in engine.orders.models
 
 
+class SlowOrders:
+    """Stands for the runner: an order ends when the test says so."""
+
+    def __init__(self):
+        self.turns = self
+        self.sent = 0
+        self.may_end = asyncio.Event()
+
+    async def tend(self, now):
+        pass
+
+    async def act(self, record, wall, clock):
+        self.sent += 1
+        await self.may_end.wait()
+        return OrderState.DONE
+
+
+async def test_stop_waits_for_the_order_under_way_and_sends_no_other():
+    """A slot is stopped while its engine loads. Cut off, the order would have no outcome for ever,
+    and a second one begun now would be cut in its turn.
+    """
+    orders = SlowOrders()
+    placements = {name: PlacementRecord(name, "g", "load_model", name) for name in ("a", "b")}
+    follower = OrderFollower(
+        orders, "g", "vm", lambda: Snapshot(1, placements=placements), FixedClock(0.0), None
+    )
+    following = asyncio.create_task(follower.follow())
+    await asyncio.sleep(0)
+    stopping = asyncio.create_task(follower.stop())
+    await asyncio.sleep(0)
+    assert not stopping.done()
+    orders.may_end.set()
+    await asyncio.gather(following, stopping)
+    assert orders.sent == 1
+
+
 class FixedClock(Clock):
     """Shows one time."""
 
