Grant no place where the request has failed before, and keep the order of broken answers simple

Cause: a call that waits took the first grant, also that of the slot where its last attempt had failed. The queue orders answers that have begun by itself now, so that the dispatcher's own treatment of their age stood twice. Each candidate of a placement worked out the ejected VMs anew.

Change: a grant passes over calls that failed there while another slot serves; the second treatment of the age is gone; the ejected VMs are worked out once for a reading of the clock.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_health.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_health.py
@@ -81,12 +81,14 @@
         check_parameters(self)
         self._vms: dict[str, _Vm] = {}
         self._median: float | None = None
+        # One choice among many candidates asks for the ejected ones once for each candidate.
+        self._ejected: tuple[float, frozenset[str]] | None = None
 
     def observe_step(self, vm: str, step_s: float, now: float) -> None:
         """Take a time between tokens on a VM; 0 means unknown and is ignored."""
         if step_s <= 0:
             return
-        state = self._vms.setdefault(vm, _Vm())
+        state = self._state(vm)
         gain = self._smoothing if state.steps else 1.0
         state.step_s += gain * (step_s - state.step_s)
         state.steps += 1
@@ -95,7 +97,7 @@
 
     def observe_failure(self, vm: str, now: float) -> None:
         """Note that a request failed there by the VM's fault."""
-        state = self._vms.setdefault(vm, _Vm())
+        state = self._state(vm)
         state.failures = self._failures(state, now) + 1.0
         state.failed_at = now
 
@@ -107,7 +109,7 @@
         It clears earlier failures, except those of a VM ejected for them: a request that was sent
         before the trouble began may end well long after it and says nothing of the VM now.
         """
-        state = self._vms.setdefault(vm, _Vm())
+        state = self._state(vm)
         if self._failures(state, now) < self.eject_failures:
             state.failures = 0.0
 
@@ -123,6 +125,17 @@
 
     def ejected(self, now: float) -> frozenset[str]:
         """Return the VMs that should get no work, at most a bounded part of those known."""
+        if self._ejected is None or self._ejected[0] != now:
+            self._ejected = (now, self._find_ejected(now))
+        return self._ejected[1]
+
+    def forget(self, vm: str) -> None:
+        """Drop a VM that is gone."""
+        self._vms.pop(vm, None)
+        self._ejected = None
+        self._median = None
+
+    def _find_ejected(self, now: float) -> frozenset[str]:
         bad = [
             (-self._failures(state, now), -self._ratio(state), vm)
             for vm, state in self._vms.items()
@@ -130,10 +143,10 @@
         ]
         return frozenset(vm for _, _, vm in sorted(bad)[: self._most_ejected()])
 
-    def forget(self, vm: str) -> None:
-        """Drop a VM that is gone."""
-        self._vms.pop(vm, None)
-        self._median = None
+    def _state(self, vm: str) -> _Vm:
+        """Return the state of a VM that is about to change."""
+        self._ejected = None
+        return self._vms.setdefault(vm, _Vm())
 
     def _most_ejected(self) -> int:
         return math.floor(len(self._vms) * self.max_ejected_share)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -162,7 +162,7 @@
         if grant.class_name in told:
             told[grant.class_name] -= 1
         wanted = link in self._usable_links(now)
-        call = self._next_call(grant.class_name, now) if wanted else None
+        call = self._next_call(link, grant.class_name, now) if wanted else None
         if call is None:
             link.post(ReturnGrant(grant.grant))
         else:
@@ -193,10 +193,7 @@
         """Refuse calls that waited too long, and tell the slots what waits."""
         for waiting in self._queue.expire(now):
             call = self._calls.pop(waiting.request, None)
-            if call is not None and call.delivered and now < waiting.deadline:
-                # Giving up now would waste what the caller has got of the answer already.
-                self._wait(call, now)
-            elif call is not None:
+            if call is not None:
                 late = now >= waiting.deadline
                 kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.PATIENCE_EXCEEDED
                 call.inbox.put(Refused(RequestError(kind)))
@@ -218,7 +215,7 @@
                 asked.request,
                 asked.organisation.name,
                 asked.service_class.name,
-                self._enqueued_at(call, now),
+                call.started_at,
                 asked.deadline,
                 begun=bool(call.delivered),
             ),
@@ -227,19 +224,26 @@
         self._demand_changed = True
         self._tell_demand(now)
 
-    def _enqueued_at(self, call: Call, now: float) -> float:
-        """Return the time from which a call's wait counts.
+    def _next_call(self, link: SlotLink, class_name: str, now: float) -> Call | None:
+        """Take the best waiting call of a class that this slot may have.
 
-        An answer that broke off goes before most of its class, since tokens were spent on it. Its
-        first wait does not count: the patience of its class would have ended during the answer.
+        A call that failed at a slot goes to another while one serves: what was wrong there would
+        most likely be met again.
         """
-        if not call.delivered:
-            return call.started_at
-        return now - call.asked.service_class.patience_s / 2
+        passed_over = []
+        found = None
+        while found is None and (waiting := self._queue.pop(now, class_name)) is not None:
+            call = self._calls[waiting.request]
+            if link.vm in call.avoid and self._serves_elsewhere(call, now):
+                passed_over.append(waiting)
+            else:
+                found = self._calls.pop(waiting.request)
+        for waiting in passed_over:
+            self._queue.push(waiting, now)
+        return found
 
-    def _next_call(self, class_name: str, now: float) -> Call | None:
-        waiting = self._queue.pop(now, class_name)
-        return None if waiting is None else self._calls.pop(waiting.request)
+    def _serves_elsewhere(self, call: Call, now: float) -> bool:
+        return any(link.vm not in call.avoid for link in self._usable_links(now))
 
     def _start(self, call: Call, link: SlotLink, grant: int, now: float) -> None:
         if call.attempt == 0:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from burdockquay_protocol import ErrorKind, Failed
 from burdockquay_standins import expected_answer
 from burdockquay_state import ClassRecord
 
@@ -218,3 +219,27 @@
         assert (whole, error) == (True, None)
         assert text == "".join(expected_answer(body, seed=1))
         await asyncio.gather(*filling)
+
+
+async def test_request_that_failed_at_an_upstream_is_not_granted_a_place_there(deployment):
+    """An engine breaks off an answer but goes on living, and grants a place right afterwards.
+
+    The caller's answer would break off there again and again.
+    """
+    async with deployment(engines=2, base_step_s=0.01) as running:
+        dispatcher = running.entries[0].dispatcher("drafting")
+        body = {**chat_body("ceremony", True, 600), "min_tokens": 200}
+        reading = asyncio.create_task(running.ask_stream(body))
+        await until(lambda: any(link.outstanding for link in dispatcher.links.values()))
+        link = next(link for link in dispatcher.links.values() if link.outstanding)
+        (call,) = link._attempts.values()
+        others = [{**chat_body(f"draft {n}", True, 600), "min_tokens": 100} for n in range(12)]
+        filling = [asyncio.create_task(running.ask_stream(other)) for other in others]
+        await until(lambda: len(dispatcher.queue) >= 2)
+        link.give_up(call)
+        call.inbox.put(Failed(*call.attempt_key, ErrorKind.UPSTREAM_FAILED, "", True))
+        text, whole, _ = await reading
+        assert whole
+        assert text == "".join(expected_answer(body, seed=1))
+        assert call.link is not link
+        await asyncio.gather(*filling)
