Send a slot's status after the pause, not before

Cause: each request sent two status messages, one before its way to the upstream.

Change: the pause within the budget comes first; what has not changed in the end is not sent.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_status_sender.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_status_sender.py
@@ -51,14 +51,21 @@
             peer.post(status)
 
     async def run(self) -> None:
-        """Send what has changed until cancelled; run as a task."""
+        """Send what has changed until cancelled; run as a task.
+
+        Notes
+        -----
+        The pause comes before the message: a short request starts and ends within it, and what
+        has not changed in the end need not be sent. Sending first put a message before each
+        request's way to the upstream.
+        """
         last = None
         while True:
             await self._wanted.wait()
+            budget_s = STATUS_BYTES * len(self.find_peers()) / STATUS_BYTES_PER_S
+            await asyncio.sleep(max(self.interval_s, budget_s))
             self._wanted.clear()
             status = self.make_status()
             if status != last:
                 last = status
                 self.send_now()
-            budget_s = STATUS_BYTES * len(self.find_peers()) / STATUS_BYTES_PER_S
-            await asyncio.sleep(max(self.interval_s, budget_s))
