Tell callers of a broken answer when no upstream is left to go on with it

Cause: answers that have begun are not ended by the patience of their class, so that with all upstreams of a group down their callers waited for the deadline, 60 s by default.

Change: once no upstream has taken work for as long as the class's patience, they get "no upstream" with "unknown".

--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -95,6 +95,7 @@
         self._queue = self._make_queue()
         self._placement = placement_policies.get(snapshot.policy.placement)()
         self._ejected: frozenset[str] = frozenset()
+        self._served_at = clock.now()
         self._demand_changed = False
         self._demand_told_at = 0.0
 
@@ -198,9 +199,25 @@
                 kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.PATIENCE_EXCEEDED
                 call.inbox.put(Refused(RequestError(kind)))
                 self._demand_changed = True
+        self._give_up_begun(now)
         self._note_ejections(now)
         self._tell_demand(now)
 
+    def _give_up_begun(self, now: float) -> None:
+        """Refuse answers that broke off, once nobody has been there to go on with them for long.
+
+        Their patience does not end by itself, since they have begun. Without this their callers
+        would wait for their deadlines while every upstream of the group is down.
+        """
+        if self._usable_links(now):
+            self._served_at = now
+            return
+        unserved_s = now - self._served_at
+        for call in list(self._calls.values()):
+            if call.delivered and unserved_s > call.asked.service_class.patience_s:
+                self.abandon(call, now)
+                call.inbox.put(Refused(RequestError(ErrorKind.NO_UPSTREAM)))
+
     def _make_queue(self) -> QueuePolicy:
         return queue_policies.get(self._queue_name)(self.snapshot.classes, self._weights())
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
@@ -88,6 +88,7 @@
             running.engines[0].crash(60.0)
             text, whole, error = await read_stream(response)
         assert not whole
+        assert error["code"] == "no_upstream"
         assert error["run"] == "unknown"
         assert "".join(expected_answer(body, seed=1)).startswith(text)
 
