Let a leaving entry serve until the balancer has noticed

Cause: an entry without requests closed its listener in the moment of the signal, so that callers met refused connections until the balancer looked at the readiness again.

Change: setting leave_delay_s, 2 s by default: readiness is off at once, requests are taken for so long, then refused, and those under way are finished.

Figures: the new test asks the entry while it leaves and gets its answer.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -191,7 +191,7 @@
             return await self._answer_service(asked)
 
     def _check_caller(self, request: web.Request) -> OrganisationRecord:
-        if self.entry.leaving:
+        if self.entry.refusing:
             raise CallError(RequestError(ErrorKind.LEAVING))
         if not self.entry.snapshot.revision:
             raise CallError(RequestError(ErrorKind.NOT_READY))
--- a/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -146,6 +146,9 @@
         Deadline of a request that names none, and the longest one may name, seconds.
     vm_list_interval_s : float
         Time between two reads of the VM list, seconds.
+    leave_delay_s : float
+        How long a leaving entry still takes requests while its readiness is off, seconds: as long
+        as the balancer needs to notice.
     seed_slots : list of str
         Addresses of slots to connect to while the VM list cannot be read.
     """
@@ -156,6 +159,7 @@
         "default_deadline_s": _POSITIVE_S,
         "max_deadline_s": _POSITIVE_S,
         "vm_list_interval_s": _POSITIVE_S,
+        "leave_delay_s": [Interval(float, 0.0, 3600.0)],
         "seed_slots": [ListOf(_ADDRESS)],
     }
 
@@ -163,6 +167,7 @@
     default_deadline_s: float = 60.0
     max_deadline_s: float = 600.0
     vm_list_interval_s: float = 1.0
+    leave_delay_s: float = 2.0
     seed_slots: list[str] = attrs.field(factory=list)
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -60,6 +60,11 @@
             and any(dispatcher.ready for dispatcher in self._dispatchers.values())
         )
 
+    @property
+    def refusing(self) -> bool:
+        """Whether new requests are refused because the process is about to close."""
+        return self._refusing
+
     def dispatcher(self, group: str) -> GroupDispatcher | None:
         """Return the dispatcher of an upstream group, None if no record names it."""
         return self._dispatchers.get(group)
@@ -73,6 +78,7 @@
         self._listed: list[VmEntry] = []
         self._wanted: set[str] = set()
         self._steady = False
+        self._refusing = False
         self._vm_list_healthy = True
         self._book = MembershipBook(settings.vm)
         self.admission = AdmissionController()
@@ -108,6 +114,10 @@
         """The readiness page says so from now on; nothing else is needed."""
 
     async def _finish_all(self) -> None:
+        # The balancer goes on sending until it has looked at the readiness again. Callers whose
+        # connections were refused meanwhile would notice the replacement of a VM.
+        await asyncio.sleep(self.settings.leave_delay_s)
+        self._refusing = True
         await self._server.finish_all()
 
     async def _cut_all(self, reason: str) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -64,9 +64,17 @@
 class Deployment:
     """Stand-ins and our processes' objects, started and stopped together."""
 
-    def __init__(self, engines: int = 2, services: int = 0, entries: int = 1, **engine: Any):
+    def __init__(
+        self,
+        engines: int = 2,
+        services: int = 0,
+        entries: int = 1,
+        leave_delay_s: float = 0.0,
+        **engine: Any,
+    ):
         self.engine_parameters = {"base_step_s": 0.001, "per_running_s": 0.0, **engine}
         self.counts = (engines, services, entries)
+        self.leave_delay_s = leave_delay_s
         self.platform = PlatformStandin(PlatformParameters())
         self.engines: list[EngineStandin] = []
         self.services: list[ServiceStandin] = []
@@ -143,7 +151,13 @@
     async def add_entry(self, vm: str, **parts: Any) -> Entry:
         """Start an entry and list it."""
         settings = EntrySettings(
-            vm, "north", PEER_KEY, self._platform(), vm_list_interval_s=0.05, poll_interval_s=0.1
+            vm,
+            "north",
+            PEER_KEY,
+            self._platform(),
+            vm_list_interval_s=0.05,
+            poll_interval_s=0.1,
+            leave_delay_s=self.leave_delay_s,
         )
         entry = Entry(settings, rng=random.Random(2), **parts)
         await entry.start()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -243,3 +243,21 @@
         assert text == "".join(expected_answer(body, seed=1))
         assert call.link is not link
         await asyncio.gather(*filling)
+
+
+async def test_entry_that_leaves_serves_until_the_balancer_has_noticed(deployment):
+    """An entry's VM is replaced, and the balancer sends it requests until it looks at the
+    readiness again.
+
+    Their callers would get refused connections, although other entries are there.
+    """
+    async with deployment(engines=1, leave_delay_s=0.5) as running:
+        (entry,) = running.entries
+        stopping = asyncio.create_task(entry.stop())
+        await until(lambda: entry.leaving)
+        async with running.session.get(running.url("/readyz")) as response:
+            assert response.status == 503
+        status, _ = await running.ask("/v1/chat/completions", chat_body())
+        assert status == 200
+        await stopping
+        running.entries.clear()
