Take events that nothing logs out of the catalogue, and log refusals

Eight events stood in the catalogue and no code wrote them: failed fetches of the configuration, two of the quarantine, late outcomes, sent and refused orders, leases taken and lost. Their numbers stay unused. Refusals were counted but not logged; they are now, at level DEBUG. A test holds that every event of the catalogue is logged somewhere.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -140,8 +140,12 @@
             response.headers[REQUEST_HEADER] = request[_REQUEST_ID]
         return response
 
-    def _error_response(self, error: RequestError) -> web.Response:
+    def _note_refusal(self, error: RequestError) -> None:
         self.entry.metrics.count(refusal_counter(error.kind))
+        log_event(Event.REQUEST_REFUSED, kind=error.kind, run=error.answer.run)
+
+    def _error_response(self, error: RequestError) -> web.Response:
+        self._note_refusal(error)
         answer = error.answer
         headers = {}
         if answer.retry_after_s is not None:
@@ -356,7 +360,7 @@
         A body that ended properly would look like a whole answer to a client that reads only the
         text.
         """
-        self.entry.metrics.count(refusal_counter(error.kind))
+        self._note_refusal(error)
         await response.write(writer.error(error_body(error)))
         request.transport.close()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -86,11 +86,6 @@
         "WARNING",
         "A record has only schemas this release does not know; its last known version stays.",
     )
-    CONFIGURATION_FETCH_FAILED = (
-        1104,
-        "WARNING",
-        "Changes of the configuration could not be fetched; the revision in force stays.",
-    )
 
     TABLE_UNAVAILABLE = (1201, "ERROR", "The table service does not answer.")
     TABLE_RECOVERED = (1202, "INFO", "The table service answers again.")
@@ -123,18 +118,11 @@
     REQUEST_RESUMED = (1507, "DEBUG", "A paused request runs again.")
 
     QUARANTINE_SUSPECTED = (1601, "WARNING", "A request ran where an upstream crashed.")
-    QUARANTINE_CONFIRMED = (1602, "ERROR", "A request crashed upstreams and is refused from now.")
-    QUARANTINE_WITHDRAWN = (1603, "NOTICE", "A quarantined request is admitted again.")
 
     CLAIM_REFUSED = (1701, "INFO", "A claim was refused: another attempt holds it.")
     CLAIM_OUTCOME_UNKNOWN = (1702, "WARNING", "A request at most once may or may not have run.")
-    CLAIM_OUTCOME_LATE = (1703, "NOTICE", "The outcome of a request was written late.")
 
-    ORDER_SENT = (1801, "INFO", "An order was sent to the engine.")
-    ORDER_REFUSED = (1802, "WARNING", "The engine refused an order.")
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
-    LEASE_TAKEN = (1804, "INFO", "The lease on an engine's orders was taken.")
-    LEASE_LOST = (1805, "WARNING", "The lease on an engine's orders was lost.")
 
     def __init__(self, number: int, level: str, summary: str):
         self.number = number
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_events.py
@@ -69,3 +69,11 @@
             if isinstance(node, ast.Call) and getattr(node.func, "id", "") == "log_event":
                 named = {keyword.arg for keyword in node.keywords}
                 assert not named & FORBIDDEN_FIELDS, f"{path}:{node.lineno}"
+
+
+def test_every_event_of_the_catalogue_is_logged_somewhere():
+    """An operator waits for an event that the catalogue promises and no code writes."""
+    sources = "".join(
+        path.read_text() for path in PACKAGES.glob("*/src/**/*.py") if "tests" not in path.parts
+    )
+    assert [event.name for event in Event if f"Event.{event.name}" not in sources] == []
