Retry an answer that broke off between its head and its first token

Cause: a caller's stream that had only its head counted as one that cannot be continued, so that an engine's crash in that moment ended it.

Change: tokens can be continued wherever they broke off, also before the first one. Events of internal errors tell the type and the place, not the message, which could hold a piece of a request.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -94,6 +94,8 @@
         Digest of organisation, method, path and body.
     prefix : tuple of int
         Hashes of the growing prefixes of the prompt.
+    has_tokens : bool
+        Whether the answer consists of tokens, so that another upstream can continue it.
     """
 
     request: str
@@ -109,6 +111,7 @@
     key: str
     digest: str
     prefix: tuple[int, ...] = ()
+    has_tokens: bool = False
 
     @property
     def idempotent(self) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -259,7 +259,8 @@
     ) -> None:
         """Bring a call to another slot, or end it."""
         repeatable = certainly_not_run or call.asked.idempotent
-        can_resume = not call.has_head or bool(call.delivered)
+        # Tokens can be continued wherever they broke off, also before the first one; a body cannot.
+        can_resume = call.asked.has_tokens or not call.has_head
         decision = should_retry(error.kind, repeatable, call.attempt, can_resume)
         if not decision.retry:
             raise call.fail_with(error)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -25,7 +25,7 @@
 from ._call import Call, CallError, CallRequest
 from ._call_runner import Body, Tokens
 from ._chat import ChatRequest, ChunkWriter, parse_chat
-from ._events import Event, log_event
+from ._events import Event, describe_fault, log_event
 from ._metrics import REQUESTS, refusal_counter
 from ._status_http import add_status_routes
 
@@ -134,7 +134,7 @@
         except (ConnectionError, asyncio.CancelledError):
             raise
         except Exception as error:  # noqa: BLE001
-            log_event(Event.INTERNAL_ERROR, where="caller request", error=repr(error))
+            log_event(Event.INTERNAL_ERROR, where="caller request", error=describe_fault(error))
             response = self._error_response(RequestError(ErrorKind.INTERNAL))
         if not response.prepared:
             response.headers[REQUEST_HEADER] = request[_REQUEST_ID]
@@ -253,6 +253,7 @@
             _read_key(request, route),
             digest_request(organisation.name, request.method, path, body),
             prefix,
+            chat is not None,
         )
 
     def _read_deadline(self, request: web.Request) -> float:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -13,6 +13,7 @@
 import json
 import math
 import re
+import traceback
 from typing import Any, TextIO
 
 import logbook
@@ -169,6 +170,21 @@
     return " ".join(parts)
 
 
+def describe_fault(error: BaseException) -> str:
+    """Return the type of an exception and where it was raised.
+
+    The message is left out: it can hold a piece of the request that led to the exception.
+
+    Examples
+    --------
+    >>> describe_fault(ValueError("some text of a caller"))
+    'ValueError'
+    """
+    name = type(error).__name__
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{name}@{frames[-1].name}:{frames[-1].lineno}" if frames else name
+
+
 def setup_logging(level: str, stream: TextIO) -> logbook.StreamHandler:
     """Send events of ``level`` and above to ``stream``, for the whole process.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -29,7 +29,7 @@
 from ._answer_store import AnswerCollector
 from ._clock import Clock
 from ._engine_client import engine_request_id
-from ._events import Event, log_event
+from ._events import Event, describe_fault, log_event
 from ._peer import PeerConnection
 from ._upstream import AnswerPart, BodyPiece, Token, UpstreamClient, UpstreamError
 from ._upstream_health import PaceMeter, UpstreamHealth
@@ -274,7 +274,7 @@
             self._control(self.client.cancel(engine_request_id(attempt.run)))
         except Exception as error:  # noqa: BLE001
             # A fault in this code must not leave the caller waiting for ever.
-            log_event(Event.INTERNAL_ERROR, where="slot attempt", error=repr(error))
+            log_event(Event.INTERNAL_ERROR, where="slot attempt", error=describe_fault(error))
             attempt.post_failed(ErrorKind.INTERNAL, type(error).__name__)
         finally:
             now = self.clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -238,8 +238,8 @@
         await until(lambda: len(dispatcher.queue) >= 2)
         link.give_up(call)
         call.inbox.put(Failed(*call.attempt_key, ErrorKind.UPSTREAM_FAILED, "", True))
-        text, whole, _ = await reading
-        assert whole
+        text, whole, error = await reading
+        assert (whole, error) == (True, None)
         assert text == "".join(expected_answer(body, seed=1))
         assert call.link is not link
         await asyncio.gather(*filling)
