--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -25,6 +25,7 @@
     concerns,
     order_id,
 )
+from ._organisation_use import OrganisationUse
 from ._outcomes import OutcomeWriter
 from ._placement import PlacementPolicy, placement_policies
 from ._places import is_movable
@@ -61,6 +62,7 @@
     "OrderRunner",
     "OrderState",
     "OrderTarget",
+    "OrganisationUse",
     "OutcomeWriter",
     "PlaceGrant",
     "PlacementPolicy",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_admission.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_admission.py
@@ -11,6 +11,7 @@
 from burdockquay_protocol import ErrorKind, RequestError
 from burdockquay_state import ClassRecord, OrganisationRecord, PolicyRecord
 
+from ._organisation_use import OrganisationUse
 from ._queues import QueuePolicy
 
 RATE_WINDOW_S = 5.0
@@ -111,6 +112,7 @@
         self._shedding = True
         self._accounts: dict[str, _Account] = {}
         self._rates: dict[str, _StartRate] = {}
+        self._use = OrganisationUse()
 
     def configure(
         self,
@@ -143,8 +145,10 @@
             ``ORGANISATION_LIMIT`` or ``OVERLOADED`` with ``retry_after_s``. After Ok the request
             counts as outstanding until :meth:`finished`.
         """
-        refusal = self._over_limit(organisation, now) or self._overloaded(
-            organisation, class_name, queue, now
+        refusal = (
+            self._over_limit(organisation, now)
+            or self._overloaded(organisation, class_name, queue, now)
+            or self._over_share(organisation, class_name, queue, now)
         )
         if refusal is not None:
             return Err(refusal)
@@ -159,6 +163,10 @@
         rate = self._rates.setdefault(class_name, _StartRate(since=now - waited_s))
         rate.add(now)
 
+    def charge(self, organisation: str, tokens: float, now: float) -> None:
+        """Note that tokens were generated for an organisation, in whatever class."""
+        self._use.charge(organisation, tokens, now)
+
     def finished(self, organisation: str, class_name: str, now: float) -> None:
         """Note that an admitted request has ended, however it did."""
         account = self._accounts.get(organisation)
@@ -214,6 +222,24 @@
         retry_after_s = max(expected_s - record.patience_s, MIN_RETRY_AFTER_S)
         return RequestError(ErrorKind.OVERLOADED, detail, retry_after_s=retry_after_s)
 
+    def _over_share(
+        self, organisation: str, class_name: str, queue: QueuePolicy, now: float
+    ) -> RequestError | None:
+        """Refuse routine work of an organisation that takes far more than its weight gives it.
+
+        Inside a class the queue divides by weight. But an organisation that floods a higher class
+        takes the places of all others' lower classes, and they would notice it by refusals. It is
+        refused only while others wait, so that no place stands empty for it.
+        """
+        record = self._classes.get(class_name)
+        if record is None or record.protected or not self._shedding or not len(queue):
+            return None
+        weights = {name: item.weight for name, item in self._organisations.items()}
+        if not self._use.is_over(organisation, weights, now):
+            return None
+        detail = f"organisation {organisation} uses more than its share while others wait"
+        return RequestError(ErrorKind.OVERLOADED, detail)
+
 
 def _burst(record: OrganisationRecord) -> float:
     return max(1.0, record.requests_per_s * BURST_S)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_admission.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_admission.py
@@ -2,7 +2,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockquay_coordination import AdmissionController, Waiting, queue_policies
+from burdockquay_coordination import (
+    AdmissionController,
+    OrganisationUse,
+    Waiting,
+    queue_policies,
+)
 from burdockquay_protocol import ErrorKind
 from burdockquay_state import ClassRecord, OrganisationRecord, PolicyRecord
 
@@ -127,3 +132,38 @@
     admission.configure(CLASSES, {}, PolicyRecord(), 1.0)
     admission.finished("small", "draft", 2.0)
     assert admission._accounts == {}
+
+
+def test_flood_is_refused_to_the_one_that_sends_it(admission, queue):
+    """One organisation sends far more than its part, in a class above that of the others.
+
+    The others' requests wait for the places it takes and are refused in the end.
+    """
+    for organisation, tokens in (("south", 5000.0), ("north", 100.0), ("small", 100.0)):
+        admission.charge(organisation, tokens, 0.0)
+    assert admission.admit("south", "draft", queue, 0.0).is_ok(), "nobody waits"
+    fill(queue, 1, organisation="north")
+    refusal = admission.admit("south", "draft", queue, 0.0).err()
+    assert refusal.kind is ErrorKind.OVERLOADED
+    assert admission.admit("south", "hold", queue, 0.0).is_ok(), "protected"
+    assert admission.admit("north", "draft", queue, 0.0).is_ok()
+
+
+@given(
+    st.dictionaries(st.sampled_from("abcdef"), st.floats(0.1, 1e6), min_size=1),
+    st.dictionaries(st.sampled_from("abcdef"), st.floats(0.1, 10.0)),
+)
+def test_not_every_organisation_can_be_over_its_share(uses, weights):
+    use = OrganisationUse()
+    for name, tokens in uses.items():
+        use.charge(name, tokens, 0.0)
+    assert not all(use.is_over(name, weights, 0.0) for name in list(uses))
+
+
+def test_use_of_long_ago_does_not_count():
+    use = OrganisationUse()
+    use.charge("south", 5000.0, 0.0)
+    use.charge("north", 100.0, 0.0)
+    assert use.is_over("south", {}, 0.0)
+    use.charge("north", 100.0, 60.0)
+    assert not use.is_over("south", {}, 60.0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -182,6 +182,7 @@
         """Charge generated tokens to the call's class and organisation."""
         asked = call.asked
         self._queue.charge(asked.service_class.name, asked.organisation.name, tokens, now)
+        self.admission.charge(asked.organisation.name, tokens, now)
 
     def observe_status(self, link: SlotLink, now: float) -> None:
         """Take in the pace that a slot reports, and send it what may be waiting."""
