Send heartbeats every two seconds

Cause: heartbeats on idle connections take most of an idle process's control, which is over the bound of 1.1 % of a core at the planned size.

Change: a heartbeat after 2 s of silence in place of 1 s; a peer is given up after 6.5 s in place of 5 s. A new revision does not wait for a heartbeat, it is sent at once.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -60,10 +60,10 @@
 carry the revision."""
 
 
-HEARTBEAT_S = 1.0
+HEARTBEAT_S = 2.0
 """Idle time of a connection after which a heartbeat is sent, seconds."""
 
-SILENCE_S = 5.0
+SILENCE_S = 6.5
 """Silence after which a connection is given up, seconds."""
 
 
