Run the repeat of a request that was not run

Cause: a key whose row said "cancelled" made the first attempt of a repeat lose its claim; the row was settled as not run, but the kind of the error was never tried again, so that each repeat of the key was refused until the row expired. Refusals by full slots counted as attempts, and four of them used up what a crash may need.

Change: a lost claim that was settled as not run is tried again on the row as it is; only attempts that cost the upstreams something are counted.

A caller was told the truth before, but could not act on it.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_retries.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_retries.py
@@ -32,6 +32,9 @@
     ErrorKind.LEAVING: RetryRule.FREE,
     ErrorKind.NO_UPSTREAM: RetryRule.NOT_RUN,
     ErrorKind.NOT_READY: RetryRule.NOT_RUN,
+    # Only an attempt whose claim row was settled as "not run" comes here: the next one expects
+    # the row as it is now.
+    ErrorKind.CLAIM_LOST: RetryRule.NOT_RUN,
     ErrorKind.UPSTREAM_FAILED: RetryRule.IF_IDEMPOTENT,
     ErrorKind.PEER_LOST: RetryRule.IF_IDEMPOTENT,
     ErrorKind.INTERNAL: RetryRule.IF_IDEMPOTENT,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -139,6 +139,8 @@
         Number of the latest attempt.
     link : SlotLink or None
         Slot that has the live attempt.
+    retries : int
+        Attempts that failed at some cost to the upstreams.
     may_have_run : bool
         Whether an earlier or the live attempt may have had an effect.
     delivered : list of str
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -261,20 +261,27 @@
         repeatable = certainly_not_run or call.asked.idempotent
         # Tokens can be continued wherever they broke off, also before the first one; a body cannot.
         can_resume = call.asked.has_tokens or not call.has_head
-        decision = should_retry(error.kind, repeatable, call.attempt, can_resume)
+        decision = should_retry(error.kind, repeatable, call.retries + 1, can_resume)
         if not decision.retry:
             raise call.fail_with(error)
         now = self.clock.now()
-        if decision.needs_budget and not self.budget.withdraw(now):
-            log_event(Event.RETRY_BUDGET_EMPTY)
-            self.metrics.count("retries.budget_empty")
-            raise call.fail_with(error)
+        if decision.needs_budget:
+            self._withdraw_retry(call, error, now)
         self._check_quarantine(call)
         self.metrics.count(retry_counter(error.kind))
         log_event(Event.REQUEST_RETRIED, request=call.asked.request, kind=error.kind.value)
         call.link = None
         dispatcher.submit(call, now)
 
+    def _withdraw_retry(self, call: Call, error: RequestError, now: float) -> None:
+        # Refusals that cost the upstreams nothing are not counted: a call that met four full slots
+        # could not be tried again after a crash.
+        call.retries += 1
+        if not self.budget.withdraw(now):
+            log_event(Event.RETRY_BUDGET_EMPTY)
+            self.metrics.count("retries.budget_empty")
+            raise call.fail_with(error)
+
     def _check_quarantine(self, call: Call) -> None:
         verdict = self.quarantine.verdict(call.asked.digest, self.clock.wall())
         if verdict is Verdict.QUARANTINED:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -1,10 +1,12 @@
 """Failures of upstreams, processes and the platform, as callers notice them."""
 
 import asyncio
+import json
 
-from burdockquay_protocol import ErrorKind, Failed
+from burdockquay_protocol import ErrorKind, Failed, NotRun
 from burdockquay_standins import expected_answer
-from burdockquay_state import ClassRecord
+from burdockquay_state import ClaimStore, ClassRecord, MemoryObjectStore
+from burdockquay_transport._caller_http import digest_request
 
 from ._deployment import callers_requests, chat_body, until
 
@@ -261,3 +263,44 @@
         assert status == 200
         await stopping
         running.entries.clear()
+
+
+async def test_repeat_of_a_hold_that_was_not_run_is_run(deployment):
+    """A hold was cancelled before any slot had claimed it, and its caller heard "not run".
+
+    The caller repeats it with the same key, as it was told it may, and the hold is placed.
+    """
+    async with deployment(engines=1, services=1) as running:
+        entry = running.entries[0]
+        digest = digest_request("parish", "POST", "/holds", json.dumps({"chapel": 1}).encode())
+        claims = ClaimStore(running.platform.table, MemoryObjectStore())
+        cancelled = await claims.cancel("parish", "h-1", 0, digest, entry.wall())
+        assert cancelled.ok().cancelled
+        status, _ = await running.ask(HOLD, {"chapel": 1}, Idempotency_Key="h-1")
+        assert status == 200
+        assert running.services[0].effects == {"h-1": 1}
+
+
+async def test_call_that_met_full_slots_is_still_tried_again_after_a_crash(deployment):
+    """A call was refused by full slots several times before an engine took it and died.
+
+    Those refusals cost nothing and must not use up the attempts that a crash may need.
+    """
+    async with deployment(engines=2, base_step_s=0.01) as running:
+        dispatcher = running.entries[0].dispatcher("drafting")
+        body = {**chat_body("ceremony", True, 600), "min_tokens": 100}
+        reading = asyncio.create_task(running.ask_stream(body))
+        await until(lambda: any(link.outstanding for link in dispatcher.links.values()))
+        link = next(link for link in dispatcher.links.values() if link.outstanding)
+        (call,) = link._attempts.values()
+        for _ in range(5):
+            link = call.link
+            link.give_up(call)
+            call.inbox.put(NotRun(*call.attempt_key, ErrorKind.NO_PLACE))
+            await until(lambda: call.link is not None and call.link.outstanding)
+        failed = call.link
+        failed.give_up(call)
+        call.inbox.put(Failed(*call.attempt_key, ErrorKind.UPSTREAM_FAILED, "", True))
+        text, whole, error = await reading
+        assert (whole, error) == (True, None)
+        assert text == "".join(expected_answer(body, seed=1))
