Give back the place of an attempt that was cancelled before its first step

Cause: a slot forgot an attempt at the end of the attempt's own task. A task that is cancelled before its first step runs none of its code, so that the place stayed taken for ever when order and cancellation arrived together.

Change: the place is given back by a callback on the end of the task.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -38,6 +38,10 @@
 """How long past its deadline a claimed request may still bring its outcome, seconds."""
 
 
+FINISH_POLL_S = 0.01
+"""Time between two looks at what is still held during a shutdown, seconds."""
+
+
 @attrs.define(eq=False)
 class Attempt:
     """An attempt that the slot holds.
@@ -187,6 +191,9 @@
             return False
         attempt = self._attempts[work.request, work.attempt]
         attempt.task = asyncio.create_task(self._run(attempt))
+        # Not at the end of the task's own code: a task that is cancelled before its first step
+        # runs none of it, and its place would stay taken for ever.
+        attempt.task.add_done_callback(lambda _: self._ended(attempt))
         return True
 
     def _resume_one(self, now: float) -> bool:
@@ -239,11 +246,7 @@
     async def finish_all(self) -> None:
         """Wait until nothing is held any more."""
         while self._attempts:
-            tasks = [attempt.task for attempt in self._attempts.values() if attempt.task]
-            if tasks:
-                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            else:
-                await asyncio.sleep(0.01)
+            await asyncio.sleep(FINISH_POLL_S)
 
     def cut_all(self, reason: str, now: float) -> None:
         """End everything at the limit of the shutdown and tell the truth about it."""
@@ -276,10 +279,11 @@
             # A fault in this code must not leave the caller waiting for ever.
             log_event(Event.INTERNAL_ERROR, where="slot attempt", error=describe_fault(error))
             attempt.post_failed(ErrorKind.INTERNAL, type(error).__name__)
-        finally:
-            now = self.clock.now()
-            self._forget(attempt, now)
-            self.fill_places(now)
+
+    def _ended(self, attempt: Attempt) -> None:
+        now = self.clock.now()
+        self._forget(attempt, now)
+        self.fill_places(now)
 
     async def _run_idempotent(self, attempt: Attempt) -> None:
         remaining = attempt.work.deadline - self.clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -1,6 +1,7 @@
 """What an entry and a slot do with peers that break the protocol."""
 
 import asyncio
+import json
 
 import cbor2
 import pytest
@@ -10,8 +11,10 @@
 from burdockquay_protocol import (
     MAX_FRAME_BYTES,
     PART_TOKEN,
+    Cancel,
     Frame,
     Heartbeat,
+    Run,
     SlotStatus,
     encode,
 )
@@ -166,3 +169,44 @@
         status, _ = await running.ask("/v1/chat/completions", chat_body())
         assert status == 200
         websocket.transport.abort()
+
+
+async def test_attempt_that_is_cancelled_at_once_gives_its_place_back(deployment):
+    """A caller leaves in the moment its request is sent, so that order and cancellation reach the
+    slot together.
+
+    If the slot forgot only what it had begun, the place would stay taken, and after a few such
+    callers the upstream would serve nobody.
+    """
+    async with deployment(engines=1) as running:
+        slot = running.slots[0]
+        websocket, greeted = await open_peer(slot)
+        peer = greeted.ok()
+        body = json.dumps(chat_body("x", True, 600)).encode()
+        for number in range(20):
+            request = f"request-{number}"
+            peer.post(
+                Run(
+                    request,
+                    1,
+                    0,
+                    "parish",
+                    "draft",
+                    "POST",
+                    "/v1/chat/completions",
+                    [],
+                    body,
+                    True,
+                    30.0,
+                    True,
+                    "",
+                    0,
+                    "d" * 32,
+                )
+            )
+            peer.post(Cancel(request, 1))
+        await peer.drain()
+        await until(lambda: slot.traffic.messages_received >= 40)
+        await until(lambda: slot.describe()["running"] == 0)
+        assert slot._held() == 0
+        websocket.transport.abort()
