--- a/packages/burdockquay-transport/src/burdockquay_transport/_suspicion_exchange.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_suspicion_exchange.py
@@ -64,10 +64,25 @@
         news = self.book.merge(message.suspicions, self.clock.wall())
         self._tell(news, except_peer=peer)
 
-    async def note_crash(self, digests: Sequence[str]) -> None:
-        """Note what ran when the upstream crashed, tell the peers and write it down."""
+    def note_crash(self, digests: Sequence[str]) -> list[Suspicion]:
+        """Note what ran when the upstream crashed, and tell the peers at once.
+
+        Returns
+        -------
+        list of Suspicion
+            What is new, for :meth:`save`.
+
+        Notes
+        -----
+        The peers must hear of it before they hear that their answers broke off: they try again
+        in that moment, and would run a dangerous request beside others once more.
+        """
         news = self.book.note_crash(digests, self.clock.wall())
         self._tell(news)
+        return news
+
+    async def save(self, news: list[Suspicion]) -> None:
+        """Write suspicions down for processes that start later."""
         await self.store.save(news, self.clock.wall())
 
     def withdraw(self, records: Iterable[QuarantineWithdrawalRecord]) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
@@ -1,9 +1,11 @@
 """Upstreams that are slow, and what was known of crashes before a process began."""
 
+import asyncio
 import json
 
 from burdockquay_protocol import Suspicion
 from burdockquay_transport._caller_http import digest_request
+from burdockquay_transport._slot_runner import SlotRunner
 
 from ._deployment import callers_requests, chat_body, until
 
@@ -56,3 +58,29 @@
 
 def _digest_of(body):
     return digest_request("parish", "POST", "/v1/chat/completions", json.dumps(body).encode())
+
+
+async def test_answer_that_a_crash_broke_is_tried_again_apart(deployment, monkeypatch):
+    """An engine crashes while it runs several requests, each of which may be the cause.
+
+    If one of them were tried again before the entry has heard of the crash, it would run beside
+    others, and the next crash would name nobody.
+    """
+    accepted = []
+    original = SlotRunner.accept
+
+    def accept(runner, connection, run, now):
+        accepted.append(run)
+        original(runner, connection, run, now)
+
+    monkeypatch.setattr(SlotRunner, "accept", accept)
+    async with deployment(engines=2, base_step_s=0.01, restart_s=60.0) as running:
+        bodies = [{**chat_body(f"{n}", True, 400), "min_tokens": 50} for n in range(4)]
+        reading = [asyncio.create_task(running.ask_stream(body)) for body in bodies]
+        await until(lambda: any(engine.tokens_generated > 20 for engine in running.engines))
+        max(running.engines, key=lambda engine: len(engine.batch.running)).crash(60.0)
+        for _, whole, _ in await asyncio.gather(*reading):
+            assert whole
+        again = [run for run in accepted if run.attempt > 1]
+        assert again
+        assert all(run.apart for run in again)
