Refuse policy records that name no policy, and log tasks that fail

Cause: a policy record was checked for the form of its names only. One with a slip of the pen, or of a newer release, would have ended the task that follows the configuration in every process.

A task of a process that ends by an exception is logged.

--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -32,6 +32,8 @@
 from ._record_rows import LogRow
 from ._records import (
     ANY,
+    PLACEMENT_POLICIES,
+    QUEUE_POLICIES,
     ClassRecord,
     ClassRecordV1,
     GroupRecord,
@@ -126,9 +128,11 @@
     "Operation",
     "OrganisationRecord",
     "ParameterFault",
+    "PLACEMENT_POLICIES",
     "PlacementRecord",
     "PolicyRecord",
     "Put",
+    "QUEUE_POLICIES",
     "PutRefusal",
     "QuarantineWithdrawalRecord",
     "RecordChange",
--- a/packages/burdockquay-state/src/burdockquay_state/_records.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_records.py
@@ -356,6 +356,12 @@
     digest: str
 
 
+QUEUE_POLICIES = ("class_share", "fifo")
+PLACEMENT_POLICIES = ("least_reported", "random", "round_robin", "scored", "two_choices")
+"""Policies that a record may name. The registries are in a layer above this one; a test holds that
+both agree."""
+
+
 @record("policy", 1)
 @attrs.frozen
 class PolicyRecord:
@@ -382,8 +388,8 @@
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
         "name": [OneOf(("default",))],
         "binding": [OneOf(("grant", "slot_queue"))],
-        "queue": [NAME],
-        "placement": [NAME],
+        "queue": [OneOf(QUEUE_POLICIES)],
+        "placement": [OneOf(PLACEMENT_POLICIES)],
         "preemption": _BOOL,
         "reserve": _BOOL,
         "shedding": _BOOL,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -16,7 +16,7 @@
 
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
-from ._events import Event, log_event
+from ._events import Event, describe_fault, log_event
 from ._metrics import keep_flushing, make_sink
 from ._peer import Identity, PeerConnection, TrafficCounts
 from ._platform import open_platform
@@ -165,9 +165,16 @@
     def _spawn(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_end)
         return task
 
+    def _note_end(self, task: asyncio.Task) -> None:
+        """Log a task that ended by an exception, which nobody would notice otherwise."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            where = task.get_coro().__qualname__
+            log_event(Event.INTERNAL_ERROR, where=where, error=describe_fault(task.exception()))
+
     def _describe_common(self) -> dict[str, Any]:
         """Return the part of ``/status`` that both roles show."""
         return {
