Let the platform's three adapters share their constructor

Cause: the same four lines and their documentation stood three times.

Change: a common base class; behaviour is as it was.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
@@ -146,9 +146,8 @@
         return _interpret(reply.ok(), lost, read)
 
 
-@table_services.register("http")
-class HttpTable(TableService):
-    """Table service over HTTP.
+class _HttpAdapter:
+    """What the three adapters have in common.
 
     Parameters
     ----------
@@ -164,6 +163,11 @@
         self.session = session
         self._client = _Client(url, timeout_s, session)
 
+
+@table_services.register("http")
+class HttpTable(_HttpAdapter, TableService):
+    """Table service over HTTP; see :class:`_HttpAdapter` for the parameters."""
+
     async def get(self, keys: Sequence[str]) -> Result[list[Row | None], TableError]:
         """Return the row under each key, None where there is none."""
 
@@ -200,22 +204,8 @@
 
 
 @object_stores.register("http")
-class HttpObjectStore(ObjectStore):
-    """Object store over HTTP.
-
-    Parameters
-    ----------
-    url : str
-    timeout_s : float
-        Limit on a call, seconds.
-    session : aiohttp.ClientSession
-    """
-
-    def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
-        self.url = url
-        self.timeout_s = timeout_s
-        self.session = session
-        self._client = _Client(url, timeout_s, session)
+class HttpObjectStore(_HttpAdapter, ObjectStore):
+    """Object store over HTTP; see :class:`_HttpAdapter` for the parameters."""
 
     async def put(self, digest: str, content: bytes) -> Result[None, TableError]:
         """Store the content under its digest."""
@@ -240,15 +230,8 @@
 
 
 @vm_lists.register("http")
-class HttpVmList(VmList):
-    """VM list over HTTP.
-
-    Parameters
-    ----------
-    url : str
-    timeout_s : float
-        Limit on a call, seconds.
-    session : aiohttp.ClientSession
+class HttpVmList(_HttpAdapter, VmList):
+    """VM list over HTTP; see :class:`_HttpAdapter` for the parameters.
 
     Notes
     -----
@@ -257,10 +240,7 @@
     """
 
     def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
-        self.url = url
-        self.timeout_s = timeout_s
-        self.session = session
-        self._client = _Client(url, timeout_s, session)
+        super().__init__(url, timeout_s, session)
         self._reported: set[str] = set()
         self._etag = ""
         self._digest = b""
