Share the reading of messages, and keep the weights of organisations ready

Cause: read through of the whole: the loop that reads and hands on a peer's messages stood in the slot and in the entry, the id of an attempt at its engine was made in two places, and each admission under load made the table of all weights anew, with thousands of organisations.

Change: PeerConnection.read_messages serves both sides; engine_request_id takes both kinds of attempt; the weights are made when the configuration changes.

The time of an admission was not measured.

Conclusion: behaviour is as it was.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_admission.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_admission.py
@@ -109,6 +109,7 @@
     def __init__(self) -> None:
         self._classes: Mapping[str, ClassRecord] = {}
         self._organisations: Mapping[str, OrganisationRecord] = {}
+        self._weights: dict[str, float] = {}
         self._shedding = True
         self._accounts: dict[str, _Account] = {}
         self._rates: dict[str, _StartRate] = {}
@@ -124,6 +125,7 @@
         """Take new records; requests admitted before keep counting."""
         self._classes = classes
         self._organisations = organisations
+        self._weights = {name: item.weight for name, item in organisations.items()}
         self._shedding = policy.shedding
         for name in list(self._accounts):
             record = organisations.get(name)
@@ -234,8 +236,7 @@
         record = self._classes.get(class_name)
         if record is None or record.protected or not self._shedding or not len(queue):
             return None
-        weights = {name: item.weight for name, item in self._organisations.items()}
-        if not self._use.is_over(organisation, weights, now):
+        if not self._use.is_over(organisation, self._weights, now):
             return None
         detail = f"organisation {organisation} uses more than its share while others wait"
         return RequestError(ErrorKind.OVERLOADED, detail)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from burdockquay_coordination import Work
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 
 from ._upstream import (
@@ -32,7 +33,7 @@
 _REFUSED_BODY_BYTES = 4096
 
 
-def engine_request_id(run: Run) -> str:
+def engine_request_id(run: Run | Work) -> str:
     """Return the id under which the engine knows an attempt."""
     return f"{run.request}-{run.attempt}"
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -9,7 +9,7 @@
 import asyncio
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -255,6 +255,37 @@
         self.traffic.bytes_received += len(data)
         return decode(data, self.version)
 
+    async def read_messages(
+        self,
+        handlers: Mapping[type, Callable[[PeerConnection, Any], None]],
+        count: Callable[[str], None],
+    ) -> None:
+        """Hand each message to its handler, until the peer breaks the protocol.
+
+        Parameters
+        ----------
+        handlers : mapping of type to callable
+            Called with the connection and the message; another type is out of order.
+        count : callable
+            Called with the name of a counter.
+
+        Raises
+        ------
+        ConnectionClosed
+            If the peer closed the connection, or it broke.
+        """
+        while True:
+            received = await self.receive()
+            if isinstance(received, Err):
+                report_fault(received.err(), self.peer.vm, count)
+                return
+            message = received.ok()
+            handler = handlers.get(type(message))
+            if handler is None:
+                report_out_of_order(message, self.peer.vm, count)
+                return
+            handler(self, message)
+
     async def close(self, reason: str) -> None:
         """Close the connection."""
         self._closing = True
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
@@ -40,8 +40,6 @@
     PeerConnection,
     TrafficCounts,
     greet_slot,
-    report_fault,
-    report_out_of_order,
 )
 
 
@@ -222,7 +220,7 @@
         async with connection.writing():
             try:
                 self._come_up(connection)
-                await self._read_messages(connection)
+                await connection.read_messages(self._handlers, self.count)
             except ConnectionClosed:
                 pass
             finally:
@@ -261,31 +259,18 @@
         for call in calls:
             call.inbox.put(PeerLost(self.vm))
 
-    async def _read_messages(self, connection: PeerConnection) -> None:
-        while True:
-            received = await connection.receive()
-            if isinstance(received, Err):
-                report_fault(received.err(), self.vm, self.count)
-                return
-            message = received.ok()
-            handler = self._handlers.get(type(message))
-            if handler is None:
-                report_out_of_order(message, self.vm, self.count)
-                return
-            handler(message)
-
-    def _make_handlers(self) -> dict[type, Callable[[Any], None]]:
+    def _make_handlers(self) -> dict[type, Callable[[PeerConnection, Any], None]]:
         return {
-            Frames: self._on_frames,
-            NotRun: self._on_attempt_over,
-            Failed: self._on_attempt_over,
-            SlotStatus: self._on_status,
-            Grant: lambda message: self.listener.link_grant(self, message),
-            Heartbeat: lambda message: self.sync.peer_has(self.connection, message.revision),
-            FetchLog: lambda message: self.sync.answer_fetch(self.connection, message),
-            LogPart: lambda message: self.sync.receive_part(self.connection, message),
-            Suspicions: lambda message: self.listener.link_suspicions(self, message),
-            Goodbye: lambda message: None,
+            Frames: lambda peer, message: self._on_frames(message),
+            NotRun: lambda peer, message: self._on_attempt_over(message),
+            Failed: lambda peer, message: self._on_attempt_over(message),
+            SlotStatus: lambda peer, message: self._on_status(message),
+            Grant: lambda peer, message: self.listener.link_grant(self, message),
+            Heartbeat: lambda peer, message: self.sync.peer_has(peer, message.revision),
+            FetchLog: self.sync.answer_fetch,
+            LogPart: self.sync.receive_part,
+            Suspicions: lambda peer, message: self.listener.link_suspicions(self, message),
+            Goodbye: lambda peer, message: None,
         }
 
     def _on_frames(self, message: Frames) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_peers.py
@@ -18,8 +18,6 @@
     PeerConnection,
     TrafficCounts,
     greet_entry,
-    report_fault,
-    report_out_of_order,
 )
 
 Handler = Callable[[PeerConnection, Any], None]
@@ -112,7 +110,7 @@
         async with peer.writing():
             try:
                 await self._come_up(peer)
-                await self._read_messages(peer)
+                await peer.read_messages(self.handlers, self.count)
             except ConnectionClosed:
                 pass
             finally:
@@ -136,16 +134,3 @@
             del self._connections[name]
             log_event(Event.PEER_DISCONNECTED, vm=peer.peer.vm, incarnation=name)
             self.on_down(peer)
-
-    async def _read_messages(self, peer: PeerConnection) -> None:
-        while True:
-            received = await peer.receive()
-            if isinstance(received, Err):
-                report_fault(received.err(), peer.peer.vm, self.count)
-                return
-            message = received.ok()
-            handler = self.handlers.get(type(message))
-            if handler is None:
-                report_out_of_order(message, peer.peer.vm, self.count)
-                return
-            handler(peer, message)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -182,7 +182,7 @@
             return False
         log_event(Event.REQUEST_PAUSED, request=victim.request, class_name=victim.class_name)
         self._attempts[victim.request, victim.attempt].was_paused = True
-        self._control(self.client.pause(_engine_id(victim)))
+        self._control(self.client.pause(engine_request_id(victim)))
         return True
 
     def _start_one(self, now: float) -> bool:
@@ -201,7 +201,7 @@
         if work is None:
             return False
         log_event(Event.REQUEST_RESUMED, request=work.request, class_name=work.class_name)
-        self._control(self.client.resume(_engine_id(work)))
+        self._control(self.client.resume(engine_request_id(work)))
         return True
 
     def _grant_one(self, now: float) -> bool:
@@ -358,7 +358,3 @@
         attempt.was_paused = False
         attempt.token_at = now
         self.scheduler.charge(attempt.run.request, attempt.run.attempt, token.count, now)
-
-
-def _engine_id(work: Work) -> str:
-    return f"{work.request}-{work.attempt}"
