--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 setup: $(READY)
 
-$(READY): constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+$(READY): constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/pip install -q -c constraints.txt uv
 	$(BIN)/uv pip install -q -c constraints.txt hatchling editables
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_budget.py
@@ -0,0 +1,58 @@
+"""A budget of retries that holds for all forwarders together without a message between them."""
+
+from __future__ import annotations
+
+from collections import deque
+
+BUCKET_S = 0.25
+"""Width of the buckets that requests are counted in, seconds; a fortieth of the usual window, so
+that the window slides almost smoothly while a process keeps only some forty counts."""
+
+
+class RetryWindow:
+    """Sliding window of first sends and repeats to one service.
+
+    Each process repeats at most a share of the requests that it took itself. The shares of all
+    processes add up to the same share of all requests, so that the bound of the whole system holds
+    while no process knows of another. The allowance beyond the share is split by the number of
+    processes that may exist.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats for each request of the window.
+    burst : float
+        Repeats of a window beyond the ratio, at this process.
+    window_s : float
+    """
+
+    def __init__(self, ratio: float, burst: float, window_s: float):
+        self.ratio = ratio
+        self.burst = burst
+        self.window_s = window_s
+        self._buckets: deque[list[float]] = deque()  # [start, requests, repeats]
+        self._requests = 0.0
+        self._repeats = 0.0
+
+    def note_request(self, now: float) -> None:
+        """Count a request of a caller."""
+        self._bucket(now)[1] += 1
+        self._requests += 1
+
+    def try_repeat(self, now: float) -> bool:
+        """Count a repeat if the budget allows it, and return whether it does."""
+        bucket = self._bucket(now)
+        if self._repeats + 1 > self.ratio * self._requests + self.burst:
+            return False
+        bucket[2] += 1
+        self._repeats += 1
+        return True
+
+    def _bucket(self, now: float) -> list[float]:
+        while self._buckets and self._buckets[0][0] <= now - self.window_s - BUCKET_S:
+            _, requests, repeats = self._buckets.popleft()
+            self._requests -= requests
+            self._repeats -= repeats
+        if not self._buckets or now - self._buckets[-1][0] >= BUCKET_S:
+            self._buckets.append([now, 0, 0])
+        return self._buckets[-1]
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -0,0 +1,79 @@
+"""Look-ups in one version of the configuration."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+from ._config import CallerOrganisation, ForwardConfig, ForwardRoute
+
+
+class ConfigDirectory:
+    """Finds routes by host and path and organisations by key.
+
+    Parameters
+    ----------
+    config : ForwardConfig
+    """
+
+    def __init__(self, config: ForwardConfig):
+        self.config = config
+        self._routes = {(route.host, route.prefix): route for route in config.routes}
+        self._organisations = {
+            api_key: organisation
+            for organisation in config.organisations or ()
+            for api_key in organisation.api_keys
+        }
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether routes that are not anonymous demand a key."""
+        return self.config.organisations is not None
+
+    def find_route(self, host: str, path: str) -> ForwardRoute | None:
+        """Return the route of a host whose prefix is the longest that begins the path.
+
+        Parameters
+        ----------
+        host : str
+            ``Host`` header, with or without a port.
+        path : str
+            Path as the caller sent it, still percent-encoded, without a query.
+        """
+        name = host.rpartition(":")[0] if _has_port(host) else host
+        name = name.lower()
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+    def find_organisation(self, api_key: str) -> CallerOrganisation | None:
+        """Return the organisation that holds a key."""
+        return self._organisations.get(api_key)
+
+
+def _has_port(host: str) -> bool:
+    return host.rpartition(":")[2].isdigit() and not host.endswith("]")
+
+
+def pick_service(route: ForwardRoute, rng: random.Random) -> str:
+    """Return the service for one request, drawn by the weights of the route.
+
+    Examples
+    --------
+    >>> from burdockquay_coordination.forwarding import ForwardRoute, RouteKind, ServiceShare
+    >>> shares = (ServiceShare("old", 0), ServiceShare("new", 3))
+    >>> route = ForwardRoute("r", "h", "/", RouteKind.ONCE, shares, 1.0, 0.1, 0, 1)
+    >>> pick_service(route, random.Random(1))
+    'new'
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    bounds = list(itertools.accumulate(share.weight for share in route.shares))
+    drawn = rng.random() * bounds[-1]
+    for share, bound in zip(route.shares, bounds, strict=True):
+        if drawn < bound:
+            return share.service
+    return route.shares[-1].service
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -0,0 +1,195 @@
+"""The upstreams that a forwarder knows, and what it has seen of each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+RETURN_WAIT_S = 2.2
+"""How long a vanished entry is kept after trouble of the list, seconds. The platform needs about
+two seconds to bring back the entries of live upstreams; 0.2 s for the way of the news."""
+
+SUSPEND_S = 0.5
+"""First pause of an upstream that could not be reached, seconds; doubles with each failure."""
+MAX_SUSPEND_S = 4.0
+"""Longest such pause, seconds: an upstream behind a mended link is back in use within it."""
+
+FAILURE_WEIGHT = 0.15
+"""Weight of the newest outcome in the failure share: about the last seven outcomes count."""
+GREY_SHARE = 0.3
+"""Failure share above which an upstream is used only if no better one is there."""
+GREY_HALF_LIFE_S = 4.0
+"""Time in which the failure share of an upstream that gets no work halves, seconds, so that it is
+tried again."""
+
+
+@attrs.frozen
+class ListedUpstream:
+    """An upstream as the platform lists it.
+
+    Parameters
+    ----------
+    id : str
+        Names one incarnation: an upstream that restarts has another id.
+    service : str
+    host, port
+    failure_domain : str
+    places : int
+        Requests that it runs at once.
+    leaving : bool
+        Whether it takes no new work.
+    revision : int
+        Grows with each change of the entry.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    failure_domain: str
+    places: int
+    leaving: bool
+    revision: int
+
+
+@attrs.frozen
+class UpstreamChanges:
+    """A reading of the list.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether ``listed`` is the whole list; otherwise it holds what changed.
+    listed : tuple of ListedUpstream
+    removed : tuple of str
+        Ids whose entries are gone.
+    """
+
+    whole: bool
+    listed: tuple[ListedUpstream, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class Upstream:
+    """What this process knows of one upstream.
+
+    Parameters
+    ----------
+    entry : ListedUpstream
+    """
+
+    def __init__(self, entry: ListedUpstream):
+        self.entry = entry
+        self.outstanding = 0
+        self.gone = False
+        self._failure_share = 0.0
+        self._seen_at = 0.0
+        self._suspended_until = float("-inf")
+        self._suspend_s = SUSPEND_S
+
+    @property
+    def id(self) -> str:
+        """Id of the incarnation."""
+        return self.entry.id
+
+    def takes_work(self) -> bool:
+        """Return whether the list says that new requests may be sent."""
+        return not (self.gone or self.entry.leaving)
+
+    def suspended(self, now: float) -> bool:
+        """Return whether it failed to answer a short time ago."""
+        return now < self._suspended_until
+
+    def failure_share(self, now: float) -> float:
+        """Return the share of recent requests that failed, faded by the time since then."""
+        return self._failure_share * 0.5 ** ((now - self._seen_at) / GREY_HALF_LIFE_S)
+
+    def is_grey(self, now: float) -> bool:
+        """Return whether it fails too many requests."""
+        return self.failure_share(now) > GREY_SHARE
+
+    def note_success(self, now: float) -> None:
+        """Note a whole answer."""
+        self._note_outcome(0.0, now)
+        self._suspended_until = float("-inf")
+        self._suspend_s = SUSPEND_S
+
+    def note_failure(self, now: float) -> None:
+        """Note an answer that failed or broke off."""
+        self._note_outcome(1.0, now)
+
+    def note_unreachable(self, now: float) -> None:
+        """Note a connection that was refused, reset or silent: pause, longer each time."""
+        self._note_outcome(1.0, now)
+        if self.suspended(now):
+            return
+        self._suspended_until = now + self._suspend_s
+        self._suspend_s = min(self._suspend_s * 2, MAX_SUSPEND_S)
+
+    def _note_outcome(self, failed: float, now: float) -> None:
+        share = self.failure_share(now)
+        self._failure_share = share + FAILURE_WEIGHT * (failed - share)
+        self._seen_at = now
+
+
+class UpstreamBook:
+    """All upstreams, by service.
+
+    Entries may vanish from the list while the platform's store is in trouble although their
+    upstreams live. Dropping them then would take a whole service out of use. A vanished entry
+    therefore counts at once only while the list has been read without trouble for a while.
+    """
+
+    def __init__(self):
+        self._upstreams: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._vanished: dict[str, None] = {}
+        self._steady_at = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._upstreams)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service, also those that take no work."""
+        return self._by_service.get(service, [])
+
+    def note_trouble(self, now: float) -> None:
+        """Note that the list could not be read."""
+        self._steady_at = now + RETURN_WAIT_S
+
+    def apply(self, changes: UpstreamChanges, now: float) -> None:
+        """Take over a reading of the list."""
+        for entry in changes.listed:
+            self._list(entry)
+        removed: Iterable[str] = changes.removed
+        if changes.whole:
+            removed = set(self._upstreams) - {entry.id for entry in changes.listed}
+        for id_ in removed:
+            if id_ in self._upstreams:
+                self._vanished[id_] = None
+        self.settle(now)
+
+    def settle(self, now: float) -> None:
+        """Drop vanished entries once the list can be trusted."""
+        if now < self._steady_at:
+            return
+        for id_ in self._vanished:
+            upstream = self._upstreams.pop(id_, None)
+            if upstream is not None:
+                upstream.gone = True
+                self._by_service[upstream.entry.service].remove(upstream)
+        self._vanished.clear()
+
+    def drop(self, upstream: Upstream) -> None:
+        """Forget an upstream whose address answered under another id."""
+        upstream.gone = True
+
+    def _list(self, entry: ListedUpstream) -> None:
+        self._vanished.pop(entry.id, None)
+        known = self._upstreams.get(entry.id)
+        if known is None:
+            known = self._upstreams[entry.id] = Upstream(entry)
+            self._by_service.setdefault(entry.service, []).append(known)
+        elif entry.revision >= known.entry.revision:
+            known.entry = entry
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
@@ -45,6 +45,8 @@
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_FAILED = "upstream_failed"
     PEER_LOST = "peer_lost"
+    CONFIGURATION_STALE = "configuration_stale"
+    CRASH_SUSPECT = "crash_suspect"
     INTERNAL = "internal"
 
 
@@ -118,6 +120,12 @@
     ErrorKind.PEER_LOST: Answer(
         502, "The connection to the process beside the upstream was lost.", _UNKNOWN, 1.0
     ),
+    ErrorKind.CONFIGURATION_STALE: Answer(
+        503, "The process cannot tell whether its configuration is still the newest.", _NOT_RUN, 1.0
+    ),
+    ErrorKind.CRASH_SUSPECT: Answer(
+        503, "Upstreams went down while they ran this request.", _NOT_RUN, 2.0
+    ),
     ErrorKind.INTERNAL: Answer(500, "An internal error occurred.", _UNKNOWN),
 }
 """The answer to each error kind; a test holds that every kind has one."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_clock.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_clock.py
@@ -41,6 +41,20 @@
         return time.time()
 
 
+class SuspendedClock(SystemClock):
+    """The clocks of the operating system, with the time that the VM was suspended counted.
+
+    Notes
+    -----
+    The monotonic clock stands still while a VM is suspended. A woken process would take old news
+    for fresh and honour API keys that were withdrawn meanwhile.
+    """
+
+    def now(self) -> float:
+        """Return seconds since an arbitrary moment; never goes back."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 async def ticks(clock: Clock, is_busy: Callable[[], bool]) -> AsyncIterator[float]:
     """Yield the time again and again, until cancelled.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -123,6 +123,13 @@
     CLAIM_REFUSED = (1701, "INFO", "A claim was refused: another attempt holds it.")
     CLAIM_OUTCOME_UNKNOWN = (1702, "WARNING", "A request at most once may or may not have run.")
 
+    CALL_REFUSED = (1901, "INFO", "A forwarder answered a request itself, for this reason.")
+    CALL_ENDED = (1902, "INFO", "A forwarded request ended with this status after so many sends.")
+    SEND_FAILED = (1903, "INFO", "A send to an upstream brought no answer that could be passed on.")
+    UPSTREAMS_CHANGED = (1904, "INFO", "The list of upstreams has changed.")
+    SETTINGS_RELOADED = (1905, "INFO", "The settings were read again; nothing was dropped.")
+    SETTINGS_FAULT = (1906, "ERROR", "Changed settings are wrong; the last good ones stay.")
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -14,9 +14,10 @@
 from burdockquay_coordination import ConfigurationHolder
 from burdockquay_state import RecordLog, Snapshot
 
+from ._background import BackgroundTasks
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
-from ._events import Event, describe_fault, log_event
+from ._events import Event, log_event
 from ._metrics import keep_flushing, make_sink
 from ._peer import Identity, PeerConnection, TrafficCounts
 from ._platform import open_platform
@@ -89,7 +90,7 @@
             self._tell_when_ready(),
         )
         for work in (*common, *self._duties()):
-            self._spawn(work)
+            self._tasks.spawn(work)
         log_event(Event.PROCESS_LISTENING, role=self.role, vm=self.settings.vm, port=self.port)
 
     async def stop(self) -> None:
@@ -120,9 +121,7 @@
     async def close(self) -> None:
         """Close all at once."""
         await self._close_parts()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         await self._platform.close()
         self.metrics.close()
 
@@ -138,7 +137,7 @@
         )
         self.traffic = TrafficCounts()
         self.metrics = make_sink(settings.metrics)
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = BackgroundTasks()
         self._leaving = False
         self._platform = open_platform(settings.platform)
         self._holder = ConfigurationHolder(self.known_schemas)
@@ -162,19 +161,6 @@
                 log_event(Event.PROCESS_READY, role=self.role, vm=self.settings.vm)
                 return
 
-    def _spawn(self, work: Coroutine) -> asyncio.Task:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._note_end)
-        return task
-
-    def _note_end(self, task: asyncio.Task) -> None:
-        """Log a task that ended by an exception, which nobody would notice otherwise."""
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            where = task.get_coro().__qualname__
-            log_event(Event.INTERNAL_ERROR, where=where, error=describe_fault(task.exception()))
-
     def _describe_common(self) -> dict[str, Any]:
         """Return the part of ``/status`` that both roles show."""
         return {
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -0,0 +1,32 @@
+"""The forwarder: passes callers' HTTP requests to upstreams as they are.
+
+Nothing stands between a forwarder and the upstreams, and nothing is kept. The process is in
+:mod:`burdockquay_transport.forwarding.forwarder`, so that the other roles do not load it.
+"""
+
+from ._platform import (
+    AnswerFacts,
+    CallerRequest,
+    ConfigSource,
+    ForwardingPlatform,
+    PlatformAddress,
+    SendTerms,
+    UpstreamSource,
+    forwarding_platforms,
+    load_adapters,
+)
+from ._settings import ForwarderPlatformSettings, ForwarderSettings
+
+__all__ = [
+    "AnswerFacts",
+    "CallerRequest",
+    "ConfigSource",
+    "ForwarderPlatformSettings",
+    "ForwarderSettings",
+    "ForwardingPlatform",
+    "PlatformAddress",
+    "SendTerms",
+    "UpstreamSource",
+    "forwarding_platforms",
+    "load_adapters",
+]
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -0,0 +1,135 @@
+"""One request of a caller on its way through a forwarder."""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+from aiohttp import web
+
+from burdockquay_coordination.forwarding import ForwardRoute, Upstream
+from burdockquay_protocol import ErrorKind, RequestError
+
+from ._platform import CallerRequest
+
+
+class CallFailed(Exception):  # noqa: N818 - it ends a call, like StopIteration a loop
+    """The call ends with an answer of the forwarder's own.
+
+    Parameters
+    ----------
+    error : RequestError
+    """
+
+    def __init__(self, error: RequestError):
+        super().__init__(error.kind.value)
+        self.error = error
+
+
+@attrs.define(eq=False)
+class ForwardCall:
+    """What is known of a request while it is served.
+
+    Parameters
+    ----------
+    incoming : aiohttp.web.BaseRequest
+    request : CallerRequest
+    route : ForwardRoute
+    service : str
+    organisation : str or None
+    urgency : int
+    body : bytes
+    started : float
+    ends : float
+        Time after which no answer is of use.
+    tried : set of str
+        Ids of the upstreams it was sent to.
+    sends : int
+        Sends that may have arrived.
+    unreachable : int
+        Sends that came to no connection.
+    maybe_run : bool
+        Whether an upstream may have run it.
+    answer : web.StreamResponse or None
+        The answer to the caller, once its head was written.
+    last_event : str or None
+        Id of the last event that the caller has.
+    weights_version : str or None
+    """
+
+    incoming: web.BaseRequest
+    request: CallerRequest
+    route: ForwardRoute
+    service: str
+    organisation: str | None
+    urgency: int
+    body: bytes
+    started: float
+    ends: float
+    tried: set[str] = attrs.field(factory=set)
+    sends: int = 0
+    unreachable: int = 0
+    maybe_run: bool = False
+    answer: web.StreamResponse | None = None
+    last_event: str | None = None
+    weights_version: str | None = None
+
+    @property
+    def digest(self) -> str:
+        """Names the content of the request, the same for each repeat by its caller."""
+        parts = (self.organisation or "", self.request.method, self.request.target)
+        digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=12)
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+@attrs.frozen
+class Answered:
+    """The caller has its answer, or it is ready to be written."""
+
+    response: web.StreamResponse
+
+
+@attrs.frozen
+class NotSent:
+    """No connection to the upstream came about."""
+
+    upstream: Upstream
+    reason: str
+
+
+@attrs.frozen
+class NotRun:
+    """The upstream refused the request without running it."""
+
+    upstream: Upstream
+    reason: str
+
+
+@attrs.frozen
+class Broke:
+    """The request was sent and may have run; there is no whole answer.
+
+    Parameters
+    ----------
+    upstream : Upstream
+    reason : str
+    ready : web.Response or None
+        The upstream's own answer of a failure, to be passed on if nobody is left to ask.
+    """
+
+    upstream: Upstream
+    reason: str
+    ready: web.Response | None = None
+
+
+Outcome = Answered | NotSent | NotRun | Broke
+
+
+def failure_of(call: ForwardCall) -> RequestError:
+    """Return what a caller is told when nobody is left to ask."""
+    if call.maybe_run:
+        return RequestError(ErrorKind.UPSTREAM_FAILED)
+    if call.sends:
+        return RequestError(ErrorKind.NO_PLACE)
+    return RequestError(ErrorKind.NO_UPSTREAM)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -0,0 +1,103 @@
+"""Keeps configuration and upstreams of a forwarder up to date."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err
+
+from burdockquay_state import TableError
+
+from .._events import Event, log_event
+from ._state import ForwarderState
+
+NEWS_WAIT_S = 1.5
+"""How long the platform holds a question for news, seconds. Each answer confirms what is known, so
+this is also the age that the configuration reaches on a calm day."""
+
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.6
+"""Pauses after failed questions, seconds: doubled from the first to the last, with jitter. Keys are
+honoured for 3.6 s after the last answer (of 5 s), so some questions fit in before they lapse."""
+
+SETTLE_S = 0.25
+"""Time between two looks at upstreams that vanished from the list, seconds."""
+
+
+class _Pauses:
+    """Growing pauses between failed questions, and one log line for each loss and return."""
+
+    def __init__(self, state: ForwarderState, lost: Event, regained: Event):
+        self.state = state
+        self.lost = lost
+        self.regained = regained
+        self._pause_s = FIRST_PAUSE_S
+        self._failing = False
+
+    async def after_failure(self, error: TableError) -> None:
+        """Wait before the next question."""
+        if not self._failing:
+            log_event(self.lost, reason=error.kind, detail=error.detail)
+        self._failing = True
+        await asyncio.sleep(self._pause_s * self.state.rng.uniform(0.5, 1.0))
+        self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+
+    def note_success(self) -> None:
+        """Begin with short pauses again."""
+        if self._failing:
+            log_event(self.regained)
+        self._failing = False
+        self._pause_s = FIRST_PAUSE_S
+
+
+async def follow_configuration(state: ForwarderState) -> None:
+    """Apply each new configuration and confirm the present one, until cancelled."""
+    source = state.platform.configuration()
+    pauses = _Pauses(state, Event.TABLE_UNAVAILABLE, Event.TABLE_RECOVERED)
+    while True:
+        asked_at = state.clock.now()
+        read = await source.next(NEWS_WAIT_S)
+        if isinstance(read, Err):
+            await pauses.after_failure(read.err())
+            continue
+        pauses.note_success()
+        config = read.ok()
+        if config is not None and state.apply(config):
+            log_event(
+                Event.CONFIGURATION_APPLIED,
+                revision=config.version,
+                routes=len(config.routes),
+                asked_s=state.clock.now() - asked_at,
+            )
+        state.lease.confirm(asked_at)
+
+
+async def follow_upstreams(state: ForwarderState) -> None:
+    """Apply each change of the list of upstreams, until cancelled."""
+    source = state.platform.upstreams()
+    pauses = _Pauses(state, Event.VM_LIST_UNREADABLE, Event.VM_LIST_RECOVERED)
+    while True:
+        read = await source.next(NEWS_WAIT_S)
+        now = state.clock.now()
+        if isinstance(read, Err):
+            state.book.note_trouble(now)
+            await pauses.after_failure(read.err())
+            continue
+        pauses.note_success()
+        changes = read.ok()
+        state.book.apply(changes, now)
+        if changes.listed or changes.removed:
+            log_event(
+                Event.UPSTREAMS_CHANGED,
+                listed=",".join(entry.id for entry in changes.listed),
+                leaving=",".join(entry.id for entry in changes.listed if entry.leaving),
+                removed=",".join(changes.removed),
+                known=len(state.book),
+            )
+
+
+async def settle_upstreams(state: ForwarderState) -> None:
+    """Drop vanished upstreams once the list can be trusted again, until cancelled."""
+    while True:
+        await asyncio.sleep(SETTLE_S)
+        state.book.settle(state.clock.now())
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -0,0 +1,285 @@
+"""The HTTP that callers speak to a forwarder."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+from result import Err
+
+from burdockquay_coordination.forwarding import (
+    CallerOrganisation,
+    ConfigDirectory,
+    ForwardRoute,
+    pick_service,
+)
+from burdockquay_protocol import ErrorKind, RequestError
+
+from .._events import Event, describe_fault, log_event
+from ._call import CallFailed, ForwardCall
+from ._platform import CallerRequest
+from ._relay import PROMISES, Relay
+from ._state import ForwarderState
+
+BODY_TIMEOUT_S = 10.0
+"""Longest time a caller may take to send its body, seconds."""
+
+MAX_BODY_BYTES = 16 << 20
+"""Largest body where the configuration names no limit, bytes."""
+
+MAX_HEAD_BYTES = 65536
+"""Longest line of a request's head, bytes."""
+
+IDLE_CONNECTION_S = 300.0
+"""Time after which an idle connection of a caller is closed, seconds; longer than callers reuse
+one, so that none sends a request into a close."""
+
+RETRY_SHARE = (0.10, 0.30)
+"""Part of the remaining patience after which a refused caller is told to come back. Callers wait at
+most a third of it; the spread keeps them from coming back together."""
+
+MAX_RETRY_AFTER_S = 2.0
+"""Longest such time, seconds; trouble of an upstream or of the platform rarely passes sooner, and a
+caller told to wait longer would rather give up."""
+
+CLOSE_S = 0.3
+"""Longest wait for connections that close with the process, seconds; all answers are out by then."""
+
+LOST_CALLER = (ConnectionResetError, ConnectionAbortedError, BrokenPipeError)
+"""Errors of a write to a caller that has left."""
+
+
+class Ingress:
+    """Serves callers.
+
+    Parameters
+    ----------
+    state : ForwarderState
+    """
+
+    def __init__(self, state: ForwarderState):
+        self.state = state
+        self._relay = Relay(state)
+        self._handling: set[asyncio.Task] = set()
+
+    @property
+    def held(self) -> int:
+        """Requests of callers that are not answered yet."""
+        return len(self._handling)
+
+    @property
+    def port(self) -> int:
+        """Port it listens on."""
+        return self._runner.addresses[0][1]
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        Raises
+        ------
+        OSError
+            If the address is in use.
+        """
+        # handler_cancellation: a caller that leaves must end its request at once, or an upstream
+        # would go on with work that nobody waits for.
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_CONNECTION_S,
+            access_log=None,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            auto_decompress=False,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, backlog=1024).start()
+
+    async def finish_all(self) -> None:
+        """Wait until every caller has its answer."""
+        while self._handling:
+            await asyncio.wait(set(self._handling))
+
+    async def cut_all(self) -> None:
+        """End what still runs."""
+        tasks = set(self._handling)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=0.5)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        task = asyncio.current_task()
+        self._handling.add(task)
+        try:
+            response = await self._serve(incoming)
+        finally:
+            self._handling.discard(task)
+        if self.state.leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _serve(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        started = self.state.clock.now()
+        read = self.state.platform.read_request(
+            incoming.method, incoming.raw_path, incoming.headers
+        )
+        if isinstance(read, Err):
+            return self._refuse(None, started, RequestError(ErrorKind.BAD_REQUEST, read.err()))
+        request = read.ok()
+        try:
+            call = await self._admit(incoming, request, started)
+        except CallFailed as failure:
+            return self._refuse(request, started, failure.error)
+        return await self._run(call)
+
+    async def _run(self, call: ForwardCall) -> web.StreamResponse:
+        try:
+            async with asyncio.timeout(call.ends - self.state.clock.now()):
+                response = await self._relay.run(call)
+            self._note_end(call, response.status, "")
+            return response
+        except CallFailed as failure:
+            return self._fail(call, failure.error)
+        except TimeoutError:
+            kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
+            return self._fail(call, RequestError(kind))
+        except LOST_CALLER:
+            self._note_end(call, 0, "caller left")
+            return call.answer or web.Response()
+        except Exception as error:  # noqa: BLE001
+            log_event(Event.INTERNAL_ERROR, where="forwarded call", error=describe_fault(error))
+            return self._fail(call, RequestError(ErrorKind.INTERNAL))
+
+    def _fail(self, call: ForwardCall, error: RequestError) -> web.StreamResponse:
+        """Answer a call that ended without a whole answer of an upstream.
+
+        An answer that has begun is cut off: with a proper end of its body it would look whole.
+        """
+        if call.answer is None:
+            return self._refuse(call.request, call.started, error)
+        self._note_end(call, error.answer.status, f"cut: {error.kind.value}")
+        if call.incoming.transport is not None:
+            call.incoming.transport.abort()
+        return call.answer
+
+    def _note_end(self, call: ForwardCall, status: int, reason: str) -> None:
+        log_event(
+            Event.CALL_ENDED,
+            request=call.request.id,
+            route=call.route.name,
+            service=call.service,
+            status=status,
+            reason=reason,
+            sends=call.sends,
+            seconds=self.state.clock.now() - call.started,
+        )
+
+    async def _admit(
+        self, incoming: web.BaseRequest, request: CallerRequest, started: float
+    ) -> ForwardCall:
+        """Return the call that a request stands for.
+
+        Raises
+        ------
+        CallFailed
+            If it is refused.
+        """
+        directory = self.state.directory
+        if directory is None:
+            raise CallFailed(RequestError(ErrorKind.NOT_READY))
+        route = self._find_route(directory, request)
+        organisation = self._find_organisation(directory, route, request)
+        body = await self._read_body(incoming, directory)
+        patience = route.timeout_s
+        if request.patience_s is not None:
+            patience = min(patience, request.patience_s)
+        urgency = route.priority
+        if organisation is not None and organisation.priority is not None:
+            urgency = organisation.priority
+        call = ForwardCall(
+            incoming,
+            request,
+            route,
+            pick_service(route, self.state.rng),
+            organisation.name if organisation else None,
+            urgency,
+            body,
+            started,
+            started + patience,
+        )
+        if self.state.suspects.is_refused(call.digest, self.state.clock.now()):
+            raise CallFailed(RequestError(ErrorKind.CRASH_SUSPECT))
+        return call
+
+    def _find_route(self, directory: ConfigDirectory, request: CallerRequest) -> ForwardRoute:
+        route = directory.find_route(request.host, request.path)
+        if route is None:
+            raise CallFailed(self._unless_stale(ErrorKind.NOT_FOUND))
+        return route
+
+    def _find_organisation(
+        self, directory: ConfigDirectory, route: ForwardRoute, request: CallerRequest
+    ) -> CallerOrganisation | None:
+        if route.anonymous or not directory.needs_keys:
+            return None
+        found = directory.find_organisation(request.api_key or "")
+        if found is None:
+            raise CallFailed(self._unless_stale(ErrorKind.UNAUTHENTICATED))
+        if not self.state.keys_trusted(self.state.clock.now()):
+            raise CallFailed(RequestError(ErrorKind.CONFIGURATION_STALE))
+        return found
+
+    def _unless_stale(self, kind: ErrorKind) -> RequestError:
+        """Return a refusal for good, unless a configuration not seen yet may allow the request."""
+        if self.state.lease.is_fresh(self.state.clock.now()):
+            return RequestError(kind)
+        return RequestError(ErrorKind.CONFIGURATION_STALE)
+
+    async def _read_body(self, incoming: web.BaseRequest, directory: ConfigDirectory) -> bytes:
+        limit = directory.config.limits.max_body_bytes or MAX_BODY_BYTES
+        pieces: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                async for data in incoming.content.iter_any():
+                    size += len(data)
+                    if size > limit:
+                        detail = f"expected at most {limit} bytes"
+                        raise CallFailed(RequestError(ErrorKind.BODY_TOO_LARGE, detail))
+                    pieces.append(data)
+        except TimeoutError:
+            detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
+            raise CallFailed(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
+        return b"".join(pieces)
+
+    def _refuse(
+        self, request: CallerRequest | None, started: float, error: RequestError
+    ) -> web.Response:
+        answer = error.answer
+        headers = self.state.platform.answer_headers(request) if request else {}
+        if answer.status in PROMISES:
+            headers["Retry-After"] = f"{self._retry_after(request, started):.3f}"
+        log_event(
+            Event.CALL_REFUSED,
+            request=request.id if request else "",
+            kind=error.kind,
+            status=answer.status,
+            retry_after=headers.get("Retry-After", ""),
+            stale_s=self.state.lease.age(self.state.clock.now()),
+        )
+        body = {"error": {"type": error.kind.value, "message": f"{answer.text} {error.detail}"}}
+        response = web.json_response(body, status=answer.status, headers=headers)
+        if error.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BAD_REQUEST):
+            response.force_close()
+        return response
+
+    def _retry_after(self, request: CallerRequest | None, started: float) -> float:
+        patience = MAX_RETRY_AFTER_S
+        if request is not None and request.patience_s is not None:
+            patience = max(0.0, request.patience_s - (self.state.clock.now() - started))
+        return min(patience * self.state.rng.uniform(*RETRY_SHARE), MAX_RETRY_AFTER_S)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -0,0 +1,347 @@
+"""Takes one request through its sends to an answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from burdockquay_coordination.forwarding import RouteKind, Upstream, choose_upstream
+from burdockquay_protocol import ErrorKind, RequestError
+
+from .._events import Event, log_event
+from ._call import (
+    Answered,
+    Broke,
+    CallFailed,
+    ForwardCall,
+    NotRun,
+    NotSent,
+    Outcome,
+    failure_of,
+)
+from ._connections import SENT_ERRORS, BrokenError, NotSentError, Send, check_end, read_body
+from ._event_stream import EventSplitter, StreamEvent
+from ._platform import AnswerFacts, SendTerms
+from ._state import ForwarderState
+
+MAX_UNREACHABLE = 4
+"""Upstreams without a connection after which a request is given up: with a connect timeout of
+0.4 s more would outlast the patience of most callers."""
+
+PATIENCE_SHARE = 0.5
+"""Part of the remaining time that one upstream gets to answer a plain request which can still be
+sent to another, so that an upstream that hangs does not use up the time of both."""
+
+MIN_TURN_S = 0.25
+"""Least such time, seconds; about ten times the work of a plain request."""
+
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+"""Headers of an answer that belong to one connection, and the length, which is set anew."""
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request certainly has not run."""
+
+
+class Relay:
+    """Runs calls: chooses upstreams, sends, passes answers on and repeats where that is safe.
+
+    Parameters
+    ----------
+    state : ForwarderState
+    """
+
+    def __init__(self, state: ForwarderState):
+        self.state = state
+
+    async def run(self, call: ForwardCall) -> web.StreamResponse:
+        """Return the answer of a call.
+
+        Raises
+        ------
+        CallFailed
+            If it ends without an answer of an upstream.
+        """
+        self.state.budget(call.service).note_request(self.state.clock.now())
+        while True:
+            upstream = self._choose(call)
+            if upstream is None:
+                raise CallFailed(failure_of(call))
+            outcome = await self._send(call, upstream)
+            if isinstance(outcome, Answered):
+                return outcome.response
+            self._note(call, outcome)
+            if not self._may_repeat(call, outcome):
+                return self._give_up(call, outcome)
+
+    def _choose(self, call: ForwardCall) -> Upstream | None:
+        state = self.state
+        return choose_upstream(
+            state.book.of_service(call.service),
+            call.request.prompt_part if call.route.by_prompt else None,
+            state.settings.failure_domain,
+            call.tried,
+            state.clock.now(),
+            state.rng,
+        )
+
+    def _note(self, call: ForwardCall, outcome: Outcome) -> None:
+        """Remember what an outcome says of the upstream."""
+        now = self.state.clock.now()
+        upstream = outcome.upstream
+        log_event(
+            Event.SEND_FAILED,
+            request=call.request.id,
+            upstream=upstream.id,
+            outcome=type(outcome).__name__,
+            reason=outcome.reason,
+            sends=call.sends,
+        )
+        if isinstance(outcome, NotSent):
+            upstream.note_unreachable(now)
+        elif isinstance(outcome, Broke):
+            upstream.note_failure(now)
+
+    def _may_repeat(self, call: ForwardCall, outcome: Outcome) -> bool:
+        if isinstance(outcome, NotSent):
+            return call.unreachable < MAX_UNREACHABLE
+        if call.sends >= call.route.max_attempts:
+            return False
+        if isinstance(outcome, Broke) and not call.route.repeatable:
+            return False
+        state = self.state
+        now = state.clock.now()
+        if state.suspects.is_refused(call.digest, now):
+            return False
+        if self._choose(call) is None:
+            return False
+        return state.budget(call.service).try_repeat(now)
+
+    def _give_up(self, call: ForwardCall, outcome: Outcome) -> web.StreamResponse:
+        if isinstance(outcome, Broke) and outcome.ready is not None and call.answer is None:
+            return outcome.ready
+        raise CallFailed(failure_of(call))
+
+    async def _send(self, call: ForwardCall, upstream: Upstream) -> Outcome:
+        """Send a call to one upstream and pass its answer on."""
+        send = self._compose(call, upstream)
+        call.tried.add(upstream.id)
+        upstream.outstanding += 1
+        response: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(self._turn_s(call)):
+                response = await self.state.connections.send(send)
+            call.sends += 1
+            return await self._take(call, upstream, response)
+        except NotSentError as error:
+            call.unreachable += 1
+            return NotSent(upstream, str(error))
+        except BrokenError as error:
+            call.sends += response is None
+            return self._broke(call, upstream, str(error))
+        except TimeoutError:
+            if self._remaining(call) <= 0:
+                raise
+            call.sends += response is None
+            return self._broke(call, upstream, "silent", crashed=False)
+        except asyncio.CancelledError:
+            # A deadline or a caller that left ends the call here; whether it ran is not known.
+            call.maybe_run = True
+            raise
+        finally:
+            upstream.outstanding -= 1
+            if response is not None:
+                # Closes the connection unless the body was read to its end.
+                response.close()
+
+    def _broke(
+        self, call: ForwardCall, upstream: Upstream, reason: str, crashed: bool = True
+    ) -> Broke:
+        call.maybe_run = True
+        if crashed:
+            self.state.suspects.note_crash(call.digest, upstream.id, self.state.clock.now())
+        return Broke(upstream, reason)
+
+    def _remaining(self, call: ForwardCall) -> float:
+        return call.ends - self.state.clock.now()
+
+    def _turn_s(self, call: ForwardCall) -> float | None:
+        """Return how long the upstream may take to begin its answer, None for no own limit."""
+        can_repeat = call.route.repeatable and call.sends + 1 < call.route.max_attempts
+        if not can_repeat or call.route.kind is RouteKind.STREAM:
+            return None
+        return max(MIN_TURN_S, self._remaining(call) * PATIENCE_SHARE)
+
+    def _compose(self, call: ForwardCall, upstream: Upstream) -> Send:
+        terms = SendTerms(
+            upstream.id,
+            max(self._remaining(call), 0.001),
+            call.organisation,
+            call.urgency,
+            call.last_event or call.request.resume_after,
+            call.weights_version,
+        )
+
+        def check() -> None:
+            self.check_key(call)
+
+        check()
+        return Send(
+            upstream.entry,
+            call.request.method,
+            call.request.target,
+            self.state.platform.compose_headers(call.request, terms),
+            call.body,
+            call.route.repeatable,
+            check,
+        )
+
+    def check_key(self, call: ForwardCall) -> None:
+        """Refuse a send whose API key may have been withdrawn.
+
+        Raises
+        ------
+        CallFailed
+        """
+        if call.organisation is None:
+            return
+        state = self.state
+        if not state.keys_trusted(state.clock.now()):
+            raise CallFailed(_unsent(call, ErrorKind.CONFIGURATION_STALE))
+        holder = state.directory.find_organisation(call.request.api_key or "")
+        if holder is None or holder.name != call.organisation:
+            raise CallFailed(_unsent(call, ErrorKind.UNAUTHENTICATED))
+
+    async def _take(
+        self, call: ForwardCall, upstream: Upstream, response: aiohttp.ClientResponse
+    ) -> Outcome:
+        facts = self.state.platform.read_answer(response.status, response.headers)
+        if facts.request_id not in (None, call.request.id):
+            return self._broke(call, upstream, "answer to another request", crashed=False)
+        if facts.not_run and facts.answered_by not in (None, upstream.id):
+            self.state.book.drop(upstream)
+            return NotRun(upstream, "another incarnation answered")
+        if response.status < 300 and not facts.sealed:
+            return self._broke(call, upstream, "answer without proof of origin", crashed=False)
+        if response.status < 300 and call.route.kind is RouteKind.STREAM:
+            return await self._take_stream(call, upstream, response, facts)
+        return await self._take_plain(call, upstream, response, facts)
+
+    async def _take_plain(
+        self,
+        call: ForwardCall,
+        upstream: Upstream,
+        response: aiohttp.ClientResponse,
+        facts: AnswerFacts,
+    ) -> Outcome:
+        body = await read_body(response)
+        if facts.not_run and response.status != 400:
+            return NotRun(upstream, f"status {response.status}")
+        call.maybe_run = call.maybe_run or not facts.not_run
+        if call.answer is not None:
+            return Broke(upstream, f"status {response.status} to the rest of a stream")
+        ready = web.Response(
+            status=response.status,
+            reason=response.reason,
+            body=body,
+            headers=passed_headers(response.headers),
+        )
+        if response.status < 500 and response.status not in PROMISES:
+            upstream.note_success(self.state.clock.now())
+            return Answered(ready)
+        if response.status in PROMISES:
+            # The caller would take it for a promise that the request has not run.
+            return Broke(upstream, f"status {response.status} without proof that it did not run")
+        return Broke(upstream, f"status {response.status}", ready)
+
+    async def _take_stream(
+        self,
+        call: ForwardCall,
+        upstream: Upstream,
+        response: aiohttp.ClientResponse,
+        facts: AnswerFacts,
+    ) -> Outcome:
+        call.maybe_run = True
+        if call.answer is None:
+            call.weights_version = facts.weights_version
+        protocol = response.connection.protocol if response.connection else None
+        splitter = EventSplitter()
+        async for data in _read_pieces(response):
+            await self._pass_on(call, splitter.feed(data), response)
+        check_end(protocol)
+        if splitter.rest:
+            return self._broke(call, upstream, "ended inside an event")
+        if call.answer is None:
+            await self._begin(call, response)
+        await call.answer.write_eof()
+        upstream.note_success(self.state.clock.now())
+        return Answered(call.answer)
+
+    async def _pass_on(
+        self, call: ForwardCall, events: list[StreamEvent], response: aiohttp.ClientResponse
+    ) -> None:
+        fresh = [event for event in events if _is_new(event, call.last_event)]
+        if not fresh:
+            return
+        if call.answer is None:
+            await self._begin(call, response)
+        await call.answer.write(b"".join(event.data for event in fresh))
+        for event in fresh:
+            call.last_event = event.id or call.last_event
+
+    async def _begin(self, call: ForwardCall, response: aiohttp.ClientResponse) -> None:
+        """Write the head of a stream to the caller; only now is it too late for another answer."""
+        answer = web.StreamResponse(
+            status=response.status,
+            reason=response.reason,
+            headers=passed_headers(response.headers),
+        )
+        if self.state.leaving:
+            answer.force_close()
+        call.answer = answer
+        await answer.prepare(call.incoming)
+
+
+async def _read_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        async for data in response.content.iter_any():
+            yield data
+    except SENT_ERRORS as error:
+        raise BrokenError(type(error).__name__) from error
+
+
+def _is_new(event: StreamEvent, last: str | None) -> bool:
+    """Return whether the caller does not have an event yet."""
+    if last is None or event.number is None or not last.isdecimal():
+        return True
+    return event.number > int(last)
+
+
+def _unsent(call: ForwardCall, kind: ErrorKind) -> RequestError:
+    """Return the error of a send that was held back, or what an earlier send left unknown."""
+    return failure_of(call) if call.maybe_run else RequestError(kind)
+
+
+def passed_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers of an answer that go to the caller."""
+    named = {part.strip().lower() for part in headers.get("Connection", "").split(",")}
+    passed: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in _HOP_HEADERS and name.lower() not in named:
+            passed.add(name, value)
+    return passed
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -0,0 +1,114 @@
+"""Settings of a forwarder."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from burdockquay_state import NAME, Constraint, InstanceOf, Interval, ListOf, Matches, OneOf
+
+_ADDRESS = Matches(
+    r"([0-9.]+|\[[0-9a-fA-F:]+\]):[0-9]{1,5}", "IP address and port, as 10.0.0.1:7000"
+)
+_PACKAGE = Matches(r"[A-Za-z_][A-Za-z0-9_.]*", "the name of a Python package")
+_MS: list[Constraint] = [Interval(float, 1.0, 86_400_000.0)]
+_SECONDS: list[Constraint] = [Interval(float, 0.001, 86_400.0)]
+
+
+@attrs.frozen
+class ForwarderPlatformSettings:
+    """Where the platform is, and which adapter speaks to it.
+
+    Parameters
+    ----------
+    adapter : str
+        Name of a registered forwarding platform.
+    address : str
+        Host and port of the platform's store.
+    timeout_s : float
+        Limit on a call that does not wait for news, seconds.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "adapter": [NAME],
+        "address": [_ADDRESS],
+        "timeout_s": _SECONDS,
+    }
+
+    adapter: str
+    address: str
+    timeout_s: float = 0.7
+
+
+@attrs.frozen
+class ForwarderSettings:
+    """Settings of a forwarder.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+        Identity of the process.
+    listen, status_listen : str
+        Addresses for callers, and for readiness and metrics; port 0 takes a free one.
+    platform : ForwarderPlatformSettings
+    adapters : list of str
+        Packages that register adapters.
+    log_level : str
+    withdrawal_ms : float
+        Time after which a withdrawn API key must not work anywhere, milliseconds.
+    keys_fail_closed : bool
+        Whether keys are refused while nobody can tell if they were withdrawn.
+    stop_limit_s : float
+        Time from the signal to stop until the process is killed, seconds.
+    leave_delay_s : float
+        How long a leaving process still takes requests, seconds: as long as the balancer needs to
+        notice.
+    retry_ratio, retry_burst, retry_window_s : float
+        Repeats to a service in a window of time, by all processes together: a share of the
+        requests, and some more.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "vm": [NAME],
+        "failure_domain": [NAME],
+        "listen": [_ADDRESS],
+        "status_listen": [_ADDRESS],
+        "platform": [InstanceOf(ForwarderPlatformSettings)],
+        "adapters": [ListOf(_PACKAGE)],
+        "log_level": [OneOf(("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"))],
+        "withdrawal_ms": _MS,
+        "keys_fail_closed": [InstanceOf(bool)],
+        "stop_limit_s": _SECONDS,
+        "leave_delay_s": [Interval(float, 0.0, 3600.0)],
+        "retry_ratio": [Interval(float, 0.0, 10.0)],
+        "retry_burst": [Interval(float, 0.0, 100_000.0)],
+        "retry_window_s": _SECONDS,
+    }
+
+    vm: str
+    failure_domain: str
+    platform: ForwarderPlatformSettings
+    listen: str = "127.0.0.1:0"
+    status_listen: str = "127.0.0.1:0"
+    adapters: list[str] = attrs.field(factory=list)
+    log_level: str = "INFO"
+    withdrawal_ms: float = 5000.0
+    keys_fail_closed: bool = True
+    stop_limit_s: float = 8.0
+    leave_delay_s: float = 2.5
+    retry_ratio: float = 0.2
+    retry_burst: float = 20.0
+    retry_window_s: float = 10.0
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address.
+
+    Examples
+    --------
+    >>> split_address("[::1]:7000")
+    ('::1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -0,0 +1,78 @@
+"""What all requests of a forwarder share."""
+
+from __future__ import annotations
+
+import random
+
+from burdockquay_coordination.forwarding import (
+    ConfigDirectory,
+    CrashSuspects,
+    ForwardConfig,
+    FreshnessLease,
+    RetryWindow,
+    UpstreamBook,
+)
+
+from .._clock import Clock
+from ._connections import UpstreamConnections
+from ._platform import ForwardingPlatform
+from ._settings import ForwarderSettings
+
+LEASE_SHARE = 0.72
+"""Part of the time allowed for the withdrawal of a key during which the last confirmed reading is
+good. The rest covers a send that is under way and readings of a store that lags by a second."""
+
+ASSUMED_PROCESSES = 10
+"""Processes among which the retries beyond the ratio are split."""
+
+
+class ForwarderState:
+    """Configuration, upstreams and budgets of one process.
+
+    Parameters
+    ----------
+    settings : ForwarderSettings
+    platform : ForwardingPlatform
+    clock : Clock
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        settings: ForwarderSettings,
+        platform: ForwardingPlatform,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock
+        self.rng = rng
+        self.directory: ConfigDirectory | None = None
+        self.lease = FreshnessLease(settings.withdrawal_ms / 1000 * LEASE_SHARE)
+        self.book = UpstreamBook()
+        self.suspects = CrashSuspects()
+        self.connections = UpstreamConnections()
+        self.leaving = False
+        self._budgets: dict[str, RetryWindow] = {}
+
+    def apply(self, config: ForwardConfig) -> bool:
+        """Take over a configuration unless a newer one is in force; return whether it is new."""
+        if self.directory is not None and config.version <= self.directory.config.version:
+            return False
+        self.directory = ConfigDirectory(config)
+        return True
+
+    def budget(self, service: str) -> RetryWindow:
+        """Return the retry budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            settings = self.settings
+            burst = settings.retry_burst / ASSUMED_PROCESSES
+            found = RetryWindow(settings.retry_ratio, burst, settings.retry_window_s)
+            self._budgets[service] = found
+        return found
+
+    def keys_trusted(self, now: float) -> bool:
+        """Return whether API keys may be honoured."""
+        return not self.settings.keys_fail_closed or self.lease.is_fresh(now)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -0,0 +1,145 @@
+"""The forwarder: a process that passes callers' requests to upstreams as they are."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+
+from .._background import BackgroundTasks
+from .._clock import Clock, SuspendedClock
+from .._events import Event, log_event
+from .._status_http import StatusServer, serve_status
+from ._following import follow_configuration, follow_upstreams, settle_upstreams
+from ._ingress import Ingress
+from ._platform import PlatformAddress, forwarding_platforms, load_adapters
+from ._settings import ForwarderSettings, split_address
+from ._state import ForwarderState
+
+STOP_MARGIN_S = 0.8
+"""Time between the end of a planned stop and the moment at which the platform kills the process,
+seconds: for the last answers to arrive and the process to close."""
+
+
+class Forwarder:
+    """One forwarder process.
+
+    Parameters
+    ----------
+    settings : ForwarderSettings
+    clock : Clock or None
+        None takes the clocks of the operating system, with suspended time counted.
+    rng : random.Random or None
+        Placement and jitter; None seeds one from the operating system.
+    """
+
+    role = "forwarder"
+
+    def __init__(
+        self,
+        settings: ForwarderSettings,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+
+    @property
+    def port(self) -> int:
+        """Port where callers connect."""
+        return self._ingress.port
+
+    @property
+    def status_port(self) -> int:
+        """Port of readiness and status."""
+        return self._status.port
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections of callers are welcome.
+
+        A process without any configuration cannot serve. One whose configuration is old can still
+        serve callers without keys: were it to leave the balancer, the loss of the store would take
+        every process out at once.
+        """
+        return self._state.directory is not None and not self._state.leaving
+
+    async def start(self) -> None:
+        """Listen, and begin to follow configuration and upstreams.
+
+        Raises
+        ------
+        OSError
+            If an address is in use.
+        """
+        settings = self.settings
+        load_adapters(settings.adapters)
+        platform_class = forwarding_platforms.get(settings.platform.adapter)
+        address = PlatformAddress(settings.platform.address, settings.platform.timeout_s)
+        self._state = ForwarderState(
+            settings,
+            platform_class(address),
+            self.clock or SuspendedClock(),
+            self.rng or random.Random(secrets.randbits(64)),
+        )
+        self._tasks = BackgroundTasks()
+        await self._state.platform.open()
+        self._state.connections.open()
+        self._ingress = Ingress(self._state)
+        await self._ingress.start(*split_address(settings.listen))
+        self._status: StatusServer = await serve_status(
+            *split_address(settings.status_listen), lambda: self.ready, self.describe
+        )
+        for work in (follow_configuration, follow_upstreams, settle_upstreams):
+            self._tasks.spawn(work(self._state))
+        log_event(Event.PROCESS_LISTENING, role=self.role, vm=settings.vm, port=self.port)
+
+    def describe(self) -> dict[str, object]:
+        """Return what ``/status`` shows."""
+        state = self._state
+        now = state.clock.now()
+        return {
+            "vm": self.settings.vm,
+            "role": self.role,
+            "leaving": state.leaving,
+            "held": self._ingress.held,
+            "revision": state.directory.config.version if state.directory else None,
+            "configuration_age_s": state.lease.age(now),
+            "upstreams": len(state.book),
+        }
+
+    async def stop(self) -> None:
+        """Shut down gracefully: leave the balancer, finish what runs, then close.
+
+        Notes
+        -----
+        The balancer goes on sending until it has asked twice. Connections refused meanwhile would
+        be requests lost by a planned stop.
+        """
+        settings = self.settings
+        log_event(Event.PROCESS_STOPPING, role=self.role, held=self._ingress.held)
+        self._state.leaving = True
+        try:
+            async with asyncio.timeout(max(0.0, settings.stop_limit_s - STOP_MARGIN_S)):
+                await asyncio.sleep(settings.leave_delay_s)
+                await self._ingress.finish_all()
+        except TimeoutError:
+            log_event(Event.STOP_LIMIT_REACHED, held=self._ingress.held)
+            await self._ingress.cut_all()
+        await self.close()
+        log_event(Event.PROCESS_STOPPED, role=self.role)
+
+    async def abort(self) -> None:
+        """Stop at once; what runs is cut."""
+        self._state.leaving = True
+        await self._ingress.cut_all()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all at once."""
+        await self._ingress.close()
+        await self._status.close()
+        await self._tasks.close()
+        await self._state.connections.close()
+        await self._state.platform.close()
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -282,7 +282,7 @@
     def _note_crash(self, digests: Sequence[str]) -> None:
         self.metrics.count("upstream.crashed")
         news = self.suspicions.note_crash(digests)
-        self._spawn(self.suspicions.save(news))
+        self._tasks.spawn(self.suspicions.save(news))
 
     def _post_grant(self, place: PlaceGrant, grant: Grant) -> None:
         peer = self._peers.get(place.peer)
--- a/packages/burdockquay/src/burdockquay/_daemon_command.py
+++ b/packages/burdockquay/src/burdockquay/_daemon_command.py
@@ -33,3 +33,15 @@
         Settings file, JSON with comments.
     """
     return run("slot", settings)
+
+
+@app.command
+def forwarder(*, settings: Path) -> int:
+    """Run a forwarder: the process that passes callers' requests to upstreams as they are.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file, JSON with comments.
+    """
+    return run("forwarder", settings)
--- a/packages/burdockquay/src/burdockquay/_settings_file.py
+++ b/packages/burdockquay/src/burdockquay/_settings_file.py
@@ -21,6 +21,11 @@
     vm_lists,
 )
 from burdockquay_transport import EntrySettings, PlatformSettings, SlotSettings
+from burdockquay_transport.forwarding import (
+    ForwarderSettings,
+    forwarding_platforms,
+    load_adapters,
+)
 
 MAX_FILE_BYTES = 1 << 20
 """Largest settings file that is read, bytes."""
@@ -34,6 +39,9 @@
 settings_classes: Registry[type] = Registry("role")
 settings_classes.register("entry")(EntrySettings)
 settings_classes.register("slot")(SlotSettings)
+settings_classes.register("forwarder")(ForwarderSettings)
+
+AnySettings = EntrySettings | SlotSettings | ForwarderSettings
 
 
 @attrs.frozen
@@ -67,12 +75,12 @@
 
     Parameters
     ----------
-    settings : EntrySettings or SlotSettings
+    settings : EntrySettings, SlotSettings or ForwarderSettings
     renamed : tuple of SettingsFault
         Old names in use, which the operator should change.
     """
 
-    settings: EntrySettings | SlotSettings
+    settings: AnySettings
     renamed: tuple[SettingsFault, ...] = ()
 
 
@@ -85,7 +93,7 @@
     ----------
     path : str or Path
     role : str
-        ``"entry"`` or ``"slot"``.
+        ``"entry"``, ``"slot"`` or ``"forwarder"``.
     renamed : mapping of str to str
         Old key path to new one.
 
@@ -268,14 +276,14 @@
 """Key path and message."""
 
 
-def find_combination_faults(settings: EntrySettings | SlotSettings) -> Iterator[Fault]:
+def find_combination_faults(settings: AnySettings) -> Iterator[Fault]:
     """Yield what is wrong with settings whose single values are all accepted."""
-    yield from _find_adapter_faults(settings.platform)
     for check in _COMBINATIONS[type(settings)]:
         yield from check(settings)
 
 
-def _find_adapter_faults(platform: PlatformSettings) -> Iterator[Fault]:
+def _find_adapter_faults(settings: EntrySettings | SlotSettings) -> Iterator[Fault]:
+    platform: PlatformSettings = settings.platform
     for name, registry in _ADAPTERS.items():
         chosen = getattr(platform, name)
         if chosen not in registry:
@@ -300,7 +308,21 @@
         )
 
 
+def _find_forwarding_faults(settings: ForwarderSettings) -> Iterator[Fault]:
+    for position, package in enumerate(settings.adapters):
+        try:
+            load_adapters([package])
+        except ImportError as error:
+            yield f"adapters[{position}]", f"cannot be imported: {error}"
+            return
+    chosen = settings.platform.adapter
+    if chosen not in forwarding_platforms:
+        message = describe_unknown(forwarding_platforms.what, chosen, forwarding_platforms)
+        yield "platform.adapter", message
+
+
 _COMBINATIONS: dict[type, list[Callable[[Any], Iterator[Fault]]]] = {
-    EntrySettings: [_find_deadline_faults],
-    SlotSettings: [_find_flush_faults],
+    EntrySettings: [_find_adapter_faults, _find_deadline_faults],
+    SlotSettings: [_find_adapter_faults, _find_flush_faults],
+    ForwarderSettings: [_find_forwarding_faults],
 }
--- a/packages/burdockquay/src/burdockquay/daemon.py
+++ b/packages/burdockquay/src/burdockquay/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon ``burdockquayd``: one process of either role.
+"""The daemon ``burdockquayd``: one process of one role.
 
 Exit codes: 0 after a shutdown, 1 after an internal error, 2 for wrong arguments or settings, 3 if
 an address cannot be listened on.
@@ -30,7 +30,7 @@
     Parameters
     ----------
     role : str
-        ``"entry"`` or ``"slot"``.
+        ``"entry"``, ``"slot"`` or ``"forwarder"``.
     path : Path
         Settings file.
     """
@@ -40,17 +40,18 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok().settings
-    setup_logging(settings.log_level, sys.stderr)
+    setup_logging(settings.log_level, sys.stdout if role == "forwarder" else sys.stderr)
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=str(path))
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
-    return uvloop.run(_serve(role, settings))
+    return uvloop.run(_serve(role, settings, path))
 
 
-async def _serve(role: str, settings: Any) -> int:
+async def _serve(role: str, settings: Any, path: Path) -> int:
     """Run a process until a signal stops it.
 
-    The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends it at once.
+    The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends it at once. SIGHUP
+    reads the settings again.
     """
     stop_wanted = asyncio.Event()
     kill_wanted = asyncio.Event()
@@ -61,11 +62,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    loop.add_signal_handler(signal.SIGHUP, _check_settings, role, settings, path)
     process = _make_process(role, settings)
     try:
         await process.start()
     except OSError as error:
-        print(f"cannot listen on {settings.host}:{settings.port}: {error}", file=sys.stderr)
+        print(f"cannot listen: {error}", file=sys.stderr)
         return EXIT_ADDRESS
     ports = {"vm": settings.vm, "port": process.port, "status_port": process.status_port}
     print(json.dumps(ports), flush=True)
@@ -82,12 +84,29 @@
     return EXIT_OK
 
 
+def _check_settings(role: str, running: Any, path: Path) -> None:
+    """Read the settings again and tell what a restart would change.
+
+    Without a handler the signal would end the process, and every request with it.
+    """
+    loaded = load_settings(path, role)
+    if loaded.is_err():
+        for fault in loaded.err():
+            log_event(Event.SETTINGS_FAULT, fault=str(fault))
+        return
+    log_event(Event.SETTINGS_RELOADED, needs_restart=loaded.ok().settings != running)
+
+
 def _make_process(role: str, settings: Any) -> Any:
     # Each role is imported alone: a slot has little memory and needs nothing of the entry.
     if role == "entry":
         from burdockquay_transport.entry import Entry
 
         return Entry(settings)
+    if role == "forwarder":
+        from burdockquay_transport.forwarding.forwarder import Forwarder
+
+        return Forwarder(settings)
     from burdockquay_transport.slot import Slot
 
     return Slot(settings)
@@ -102,8 +121,12 @@
     It is only loaded if it has something to do: help, version, or a mistake to explain.
     """
     match sys.argv[1:]:
-        case ["entry" | "slot" as role, "--settings", path]:
+        case ["entry" | "slot" | "forwarder" as role, "--settings", path]:
             sys.exit(run(role, Path(path)))
     from ._daemon_command import app
 
     sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
