Close the idle connections of a leaving forwarder, and count only real crashes

The HTTP library ends the task of an idle connection and leaves the connection open. Change: once the balancer has noticed, the listener and all idle connections are closed. A request is suspected of crashing upstreams only if the upstream that broke it off is then found to be down.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_suspects.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_suspects.py
@@ -9,26 +9,37 @@
 """Upstreams that must have gone down under a request before it is refused. One is not enough: all
 that ran beside the culprit broke off too."""
 
+LINK_S = 3.0
+"""Longest time between the break of an answer and the sign that the upstream is down, seconds. The
+next connection to it usually tells within a second."""
+
 
 class CrashSuspects:
     """Counts on how many upstreams each request was running when they went down.
 
     A request can crash every upstream that starts it, and its caller sends it again. Without a
-    limit it takes the fleet down one upstream after another.
+    limit it takes the fleet down one upstream after another. An answer that breaks off is no crash
+    by itself: only if the upstream is then found to be down do the requests that broke there count.
     """
 
     def __init__(self):
-        self._seen: dict[str, tuple[float, frozenset[str]]] = {}
+        self._broken: dict[str, list[tuple[float, str]]] = {}
+        self._crashed: dict[str, tuple[float, frozenset[str]]] = {}
 
-    def note_crash(self, digest: str, upstream_id: str, now: float) -> None:
-        """Note that an upstream went down while it ran a request."""
-        self._forget(now)
-        _, ids = self._seen.get(digest, (now, frozenset()))
-        self._seen[digest] = (now, ids | {upstream_id})
+    def note_break(self, digest: str, upstream_id: str, now: float) -> None:
+        """Note that an upstream broke off a request."""
+        self._broken.setdefault(upstream_id, []).append((now, digest))
+
+    def note_down(self, upstream_id: str, now: float) -> None:
+        """Note that an upstream is down: it refuses connections, or its entry is gone."""
+        for at, digest in self._broken.pop(upstream_id, ()):
+            if now - at <= LINK_S:
+                _, ids = self._crashed.get(digest, (now, frozenset()))
+                self._crashed[digest] = (now, ids | {upstream_id})
 
     def crashes(self, digest: str) -> int:
         """Return how many upstreams went down under a request."""
-        return len(self._seen.get(digest, (0.0, frozenset()))[1])
+        return len(self._crashed.get(digest, (0.0, frozenset()))[1])
 
     def is_refused(self, digest: str, now: float) -> bool:
         """Return whether a request must not be sent to one more upstream."""
@@ -36,6 +47,9 @@
         return self.crashes(digest) >= CRASHES
 
     def _forget(self, now: float) -> None:
-        old = [digest for digest, (at, _) in self._seen.items() if at < now - KEEP_S]
+        old = [digest for digest, (at, _) in self._crashed.items() if at < now - KEEP_S]
         for digest in old:
-            del self._seen[digest]
+            del self._crashed[digest]
+        for upstream_id, breaks in list(self._broken.items()):
+            if breaks[-1][0] < now - LINK_S:
+                del self._broken[upstream_id]
--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -4,16 +4,25 @@
 from ._chat import parse_stream
 from ._delay_line import DelayLine
 from ._engine import EngineParameters, EngineStandin
+from ._feed_table import FeedRow, FeedStore, ForgottenError
 from ._platform import PlatformParameters, PlatformStandin
+from ._raw_server import Behaviour, RawConnection, RawRequest, RawServer
 from ._server import StandinServer
 from ._service import ServiceParameters, ServiceStandin, service_digest
 
 __all__ = [
+    "Behaviour",
     "DelayLine",
     "EngineParameters",
     "EngineStandin",
+    "FeedRow",
+    "FeedStore",
+    "ForgottenError",
     "PlatformParameters",
     "PlatformStandin",
+    "RawConnection",
+    "RawRequest",
+    "RawServer",
     "ServiceParameters",
     "ServiceStandin",
     "StandinServer",
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
@@ -0,0 +1,132 @@
+"""HTTP server that writes exactly the bytes it is told to, for faults on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Self
+
+import attrs
+
+
+@attrs.frozen
+class RawRequest:
+    """A request as it arrived.
+
+    Parameters
+    ----------
+    method, target : str
+    headers : dict of str to str
+        Names in lower case.
+    body : bytes
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class RawConnection:
+    """One connection of a client to a raw server.
+
+    Parameters
+    ----------
+    reader, writer
+    """
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def close(self) -> None:
+        """Close after what was written."""
+        self.writer.close()
+
+    def reset(self) -> None:
+        """Reset the connection; what was written may still arrive before."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+    async def closed(self) -> None:
+        """Wait until the client has closed."""
+        while await self.reader.read(65536):
+            pass
+
+    async def read_request(self) -> RawRequest | None:
+        """Return the next request, None if the client has closed."""
+        try:
+            head = await self.reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+        method, target, _ = first.split(" ", 2)
+        pairs = (line.split(":", 1) for line in lines)
+        headers = {name.lower(): value.strip() for name, value in pairs}
+        return RawRequest(method, target, headers, await self._read_body(headers))
+
+    async def _read_body(self, headers: dict[str, str]) -> bytes:
+        if "chunked" not in headers.get("transfer-encoding", ""):
+            return await self.reader.readexactly(int(headers.get("content-length", "0")))
+        body = b""
+        while size := int(await self.reader.readline(), 16):
+            body += await self.reader.readexactly(size)
+            await self.reader.readline()
+        await self.reader.readline()
+        return body
+
+
+Behaviour = Callable[[RawRequest, RawConnection], Awaitable[None]]
+
+
+class RawServer:
+    """Server whose behaviour for each request is given as a function.
+
+    Parameters
+    ----------
+    behaviour : callable
+        What is done with each request for which ``script`` holds nothing.
+    """
+
+    def __init__(self, behaviour: Behaviour):
+        self.behaviour = behaviour
+        self.script: list[Behaviour] = []
+        self.received: list[RawRequest] = []
+        self.connections = 0
+        self._tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._connect, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self.connections += 1
+        connection = RawConnection(reader, writer)
+        try:
+            while (request := await connection.read_request()) is not None:
+                self.received.append(request)
+                behave = self.script.pop(0) if self.script else self.behaviour
+                await behave(request, connection)
+        except (ConnectionError, asyncio.CancelledError):
+            # The client left, or the test is over.
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -116,11 +116,14 @@
     reason : str
     ready : web.Response or None
         The upstream's own answer of a failure, to be passed on if nobody is left to ask.
+    crashed : bool
+        Whether the connection broke, as it does when an upstream goes down.
     """
 
     upstream: Upstream
     reason: str
     ready: web.Response | None = None
+    crashed: bool = False
 
 
 Outcome = Answered | NotSent | NotRun | Broke
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -19,6 +19,10 @@
 """Longest wait for a new connection, seconds. A lost opening packet is only sent again after a
 second, and another upstream is a few milliseconds away."""
 
+CHECK_TIMEOUT_S = 0.2
+"""Longest wait for the sign of life of an upstream that broke off an answer, seconds: many times
+the way to it, and short enough for its caller to wait."""
+
 UNACKNOWLEDGED_MS = 1500
 """Time without acknowledgement after which the kernel gives a connection up, milliseconds. A VM
 that went dark answers nothing at all, and without this a request would wait for its deadline."""
@@ -119,6 +123,17 @@
             raise BrokenError(type(error).__name__) from error
 
 
+async def accepts_connections(upstream: ListedUpstream) -> bool:
+    """Return whether an upstream takes a new connection; nothing is sent on it."""
+    try:
+        async with asyncio.timeout(CHECK_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(upstream.host, upstream.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the whole body of an answer.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -86,6 +86,8 @@
         pauses.note_success()
         changes = read.ok()
         state.book.apply(changes, now)
+        for id_ in changes.removed:
+            state.suspects.note_down(id_, now)
         if changes.listed or changes.removed:
             log_event(
                 Event.UPSTREAMS_CHANGED,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -42,6 +42,10 @@
 """Longest such time, seconds; trouble of an upstream or of the platform rarely passes sooner, and a
 caller told to wait longer would rather give up."""
 
+WRITE_S = 0.1
+"""Time for the writing of an answer that is ready, seconds; a slow reader's rest is in the buffer of
+the connection by then."""
+
 CLOSE_S = 0.3
 """Longest wait for connections that close with the process, seconds; all answers are out by then."""
 
@@ -61,6 +65,7 @@
         self.state = state
         self._relay = Relay(state)
         self._handling: set[asyncio.Task] = set()
+        self._busy: set[web.RequestHandler] = set()
 
     @property
     def held(self) -> int:
@@ -70,7 +75,7 @@
     @property
     def port(self) -> int:
         """Port it listens on."""
-        return self._runner.addresses[0][1]
+        return self._port
 
     async def start(self, host: str, port: int) -> None:
         """Listen.
@@ -82,7 +87,7 @@
         """
         # handler_cancellation: a caller that leaves must end its request at once, or an upstream
         # would go on with work that nobody waits for.
-        server = web.Server(
+        self._server = web.Server(
             self._handle,
             handler_cancellation=True,
             keepalive_timeout=IDLE_CONNECTION_S,
@@ -91,9 +96,27 @@
             max_field_size=MAX_HEAD_BYTES,
             auto_decompress=False,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=CLOSE_S)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port, backlog=1024).start()
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+        self._port = self._runner.addresses[0][1]
+
+    async def refuse_new(self) -> None:
+        """Take no new connection, and close each connection once its answer is out.
+
+        A request that came on a kept connection much later would be cut by the end of the process.
+        """
+        await self._site.stop()
+        idle = [item for item in self._server.connections if item not in self._busy]
+        for connection in self._server.connections:
+            connection.close()
+        # An answer that was ready a moment ago may still be on its way to the socket.
+        await asyncio.sleep(WRITE_S)
+        for connection in idle:
+            # The library ends the task of an idle connection, but leaves the connection open.
+            if connection not in self._busy and connection.transport is not None:
+                connection.transport.close()
 
     async def finish_all(self) -> None:
         """Wait until every caller has its answer."""
@@ -115,10 +138,12 @@
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         task = asyncio.current_task()
         self._handling.add(task)
+        self._busy.add(incoming.protocol)
         try:
             response = await self._serve(incoming)
         finally:
             self._handling.discard(task)
+            self._busy.discard(incoming.protocol)
         if self.state.leaving and not response.prepared:
             response.force_close()
         return response
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -23,7 +23,15 @@
     Outcome,
     failure_of,
 )
-from ._connections import SENT_ERRORS, BrokenError, NotSentError, Send, check_end, read_body
+from ._connections import (
+    SENT_ERRORS,
+    BrokenError,
+    NotSentError,
+    Send,
+    accepts_connections,
+    check_end,
+    read_body,
+)
 from ._event_stream import EventSplitter, StreamEvent
 from ._platform import AnswerFacts, SendTerms
 from ._state import ForwarderState
@@ -85,7 +93,7 @@
             outcome = await self._send(call, upstream)
             if isinstance(outcome, Answered):
                 return outcome.response
-            self._note(call, outcome)
+            await self._note(call, outcome)
             if not self._may_repeat(call, outcome):
                 return self._give_up(call, outcome)
 
@@ -100,7 +108,7 @@
             state.rng,
         )
 
-    def _note(self, call: ForwardCall, outcome: Outcome) -> None:
+    async def _note(self, call: ForwardCall, outcome: Outcome) -> None:
         """Remember what an outcome says of the upstream."""
         now = self.state.clock.now()
         upstream = outcome.upstream
@@ -112,10 +120,21 @@
             reason=outcome.reason,
             sends=call.sends,
         )
-        if isinstance(outcome, NotSent):
-            upstream.note_unreachable(now)
-        elif isinstance(outcome, Broke):
+        if isinstance(outcome, Broke):
             upstream.note_failure(now)
+        if isinstance(outcome, NotSent) or await self._went_down(outcome):
+            upstream.note_unreachable(now)
+            self.state.suspects.note_down(upstream.id, now)
+
+    async def _went_down(self, outcome: Outcome) -> bool:
+        """Return whether an upstream that broke off is down altogether.
+
+        Its next requests would find out, each at the cost of a failed connection, and a request
+        that crashes upstreams would meanwhile be sent to the next.
+        """
+        if not isinstance(outcome, Broke) or not outcome.crashed:
+            return False
+        return not await accepts_connections(outcome.upstream.entry)
 
     def _may_repeat(self, call: ForwardCall, outcome: Outcome) -> bool:
         if isinstance(outcome, NotSent):
@@ -174,8 +193,8 @@
     ) -> Broke:
         call.maybe_run = True
         if crashed:
-            self.state.suspects.note_crash(call.digest, upstream.id, self.state.clock.now())
-        return Broke(upstream, reason)
+            self.state.suspects.note_break(call.digest, upstream.id, self.state.clock.now())
+        return Broke(upstream, reason, crashed=crashed)
 
     def _remaining(self, call: ForwardCall) -> float:
         return call.ends - self.state.clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -123,6 +123,7 @@
         try:
             async with asyncio.timeout(max(0.0, settings.stop_limit_s - STOP_MARGIN_S)):
                 await asyncio.sleep(settings.leave_delay_s)
+                await self._ingress.refuse_new()
                 await self._ingress.finish_all()
         except TimeoutError:
             log_event(Event.STOP_LIMIT_REACHED, held=self._ingress.held)
