--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from ._budget import RetryWindow
-from ._choice import choose_upstream
+from ._choice import choose_upstream, usable_upstreams
 from ._config import (
     CallerLimits,
     CallerOrganisation,
@@ -17,8 +17,13 @@
 )
 from ._directory import ConfigDirectory, pick_service
 from ._freshness import FreshnessLease
+from ._pending import LoadShare, PendingPrompts
+from ._placing import Placement, place_prompt
+from ._prefill import PrefillModel, SpeedFactor
+from ._prompts import Prompt, PromptMemory
 from ._suspects import CrashSuspects
 from ._upstreams import ListedUpstream, Upstream, UpstreamBook, UpstreamChanges
+from ._waiting import PromptQueue, Start, WaitingPrompt
 
 __all__ = [
     "CallerLimits",
@@ -29,12 +34,24 @@
     "ForwardRoute",
     "FreshnessLease",
     "ListedUpstream",
+    "LoadShare",
+    "PendingPrompts",
+    "Placement",
+    "PrefillModel",
+    "Prompt",
+    "PromptMemory",
+    "PromptQueue",
     "RetryWindow",
     "RouteKind",
     "ServiceShare",
+    "SpeedFactor",
+    "Start",
     "Upstream",
     "UpstreamBook",
     "UpstreamChanges",
+    "WaitingPrompt",
     "choose_upstream",
+    "place_prompt",
+    "usable_upstreams",
     "pick_service",
 ]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -62,6 +62,8 @@
         Whether another upstream may go on with a stream that broke off.
     event_gap_s : float or None
         Longest pause between two events that is in time, seconds.
+    silence_s : float or None
+        Silence after which callers abandon a stream, seconds.
     """
 
     name: str
@@ -77,6 +79,7 @@
     by_prompt: bool = False
     can_resume: bool = False
     event_gap_s: float | None = None
+    silence_s: float | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -7,6 +7,9 @@
 
 from ._config import CallerOrganisation, ForwardConfig, ForwardRoute
 
+NO_TARGET_S = 1.0
+"""Target for a service that no route leads to any more, seconds: its last requests still run."""
+
 
 class ConfigDirectory:
     """Finds routes by host and path and organisations by key.
@@ -19,6 +22,11 @@
     def __init__(self, config: ForwardConfig):
         self.config = config
         self._routes = {(route.host, route.prefix): route for route in config.routes}
+        self._tightest: dict[str, float] = {}
+        for route in config.routes:
+            for share in route.shares:
+                known = self._tightest.get(share.service, route.target_s)
+                self._tightest[share.service] = min(known, route.target_s)
         self._organisations = {
             api_key: organisation
             for organisation in config.organisations or ()
@@ -49,6 +57,10 @@
                 return route
         return None
 
+    def tightest_target(self, service: str) -> float:
+        """Return the tightest target among the routes to a service, seconds."""
+        return self._tightest.get(service, NO_TARGET_S)
+
     def find_organisation(self, api_key: str) -> CallerOrganisation | None:
         """Return the organisation that holds a key."""
         return self._organisations.get(api_key)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_suspects.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_suspects.py
@@ -30,12 +30,24 @@
         """Note that an upstream broke off a request."""
         self._broken.setdefault(upstream_id, []).append((now, digest))
 
-    def note_down(self, upstream_id: str, now: float) -> None:
-        """Note that an upstream is down: it refuses connections, or its entry is gone."""
-        for at, digest in self._broken.pop(upstream_id, ()):
-            if now - at <= LINK_S:
-                _, ids = self._crashed.get(digest, (now, frozenset()))
-                self._crashed[digest] = (now, ids | {upstream_id})
+    def note_down(self, upstream_id: str, now: float) -> list[str]:
+        """Note that an upstream is down: it refuses connections, or its entry is gone.
+
+        Returns
+        -------
+        list of str
+            Digests of the requests that broke off there a short time ago.
+        """
+        broken = self._broken.pop(upstream_id, [])
+        digests = [digest for at, digest in broken if now - at <= LINK_S]
+        for digest in digests:
+            self.note_crash(digest, upstream_id, now)
+        return digests
+
+    def note_crash(self, digest: str, upstream_id: str, now: float) -> None:
+        """Note that a request was running at an upstream that went down."""
+        _, ids = self._crashed.get(digest, (now, frozenset()))
+        self._crashed[digest] = (now, ids | {upstream_id})
 
     def crashes(self, digest: str) -> int:
         """Return how many upstreams went down under a request."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
+from ._pending import PendingPrompts
+from ._prefill import SpeedFactor
+from ._prompts import PromptMemory
+
 RETURN_WAIT_S = 2.2
 """How long a vanished entry is kept after trouble of the list, seconds. The platform needs about
 two seconds to bring back the entries of live upstreams; 0.2 s for the way of the news."""
@@ -82,6 +86,9 @@
     def __init__(self, entry: ListedUpstream):
         self.entry = entry
         self.outstanding = 0
+        self.pending = PendingPrompts()
+        self.memory = PromptMemory()
+        self.speed = SpeedFactor()
         self.gone = False
         self._failure_share = 0.0
         self._seen_at = 0.0
@@ -150,6 +157,10 @@
     def __len__(self) -> int:
         return len(self._upstreams)
 
+    def all(self) -> Collection[Upstream]:
+        """Return all upstreams."""
+        return self._upstreams.values()
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service, also those that take no work."""
         return self._by_service.get(service, [])
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
@@ -0,0 +1,108 @@
+"""Look-ups, freshness and the retry budget."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockquay_coordination.forwarding import (
+    CallerOrganisation,
+    ConfigDirectory,
+    ForwardConfig,
+    ForwardRoute,
+    FreshnessLease,
+    RetryWindow,
+    RouteKind,
+    ServiceShare,
+    pick_service,
+)
+
+
+def make_route(prefix, host="shop.example", **fields):
+    values = {
+        "name": prefix,
+        "host": host,
+        "prefix": prefix,
+        "kind": RouteKind.IDEMPOTENT,
+        "shares": (ServiceShare("s", 1.0),),
+        "timeout_s": 1.0,
+        "target_s": 0.1,
+        "priority": 0,
+        "max_attempts": 2,
+    }
+    return ForwardRoute(**(values | fields))
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("shop.example", "/a/x", "/a/"),
+        ("SHOP.example:8080", "/a/b/x", "/a/b/"),
+        ("shop.example", "/a/bx", "/a/"),
+        ("shop.example", "/a", None),
+        ("shop.example", "/ab/x", None),
+        ("shop.example", "/a%2Fb/x", None),
+        ("other.example", "/a/x", None),
+        ("", "/a/x", None),
+    ],
+)
+def test_longest_prefix_that_begins_the_path_wins(host, path, prefix):
+    routes = (make_route("/a/"), make_route("/a/b/"))
+    found = ConfigDirectory(ForwardConfig(1, routes)).find_route(host, path)
+    assert (found.prefix if found else None) == prefix
+
+
+@given(st.lists(st.sampled_from(["a", "b", "ab"]), max_size=4), st.data())
+def test_route_found_is_the_one_that_a_search_of_all_finds(parts, data):
+    prefixes = ["/", "/a/", "/a/b/", "/ab/", "/a/b/a/"]
+    chosen = data.draw(st.sets(st.sampled_from(prefixes)))
+    path = "/" + "/".join(parts)
+    expected = max((p for p in chosen if path.startswith(p)), key=len, default=None)
+    directory = ConfigDirectory(ForwardConfig(1, tuple(map(make_route, chosen))))
+    found = directory.find_route("shop.example", path)
+    assert (found.prefix if found else None) == expected
+
+
+def test_keys_name_their_organisation():
+    organisations = (CallerOrganisation("one", frozenset({"k1", "k2"})),)
+    directory = ConfigDirectory(ForwardConfig(1, (), organisations))
+    assert directory.find_organisation("k2").name == "one"
+    assert directory.find_organisation("") is None
+
+
+def test_shares_are_drawn_by_their_weights():
+    shares = (ServiceShare("old", 90), ServiceShare("new", 10))
+    rng = random.Random(1)
+    drawn = [pick_service(make_route("/a/", shares=shares), rng) for _ in range(2000)]
+    assert 0.07 < drawn.count("new") / 2000 < 0.13
+
+
+def test_older_answer_does_not_shorten_the_lease():
+    lease = FreshnessLease(4.0)
+    lease.confirm(10.0)
+    lease.confirm(8.0)
+    assert lease.is_fresh(13.9)
+    assert not lease.is_fresh(14.0)
+
+
+@given(st.lists(st.tuples(st.floats(0, 2), st.booleans()), max_size=200))
+def test_repeats_of_a_window_never_exceed_the_budget(steps):
+    """Requests and repeats come in any order.
+
+    In each window, repeats stay within the share of the requests of that window and the burst.
+    """
+    window = RetryWindow(0.2, 2.0, 10.0)
+    now = 0.0
+    requests, repeats = [], []
+    for pause, is_request in steps:
+        now += pause
+        if is_request:
+            window.note_request(now)
+            requests.append(now)
+        elif window.try_repeat(now):
+            repeats.append(now)
+            since = now - 10.0
+            # Counts are kept in buckets, so a request may count for one bucket longer.
+            counted = sum(1 for at in requests if at > since - 1.0)
+            assert sum(1 for at in repeats if at > since) <= 0.2 * counted + 2.0
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -0,0 +1,141 @@
+"""Where prompts go, and how they wait, under the loads that decide it."""
+
+import random
+
+import pytest
+
+from burdockquay_coordination.forwarding import (
+    LoadShare,
+    PrefillModel,
+    Prompt,
+    PromptQueue,
+    WaitingPrompt,
+    place_prompt,
+)
+
+TIGHTEST_S = 0.25
+
+
+def long_prompt(number=0):
+    return Prompt(f"shared-{number % 3}", 6000, f"own-{number}", 3000, 40)
+
+
+def short_prompt(number=0):
+    return Prompt("chat", 200, f"short-{number}", 600, 300)
+
+
+@pytest.fixture
+def model():
+    return PrefillModel(0.02, 1 / 50_000)
+
+
+@pytest.fixture
+def upstreams(make_upstream):
+    return [make_upstream(f"u{number}") for number in range(4)]
+
+
+def wait(prompt, now, urgency, target_s, hold_s=1.5):
+    return WaitingPrompt(prompt, urgency, now + target_s, now + hold_s, ())
+
+
+def test_same_shared_part_goes_to_the_same_upstream_at_every_process(upstreams, model):
+    first = place_prompt(upstreams, long_prompt(0), model, (), 0.0)
+    again = place_prompt(list(reversed(upstreams)), long_prompt(3), model, (), 0.0)
+    assert first.upstream is again.upstream
+
+
+def test_busy_home_is_left_only_when_waiting_costs_more_than_reading_again(upstreams, model):
+    """One shared part gets much of the traffic.
+
+    Left at once, its tokens are read again at every upstream; never left, its requests wait while
+    the others are idle.
+    """
+    home = place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream
+    home.pending.add("a", 10_000, 0.0)
+    assert place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream is home
+    home.pending.add("b", 40_000, 0.0)
+    assert place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream is not home
+
+
+def test_figures_of_peers_count_and_lapse(upstreams, model):
+    """Other processes send to the upstreams as well.
+
+    A process that looked at its own requests alone would send to one that is full.
+    """
+    home = place_prompt(upstreams, short_prompt(), model, (), 0.0).upstream
+    home.pending.hear("peer", LoadShare(50_000, 9), 0.0)
+    assert place_prompt(upstreams, short_prompt(), model, (), 0.1).upstream is not home
+    assert place_prompt(upstreams, short_prompt(), model, (), 5.0).upstream is home
+
+
+def test_upstream_that_does_not_answer_is_avoided(upstreams, model):
+    """An upstream hangs: its first tokens do not come.
+
+    Without the age of what waits there it would look idle.
+    """
+    home = place_prompt(upstreams, short_prompt(), model, (), 0.0).upstream
+    home.pending.add("a", 100, 0.0)
+    assert place_prompt(upstreams, short_prompt(), model, (), 2.0).upstream is not home
+
+
+def test_slow_upstream_gets_less_and_is_tried_again(upstreams, model):
+    home = place_prompt(upstreams, short_prompt(), model, (), 0.0).upstream
+    for _ in range(20):
+        home.speed.learn(6.0, 0.0)
+    assert place_prompt(upstreams, short_prompt(), model, (), 0.1).upstream is not home
+    assert home.speed.value(60.0) < 1.1
+
+
+def test_model_finds_rate_and_offset_and_one_outlier_changes_little():
+    model = PrefillModel()
+    rng = random.Random(3)
+    for _ in range(200):
+        tokens = rng.uniform(600, 20_000)
+        model.learn(tokens, 0.08 + tokens / 90_000)
+    assert model.predict(9000) == pytest.approx(0.18, rel=0.05)
+    model.learn(9000, 30.0)
+    assert model.predict(9000) == pytest.approx(0.18, rel=0.25)
+
+
+def test_urgent_short_prompts_pass_a_burst_of_long_ones(upstreams, model):
+    """Many long prompts come at once, and then a short urgent one.
+
+    Sent at once, the long ones fill every upstream for a second, and the urgent one waits behind
+    them.
+    """
+    queue = PromptQueue()
+    for number in range(40):
+        queue.add(wait(long_prompt(number), 0.0, urgency=1, target_s=0.5))
+    started = []
+    while (start := queue.take_start(upstreams, model, TIGHTEST_S, 0.0)) is not None:
+        start.placement.upstream.pending.add(str(len(started)), start.placement.tokens, 0.0)
+        started.append(start)
+    assert 4 <= len(started) < 20
+    queue.add(wait(short_prompt(), 0.01, urgency=0, target_s=TIGHTEST_S))
+    urgent = queue.take_start(upstreams, model, TIGHTEST_S, 0.01)
+    assert urgent.waiting.urgency == 0
+    assert urgent.placement.first_token_s < TIGHTEST_S
+
+
+def test_requests_that_can_still_be_in_time_go_before_late_ones(upstreams, model):
+    """A burst has made some requests late.
+
+    Served first because they came first, they make the next ones late as well, and nobody is
+    served in time until the burst is over.
+    """
+    queue = PromptQueue()
+    queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
+    queue.add(wait(long_prompt(2), 1.0, urgency=1, target_s=0.5))
+    start = queue.take_start(upstreams, model, TIGHTEST_S, 1.0)
+    assert start.waiting.prompt.own == "own-2" and not start.late
+    late = queue.take_start(upstreams, model, TIGHTEST_S, 1.0)
+    assert late.late
+
+
+def test_nothing_is_held_beyond_its_time(upstreams, model):
+    queue = PromptQueue()
+    waiting = wait(long_prompt(), 0.0, urgency=1, target_s=0.5, hold_s=1.0)
+    queue.add(waiting)
+    assert queue.take_expired(0.9) == []
+    assert queue.take_expired(1.0) == [waiting]
+    assert len(queue) == 0
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -15,8 +15,9 @@
 
 from ._errors import ErrorKind
 
-PROTOCOL_VERSIONS = (1, 2)
-"""Protocol versions that this release speaks; version 2 adds :class:`Suspicions`."""
+PROTOCOL_VERSIONS = (1, 2, 3)
+"""Protocol versions that this release speaks; version 2 adds :class:`Suspicions`, version 3 the
+messages between forwarders."""
 
 message_types: dict[int, type] = {}
 """The class of each type number."""
@@ -421,3 +422,45 @@
     """
 
     reason: str
+
+
+@attrs.frozen
+class UpstreamLoad:
+    """What one forwarder has at one upstream.
+
+    Parameters
+    ----------
+    upstream : str
+    prompt_tokens : int
+        Prompt tokens whose first answer token has not come.
+    running : int
+        Requests.
+    """
+
+    upstream: str
+    prompt_tokens: int
+    running: int
+
+
+@message(30, since=3)
+@attrs.frozen
+class UpstreamLoads:
+    """All that a forwarder has at upstreams now; one that is not named has nothing of it."""
+
+    loads: list[UpstreamLoad]
+
+
+@message(31, since=3)
+@attrs.frozen
+class UpstreamCrash:
+    """An upstream went down while a forwarder's requests ran there.
+
+    Parameters
+    ----------
+    upstream : str
+    digests : list of str
+        Digests of these requests.
+    """
+
+    upstream: str
+    digests: list[str]
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -127,6 +127,9 @@
     CALL_ENDED = (1902, "INFO", "A forwarded request ended with this status after so many sends.")
     SEND_FAILED = (1903, "INFO", "A send to an upstream brought no answer that could be passed on.")
     UPSTREAMS_CHANGED = (1904, "INFO", "The list of upstreams has changed.")
+    MEMBER_NOT_REMOVED = (1907, "WARNING", "A leaving forwarder could not take out its entry.")
+    MEMBER_FORGOTTEN = (1908, "NOTICE", "A forwarder was unreachable for long; its entry goes.")
+    ROUTE_FAULT = (1909, "ERROR", "A route of the configuration cannot be read and is left out.")
     SETTINGS_RELOADED = (1905, "INFO", "The settings were read again; nothing was dropped.")
     SETTINGS_FAULT = (1906, "ERROR", "Changed settings are wrong; the last good ones stay.")
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -1,4 +1,4 @@
-"""One authenticated connection between an entry and a slot.
+"""One authenticated connection between two processes.
 
 Each connection has a reader, which is the task that owns the connection, and a writer task. The
 rest of the process hands messages to :meth:`PeerConnection.post`, which never waits.
@@ -362,16 +362,16 @@
     count("peer.fault.out_of_order")
 
 
-async def greet_slot(
+async def greet_peer(
     websocket: Any, identity: Identity, key: bytes, traffic: TrafficCounts
 ) -> Result[PeerConnection, str]:
-    """Carry out the entry's side of the handshake.
+    """Carry out the handshake of the process that opened the connection.
 
     Parameters
     ----------
     websocket : websockets connection
     identity : Identity
-        Of this entry.
+        Of this process.
     key : bytes
         Shared key.
     traffic : TrafficCounts
@@ -399,21 +399,21 @@
     if not check_proof(
         answer.proof, key, "slot", answer.vm, answer.incarnation, answer.nonce, nonce
     ):
-        return Err("the slot's proof is wrong: its peer key differs")
+        return Err("the peer's proof is wrong: its peer key differs")
     proof = make_proof(key, "entry", identity.vm, identity.incarnation, nonce, answer.nonce)
     await websocket.send(encode(Proof(proof)))
     peer = Identity(answer.vm, answer.failure_domain, answer.incarnation, answer.group)
     return Ok(PeerConnection(websocket, peer, answer.version, 0.0, traffic))
 
 
-async def greet_entry(
+async def accept_peer(
     websocket: Any,
     identity: Identity,
     key: bytes,
     flush_interval_s: float,
     traffic: TrafficCounts,
 ) -> Result[PeerConnection, str]:
-    """Carry out the slot's side of the handshake; see :func:`greet_slot`."""
+    """Carry out the handshake of the process that was connected to; see :func:`greet_peer`."""
     received = await _receive_one(websocket, Hello)
     if isinstance(received, Err):
         return received
@@ -439,7 +439,7 @@
     if not check_proof(
         received.ok().proof, key, "entry", hello.vm, hello.incarnation, hello.nonce, nonce
     ):
-        return Err("the entry's proof is wrong: its peer key differs")
+        return Err("the peer's proof is wrong: its peer key differs")
     peer = Identity(hello.vm, hello.failure_domain, hello.incarnation)
     return Ok(PeerConnection(websocket, peer, version, flush_interval_s, traffic))
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
@@ -1,4 +1,4 @@
-"""The entries that are connected to a slot: one task owns each connection."""
+"""The processes that connect to this one: one task owns each connection."""
 
 from __future__ import annotations
 
@@ -17,19 +17,19 @@
     Identity,
     PeerConnection,
     TrafficCounts,
-    greet_entry,
+    accept_peer,
 )
 
 Handler = Callable[[PeerConnection, Any], None]
 
 
-class SlotPeers:
-    """Accepts entries and hands their messages on.
+class PeerServer:
+    """Accepts processes and hands their messages on.
 
     Parameters
     ----------
     identity : Identity
-        Of the slot.
+        Of this process.
     key : bytes
         Shared key.
     flush_interval_s : float
@@ -38,7 +38,7 @@
     count : callable
         Called with the name of a counter.
     handlers : mapping of type to callable
-        What to do with each message that an entry may send.
+        What to do with each message that a peer may send.
     on_up, on_down : callable
         Called with a connection when it is ready, and after it was lost.
     """
@@ -67,7 +67,7 @@
 
     @property
     def port(self) -> int:
-        """Port where entries connect."""
+        """Port where peers connect."""
         return self._server.sockets[0].getsockname()[1]
 
     def all(self) -> list[PeerConnection]:
@@ -75,11 +75,11 @@
         return list(self._connections.values())
 
     def get(self, incarnation: str) -> PeerConnection | None:
-        """Return the connection of an entry."""
+        """Return the connection of a peer, by its incarnation."""
         return self._connections.get(incarnation)
 
     async def listen(self, host: str, port: int) -> None:
-        """Accept entries.
+        """Accept peers.
 
         Raises
         ------
@@ -98,7 +98,7 @@
 
     async def _serve(self, websocket: Any) -> None:
         """Own one connection: handshake, then one message after another until it closes."""
-        greeted = await greet_entry(
+        greeted = await accept_peer(
             websocket, self.identity, self.key, self.flush_interval_s, self.traffic
         )
         if isinstance(greeted, Err):
@@ -120,7 +120,7 @@
         name = peer.peer.incarnation
         older = self._connections.get(name)
         if older is not None:
-            # The entry came back before this side noticed that its old connection had broken.
+            # The peer came back before this side noticed that its old connection had broken.
             await older.close("replaced by a newer connection")
             self.on_down(older)
         self._connections[name] = peer
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
@@ -39,7 +39,7 @@
     Identity,
     PeerConnection,
     TrafficCounts,
-    greet_slot,
+    greet_peer,
 )
 
 
@@ -204,7 +204,7 @@
         self._unreachable = True
 
     async def _serve(self, websocket: Any) -> None:
-        greeted = await greet_slot(websocket, self.identity, self.key, self.traffic)
+        greeted = await greet_peer(websocket, self.identity, self.key, self.traffic)
         if isinstance(greeted, Err):
             log_event(Event.HANDSHAKE_REFUSED, vm=self.vm, reason=greeted.err())
             self.count("peer.handshake_refused")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from typing import TYPE_CHECKING
 
 import attrs
 from aiohttp import web
@@ -12,6 +13,9 @@
 
 from ._platform import CallerRequest
 
+if TYPE_CHECKING:
+    from ._dispatch import SentPrompt
+
 
 class CallFailed(Exception):  # noqa: N818 - it ends a call, like StopIteration a loop
     """The call ends with an answer of the forwarder's own.
@@ -55,6 +59,8 @@
     last_event : str or None
         Id of the last event that the caller has.
     weights_version : str or None
+    sent : SentPrompt or None
+        The prompt at its upstream, until the first token.
     """
 
     incoming: web.BaseRequest
@@ -73,6 +79,12 @@
     answer: web.StreamResponse | None = None
     last_event: str | None = None
     weights_version: str | None = None
+    sent: SentPrompt | None = None
+
+    @property
+    def by_prompt(self) -> bool:
+        """Whether upstreams are chosen by the prompt."""
+        return self.route.by_prompt and self.request.prompt is not None
 
     @property
     def digest(self) -> str:
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -0,0 +1,192 @@
+"""Lets prompts wait for upstreams, and learns from what they bring."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from burdockquay_coordination.forwarding import (
+    Placement,
+    PrefillModel,
+    PromptQueue,
+    Start,
+    Upstream,
+    UpstreamBook,
+    WaitingPrompt,
+    place_prompt,
+)
+from burdockquay_protocol import ErrorKind, RequestError
+
+from .._clock import Clock
+from ._call import CallFailed, ForwardCall
+
+LOOK_S = 0.02
+"""Time between two looks at what waits, seconds. Most starts come at once with the news that an
+upstream has read a prompt; this catches what only time changes."""
+
+SILENCE_SHARE = 0.6
+PATIENCE_SHARE = 0.33
+"""Parts of the silence that callers bear, and of their patience, after which a request that has not
+started is refused: its caller can still come back in time for a late answer."""
+
+LATE_URGENCY = 9
+"""Urgency of a request that has missed its target: every other one goes first."""
+
+
+@attrs.define(eq=False)
+class SentPrompt:
+    """A prompt on its way at an upstream, until its first token.
+
+    Parameters
+    ----------
+    call : str
+        Id of the request.
+    placement : Placement
+    ahead : int
+        Prompt tokens that were to be read before.
+    sent_at : float
+    """
+
+    call: str
+    placement: Placement
+    ahead: int
+    sent_at: float
+
+
+class PromptDispatcher:
+    """Starts the prompts of one service in order, as upstreams have room.
+
+    Parameters
+    ----------
+    service : str
+    book : UpstreamBook
+    clock : Clock
+    tightest_s : callable
+        Returns the tightest target for a first token among the routes of the service, seconds.
+    """
+
+    def __init__(
+        self, service: str, book: UpstreamBook, clock: Clock, tightest_s: Callable[[], float]
+    ):
+        self.service = service
+        self.book = book
+        self.clock = clock
+        self.tightest_s = tightest_s
+        self.model = PrefillModel()
+        self.queue = PromptQueue()
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def start(self, call: ForwardCall) -> SentPrompt | None:
+        """Wait until a call may start, and note it at its upstream; None if there is no upstream.
+
+        Raises
+        ------
+        CallFailed
+            If it has waited too long.
+        """
+        if call.sends or call.unreachable:
+            # It waited before its first send, and its caller has been waiting since.
+            return self._send_at_once(call)
+        waiting = self._make_waiting(call)
+        self.queue.add(waiting)
+        self.look()
+        try:
+            return await waiting.owner.started
+        finally:
+            self.queue.remove(waiting)
+
+    def first_token(self, sent: SentPrompt) -> None:
+        """Note that the first token of a prompt came."""
+        now = self.clock.now()
+        seconds = now - sent.sent_at
+        tokens = sent.ahead + sent.placement.tokens
+        upstream = sent.placement.upstream
+        upstream.speed.learn(seconds / self.model.predict(tokens), now)
+        self.model.learn(tokens, seconds)
+        self.ended(sent)
+
+    def ended(self, sent: SentPrompt) -> None:
+        """Note that a prompt does not wait at its upstream any more."""
+        sent.placement.upstream.pending.remove(sent.call)
+        self.look()
+
+    def look(self) -> None:
+        """Start what may start, refuse what has waited too long, and come back while any waits."""
+        now = self.clock.now()
+        if not self._upstreams():
+            self._settle_all(None)
+        while (start := self._take_start(now)) is not None:
+            owner: _Owner = start.waiting.owner
+            if start.late:
+                owner.call.urgency = LATE_URGENCY
+            owner.settle(self._note_sent(owner.call, start.placement, now))
+        for waiting in self.queue.take_expired(now):
+            waiting.owner.refuse(RequestError(ErrorKind.OVERLOADED))
+        if len(self.queue) and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self._timer = None
+        self.look()
+
+    def _take_start(self, now: float) -> Start | None:
+        return self.queue.take_start(self._upstreams(), self.model, self.tightest_s(), now)
+
+    def _upstreams(self) -> list[Upstream]:
+        return self.book.of_service(self.service)
+
+    def _make_waiting(self, call: ForwardCall) -> WaitingPrompt:
+        silence = call.route.silence_s or call.route.timeout_s
+        patience = call.ends - call.started
+        hold_s = min(SILENCE_SHARE * silence, PATIENCE_SHARE * patience)
+        return WaitingPrompt(
+            call.request.prompt,
+            call.urgency,
+            call.started + call.route.target_s,
+            call.started + hold_s,
+            call.tried,
+            _Owner(call, asyncio.get_running_loop().create_future()),
+        )
+
+    def _settle_all(self, result: SentPrompt | None) -> None:
+        for waiting in self.queue.take_all():
+            waiting.owner.settle(result)
+
+    def _send_at_once(self, call: ForwardCall) -> SentPrompt | None:
+        now = self.clock.now()
+        placement = place_prompt(
+            self._upstreams(), call.request.prompt, self.model, call.tried, now
+        )
+        return None if placement is None else self._note_sent(call, placement, now)
+
+    def _note_sent(self, call: ForwardCall, placement: Placement, now: float) -> SentPrompt:
+        upstream = placement.upstream
+        sent = SentPrompt(call.request.id, placement, upstream.pending.tokens(now), now)
+        upstream.pending.add(sent.call, placement.tokens, now)
+        upstream.memory.note(call.request.prompt, now)
+        return sent
+
+
+@attrs.define(eq=False)
+class _Owner:
+    """The call behind a waiting prompt.
+
+    Parameters
+    ----------
+    call : ForwardCall
+    started : asyncio.Future
+        Its result is the :class:`SentPrompt`.
+    """
+
+    call: ForwardCall
+    started: asyncio.Future
+
+    def settle(self, result: SentPrompt | None) -> None:
+        if not self.started.done():
+            self.started.set_result(result)
+
+    def refuse(self, error: RequestError) -> None:
+        if not self.started.done():
+            self.started.set_exception(CallFailed(error))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -11,10 +11,14 @@
 from .._events import Event, log_event
 from ._state import ForwarderState
 
-NEWS_WAIT_S = 1.5
+NEWS_WAIT_S = 1.7
 """How long the platform holds a question for news, seconds. Each answer confirms what is known, so
 this is also the age that the configuration reaches on a calm day."""
 
+LIST_WAIT_S = 2.5
+"""The same for the list of upstreams, seconds. Nothing lapses here; the end of the wait only shows
+that the connection still lives."""
+
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.6
 """Pauses after failed questions, seconds: doubled from the first to the last, with jitter. Keys are
@@ -55,21 +59,20 @@
     source = state.platform.configuration()
     pauses = _Pauses(state, Event.TABLE_UNAVAILABLE, Event.TABLE_RECOVERED)
     while True:
-        asked_at = state.clock.now()
         read = await source.next(NEWS_WAIT_S)
         if isinstance(read, Err):
             await pauses.after_failure(read.err())
             continue
         pauses.note_success()
-        config = read.ok()
-        if config is not None and state.apply(config):
+        reading = read.ok()
+        if reading.config is not None and state.apply(reading.config):
             log_event(
                 Event.CONFIGURATION_APPLIED,
-                revision=config.version,
-                routes=len(config.routes),
-                asked_s=state.clock.now() - asked_at,
+                revision=reading.config.version,
+                routes=len(reading.config.routes),
+                age_s=state.clock.now() - reading.as_of,
             )
-        state.lease.confirm(asked_at)
+        state.lease.confirm(reading.as_of)
 
 
 async def follow_upstreams(state: ForwarderState) -> None:
@@ -77,7 +80,7 @@
     source = state.platform.upstreams()
     pauses = _Pauses(state, Event.VM_LIST_UNREADABLE, Event.VM_LIST_RECOVERED)
     while True:
-        read = await source.next(NEWS_WAIT_S)
+        read = await source.next(LIST_WAIT_S)
         now = state.clock.now()
         if isinstance(read, Err):
             state.book.note_trouble(now)
@@ -87,7 +90,7 @@
         changes = read.ok()
         state.book.apply(changes, now)
         for id_ in changes.removed:
-            state.suspects.note_down(id_, now)
+            state.note_down(id_)
         if changes.listed or changes.removed:
             log_event(
                 Event.UPSTREAMS_CHANGED,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -43,11 +43,11 @@
 caller told to wait longer would rather give up."""
 
 WRITE_S = 0.1
-"""Time for the writing of an answer that is ready, seconds; a slow reader's rest is in the buffer of
-the connection by then."""
+"""Time for the writing of an answer that is ready, seconds; the rest of a slow reader is in the
+buffer of the connection by then."""
 
 CLOSE_S = 0.3
-"""Longest wait for connections that close with the process, seconds; all answers are out by then."""
+"""Longest wait for connections that close with the process, seconds; their answers are out."""
 
 LOST_CALLER = (ConnectionResetError, ConnectionAbortedError, BrokenPipeError)
 """Errors of a write to a caller that has left."""
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -0,0 +1,270 @@
+"""What the forwarders tell each other: what each has at the upstreams, and crashes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from result import Err
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from burdockquay_coordination.forwarding import LoadShare
+from burdockquay_protocol import (
+    Goodbye,
+    Heartbeat,
+    UpstreamCrash,
+    UpstreamLoad,
+    UpstreamLoads,
+)
+
+from .._events import Event, log_event
+from .._peer import (
+    HANDSHAKE_TIMEOUT_S,
+    HEARTBEAT_S,
+    SILENCE_S,
+    WEBSOCKET_OPTIONS,
+    Identity,
+    PeerConnection,
+    TrafficCounts,
+    greet_peer,
+)
+from .._peer_server import PeerServer
+from ._platform import Member, MemberChanges, MemberRegistry
+from ._settings import split_address
+from ._state import ForwarderState
+
+TELL_S = 0.1
+"""Shortest time between two messages about loads, seconds: about the time in which an upstream
+reads one long prompt. Older figures would let processes start more than fits."""
+
+REPEAT_S = 1.0
+"""Time after which unchanged figures are told again, seconds, so that they are not taken for those
+of a process that is gone."""
+
+MAX_MESSAGES_PER_S = 60
+"""Messages about loads that one process sends to all others together; with more peers the figures
+are told less often, so that the cost does not grow with the square of the processes."""
+
+MEMBERS_WAIT_S = 10.0
+"""How long the platform holds a question for changes of the members, seconds."""
+
+RETRY_S = (0.2, 5.0)
+"""First and longest pause between two tries to reach a peer, seconds."""
+
+FORGET_S = 120.0
+"""Time after which an unreachable peer is taken out of the members, seconds: far longer than a
+restart or a partition that heals."""
+
+
+class PeerMesh:
+    """The connections of one forwarder to all others.
+
+    Parameters
+    ----------
+    state : ForwarderState
+    identity : Identity
+    listen : str
+        Address where other forwarders connect.
+    """
+
+    def __init__(self, state: ForwarderState, identity: Identity, listen: str):
+        self.state = state
+        self.identity = identity
+        self.listen = listen
+        self.traffic = TrafficCounts()
+        self._registry: MemberRegistry = state.platform.members()
+        self._links: dict[str, asyncio.Task] = {}
+        self._members: dict[str, Member] = {}
+        self._up: dict[str, PeerConnection] = {}
+        self._server: PeerServer | None = None
+        self._key = b""
+        self._told: list[UpstreamLoad] | None = None
+        self._told_at = float("-inf")
+        self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
+            UpstreamLoads: self._hear_loads,
+            UpstreamCrash: self._hear_crash,
+            Heartbeat: _ignore,
+            Goodbye: _ignore,
+        }
+
+    @property
+    def connected(self) -> int:
+        """How many other forwarders are connected."""
+        return len(self._up)
+
+    async def run(self) -> None:
+        """Join the members, and connect to them until cancelled."""
+        await self._join()
+        telling = asyncio.create_task(self._keep_telling())
+        try:
+            await self._follow_members()
+        finally:
+            telling.cancel()
+
+    async def leave(self) -> None:
+        """Take this process out of the members."""
+        me = self._members.get(self.identity.vm)
+        if me is None or me.incarnation != self.identity.incarnation:
+            return
+        left = await self._registry.leave(me)
+        if isinstance(left, Err):
+            log_event(Event.MEMBER_NOT_REMOVED, vm=me.vm, detail=left.err().detail)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in self._links.values():
+            task.cancel()
+        await asyncio.gather(*self._links.values(), return_exceptions=True)
+        if self._server is not None:
+            await self._server.close()
+
+    def tell_crash(self, upstream: str, digests: list[str]) -> None:
+        """Tell all others which requests ran at an upstream that went down."""
+        self._post(UpstreamCrash(upstream, digests))
+
+    async def _join(self) -> None:
+        me = Member(self.identity.vm, self.identity.incarnation, self.listen)
+        pause_s = RETRY_S[0]
+        while isinstance(joined := await self._registry.join(me), Err):
+            await asyncio.sleep(pause_s * self.state.rng.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, RETRY_S[1])
+        self._key = joined.ok()
+        self._server = PeerServer(
+            self.identity,
+            self._key,
+            0.0,
+            self.traffic,
+            _ignore_count,
+            self._handlers,
+            self._come_up,
+            self._go_down,
+        )
+        await self._server.listen(*split_address(self.listen))
+
+    async def _follow_members(self) -> None:
+        while True:
+            read = await self._registry.next(MEMBERS_WAIT_S)
+            if isinstance(read, Err):
+                await asyncio.sleep(self.state.rng.uniform(*RETRY_S))
+                continue
+            self._take_members(read.ok())
+
+    def _take_members(self, changes: MemberChanges) -> None:
+        listed = {member.vm: member for member in changes.listed}
+        removed = set(changes.removed)
+        if changes.whole:
+            removed |= set(self._members) - set(listed)
+        for vm in removed:
+            self._members.pop(vm, None)
+        self._members |= listed
+        for vm in removed | set(listed):
+            self._link(vm)
+
+    def _link(self, vm: str) -> None:
+        """Connect to a member. Of each two processes the one with the smaller name connects."""
+        task = self._links.pop(vm, None)
+        if task is not None:
+            task.cancel()
+        member = self._members.get(vm)
+        if member is not None and self.identity.vm < vm:
+            self._links[vm] = asyncio.create_task(self._keep_connected(member))
+
+    async def _keep_connected(self, member: Member) -> None:
+        pause_s = RETRY_S[0]
+        reached_at = self.state.clock.now()
+        while True:
+            if await self._connect(member):
+                pause_s = RETRY_S[0]
+                reached_at = self.state.clock.now()
+            elif self.state.clock.now() - reached_at > FORGET_S:
+                log_event(Event.MEMBER_FORGOTTEN, vm=member.vm)
+                await self._registry.leave(member)
+                return
+            await asyncio.sleep(pause_s * self.state.rng.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, RETRY_S[1])
+
+    async def _connect(self, member: Member) -> bool:
+        """Own one connection to a member; return whether it came about."""
+        url = f"ws://{member.address}"
+        try:
+            async with connect(
+                url, open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **WEBSOCKET_OPTIONS
+            ) as websocket:
+                greeted = await greet_peer(websocket, self.identity, self._key, self.traffic)
+                if isinstance(greeted, Err):
+                    log_event(Event.HANDSHAKE_REFUSED, vm=member.vm, reason=greeted.err())
+                    return False
+                await self._converse(greeted.ok())
+                return True
+        except (OSError, TimeoutError, WebSocketException):
+            return False
+
+    async def _converse(self, peer: PeerConnection) -> None:
+        async with peer.writing():
+            self._come_up(peer)
+            try:
+                await peer.read_messages(self._handlers, _ignore_count)
+            except ConnectionClosed:
+                return
+            finally:
+                self._go_down(peer)
+
+    def _come_up(self, peer: PeerConnection) -> None:
+        self._up[peer.peer.incarnation] = peer
+        # A cut link sends nothing, not even an end; without this it would count as connected.
+        peer.keep_alive(HEARTBEAT_S, SILENCE_S, lambda: Heartbeat(0))
+        log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
+        self._told = None
+
+    def _go_down(self, peer: PeerConnection) -> None:
+        if self._up.get(peer.peer.incarnation) is peer:
+            del self._up[peer.peer.incarnation]
+            log_event(Event.PEER_DISCONNECTED, vm=peer.peer.vm)
+
+    async def _keep_telling(self) -> None:
+        while True:
+            await asyncio.sleep(max(TELL_S, len(self._up) / MAX_MESSAGES_PER_S))
+            self._tell_loads()
+
+    def _tell_loads(self) -> None:
+        loads = [
+            UpstreamLoad(upstream.id, upstream.pending.own_tokens, upstream.outstanding)
+            for upstream in self.state.book.all()
+            if upstream.outstanding
+        ]
+        now = self.state.clock.now()
+        if loads == self._told and now - self._told_at < REPEAT_S:
+            return
+        self._told = loads
+        self._told_at = now
+        self._post(UpstreamLoads(loads))
+
+    def _post(self, message: Any) -> None:
+        for peer in self._up.values():
+            peer.post(message)
+
+    def _hear_loads(self, peer: PeerConnection, message: UpstreamLoads) -> None:
+        now = self.state.clock.now()
+        told = {load.upstream: load for load in message.loads}
+        for upstream in self.state.book.all():
+            load = told.get(upstream.id)
+            share = LoadShare(load.prompt_tokens, load.running) if load else _NOTHING
+            upstream.pending.hear(peer.peer.incarnation, share, now)
+        self.state.look_at_waiting()
+
+    def _hear_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
+        for digest in message.digests:
+            self.state.suspects.note_crash(digest, message.upstream, self.state.clock.now())
+
+
+_NOTHING = LoadShare(0, 0)
+
+
+def _ignore(peer: PeerConnection, message: Any) -> None:
+    """Take a message that only shows that the peer lives."""
+
+
+def _ignore_count(name: str) -> None:
+    """Count nothing: the log line of a fault tells it."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -9,13 +9,13 @@
 
 import importlib
 from abc import ABC, abstractmethod
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 from multidict import CIMultiDict
 from result import Result
 
-from burdockquay_coordination.forwarding import ForwardConfig, UpstreamChanges
+from burdockquay_coordination.forwarding import ForwardConfig, Prompt, UpstreamChanges
 from burdockquay_state import Registry, TableError
 
 
@@ -39,8 +39,8 @@
     api_key : str or None
     patience_s : float or None
         How long the caller waits, seconds; None if it does not say.
-    prompt_part : str or None
-        Shared part of the prompt whose memory makes an upstream quicker.
+    prompt : Prompt or None
+        What is known of the prompt of a request to an engine.
     resume_after : str or None
         Id of the last event that the caller has of a stream.
     """
@@ -53,7 +53,7 @@
     headers: CIMultiDict[str] = attrs.field(repr=False)
     api_key: str | None = attrs.field(default=None, repr=False)
     patience_s: float | None = None
-    prompt_part: str | None = None
+    prompt: Prompt | None = None
     resume_after: str | None = None
 
 
@@ -119,28 +119,42 @@
         Host and port.
     timeout_s : float
         Limit on a call that does not wait for news, seconds.
+    now : callable
+        Reads the clock of the process, which counts the time that the VM was suspended.
     """
 
     address: str
     timeout_s: float
+    now: Callable[[], float]
+
+
+@attrs.frozen
+class ConfigReading:
+    """What a question for the configuration brought.
+
+    Parameters
+    ----------
+    config : ForwardConfig or None
+        None if the last one is still the newest.
+    as_of : float
+        A moment at which that was true, on the clock of the process.
+    """
+
+    config: ForwardConfig | None
+    as_of: float
 
 
 class ConfigSource(ABC):
     """The newest configuration."""
 
     @abstractmethod
-    async def next(self, wait_s: float) -> Result[ForwardConfig | None, TableError]:
+    async def next(self, wait_s: float) -> Result[ConfigReading, TableError]:
         """Return the configuration if it has changed since the last call.
 
         Parameters
         ----------
         wait_s : float
             How long the platform may wait for a change before it answers, seconds.
-
-        Returns
-        -------
-        Result of ForwardConfig or None, TableError
-            ``Ok(None)`` says that the last one is still the newest.
         """
 
 
@@ -152,6 +166,61 @@
         """Return the list at the first call, what changed since then at later ones."""
 
 
+@attrs.frozen
+class Member:
+    """A forwarder that others can connect to.
+
+    Parameters
+    ----------
+    vm : str
+    incarnation : str
+        Drawn anew at each start.
+    address : str
+        Host and port where it takes connections of other forwarders.
+    revision : int
+        Of its entry on the platform; 0 if it has none yet.
+    """
+
+    vm: str
+    incarnation: str
+    address: str
+    revision: int = 0
+
+
+@attrs.frozen
+class MemberChanges:
+    """A reading of the members.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether ``listed`` holds all members; otherwise it holds what changed.
+    listed : tuple of Member
+    removed : tuple of str
+        Names of VMs whose entries are gone.
+    """
+
+    whole: bool
+    listed: tuple[Member, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class MemberRegistry(ABC):
+    """The forwarders, as the platform keeps them."""
+
+    @abstractmethod
+    async def join(self, member: Member) -> Result[bytes, TableError]:
+        """Enter a member and return the key that all members share; the first one draws it."""
+
+    @abstractmethod
+    async def leave(self, member: Member) -> Result[None, TableError]:
+        """Take out a member unless its entry has changed meanwhile."""
+
+    @abstractmethod
+    async def next(self, wait_s: float) -> Result[MemberChanges, TableError]:
+        """Return the members at the first call, what changed since then at later ones."""
+
+
 class ForwardingPlatform(ABC):
     """Everything that a forwarder needs of a platform.
 
@@ -179,6 +248,10 @@
     def upstreams(self) -> UpstreamSource:
         """Return a new reader of the list of upstreams."""
 
+    @abstractmethod
+    def members(self) -> MemberRegistry:
+        """Return a new reader of the members."""
+
     @abstractmethod
     def read_request(
         self, method: str, target: str, headers: Mapping[str, str]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -9,7 +9,12 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from burdockquay_coordination.forwarding import RouteKind, Upstream, choose_upstream
+from burdockquay_coordination.forwarding import (
+    RouteKind,
+    Upstream,
+    choose_upstream,
+    usable_upstreams,
+)
 from burdockquay_protocol import ErrorKind, RequestError
 
 from .._events import Event, log_event
@@ -87,21 +92,49 @@
         """
         self.state.budget(call.service).note_request(self.state.clock.now())
         while True:
-            upstream = self._choose(call)
-            if upstream is None:
-                raise CallFailed(failure_of(call))
-            outcome = await self._send(call, upstream)
+            outcome = await self._send_somewhere(call)
             if isinstance(outcome, Answered):
                 return outcome.response
             await self._note(call, outcome)
             if not self._may_repeat(call, outcome):
                 return self._give_up(call, outcome)
 
+    async def _send_somewhere(self, call: ForwardCall) -> Outcome:
+        """Choose an upstream, for a prompt when there is room, and send.
+
+        Raises
+        ------
+        CallFailed
+            If there is no upstream, or no room in time.
+        """
+        if not call.by_prompt:
+            upstream = self._choose(call)
+            if upstream is None:
+                raise CallFailed(failure_of(call))
+            return await self._send(call, upstream)
+        dispatcher = self.state.dispatcher(call.service)
+        call.sent = await dispatcher.start(call)
+        if call.sent is None:
+            raise CallFailed(failure_of(call))
+        try:
+            return await self._send(call, call.sent.placement.upstream)
+        finally:
+            self._end_prompt(call)
+
+    def _end_prompt(self, call: ForwardCall) -> None:
+        if call.sent is not None:
+            self.state.dispatcher(call.service).ended(call.sent)
+            call.sent = None
+
+    def _note_first_token(self, call: ForwardCall) -> None:
+        if call.sent is not None:
+            self.state.dispatcher(call.service).first_token(call.sent)
+            call.sent = None
+
     def _choose(self, call: ForwardCall) -> Upstream | None:
         state = self.state
         return choose_upstream(
             state.book.of_service(call.service),
-            call.request.prompt_part if call.route.by_prompt else None,
             state.settings.failure_domain,
             call.tried,
             state.clock.now(),
@@ -124,7 +157,7 @@
             upstream.note_failure(now)
         if isinstance(outcome, NotSent) or await self._went_down(outcome):
             upstream.note_unreachable(now)
-            self.state.suspects.note_down(upstream.id, now)
+            self.state.note_down(upstream.id)
 
     async def _went_down(self, outcome: Outcome) -> bool:
         """Return whether an upstream that broke off is down altogether.
@@ -147,7 +180,7 @@
         now = state.clock.now()
         if state.suspects.is_refused(call.digest, now):
             return False
-        if self._choose(call) is None:
+        if not usable_upstreams(state.book.of_service(call.service), call.tried, now):
             return False
         return state.budget(call.service).try_repeat(now)
 
@@ -314,6 +347,8 @@
     async def _pass_on(
         self, call: ForwardCall, events: list[StreamEvent], response: aiohttp.ClientResponse
     ) -> None:
+        if events:
+            self._note_first_token(call)
         fresh = [event for event in events if _is_new(event, call.last_event)]
         if not fresh:
             return
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -51,6 +51,8 @@
         Identity of the process.
     listen, status_listen : str
         Addresses for callers, and for readiness and metrics; port 0 takes a free one.
+    peer_listen : str or None
+        Address for other forwarders; None to know nothing of them.
     platform : ForwarderPlatformSettings
     adapters : list of str
         Packages that register adapters.
@@ -74,6 +76,7 @@
         "failure_domain": [NAME],
         "listen": [_ADDRESS],
         "status_listen": [_ADDRESS],
+        "peer_listen": [_ADDRESS, InstanceOf(type(None))],
         "platform": [InstanceOf(ForwarderPlatformSettings)],
         "adapters": [ListOf(_PACKAGE)],
         "log_level": [OneOf(("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"))],
@@ -91,6 +94,7 @@
     platform: ForwarderPlatformSettings
     listen: str = "127.0.0.1:0"
     status_listen: str = "127.0.0.1:0"
+    peer_listen: str | None = None
     adapters: list[str] = attrs.field(factory=list)
     log_level: str = "INFO"
     withdrawal_ms: float = 5000.0
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from burdockquay_coordination.forwarding import (
     ConfigDirectory,
@@ -15,6 +16,7 @@
 
 from .._clock import Clock
 from ._connections import UpstreamConnections
+from ._dispatch import PromptDispatcher
 from ._platform import ForwardingPlatform
 from ._settings import ForwarderSettings
 
@@ -54,6 +56,8 @@
         self.suspects = CrashSuspects()
         self.connections = UpstreamConnections()
         self.leaving = False
+        self.tell_crash: Callable[[str, list[str]], None] = lambda upstream, digests: None
+        self._dispatchers: dict[str, PromptDispatcher] = {}
         self._budgets: dict[str, RetryWindow] = {}
 
     def apply(self, config: ForwardConfig) -> bool:
@@ -63,6 +67,27 @@
         self.directory = ConfigDirectory(config)
         return True
 
+    def dispatcher(self, service: str) -> PromptDispatcher:
+        """Return the dispatcher of the prompts of a service."""
+        found = self._dispatchers.get(service)
+        if found is None:
+            found = PromptDispatcher(
+                service, self.book, self.clock, lambda: self.directory.tightest_target(service)
+            )
+            self._dispatchers[service] = found
+        return found
+
+    def look_at_waiting(self) -> None:
+        """Start what waits and may start now."""
+        for dispatcher in self._dispatchers.values():
+            dispatcher.look()
+
+    def note_down(self, upstream_id: str) -> None:
+        """Note that an upstream is down, and tell the other processes what ran there."""
+        digests = self.suspects.note_down(upstream_id, self.clock.now())
+        if digests:
+            self.tell_crash(upstream_id, digests)
+
     def budget(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
         found = self._budgets.get(service)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -9,9 +9,11 @@
 from .._background import BackgroundTasks
 from .._clock import Clock, SuspendedClock
 from .._events import Event, log_event
+from .._peer import Identity
 from .._status_http import StatusServer, serve_status
 from ._following import follow_configuration, follow_upstreams, settle_upstreams
 from ._ingress import Ingress
+from ._peers import PeerMesh
 from ._platform import PlatformAddress, forwarding_platforms, load_adapters
 from ._settings import ForwarderSettings, split_address
 from ._state import ForwarderState
@@ -76,11 +78,12 @@
         settings = self.settings
         load_adapters(settings.adapters)
         platform_class = forwarding_platforms.get(settings.platform.adapter)
-        address = PlatformAddress(settings.platform.address, settings.platform.timeout_s)
+        clock = self.clock or SuspendedClock()
+        address = PlatformAddress(settings.platform.address, settings.platform.timeout_s, clock.now)
         self._state = ForwarderState(
             settings,
             platform_class(address),
-            self.clock or SuspendedClock(),
+            clock,
             self.rng or random.Random(secrets.randbits(64)),
         )
         self._tasks = BackgroundTasks()
@@ -91,10 +94,22 @@
         self._status: StatusServer = await serve_status(
             *split_address(settings.status_listen), lambda: self.ready, self.describe
         )
+        self._mesh = self._open_mesh()
         for work in (follow_configuration, follow_upstreams, settle_upstreams):
             self._tasks.spawn(work(self._state))
         log_event(Event.PROCESS_LISTENING, role=self.role, vm=settings.vm, port=self.port)
 
+    def _open_mesh(self) -> PeerMesh | None:
+        """Return the connections to the other forwarders, which begin to come up."""
+        settings = self.settings
+        if settings.peer_listen is None:
+            return None
+        identity = Identity(settings.vm, settings.failure_domain, secrets.token_hex(8))
+        mesh = PeerMesh(self._state, identity, settings.peer_listen)
+        self._state.tell_crash = mesh.tell_crash
+        self._tasks.spawn(mesh.run())
+        return mesh
+
     def describe(self) -> dict[str, object]:
         """Return what ``/status`` shows."""
         state = self._state
@@ -107,6 +122,7 @@
             "revision": state.directory.config.version if state.directory else None,
             "configuration_age_s": state.lease.age(now),
             "upstreams": len(state.book),
+            "peers": self._mesh.connected if self._mesh else 0,
         }
 
     async def stop(self) -> None:
@@ -120,6 +136,8 @@
         settings = self.settings
         log_event(Event.PROCESS_STOPPING, role=self.role, held=self._ingress.held)
         self._state.leaving = True
+        if self._mesh is not None:
+            self._tasks.spawn(self._mesh.leave())
         try:
             async with asyncio.timeout(max(0.0, settings.stop_limit_s - STOP_MARGIN_S)):
                 await asyncio.sleep(settings.leave_delay_s)
@@ -142,5 +160,7 @@
         await self._ingress.close()
         await self._status.close()
         await self._tasks.close()
+        if self._mesh is not None:
+            await self._mesh.close()
         await self._state.connections.close()
         await self._state.platform.close()
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -37,8 +37,8 @@
 from ._clock import ticks
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, SILENCE_S, PeerConnection
+from ._peer_server import PeerServer
 from ._process import Process
-from ._slot_peers import SlotPeers
 from ._slot_runner import SlotRunner
 from ._status_http import serve_status
 from ._status_sender import StatusSender
@@ -71,7 +71,7 @@
 
     def _open_parts(self) -> None:
         settings = self.settings
-        self._peers = SlotPeers(
+        self._peers = PeerServer(
             self.identity,
             bytes.fromhex(settings.peer_key),
             settings.flush_interval_s,
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -20,7 +20,7 @@
 )
 from burdockquay_standins import expected_answer
 from burdockquay_transport import _peer
-from burdockquay_transport._peer import Identity, TrafficCounts, greet_slot
+from burdockquay_transport._peer import Identity, TrafficCounts, greet_peer
 
 from ._deployment import PEER_KEY, chat_body, until
 
@@ -29,7 +29,7 @@
 
 async def open_peer(slot, key=PEER_KEY):
     websocket = await connect(f"ws://127.0.0.1:{slot.port}", proxy=None, compression=None)
-    return websocket, await greet_slot(websocket, ROGUE, bytes.fromhex(key), TrafficCounts())
+    return websocket, await greet_peer(websocket, ROGUE, bytes.fromhex(key), TrafficCounts())
 
 
 @pytest.mark.parametrize(
--- a/scripts/make_reference.py
+++ b/scripts/make_reference.py
@@ -57,7 +57,7 @@
     ErrorKind.UPSTREAM_REFUSED: "The upstream answered with an error before it ran the request.",
     ErrorKind.UPSTREAM_FAILED: "The upstream broke off; a stream ends with an error event.",
     ErrorKind.PEER_LOST: "The slot or its VM is gone; whether the request ran is not known.",
-    ErrorKind.CONFIGURATION_STALE: "A forwarder lost the platform's store for longer than an API key "
+    ErrorKind.CONFIGURATION_STALE: "A forwarder lost the store for longer than an API key "
     "may go on working after its withdrawal. Another process takes the repeat.",
     ErrorKind.CRASH_SUSPECT: "A forwarder saw upstreams go down under this request; it is let "
     "through again a minute after the last time.",
