--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -14,6 +14,7 @@
     ForwardRoute,
     RouteKind,
     ServiceShare,
+    ServiceTargets,
 )
 from ._directory import ConfigDirectory, pick_service
 from ._freshness import FreshnessLease
@@ -44,6 +45,7 @@
     "RetryWindow",
     "RouteKind",
     "ServiceShare",
+    "ServiceTargets",
     "SpeedFactor",
     "Start",
     "Upstream",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import Collection, Sequence
 from hashlib import blake2b
@@ -72,5 +73,6 @@
     return min(candidates, key=cost)
 
 
+@functools.lru_cache(maxsize=16384)
 def _weight(id_: str, prompt_part: str) -> bytes:
     return blake2b(prompt_part.encode(), key=id_.encode()[:64], digest_size=8).digest()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -89,6 +89,29 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
+@attrs.frozen
+class ServiceTargets:
+    """What all routes to one service demand together.
+
+    Parameters
+    ----------
+    tightest_s : float
+        Tightest target, seconds. A second where no route leads to the service any more: its last
+        requests still run.
+    most_urgent : int
+        Priority of the most urgent route.
+    """
+
+    tightest_s: float = 1.0
+    most_urgent: int = 9
+
+    def with_route(self, route: ForwardRoute) -> ServiceTargets:
+        """Return the targets with those of one more route."""
+        return ServiceTargets(
+            min(self.tightest_s, route.target_s), min(self.most_urgent, route.priority)
+        )
+
+
 @attrs.frozen
 class CallerOrganisation:
     """An organisation with the API keys of its callers.
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -5,10 +5,7 @@
 import itertools
 import random
 
-from ._config import CallerOrganisation, ForwardConfig, ForwardRoute
-
-NO_TARGET_S = 1.0
-"""Target for a service that no route leads to any more, seconds: its last requests still run."""
+from ._config import CallerOrganisation, ForwardConfig, ForwardRoute, ServiceTargets
 
 
 class ConfigDirectory:
@@ -22,11 +19,11 @@
     def __init__(self, config: ForwardConfig):
         self.config = config
         self._routes = {(route.host, route.prefix): route for route in config.routes}
-        self._tightest: dict[str, float] = {}
+        self._targets: dict[str, ServiceTargets] = {}
         for route in config.routes:
             for share in route.shares:
-                known = self._tightest.get(share.service, route.target_s)
-                self._tightest[share.service] = min(known, route.target_s)
+                known = self._targets.get(share.service, ServiceTargets())
+                self._targets[share.service] = known.with_route(route)
         self._organisations = {
             api_key: organisation
             for organisation in config.organisations or ()
@@ -57,9 +54,9 @@
                 return route
         return None
 
-    def tightest_target(self, service: str) -> float:
-        """Return the tightest target among the routes to a service, seconds."""
-        return self._tightest.get(service, NO_TARGET_S)
+    def targets(self, service: str) -> ServiceTargets:
+        """Return what the routes to a service demand."""
+        return self._targets.get(service, ServiceTargets())
 
     def find_organisation(self, api_key: str) -> CallerOrganisation | None:
         """Return the organisation that holds a key."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -11,9 +11,13 @@
 from ._prompts import Prompt
 from ._upstreams import Upstream
 
-REREAD_WEIGHT = 3.0
-"""Times that the reading of tokens which another upstream has in memory counts beside its own time:
-the reading delays all that run there, and the tokens push others out of memory."""
+REREAD_WEIGHT = 2.0
+"""Times that the reading of shared tokens counts beside its own time: it delays all that run there,
+and the tokens push others out of memory."""
+
+RANK_COST_S = 0.002
+"""Cost of each place behind the first in the ranking by the shared part, seconds. Between upstreams
+that are alike it makes all processes choose the same one for a part that none has in memory."""
 
 OVERDUE_SHARE = 0.5
 """Part of the age of the oldest unanswered request that counts as delay of a new one."""
@@ -32,12 +36,15 @@
         The part of it that the reading of other prompts takes, seconds.
     tokens : int
         Prompt tokens that are read for the request.
+    is_warm : bool
+        Whether the shared part is in memory there.
     """
 
     upstream: Upstream
     first_token_s: float
     backlog_s: float
     tokens: int
+    is_warm: bool
 
 
 def place_prompt(
@@ -51,32 +58,32 @@
 
     Notes
     -----
-    Upstreams are ranked by the shared part of the prompt in the same way at each process. The first
-    is taken to have the part in memory, so that all processes send it there; another one is taken
-    when the wait there is longer than what the reading would cost.
+    An upstream that has the shared part in memory is left for another one when the wait there is
+    longer than what the reading would cost.
     """
     candidates = usable_upstreams(upstreams, tried, now)
     best: Placement | None = None
     best_cost = float("inf")
     for rank, upstream in enumerate(rank_homes(candidates, prompt.key)):
-        placement, missing_s = _estimate(upstream, prompt, model, rank == 0, now)
-        cost = placement.first_token_s + REREAD_WEIGHT * missing_s
+        placement = _estimate(upstream, prompt, model, now)
+        shared = 0 if placement.is_warm else prompt.shared_tokens
+        reread_s = REREAD_WEIGHT * shared * model.token_s
+        cost = placement.first_token_s + reread_s + RANK_COST_S * rank
         if cost < best_cost:
             best, best_cost = placement, cost
     return best
 
 
-def _estimate(
-    upstream: Upstream, prompt: Prompt, model: PrefillModel, is_home: bool, now: float
-) -> tuple[Placement, float]:
-    missing = 0
-    if prompt.shared is not None and not (is_home or upstream.memory.holds(prompt.shared, now)):
-        missing = prompt.shared_tokens
-    own = 0 if upstream.memory.holds(prompt.own, now) else prompt.own_tokens
+def _estimate(upstream: Upstream, prompt: Prompt, model: PrefillModel, now: float) -> Placement:
+    missing = upstream.memory.missing(prompt)
     backlog = upstream.pending.tokens(now)
     factor = upstream.speed.value(now)
-    backlog_s = backlog * model.token_s * factor
-    predicted = model.predict(backlog + missing + own) * factor
+    predicted = model.predict(backlog + missing) * factor
     overdue = OVERDUE_SHARE * upstream.pending.oldest_s(now)
-    placement = Placement(upstream, max(predicted, overdue), backlog_s, missing + own)
-    return placement, missing * model.token_s * factor
+    return Placement(
+        upstream,
+        max(predicted, overdue),
+        backlog * model.token_s * factor,
+        missing,
+        prompt.shared is None or upstream.memory.holds(prompt.shared),
+    )
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -8,7 +8,7 @@
 
 from ._pending import PendingPrompts
 from ._prefill import SpeedFactor
-from ._prompts import PromptMemory
+from ._prompts import Prompt, PromptMemory
 
 RETURN_WAIT_S = 2.2
 """How long a vanished entry is kept after trouble of the list, seconds. The platform needs about
@@ -88,6 +88,7 @@
         self.outstanding = 0
         self.pending = PendingPrompts()
         self.memory = PromptMemory()
+        self.untold_parts: dict[str, int] = {}
         self.speed = SpeedFactor()
         self.gone = False
         self._failure_share = 0.0
@@ -100,6 +101,17 @@
         """Id of the incarnation."""
         return self.entry.id
 
+    def note_prompt(self, prompt: Prompt) -> None:
+        """Note that a prompt was sent there, for this process and to be told to the others."""
+        for part, tokens in prompt.parts():
+            self.memory.note(part, tokens)
+            self.untold_parts[part] = tokens
+
+    def take_untold_parts(self) -> dict[str, int]:
+        """Return the parts that the other processes were not told of, and take them as told."""
+        untold, self.untold_parts = self.untold_parts, {}
+        return untold
+
     def takes_work(self) -> bool:
         """Return whether the list says that new requests may be sent."""
         return not (self.gone or self.entry.leaving)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ._config import ServiceTargets
 from ._placing import Placement, place_prompt
 from ._prefill import PrefillModel
 from ._prompts import Prompt
@@ -26,8 +27,8 @@
 MARGIN = 0.9
 """Part of a target that a prediction must keep to count as in time."""
 
-MAX_LOOKED_AT = 30
-"""Waiting requests that one round looks at: those behind them would find no room either."""
+MAX_LOOKED_AT = 60
+"""Waiting requests that one round looks at, a bound on its processor time."""
 
 
 @attrs.define(eq=False)
@@ -81,7 +82,9 @@
     first token behind it. Under a burst of long prompts, sending all at once makes all late, the
     short urgent ones first of all. So less urgent requests wait here while an upstream has much to
     read. Requests that have missed their target go last: serving them first would make the next
-    ones late as well, and none would ever be in time until the burst is over.
+    ones late as well, and none would ever be in time until the burst is over. Among equals, those
+    whose shared part is in memory go first: after the loss of an upstream the parts it had must be
+    read anew, and each such prompt takes the time of several others.
     """
 
     def __init__(self):
@@ -120,7 +123,7 @@
         self,
         upstreams: Sequence[Upstream],
         model: PrefillModel,
-        tightest_s: float,
+        targets: ServiceTargets,
         now: float,
     ) -> Start | None:
         """Take out the first request that may start, None if none may.
@@ -129,37 +132,40 @@
         ----------
         upstreams : sequence of Upstream
         model : PrefillModel
-        tightest_s : float
-            Tightest target for the first token among the routes of the service, seconds.
+        targets : ServiceTargets
+            Of the routes to the service.
         now : float
         """
-        ranked = sorted(self._waiting, key=lambda item: _rank(item, model, now))
-        most_urgent = ranked[0].urgency if ranked else 0
-        for item in ranked[:MAX_LOOKED_AT]:
+        looked_at = sorted(self._waiting, key=_order)[:MAX_LOOKED_AT]
+        starts = []
+        for item in looked_at:
             placement = place_prompt(upstreams, item.prompt, model, item.tried, now)
-            if placement is None:
-                return None
-            late = _is_late(item, model, now)
-            if placement.backlog_s <= _window(item, late, most_urgent, tightest_s, now):
-                self._waiting.remove(item)
-                return Start(item, placement, late)
+            if placement is not None:
+                late = now + MARGIN * model.predict(placement.tokens) > item.target_at
+                starts.append(Start(item, placement, late))
+        for start in sorted(starts, key=_rank):
+            if start.placement.backlog_s <= _window(start, targets, now):
+                self._waiting.remove(start.waiting)
+                return start
         return None
 
 
-def _is_late(item: WaitingPrompt, model: PrefillModel, now: float) -> bool:
-    return now + MARGIN * model.predict(item.prompt.own_tokens) > item.target_at
+def _order(item: WaitingPrompt) -> tuple[int, float]:
+    return (item.urgency, item.target_at)
 
 
-def _rank(item: WaitingPrompt, model: PrefillModel, now: float) -> tuple[bool, int, float]:
-    return (_is_late(item, model, now), item.urgency, item.target_at)
+def _rank(start: Start) -> tuple[bool, int, bool, float]:
+    """Rank what can be in time first, then by urgency, then by what is soon read."""
+    waiting = start.waiting
+    return (start.late, waiting.urgency, not start.placement.is_warm, waiting.target_at)
 
 
-def _window(
-    item: WaitingPrompt, late: bool, most_urgent: int, tightest_s: float, now: float
-) -> float:
+def _window(start: Start, targets: ServiceTargets, now: float) -> float:
     """Return the longest reading of other prompts behind which a request is started, seconds."""
-    if late:
-        return LATE_SHARE * WINDOW_SHARE * tightest_s
-    if item.urgency <= most_urgent:
-        return max(URGENT_SHARE * (item.target_at - now), WINDOW_SHARE * tightest_s)
-    return WINDOW_SHARE * tightest_s
+    waiting = start.waiting
+    window_s = WINDOW_SHARE * targets.tightest_s
+    if start.late:
+        return LATE_SHARE * window_s
+    if waiting.urgency <= targets.most_urgent:
+        return max(URGENT_SHARE * (waiting.target_at - now), window_s)
+    return window_s
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -8,12 +8,14 @@
     LoadShare,
     PrefillModel,
     Prompt,
+    PromptMemory,
     PromptQueue,
+    ServiceTargets,
     WaitingPrompt,
     place_prompt,
 )
 
-TIGHTEST_S = 0.25
+TARGETS = ServiceTargets(tightest_s=0.25, most_urgent=0)
 
 
 def long_prompt(number=0):
@@ -51,6 +53,7 @@
     the others are idle.
     """
     home = place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream
+    home.memory.note("shared-0", 6000)
     home.pending.add("a", 10_000, 0.0)
     assert place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream is home
     home.pending.add("b", 40_000, 0.0)
@@ -107,14 +110,14 @@
     for number in range(40):
         queue.add(wait(long_prompt(number), 0.0, urgency=1, target_s=0.5))
     started = []
-    while (start := queue.take_start(upstreams, model, TIGHTEST_S, 0.0)) is not None:
+    while (start := queue.take_start(upstreams, model, TARGETS, 0.0)) is not None:
         start.placement.upstream.pending.add(str(len(started)), start.placement.tokens, 0.0)
         started.append(start)
-    assert 4 <= len(started) < 20
-    queue.add(wait(short_prompt(), 0.01, urgency=0, target_s=TIGHTEST_S))
-    urgent = queue.take_start(upstreams, model, TIGHTEST_S, 0.01)
+    assert len(started) == 4
+    queue.add(wait(short_prompt(), 0.01, urgency=0, target_s=0.25))
+    urgent = queue.take_start(upstreams, model, TARGETS, 0.01)
     assert urgent.waiting.urgency == 0
-    assert urgent.placement.first_token_s < TIGHTEST_S
+    assert urgent.placement.first_token_s < 0.25
 
 
 def test_requests_that_can_still_be_in_time_go_before_late_ones(upstreams, model):
@@ -126,12 +129,38 @@
     queue = PromptQueue()
     queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
     queue.add(wait(long_prompt(2), 1.0, urgency=1, target_s=0.5))
-    start = queue.take_start(upstreams, model, TIGHTEST_S, 1.0)
+    start = queue.take_start(upstreams, model, TARGETS, 1.0)
     assert start.waiting.prompt.own == "own-2" and not start.late
-    late = queue.take_start(upstreams, model, TIGHTEST_S, 1.0)
+    late = queue.take_start(upstreams, model, TARGETS, 1.0)
     assert late.late
 
 
+def test_prompts_whose_parts_are_in_memory_go_before_those_that_are_read_anew(upstreams, model):
+    """An upstream was lost, and the parts that it had in memory are nowhere.
+
+    Read in the order they came, they make even those late that would take a third of the time.
+    """
+    warm = upstreams[0]
+    warm.memory.note("shared-2", 6000)
+    queue = PromptQueue()
+    queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
+    queue.add(wait(long_prompt(2), 0.01, urgency=1, target_s=0.5))
+    start = queue.take_start(upstreams, model, TARGETS, 0.02)
+    assert start.waiting.prompt.own == "own-2" and start.placement.upstream is warm
+
+
+def test_part_stays_in_memory_until_others_have_pushed_it_out():
+    memory = PromptMemory()
+    memory.capacity = 10_000
+    memory.note("a", 4000)
+    memory.note("b", 4000)
+    memory.note("a", 4000)
+    memory.note("c", 4000)
+    assert (memory.holds("a"), memory.holds("b"), memory.holds("c")) == (True, False, True)
+    assert memory.missing(Prompt("b", 4000, "new", 100)) == 4100
+    assert memory.missing(Prompt("a", 4000, "new", 100)) == 100
+
+
 def test_nothing_is_held_beyond_its_time(upstreams, model):
     queue = PromptQueue()
     waiting = wait(long_prompt(), 0.0, urgency=1, target_s=0.5, hold_s=1.0)
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -424,6 +424,20 @@
     reason: str
 
 
+@attrs.frozen
+class PromptPart:
+    """Part of a prompt that many requests may share.
+
+    Parameters
+    ----------
+    id : str
+    tokens : int
+    """
+
+    id: str
+    tokens: int
+
+
 @attrs.frozen
 class UpstreamLoad:
     """What one forwarder has at one upstream.
@@ -435,11 +449,14 @@
         Prompt tokens whose first answer token has not come.
     running : int
         Requests.
+    parts : list of PromptPart
+        Prompt parts that were sent there since the last message.
     """
 
     upstream: str
     prompt_tokens: int
     running: int
+    parts: list[PromptPart]
 
 
 @message(30, since=3)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -11,6 +11,7 @@
     Placement,
     PrefillModel,
     PromptQueue,
+    ServiceTargets,
     Start,
     Upstream,
     UpstreamBook,
@@ -63,17 +64,17 @@
     service : str
     book : UpstreamBook
     clock : Clock
-    tightest_s : callable
-        Returns the tightest target for a first token among the routes of the service, seconds.
+    targets : callable
+        Returns what the routes to the service demand now.
     """
 
     def __init__(
-        self, service: str, book: UpstreamBook, clock: Clock, tightest_s: Callable[[], float]
+        self, service: str, book: UpstreamBook, clock: Clock, targets: Callable[[], ServiceTargets]
     ):
         self.service = service
         self.book = book
         self.clock = clock
-        self.tightest_s = tightest_s
+        self.targets = targets
         self.model = PrefillModel()
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
@@ -132,7 +133,7 @@
         self.look()
 
     def _take_start(self, now: float) -> Start | None:
-        return self.queue.take_start(self._upstreams(), self.model, self.tightest_s(), now)
+        return self.queue.take_start(self._upstreams(), self.model, self.targets(), now)
 
     def _upstreams(self) -> list[Upstream]:
         return self.book.of_service(self.service)
@@ -165,7 +166,7 @@
         upstream = placement.upstream
         sent = SentPrompt(call.request.id, placement, upstream.pending.tokens(now), now)
         upstream.pending.add(sent.call, placement.tokens, now)
-        upstream.memory.note(call.request.prompt, now)
+        upstream.note_prompt(call.request.prompt)
         return sent
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -173,6 +173,9 @@
         except TimeoutError:
             kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
             return self._fail(call, RequestError(kind))
+        except asyncio.CancelledError:
+            self._note_end(call, 0, "caller left")
+            raise
         except LOST_CALLER:
             self._note_end(call, 0, "caller left")
             return call.answer or web.Response()
@@ -201,6 +204,8 @@
             status=status,
             reason=reason,
             sends=call.sends,
+            upstreams=",".join(call.tried),
+            last_event=call.last_event or "",
             seconds=self.state.clock.now() - call.started,
         )
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -10,10 +10,11 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from burdockquay_coordination.forwarding import LoadShare
+from burdockquay_coordination.forwarding import LoadShare, Upstream
 from burdockquay_protocol import (
     Goodbye,
     Heartbeat,
+    PromptPart,
     UpstreamCrash,
     UpstreamLoad,
     UpstreamLoads,
@@ -230,9 +231,9 @@
 
     def _tell_loads(self) -> None:
         loads = [
-            UpstreamLoad(upstream.id, upstream.pending.own_tokens, upstream.outstanding)
+            _describe_load(upstream)
             for upstream in self.state.book.all()
-            if upstream.outstanding
+            if upstream.outstanding or upstream.untold_parts
         ]
         now = self.state.clock.now()
         if loads == self._told and now - self._told_at < REPEAT_S:
@@ -252,6 +253,8 @@
             load = told.get(upstream.id)
             share = LoadShare(load.prompt_tokens, load.running) if load else _NOTHING
             upstream.pending.hear(peer.peer.incarnation, share, now)
+            for part in load.parts if load else ():
+                upstream.memory.note(part.id, part.tokens)
         self.state.look_at_waiting()
 
     def _hear_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
@@ -259,6 +262,11 @@
             self.state.suspects.note_crash(digest, message.upstream, self.state.clock.now())
 
 
+def _describe_load(upstream: Upstream) -> UpstreamLoad:
+    parts = [PromptPart(id_, tokens) for id_, tokens in upstream.take_untold_parts().items()]
+    return UpstreamLoad(upstream.id, upstream.pending.own_tokens, upstream.outstanding, parts)
+
+
 _NOTHING = LoadShare(0, 0)
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -72,7 +72,7 @@
         found = self._dispatchers.get(service)
         if found is None:
             found = PromptDispatcher(
-                service, self.book, self.clock, lambda: self.directory.tightest_target(service)
+                service, self.book, self.clock, lambda: self.directory.targets(service)
             )
             self._dispatchers[service] = found
         return found
