Count the reading of shared tokens sixteen times when a prompt is placed

Cause: homes were left for upstreams with a little less to read; the parts read again pushed others out of memory, and under a burst two thirds of the reading was of parts that stood elsewhere. Change: parts of a prompt are a chain, kept as an estimate of each upstream's memory from what all processes send there; leaving home costs sixteen times the reading of what is missing elsewhere.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -11,14 +11,10 @@
 from ._prompts import Prompt
 from ._upstreams import Upstream
 
-REREAD_WEIGHT = 2.0
+REREAD_WEIGHT = 16.0
 """Times that the reading of shared tokens counts beside its own time: it delays all that run there,
 and the tokens push others out of memory."""
 
-RANK_COST_S = 0.002
-"""Cost of each place behind the first in the ranking by the shared part, seconds. Between upstreams
-that are alike it makes all processes choose the same one for a part that none has in memory."""
-
 OVERDUE_SHARE = 0.5
 """Part of the age of the oldest unanswered request that counts as delay of a new one."""
 
@@ -37,7 +33,7 @@
     tokens : int
         Prompt tokens that are read for the request.
     is_warm : bool
-        Whether the shared part is in memory there.
+        Whether all shared parts are in memory there.
     """
 
     upstream: Upstream
@@ -58,17 +54,17 @@
 
     Notes
     -----
-    An upstream that has the shared part in memory is left for another one when the wait there is
-    longer than what the reading would cost.
+    Upstreams are ranked by the shared part, the same way at every process. The first is its home: a
+    part that is nowhere is read there, so that each part takes memory at one upstream only. Home is
+    left for another upstream when the wait there is longer than what the reading would cost.
     """
     candidates = usable_upstreams(upstreams, tried, now)
     best: Placement | None = None
     best_cost = float("inf")
     for rank, upstream in enumerate(rank_homes(candidates, prompt.key)):
         placement = _estimate(upstream, prompt, model, now)
-        shared = 0 if placement.is_warm else prompt.shared_tokens
-        reread_s = REREAD_WEIGHT * shared * model.token_s
-        cost = placement.first_token_s + reread_s + RANK_COST_S * rank
+        shared = 0 if rank == 0 else max(0, placement.tokens - prompt.own_tokens)
+        cost = placement.first_token_s + REREAD_WEIGHT * shared * model.token_s
         if cost < best_cost:
             best, best_cost = placement, cost
     return best
@@ -85,5 +81,5 @@
         max(predicted, overdue),
         backlog * model.token_s * factor,
         missing,
-        prompt.shared is None or upstream.memory.holds(prompt.shared),
+        missing <= prompt.own_tokens,
     )
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
@@ -17,36 +17,30 @@
 
     Parameters
     ----------
-    shared : str or None
-        Id of the last part that other requests share, which stands for all shared parts.
-    shared_tokens : int
-    own : str
-        Id of the part that belongs to the request or its session.
-    own_tokens : int
+    parts : tuple of (str, int)
+        Id and tokens of each part in their order. Other requests share the parts before the last
+        one, which belongs to the request or its session.
     answer_tokens : int
         Longest answer.
     """
 
-    shared: str | None
-    shared_tokens: int
-    own: str
-    own_tokens: int
+    parts: tuple[tuple[str, int], ...]
     answer_tokens: int = 0
 
     @property
     def key(self) -> str:
-        """Id of the part by which upstreams are ranked."""
-        return self.shared or self.own
+        """Id of the part by which upstreams are ranked: the last that is shared."""
+        return self.parts[-2][0] if len(self.parts) > 1 else self.parts[0][0]
 
     @property
     def tokens(self) -> int:
         """Tokens of all parts."""
-        return self.shared_tokens + self.own_tokens
+        return sum(tokens for _, tokens in self.parts)
 
-    def parts(self) -> list[tuple[str, int]]:
-        """Return the parts with their tokens, those shared taken as one."""
-        own = (self.own, self.own_tokens)
-        return [own] if self.shared is None else [(self.shared, self.shared_tokens), own]
+    @property
+    def own_tokens(self) -> int:
+        """Tokens of the last part."""
+        return self.parts[-1][1]
 
 
 class PromptMemory:
@@ -83,7 +77,8 @@
         return part in self._parts
 
     def missing(self, prompt: Prompt) -> int:
-        """Return how many tokens of a prompt must be read; parts behind a missing one count too."""
-        if prompt.shared is not None and not self.holds(prompt.shared):
-            return prompt.tokens
-        return 0 if self.holds(prompt.own) else prompt.own_tokens
+        """Return how many tokens of a prompt must be read: all from its first missing part on."""
+        for position, (part, _) in enumerate(prompt.parts):
+            if part not in self._parts:
+                return sum(tokens for _, tokens in prompt.parts[position:])
+        return 0
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -103,7 +103,7 @@
 
     def note_prompt(self, prompt: Prompt) -> None:
         """Note that a prompt was sent there, for this process and to be told to the others."""
-        for part, tokens in prompt.parts():
+        for part, tokens in prompt.parts:
             self.memory.note(part, tokens)
             self.untold_parts[part] = tokens
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -13,7 +13,7 @@
 from ._prompts import Prompt
 from ._upstreams import Upstream
 
-WINDOW_SHARE = 0.5
+WINDOW_SHARE = 0.6
 """Part of the tightest target of a service that unread prompts may take at an upstream before less
 urgent work waits here. An urgent request that comes next then still meets its target, and what
 waits here can go to whichever upstream is free first."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -19,11 +19,11 @@
 
 
 def long_prompt(number=0):
-    return Prompt(f"shared-{number % 3}", 6000, f"own-{number}", 3000, 40)
+    return Prompt((("all", 2000), (f"shared-{number % 3}", 4000), (f"own-{number}", 3000)), 40)
 
 
 def short_prompt(number=0):
-    return Prompt("chat", 200, f"short-{number}", 600, 300)
+    return Prompt((("chat", 200), (f"short-{number}", 600)), 300)
 
 
 @pytest.fixture
@@ -53,7 +53,7 @@
     the others are idle.
     """
     home = place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream
-    home.memory.note("shared-0", 6000)
+    home.note_prompt(long_prompt())
     home.pending.add("a", 10_000, 0.0)
     assert place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream is home
     home.pending.add("b", 40_000, 0.0)
@@ -130,7 +130,7 @@
     queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
     queue.add(wait(long_prompt(2), 1.0, urgency=1, target_s=0.5))
     start = queue.take_start(upstreams, model, TARGETS, 1.0)
-    assert start.waiting.prompt.own == "own-2" and not start.late
+    assert start.waiting.prompt.parts[-1][0] == "own-2" and not start.late
     late = queue.take_start(upstreams, model, TARGETS, 1.0)
     assert late.late
 
@@ -141,12 +141,12 @@
     Read in the order they came, they make even those late that would take a third of the time.
     """
     warm = upstreams[0]
-    warm.memory.note("shared-2", 6000)
+    warm.note_prompt(long_prompt(5))
     queue = PromptQueue()
     queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
     queue.add(wait(long_prompt(2), 0.01, urgency=1, target_s=0.5))
     start = queue.take_start(upstreams, model, TARGETS, 0.02)
-    assert start.waiting.prompt.own == "own-2" and start.placement.upstream is warm
+    assert start.waiting.prompt.parts[-1][0] == "own-2" and start.placement.upstream is warm
 
 
 def test_part_stays_in_memory_until_others_have_pushed_it_out():
@@ -157,8 +157,9 @@
     memory.note("a", 4000)
     memory.note("c", 4000)
     assert (memory.holds("a"), memory.holds("b"), memory.holds("c")) == (True, False, True)
-    assert memory.missing(Prompt("b", 4000, "new", 100)) == 4100
-    assert memory.missing(Prompt("a", 4000, "new", 100)) == 100
+    assert memory.missing(Prompt((("b", 4000), ("a", 4000), ("new", 100)))) == 8100
+    assert memory.missing(Prompt((("a", 4000), ("b", 4000), ("new", 100)))) == 4100
+    assert memory.missing(Prompt((("a", 4000), ("new", 100)))) == 100
 
 
 def test_nothing_is_held_beyond_its_time(upstreams, model):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -130,6 +130,11 @@
     MEMBER_NOT_REMOVED = (1907, "WARNING", "A leaving forwarder could not take out its entry.")
     MEMBER_FORGOTTEN = (1908, "NOTICE", "A forwarder was unreachable for long; its entry goes.")
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration cannot be read and is left out.")
+    FIRST_TOKEN = (
+        1910,
+        "DEBUG",
+        "The first token of a prompt came; the fields tell what was predicted and what it took.",
+    )
     SETTINGS_RELOADED = (1905, "INFO", "The settings were read again; nothing was dropped.")
     SETTINGS_FAULT = (1906, "ERROR", "Changed settings are wrong; the last good ones stay.")
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -21,6 +21,7 @@
 from burdockquay_protocol import ErrorKind, RequestError
 
 from .._clock import Clock
+from .._events import Event, log_event
 from ._call import CallFailed, ForwardCall
 
 LOOK_S = 0.02
@@ -104,6 +105,20 @@
         seconds = now - sent.sent_at
         tokens = sent.ahead + sent.placement.tokens
         upstream = sent.placement.upstream
+        log_event(
+            Event.FIRST_TOKEN,
+            request=sent.call,
+            upstream=upstream.id,
+            predicted_s=sent.placement.first_token_s,
+            seconds=seconds,
+            ahead=sent.ahead,
+            tokens=sent.placement.tokens,
+            warm=sent.placement.is_warm,
+            running=upstream.outstanding + upstream.pending.running_elsewhere(now),
+            token_us=self.model.token_s * 1e6,
+            first_s=self.model.first_s,
+            factor=upstream.speed.value(now),
+        )
         upstream.speed.learn(seconds / self.model.predict(tokens), now)
         self.model.learn(tokens, seconds)
         self.ended(sent)
