Place answers by the pace at which they would be written

Change: the pace of events is learned as a line over what runs, with a factor for each engine; its share of the caller's patience counts beside the first token.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -17,10 +17,11 @@
     ServiceTargets,
 )
 from ._directory import ConfigDirectory, pick_service
+from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
+from ._linear import LinearModel, SpeedFactor
 from ._pending import LoadShare, PendingPrompts
-from ._placing import Placement, place_prompt
-from ._prefill import PrefillModel, SpeedFactor
+from ._placing import Demand, Placement, place_prompt
 from ._prompts import Prompt, PromptMemory
 from ._suspects import CrashSuspects
 from ._upstreams import ListedUpstream, Upstream, UpstreamBook, UpstreamChanges
@@ -31,6 +32,9 @@
     "CallerOrganisation",
     "ConfigDirectory",
     "CrashSuspects",
+    "Demand",
+    "EngineModel",
+    "LinearModel",
     "ForwardConfig",
     "ForwardRoute",
     "FreshnessLease",
@@ -38,7 +42,6 @@
     "LoadShare",
     "PendingPrompts",
     "Placement",
-    "PrefillModel",
     "Prompt",
     "PromptMemory",
     "PromptQueue",
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
@@ -0,0 +1,82 @@
+"""How long the engines of one service take, learned from what callers see."""
+
+from __future__ import annotations
+
+from ._linear import LinearModel
+from ._upstreams import Upstream
+
+FIRST_S = 0.03
+TOKEN_S = 1 / 50_000
+USUAL_TOKENS = 5000
+"""First guesses for the first token: seconds for an empty prompt, seconds for each token that is
+read, and a usual number of tokens. They are of the order of present accelerators; wrong ones are
+forgotten after some thirty requests."""
+
+EVENT_S = 0.03
+EVENT_PER_RUNNING_S = 0.001
+USUAL_RUNNING = 20
+"""First guesses for the time between two events of an answer: seconds where nothing else runs,
+seconds for each running request, and a usual number of them."""
+
+TOKENS_PER_EVENT = 4.0
+"""First guess of the tokens of an answer that one event stands for."""
+
+RATIO_WEIGHT = 0.05
+"""Weight of the newest whole answer in that figure."""
+
+
+class EngineModel:
+    """Predicts first tokens and whole answers of the engines of one service.
+
+    The time to the first token grows with the prompt tokens that are read before it, the time
+    between two events with the requests that run. Both are lines common to all engines; a factor
+    for each engine tells how far it is off them.
+    """
+
+    def __init__(self):
+        self.first_token = LinearModel(FIRST_S, TOKEN_S, USUAL_TOKENS)
+        self.event = LinearModel(EVENT_S, EVENT_PER_RUNNING_S, USUAL_RUNNING)
+        self.tokens_per_event = TOKENS_PER_EVENT
+
+    def first_token_s(self, upstream: Upstream, tokens: float, now: float) -> float:
+        """Return the predicted time to a first token, seconds.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        tokens : float
+            Prompt tokens that are read before it: those of others ahead and the request's own.
+        now : float
+        """
+        return self.first_token.predict(tokens) * upstream.reading.value(now)
+
+    def reading_s(self, upstream: Upstream, tokens: float, now: float) -> float:
+        """Return how long an engine takes to read tokens, seconds."""
+        return tokens * self.first_token.slope * upstream.reading.value(now)
+
+    def answer_s(self, upstream: Upstream, tokens: float, now: float) -> float:
+        """Return the predicted time from the first to the last token of an answer, seconds."""
+        running = upstream.running(now)
+        event_s = self.event.predict(running) * upstream.writing.value(now)
+        return tokens / self.tokens_per_event * event_s
+
+    def learn_first_token(
+        self, upstream: Upstream, tokens: float, seconds: float, now: float
+    ) -> None:
+        """Take in how long a first token took."""
+        upstream.reading.learn(seconds / self.first_token.predict(tokens), now)
+        self.first_token.learn(tokens, seconds)
+
+    def learn_answer(
+        self, upstream: Upstream, tokens: int, events: int, seconds: float, now: float
+    ) -> None:
+        """Take in the pace of an answer: its events behind the first one, and their time."""
+        if events < 1:
+            return
+        event_s = seconds / events
+        running = upstream.running(now)
+        upstream.writing.learn(event_s / self.event.predict(running), now)
+        self.event.learn(running, event_s)
+        if tokens:
+            ratio = tokens / (events + 1)
+            self.tokens_per_event += RATIO_WEIGHT * (ratio - self.tokens_per_event)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prefill.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_linear.py
@@ -1,14 +1,7 @@
-"""How long an upstream takes to the first token, learned from what callers see."""
+"""A line through the newest samples, and how far one upstream is off it."""
 
 from __future__ import annotations
 
-FIRST_S = 0.03
-"""First guess of the time to the first token of an empty prompt, seconds."""
-
-TOKEN_S = 1 / 50_000
-"""First guess of the time to read one token, seconds: of the order of present accelerators. A wrong
-guess is forgotten after some thirty requests."""
-
 MEMORY = 0.98
 """Weight that a sample keeps with each further one: the last fifty or so count."""
 
@@ -16,6 +9,9 @@
 """Largest ratio of a sample to its prediction that is learned from at once. A single request that
 met a crash or a full batch must not double the estimate of all."""
 
+SLOPE_RANGE = 50.0
+"""Largest ratio between the learned and the first slope, either way."""
+
 FACTOR_WEIGHT = 0.15
 """Weight of the newest sample in the factor of one upstream."""
 
@@ -27,55 +23,53 @@
 that one that was slow is tried again."""
 
 
-class PrefillModel:
-    """Time to the first token as a line over the prompt tokens that are read until then.
+class LinearModel:
+    """A time as a line over one figure, learned by weighted least squares.
 
     Parameters
     ----------
-    first_s : float
-        Time for no tokens, seconds.
-    token_s : float
-        Time for each token, seconds.
+    offset : float
+        First guess of the time where the figure is 0, seconds.
+    slope : float
+        First guess of what each unit of the figure adds, seconds.
+    span : float
+        A usual figure, which says how much the first guess weighs.
 
     Examples
     --------
-    >>> model = PrefillModel()
+    >>> model = LinearModel(0.03, 1 / 50_000, 5000)
     >>> for tokens in [1000, 4000, 9000] * 60:
     ...     model.learn(tokens, 0.05 + tokens / 100_000)
     >>> round(model.predict(5000), 2)
     0.1
     """
 
-    def __init__(self, first_s: float = FIRST_S, token_s: float = TOKEN_S):
-        self.first_s = first_s
-        self.token_s = token_s
+    def __init__(self, offset: float, slope: float, span: float):
+        self.offset = offset
+        self.slope = slope
+        self.span = span
+        self._bounds = (slope / SLOPE_RANGE, slope * SLOPE_RANGE)
         # Weighted sums of 1, x, y, x*x, x*y; they begin with two made-up samples on the first line.
         self._sums = [0.0] * 5
-        for tokens in (0.0, 5000.0):
-            self._add(tokens, first_s + tokens * token_s)
-
-    def predict(self, tokens: float) -> float:
-        """Return the time to the first token, seconds.
-
-        Parameters
-        ----------
-        tokens : float
-            Prompt tokens that are read before it: those of others ahead and the request's own.
-        """
-        return self.first_s + tokens * self.token_s
-
-    def learn(self, tokens: float, seconds: float) -> None:
-        """Take in how long a request took."""
-        seconds = min(seconds, MAX_RATIO * self.predict(tokens))
+        for x in (0.0, span):
+            self._add(x, self.predict(x))
+
+    def predict(self, x: float) -> float:
+        """Return the time for a figure, seconds."""
+        return self.offset + x * self.slope
+
+    def learn(self, x: float, seconds: float) -> None:
+        """Take in a sample."""
+        seconds = min(seconds, MAX_RATIO * self.predict(x))
         self._sums = [value * MEMORY for value in self._sums]
-        self._add(tokens, seconds)
-        count, x, y, xx, xy = self._sums
-        spread = count * xx - x * x
+        self._add(x, seconds)
+        count, sum_x, sum_y, sum_xx, sum_xy = self._sums
+        spread = count * sum_xx - sum_x * sum_x
         # Samples of one size only tell a point of the line, not its slope.
-        if spread > 1e-6 * count * xx:
-            slope = (count * xy - x * y) / spread
-            self.token_s = min(max(slope, TOKEN_S / 50), TOKEN_S * 50)
-        self.first_s = max(0.001, (y - self.token_s * x) / count)
+        if spread > 1e-6 * count * sum_xx:
+            slope = (count * sum_xy - sum_x * sum_y) / spread
+            self.slope = min(max(slope, self._bounds[0]), self._bounds[1])
+        self.offset = max(0.001, (sum_y - self.slope * sum_x) / count)
 
     def _add(self, x: float, y: float) -> None:
         for position, value in enumerate((1.0, x, y, x * x, x * y)):
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from ._linear import SpeedFactor
 from ._pending import PendingPrompts
-from ._prefill import SpeedFactor
 from ._prompts import Prompt, PromptMemory
 
 RETURN_WAIT_S = 2.2
@@ -89,7 +89,8 @@
         self.pending = PendingPrompts()
         self.memory = PromptMemory()
         self.untold_parts: dict[str, int] = {}
-        self.speed = SpeedFactor()
+        self.reading = SpeedFactor()
+        self.writing = SpeedFactor()
         self.gone = False
         self._failure_share = 0.0
         self._seen_at = 0.0
@@ -101,6 +102,10 @@
         """Id of the incarnation."""
         return self.entry.id
 
+    def running(self, now: float) -> int:
+        """Return the requests that all processes have there."""
+        return self.outstanding + self.pending.running_elsewhere(now)
+
     def note_prompt(self, prompt: Prompt) -> None:
         """Note that a prompt was sent there, for this process and to be told to the others."""
         for part, tokens in prompt.parts:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -8,9 +8,8 @@
 import attrs
 
 from ._config import ServiceTargets
-from ._placing import Placement, place_prompt
-from ._prefill import PrefillModel
-from ._prompts import Prompt
+from ._engine_model import EngineModel
+from ._placing import Demand, Placement, place_prompt
 from ._upstreams import Upstream
 
 WINDOW_SHARE = 0.6
@@ -37,7 +36,7 @@
 
     Parameters
     ----------
-    prompt : Prompt
+    demand : Demand
     urgency : int
         0 is the most urgent.
     target_at : float
@@ -50,7 +49,7 @@
         Whatever the caller of the queue wants to find it by.
     """
 
-    prompt: Prompt
+    demand: Demand
     urgency: int
     target_at: float
     give_up_at: float
@@ -96,7 +95,7 @@
     @property
     def tokens(self) -> int:
         """Prompt tokens that wait."""
-        return sum(item.prompt.own_tokens for item in self._waiting)
+        return sum(item.demand.prompt.own_tokens for item in self._waiting)
 
     def add(self, waiting: WaitingPrompt) -> None:
         """Let a request wait."""
@@ -122,7 +121,7 @@
     def take_start(
         self,
         upstreams: Sequence[Upstream],
-        model: PrefillModel,
+        model: EngineModel,
         targets: ServiceTargets,
         now: float,
     ) -> Start | None:
@@ -131,7 +130,7 @@
         Parameters
         ----------
         upstreams : sequence of Upstream
-        model : PrefillModel
+        model : EngineModel
         targets : ServiceTargets
             Of the routes to the service.
         now : float
@@ -139,9 +138,9 @@
         looked_at = sorted(self._waiting, key=_order)[:MAX_LOOKED_AT]
         starts = []
         for item in looked_at:
-            placement = place_prompt(upstreams, item.prompt, model, item.tried, now)
+            placement = place_prompt(upstreams, item.demand, model, item.tried, now)
             if placement is not None:
-                late = now + MARGIN * model.predict(placement.tokens) > item.target_at
+                late = now + MARGIN * model.first_token.predict(placement.tokens) > item.target_at
                 starts.append(Start(item, placement, late))
         for start in sorted(starts, key=_rank):
             if start.placement.backlog_s <= _window(start, targets, now):
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -5,8 +5,10 @@
 import pytest
 
 from burdockquay_coordination.forwarding import (
+    Demand,
+    EngineModel,
+    LinearModel,
     LoadShare,
-    PrefillModel,
     Prompt,
     PromptMemory,
     PromptQueue,
@@ -18,6 +20,10 @@
 TARGETS = ServiceTargets(tightest_s=0.25, most_urgent=0)
 
 
+def place(upstreams, prompt, model, now):
+    return place_prompt(upstreams, Demand(prompt, 0.25, 5.0), model, (), now)
+
+
 def long_prompt(number=0):
     return Prompt((("all", 2000), (f"shared-{number % 3}", 4000), (f"own-{number}", 3000)), 40)
 
@@ -28,7 +34,9 @@
 
 @pytest.fixture
 def model():
-    return PrefillModel(0.02, 1 / 50_000)
+    model = EngineModel()
+    model.first_token = LinearModel(0.02, 1 / 50_000, 5000)
+    return model
 
 
 @pytest.fixture
@@ -37,12 +45,13 @@
 
 
 def wait(prompt, now, urgency, target_s, hold_s=1.5):
-    return WaitingPrompt(prompt, urgency, now + target_s, now + hold_s, ())
+    demand = Demand(prompt, target_s, 5.0)
+    return WaitingPrompt(demand, urgency, now + target_s, now + hold_s, ())
 
 
 def test_same_shared_part_goes_to_the_same_upstream_at_every_process(upstreams, model):
-    first = place_prompt(upstreams, long_prompt(0), model, (), 0.0)
-    again = place_prompt(list(reversed(upstreams)), long_prompt(3), model, (), 0.0)
+    first = place(upstreams, long_prompt(0), model, 0.0)
+    again = place(list(reversed(upstreams)), long_prompt(3), model, 0.0)
     assert first.upstream is again.upstream
 
 
@@ -52,12 +61,12 @@
     Left at once, its tokens are read again at every upstream; never left, its requests wait while
     the others are idle.
     """
-    home = place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream
+    home = place(upstreams, long_prompt(), model, 0.0).upstream
     home.note_prompt(long_prompt())
     home.pending.add("a", 10_000, 0.0)
-    assert place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream is home
+    assert place(upstreams, long_prompt(), model, 0.0).upstream is home
     home.pending.add("b", 40_000, 0.0)
-    assert place_prompt(upstreams, long_prompt(), model, (), 0.0).upstream is not home
+    assert place(upstreams, long_prompt(), model, 0.0).upstream is not home
 
 
 def test_figures_of_peers_count_and_lapse(upstreams, model):
@@ -65,10 +74,10 @@
 
     A process that looked at its own requests alone would send to one that is full.
     """
-    home = place_prompt(upstreams, short_prompt(), model, (), 0.0).upstream
+    home = place(upstreams, short_prompt(), model, 0.0).upstream
     home.pending.hear("peer", LoadShare(50_000, 9), 0.0)
-    assert place_prompt(upstreams, short_prompt(), model, (), 0.1).upstream is not home
-    assert place_prompt(upstreams, short_prompt(), model, (), 5.0).upstream is home
+    assert place(upstreams, short_prompt(), model, 0.1).upstream is not home
+    assert place(upstreams, short_prompt(), model, 5.0).upstream is home
 
 
 def test_upstream_that_does_not_answer_is_avoided(upstreams, model):
@@ -76,21 +85,41 @@
 
     Without the age of what waits there it would look idle.
     """
-    home = place_prompt(upstreams, short_prompt(), model, (), 0.0).upstream
+    home = place(upstreams, short_prompt(), model, 0.0).upstream
     home.pending.add("a", 100, 0.0)
-    assert place_prompt(upstreams, short_prompt(), model, (), 2.0).upstream is not home
+    assert place(upstreams, short_prompt(), model, 2.0).upstream is not home
 
 
 def test_slow_upstream_gets_less_and_is_tried_again(upstreams, model):
-    home = place_prompt(upstreams, short_prompt(), model, (), 0.0).upstream
+    home = place(upstreams, short_prompt(), model, 0.0).upstream
     for _ in range(20):
-        home.speed.learn(6.0, 0.0)
-    assert place_prompt(upstreams, short_prompt(), model, (), 0.1).upstream is not home
-    assert home.speed.value(60.0) < 1.1
+        home.reading.learn(6.0, 0.0)
+    assert place(upstreams, short_prompt(), model, 0.1).upstream is not home
+    assert home.reading.value(60.0) < 1.1
+
+
+def test_long_answers_avoid_upstreams_that_write_slowly(upstreams, model):
+    """Many answers run at the home of a part while another upstream has few.
+
+    A long answer begun at home is written too slowly and does not end in time.
+    """
+    home = place(upstreams, short_prompt(), model, 0.0).upstream
+    home.outstanding = 60
+    assert place(upstreams, short_prompt(), model, 0.0).upstream is not home
+
+
+def test_model_learns_the_pace_of_answers(make_upstream):
+    model = EngineModel()
+    upstream = make_upstream("a")
+    for running in [2, 10, 40] * 50:
+        upstream.outstanding = running
+        model.learn_answer(upstream, 306, 50, 50 * (0.02 + 0.001 * running), 0.0)
+    upstream.outstanding = 20
+    assert model.answer_s(upstream, 306, 0.0) == pytest.approx(50 * 0.04, rel=0.1)
 
 
 def test_model_finds_rate_and_offset_and_one_outlier_changes_little():
-    model = PrefillModel()
+    model = LinearModel(0.03, 1 / 50_000, 5000)
     rng = random.Random(3)
     for _ in range(200):
         tokens = rng.uniform(600, 20_000)
@@ -130,7 +159,7 @@
     queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
     queue.add(wait(long_prompt(2), 1.0, urgency=1, target_s=0.5))
     start = queue.take_start(upstreams, model, TARGETS, 1.0)
-    assert start.waiting.prompt.parts[-1][0] == "own-2" and not start.late
+    assert start.waiting.demand.prompt.parts[-1][0] == "own-2" and not start.late
     late = queue.take_start(upstreams, model, TARGETS, 1.0)
     assert late.late
 
@@ -146,7 +175,7 @@
     queue.add(wait(long_prompt(1), 0.0, urgency=1, target_s=0.5))
     queue.add(wait(long_prompt(2), 0.01, urgency=1, target_s=0.5))
     start = queue.take_start(upstreams, model, TARGETS, 0.02)
-    assert start.waiting.prompt.parts[-1][0] == "own-2" and start.placement.upstream is warm
+    assert start.waiting.demand.prompt.parts[-1][0] == "own-2" and start.placement.upstream is warm
 
 
 def test_part_stays_in_memory_until_others_have_pushed_it_out():
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -8,8 +8,9 @@
 import attrs
 
 from burdockquay_coordination.forwarding import (
+    Demand,
+    EngineModel,
     Placement,
-    PrefillModel,
     PromptQueue,
     ServiceTargets,
     Start,
@@ -76,7 +77,7 @@
         self.book = book
         self.clock = clock
         self.targets = targets
-        self.model = PrefillModel()
+        self.model = EngineModel()
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -114,15 +115,18 @@
             ahead=sent.ahead,
             tokens=sent.placement.tokens,
             warm=sent.placement.is_warm,
-            running=upstream.outstanding + upstream.pending.running_elsewhere(now),
-            token_us=self.model.token_s * 1e6,
-            first_s=self.model.first_s,
-            factor=upstream.speed.value(now),
+            running=upstream.running(now),
+            token_us=self.model.first_token.slope * 1e6,
+            first_s=self.model.first_token.offset,
+            factor=upstream.reading.value(now),
         )
-        upstream.speed.learn(seconds / self.model.predict(tokens), now)
-        self.model.learn(tokens, seconds)
+        self.model.learn_first_token(upstream, tokens, seconds, now)
         self.ended(sent)
 
+    def learn_pace(self, upstream: Upstream, tokens: int, events: int, seconds: float) -> None:
+        """Learn from the pace of a whole answer behind its first event."""
+        self.model.learn_answer(upstream, tokens, events, seconds, self.clock.now())
+
     def ended(self, sent: SentPrompt) -> None:
         """Note that a prompt does not wait at its upstream any more."""
         sent.placement.upstream.pending.remove(sent.call)
@@ -158,7 +162,7 @@
         patience = call.ends - call.started
         hold_s = min(SILENCE_SHARE * silence, PATIENCE_SHARE * patience)
         return WaitingPrompt(
-            call.request.prompt,
+            _demand_of(call),
             call.urgency,
             call.started + call.route.target_s,
             call.started + hold_s,
@@ -172,9 +176,7 @@
 
     def _send_at_once(self, call: ForwardCall) -> SentPrompt | None:
         now = self.clock.now()
-        placement = place_prompt(
-            self._upstreams(), call.request.prompt, self.model, call.tried, now
-        )
+        placement = place_prompt(self._upstreams(), _demand_of(call), self.model, call.tried, now)
         return None if placement is None else self._note_sent(call, placement, now)
 
     def _note_sent(self, call: ForwardCall, placement: Placement, now: float) -> SentPrompt:
@@ -185,6 +187,10 @@
         return sent
 
 
+def _demand_of(call: ForwardCall) -> Demand:
+    return Demand(call.request.prompt, call.route.target_s, call.ends - call.started)
+
+
 @attrs.define(eq=False)
 class _Owner:
     """The call behind a waiting prompt.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -333,14 +333,27 @@
             call.weights_version = facts.weights_version
         protocol = response.connection.protocol if response.connection else None
         splitter = EventSplitter()
+        first_at = None
+        count = 0
         async for data in _read_pieces(response):
-            await self._pass_on(call, splitter.feed(data), response)
+            events = splitter.feed(data)
+            count += len(events)
+            if events and first_at is None:
+                first_at = self.state.clock.now()
+            await self._pass_on(call, events, response)
         check_end(protocol)
         if splitter.rest:
             return self._broke(call, upstream, "ended inside an event")
         if call.answer is None:
             await self._begin(call, response)
         await call.answer.write_eof()
+        if call.by_prompt and first_at is not None:
+            self.state.dispatcher(call.service).learn_pace(
+                upstream,
+                call.request.prompt.answer_tokens,
+                count - 1,
+                self.state.clock.now() - first_at,
+            )
         upstream.note_success(self.state.clock.now())
         return Answered(call.answer)
 
