Write JSON log lines without ever waiting, figures on /metrics, and explain a request from the logs

A line for each decision on a request (sent, refused, ended) and each change of what a process knows, with the inputs and their age. Lines that nobody reads, or too many of one event, are dropped and counted. burdockquay explain puts the story of a request together.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -13,10 +13,10 @@
 
 READ_HARM = 0.7
 """Delay that the reading of shared tokens counts for, beside its own time, for each request that
-runs at the upstream, in times of that time. All that runs there waits meanwhile, and the tokens push
-others out of memory, which are then read again in their turn. On four days of high load with some
-twenty running requests at each engine, a fixed weight of 3 served 0.71, 0.72, 0.42 and 0.38 of the
-possible worth, 8 served 0.76, 0.73, 0.51 and 0.42, and 16 served 0.78, 0.74, 0.49 and 0.44."""
+runs at the upstream, in times of that time. All that runs there waits meanwhile, and the tokens
+push others out of memory, which are then read again in their turn. On four days of high load with
+some twenty running requests at each engine, a fixed weight of 3 served 0.71, 0.72, 0.42 and 0.38 of
+the possible worth, 8 served 0.76, 0.73, 0.51 and 0.42, and 16 served 0.78, 0.74, 0.49 and 0.44."""
 
 OVERDUE_SHARE = 0.5
 """Part of the age of the oldest unanswered request that counts as delay of a new one."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._clock import Clock, SystemClock
-from ._events import Event, log_event, setup_logging
+from ._events import Event, log_event, setup_json_logging, setup_logging
 from ._metrics import MemorySink, MetricsSink, NullSink, StatsdSink, make_sink, metrics_sinks
 from ._platform import Platform, open_platform
 from ._platform_http import HttpObjectStore, HttpTable, HttpVmList
@@ -31,5 +31,6 @@
     "make_sink",
     "metrics_sinks",
     "open_platform",
+    "setup_json_logging",
     "setup_logging",
 ]
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -9,15 +9,21 @@
 
 from __future__ import annotations
 
+import datetime
 import enum
 import json
 import math
 import re
+import time
 import traceback
+from collections.abc import Callable
 from typing import Any, TextIO
 
+import attrs
 import logbook
 
+from ._log_pipe import LogPipe, PipeHandler
+
 MAX_VALUE_CHARACTERS = 200
 """Longest value of a field that is written in full, characters."""
 
@@ -45,6 +51,9 @@
 )
 """Names of fields that would carry a secret or the content of a request."""
 
+MAX_ITEMS = 100
+"""Items of a list that are written."""
+
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/@+*,()\[\]#%-]+")
 _FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
 
@@ -80,6 +89,12 @@
     INTERNAL_ERROR = (1007, "ERROR", "A fault in the program; the requests concerned get an error.")
     SETTING_RENAMED = (1008, "WARNING", "The settings use an old name, which will go.")
 
+    LOG_LINES_HELD_BACK = (
+        1009,
+        "WARNING",
+        "Lines of these events were left out: too many in a second, or nobody read them.",
+    )
+
     CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
     RECORD_FAULT = (1102, "ERROR", "A record cannot be used; its last good version stays in force.")
     RECORD_SCHEMA_UNKNOWN = (
@@ -130,6 +145,11 @@
     MEMBER_NOT_REMOVED = (1907, "WARNING", "A leaving forwarder could not take out its entry.")
     MEMBER_FORGOTTEN = (1908, "NOTICE", "A forwarder was unreachable for long; its entry goes.")
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration cannot be read and is left out.")
+    CALL_SENT = (
+        1911,
+        "INFO",
+        "A request was sent to an upstream; the fields tell what decided it and how old that was.",
+    )
     FIRST_TOKEN = (
         1910,
         "DEBUG",
@@ -150,6 +170,17 @@
 _logger = logbook.Logger("burdockquay")
 
 
+@attrs.define
+class _Form:
+    """How events are written: the function, and the fields of every JSON line."""
+
+    write: Callable[[Event, dict[str, Any]], str]
+    common: dict[str, Any] = attrs.field(factory=dict)
+
+
+_form = _Form(lambda event, fields: format_event(event, fields))
+
+
 def log_event(event: Event, **fields: Any) -> None:
     """Write one line for an event.
 
@@ -169,7 +200,8 @@
         raise ValueError(f"field {min(forbidden)!r} of {event.name} must not be logged")
     if event.severity < _logger.level:
         return
-    _logger.log(event.severity, "{}", format_event(event, fields))
+    number = f"E{event.number}"
+    _logger.log(event.severity, "{}", _form.write(event, fields), extra={"event": number})
 
 
 def format_event(event: Event, fields: dict[str, Any]) -> str:
@@ -185,6 +217,25 @@
     return " ".join(parts)
 
 
+def format_json_event(event: Event, fields: dict[str, Any]) -> str:
+    """Return the line of an event as one JSON object, with the time of day.
+
+    Fields that are None are left out.
+    """
+    moment = datetime.datetime.now(datetime.UTC)
+    line = {
+        "time": moment.isoformat(timespec="milliseconds").replace("+00:00", "Z"),
+        "level": event.level,
+        "event": f"E{event.number}",
+        "name": event.name.lower(),
+    }
+    line |= _form.common
+    for name, value in fields.items():
+        if value is not None:
+            line[name] = _plain_value(value)
+    return json.dumps(line, separators=(",", ":"))
+
+
 def describe_fault(error: BaseException) -> str:
     """Return the type of an exception and where it was raised.
 
@@ -200,6 +251,34 @@
     return f"{name}@{frames[-1].name}:{frames[-1].lineno}" if frames else name
 
 
+def setup_json_logging(level: str, fd: int, **common: Any) -> PipeHandler:
+    """Send events of ``level`` and above as JSON lines to a file descriptor, without waiting.
+
+    Parameters
+    ----------
+    level : str
+        As for :func:`setup_logging`.
+    fd : int
+    **common
+        Fields of every line.
+
+    Returns
+    -------
+    PipeHandler
+        The handler; ``pop_application()`` takes it out again.
+    """
+    _logger.level = logbook.lookup_level(level)
+    _form.write = format_json_event
+    _form.common = common
+    handler = PipeHandler(LogPipe(fd, time.monotonic, _describe_held_back), level)
+    handler.push_application()
+    return handler
+
+
+def _describe_held_back(lines: dict[str, int]) -> str:
+    return format_json_event(Event.LOG_LINES_HELD_BACK, {"lines": lines})
+
+
 def setup_logging(level: str, stream: TextIO) -> logbook.StreamHandler:
     """Send events of ``level`` and above to ``stream``, for the whole process.
 
@@ -215,11 +294,25 @@
         The handler; ``pop_application()`` takes it out again.
     """
     _logger.level = logbook.lookup_level(level)
+    _form.write = format_event
     handler = logbook.StreamHandler(stream, level=level, format_string=_FORMAT)
     handler.push_application()
     return handler
 
 
+def _plain_value(value: Any) -> Any:
+    """Return a value as JSON takes it, cut to a bounded length."""
+    if isinstance(value, bool | int):
+        return value
+    if isinstance(value, float):
+        return float(f"{value:.6g}") if math.isfinite(value) else None
+    if isinstance(value, list | tuple):
+        return [_plain_value(item) for item in value[:MAX_ITEMS]]
+    if isinstance(value, dict):
+        return {str(name): _plain_value(item) for name, item in value.items()}
+    return _describe(value)[:MAX_VALUE_CHARACTERS]
+
+
 def _format_value(value: Any) -> str:
     text = _describe(value)
     if len(text) > MAX_VALUE_CHARACTERS:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_status_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_status_http.py
@@ -8,6 +8,9 @@
 import attrs
 from aiohttp import web
 
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the text form in which collectors read figures."""
+
 
 @attrs.frozen
 class StatusServer:
@@ -51,10 +54,23 @@
 
 
 async def serve_status(
-    host: str, port: int, is_ready: Callable[[], bool], describe: Callable[[], Any]
+    host: str,
+    port: int,
+    is_ready: Callable[[], bool],
+    describe: Callable[[], Any],
+    expose: Callable[[], bytes] | None = None,
 ) -> StatusServer:
     """Start a server with the read-only pages alone.
 
+    Parameters
+    ----------
+    host : str
+    port : int
+    is_ready, describe : callable
+        See :func:`add_status_routes`.
+    expose : callable or None
+        Returns the figures that ``/metrics`` shows; None for no such page.
+
     Raises
     ------
     OSError
@@ -62,6 +78,12 @@
     """
     app = web.Application()
     add_status_routes(app, is_ready, describe)
+    if expose is not None:
+
+        async def metrics(request: web.Request) -> web.Response:
+            return web.Response(body=expose(), headers={"Content-Type": METRICS_TYPE})
+
+        app.router.add_get("/metrics", metrics)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -59,6 +59,8 @@
     last_event : str or None
         Id of the last event that the caller has.
     weights_version : str or None
+    first_at : float or None
+        When its first event came.
     sent : SentPrompt or None
         The prompt at its upstream, until the first token.
     """
@@ -79,8 +81,14 @@
     answer: web.StreamResponse | None = None
     last_event: str | None = None
     weights_version: str | None = None
+    first_at: float | None = None
     sent: SentPrompt | None = None
 
+    @property
+    def class_labels(self) -> tuple[str, str]:
+        """Kind of the route and urgency, by which figures are kept apart."""
+        return (self.route.kind.value, str(self.route.priority))
+
     @property
     def by_prompt(self) -> bool:
         """Whether upstreams are chosen by the prompt."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -68,15 +68,23 @@
     clock : Clock
     targets : callable
         Returns what the routes to the service demand now.
+    note_ratio : callable
+        Called with the ratio of each time to the first token to its prediction.
     """
 
     def __init__(
-        self, service: str, book: UpstreamBook, clock: Clock, targets: Callable[[], ServiceTargets]
+        self,
+        service: str,
+        book: UpstreamBook,
+        clock: Clock,
+        targets: Callable[[], ServiceTargets],
+        note_ratio: Callable[[float], None],
     ):
         self.service = service
         self.book = book
         self.clock = clock
         self.targets = targets
+        self.note_ratio = note_ratio
         self.model = EngineModel()
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
@@ -120,6 +128,7 @@
             first_s=self.model.first_token.offset,
             factor=upstream.reading.value(now),
         )
+        self.note_ratio(seconds / sent.placement.first_token_s)
         self.model.learn_first_token(upstream, tokens, seconds, now)
         self.ended(sent)
 
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
@@ -0,0 +1,67 @@
+"""Counters, gauges and histograms of a forwarder, in the text form that collectors read."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+FIRST_BUCKETS = (0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0)
+"""Bounds for the time to a first token or a plain answer, seconds; close together around the usual
+targets of a tenth to half a second."""
+
+WHOLE_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0)
+"""Bounds for whole answers, seconds."""
+
+ERROR_BUCKETS = (0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0)
+"""Bounds for the ratio of a first token to its prediction; 1 is a prediction that came true."""
+
+
+class Figures:
+    """All figures of one process."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.calls = self._counter("calls", "Requests that ended.", "kind", "priority", "status")
+        self.refusals = self._counter("refusals", "Answers of the forwarder's own.", "kind")
+        self.sends = self._counter("sends", "Sends to upstreams.", "service", "outcome")
+        self.repeats_denied = self._counter(
+            "repeats_denied", "Repeats that the retry budget did not allow.", "service"
+        )
+        self.first = self._histogram(
+            "first_seconds", "Arrival to the first event or plain answer.", FIRST_BUCKETS
+        )
+        self.whole = self._histogram("whole_seconds", "Arrival to the end.", WHOLE_BUCKETS)
+        self.waited = self._histogram(
+            "waited_seconds", "Wait before the first send.", FIRST_BUCKETS
+        )
+        self.prediction = Histogram(
+            "forwarder_first_token_ratio",
+            "First tokens against their prediction.",
+            ["service"],
+            buckets=ERROR_BUCKETS,
+            registry=self.registry,
+        )
+        self.config_age = self._gauge("config_age_seconds", "Age of the last confirmation.")
+        self.revision = self._gauge("config_revision", "Version of the configuration.")
+        self.keys_trusted = self._gauge("keys_trusted", "1 while API keys are honoured.")
+        self.held = self._gauge("held_calls", "Requests that are not answered yet.")
+        self.peers = self._gauge("peers", "Other forwarders that are connected.")
+        self.waiting = Gauge(
+            "forwarder_waiting_calls",
+            "Requests that wait for an upstream.",
+            ["service"],
+            registry=self.registry,
+        )
+
+    def expose(self) -> bytes:
+        """Return all figures as text."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"forwarder_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"forwarder_{name}", text, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+        labels = ["kind", "priority"]
+        return Histogram(f"forwarder_{name}", text, labels, buckets=buckets, registry=self.registry)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -189,13 +189,23 @@
         An answer that has begun is cut off: with a proper end of its body it would look whole.
         """
         if call.answer is None:
-            return self._refuse(call.request, call.started, error)
+            refusal = self._refuse(call.request, call.started, error)
+            self._note_end(call, refusal.status, error.kind.value)
+            return refusal
         self._note_end(call, error.answer.status, f"cut: {error.kind.value}")
         if call.incoming.transport is not None:
             call.incoming.transport.abort()
         return call.answer
 
     def _note_end(self, call: ForwardCall, status: int, reason: str) -> None:
+        now = self.state.clock.now()
+        seconds = now - call.started
+        figures = self.state.figures
+        figures.calls.labels(*call.class_labels, str(status)).inc()
+        figures.whole.labels(*call.class_labels).observe(seconds)
+        if call.first_at is not None or call.answer is None:
+            first_s = (call.first_at or now) - call.started
+            figures.first.labels(*call.class_labels).observe(first_s)
         log_event(
             Event.CALL_ENDED,
             request=call.request.id,
@@ -205,8 +215,9 @@
             reason=reason,
             sends=call.sends,
             upstreams=",".join(call.tried),
-            last_event=call.last_event or "",
-            seconds=self.state.clock.now() - call.started,
+            last_event=call.last_event,
+            first_s=None if call.first_at is None else call.first_at - call.started,
+            seconds=seconds,
         )
 
     async def _admit(
@@ -294,13 +305,19 @@
         headers = self.state.platform.answer_headers(request) if request else {}
         if answer.status in PROMISES:
             headers["Retry-After"] = f"{self._retry_after(request, started):.3f}"
+        now = self.state.clock.now()
+        directory = self.state.directory
+        self.state.figures.refusals.labels(error.kind.value).inc()
         log_event(
             Event.CALL_REFUSED,
-            request=request.id if request else "",
+            request=request.id if request else None,
             kind=error.kind,
             status=answer.status,
-            retry_after=headers.get("Retry-After", ""),
-            stale_s=self.state.lease.age(self.state.clock.now()),
+            run=answer.run,
+            retry_after=headers.get("Retry-After"),
+            held_s=now - started,
+            revision=directory.config.version if directory else None,
+            config_age_s=self.state.lease.age(now),
         )
         body = {"error": {"type": error.kind.value, "message": f"{answer.text} {error.detail}"}}
         response = web.json_response(body, status=answer.status, headers=headers)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -93,6 +93,8 @@
         self.state.budget(call.service).note_request(self.state.clock.now())
         while True:
             outcome = await self._send_somewhere(call)
+            name = type(outcome).__name__
+            self.state.figures.sends.labels(call.service, name).inc()
             if isinstance(outcome, Answered):
                 return outcome.response
             await self._note(call, outcome)
@@ -182,7 +184,10 @@
             return False
         if not usable_upstreams(state.book.of_service(call.service), call.tried, now):
             return False
-        return state.budget(call.service).try_repeat(now)
+        if state.budget(call.service).try_repeat(now):
+            return True
+        state.figures.repeats_denied.labels(call.service).inc()
+        return False
 
     def _give_up(self, call: ForwardCall, outcome: Outcome) -> web.StreamResponse:
         if isinstance(outcome, Broke) and outcome.ready is not None and call.answer is None:
@@ -192,6 +197,7 @@
     async def _send(self, call: ForwardCall, upstream: Upstream) -> Outcome:
         """Send a call to one upstream and pass its answer on."""
         send = self._compose(call, upstream)
+        self._log_send(call, upstream)
         call.tried.add(upstream.id)
         upstream.outstanding += 1
         response: aiohttp.ClientResponse | None = None
@@ -221,6 +227,31 @@
                 # Closes the connection unless the body was read to its end.
                 response.close()
 
+    def _log_send(self, call: ForwardCall, upstream: Upstream) -> None:
+        now = self.state.clock.now()
+        placement = call.sent.placement if call.sent else None
+        directory = self.state.directory
+        if not call.sends:
+            self.state.figures.waited.labels(*call.class_labels).observe(now - call.started)
+        log_event(
+            Event.CALL_SENT,
+            request=call.request.id,
+            route=call.route.name,
+            service=call.service,
+            upstream=upstream.id,
+            sends=call.sends,
+            waited_s=now - call.started,
+            remaining_s=call.ends - now,
+            urgency=call.urgency,
+            running=upstream.running(now),
+            predicted_s=placement.first_token_s if placement else None,
+            backlog_s=placement.backlog_s if placement else None,
+            missing_tokens=placement.tokens if placement else None,
+            resume_after=call.last_event,
+            revision=directory.config.version if directory else None,
+            config_age_s=self.state.lease.age(now),
+        )
+
     def _broke(
         self, call: ForwardCall, upstream: Upstream, reason: str, crashed: bool = True
     ) -> Broke:
@@ -340,6 +371,7 @@
             count += len(events)
             if events and first_at is None:
                 first_at = self.state.clock.now()
+                call.first_at = call.first_at or first_at
             await self._pass_on(call, events, response)
         check_end(protocol)
         if splitter.rest:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -17,6 +17,7 @@
 from .._clock import Clock
 from ._connections import UpstreamConnections
 from ._dispatch import PromptDispatcher
+from ._figures import Figures
 from ._platform import ForwardingPlatform
 from ._settings import ForwarderSettings
 
@@ -56,6 +57,7 @@
         self.suspects = CrashSuspects()
         self.connections = UpstreamConnections()
         self.leaving = False
+        self.figures = Figures()
         self.tell_crash: Callable[[str, list[str]], None] = lambda upstream, digests: None
         self._dispatchers: dict[str, PromptDispatcher] = {}
         self._budgets: dict[str, RetryWindow] = {}
@@ -72,11 +74,26 @@
         found = self._dispatchers.get(service)
         if found is None:
             found = PromptDispatcher(
-                service, self.book, self.clock, lambda: self.directory.targets(service)
+                service,
+                self.book,
+                self.clock,
+                lambda: self.directory.targets(service),
+                self.figures.prediction.labels(service).observe,
             )
             self._dispatchers[service] = found
         return found
 
+    def refresh_gauges(self) -> None:
+        """Bring the gauges up to date; counters and histograms always are."""
+        now = self.clock.now()
+        figures = self.figures
+        age = self.lease.age(now)
+        figures.config_age.set(float("nan") if age is None else age)
+        figures.keys_trusted.set(self.keys_trusted(now))
+        figures.revision.set(self.directory.config.version if self.directory else 0)
+        for service, dispatcher in self._dispatchers.items():
+            figures.waiting.labels(service).set(len(dispatcher.queue))
+
     def look_at_waiting(self) -> None:
         """Start what waits and may start now."""
         for dispatcher in self._dispatchers.values():
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -92,7 +92,10 @@
         self._ingress = Ingress(self._state)
         await self._ingress.start(*split_address(settings.listen))
         self._status: StatusServer = await serve_status(
-            *split_address(settings.status_listen), lambda: self.ready, self.describe
+            *split_address(settings.status_listen),
+            lambda: self.ready,
+            self.describe,
+            self._expose,
         )
         self._mesh = self._open_mesh()
         for work in (follow_configuration, follow_upstreams, settle_upstreams):
@@ -125,6 +128,12 @@
             "peers": self._mesh.connected if self._mesh else 0,
         }
 
+    def _expose(self) -> bytes:
+        self._state.refresh_gauges()
+        self._state.figures.held.set(self._ingress.held)
+        self._state.figures.peers.set(self._mesh.connected if self._mesh else 0)
+        return self._state.figures.expose()
+
     async def stop(self) -> None:
         """Shut down gracefully: leave the balancer, finish what runs, then close.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_events.py
@@ -73,7 +73,6 @@
 
 def test_every_event_of_the_catalogue_is_logged_somewhere():
     """An operator waits for an event that the catalogue promises and no code writes."""
-    sources = "".join(
-        path.read_text() for path in PACKAGES.glob("*/src/**/*.py") if "tests" not in path.parts
-    )
+    paths = [*PACKAGES.glob("*/src/**/*.py"), *(PACKAGES.parent / "platform").glob("src/**/*.py")]
+    sources = "".join(path.read_text() for path in paths if "tests" not in path.parts)
     assert [event.name for event in Event if f"Event.{event.name}" not in sources] == []
--- a/packages/burdockquay/src/burdockquay/_output.py
+++ b/packages/burdockquay/src/burdockquay/_output.py
@@ -28,7 +28,7 @@
     INCOMPLETE = 6
     """Some process did not answer; what is shown lacks its part."""
     NOT_FOUND = 7
-    """There is no such record."""
+    """There is no such record, or no log line of the request."""
 
 
 def print_table(header: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
--- a/packages/burdockquay/src/burdockquay/_settings_command.py
+++ b/packages/burdockquay/src/burdockquay/_settings_command.py
@@ -17,7 +17,7 @@
 
 
 @settings_app.command
-def check(role: Literal["entry", "slot"], file: Path) -> int:
+def check(role: Literal["entry", "slot", "forwarder"], file: Path) -> int:
     """Check a settings file and print everything that is wrong with it.
 
     Exit status 0 says that a daemon would start with it, 1 that it would not.
--- a/packages/burdockquay/src/burdockquay/cli.py
+++ b/packages/burdockquay/src/burdockquay/cli.py
@@ -2,7 +2,8 @@
 
 Exit codes: 0 done; 1 faulty input or a failed check; 2 wrong arguments; 3 somebody else changed
 the record first; 4 the platform does not answer; 5 the change may have been accepted or not;
-6 some process did not answer; 7 no such record. Only with 0 or 5 can anything have been written.
+6 some process did not answer; 7 no such record or request. Only with 0 or 5 can anything have been
+written.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 from burdockquay_state import UnknownNameError
 
+from ._explain_command import explain
 from ._output import ExitCode, print_error
 from ._record_command import record_app
 from ._settings_command import settings_app
@@ -23,6 +25,7 @@
 app.command(settings_app)
 app.command(status)
 app.command(usage)
+app.command(explain)
 
 
 def main() -> None:
--- a/packages/burdockquay/src/burdockquay/daemon.py
+++ b/packages/burdockquay/src/burdockquay/daemon.py
@@ -15,7 +15,7 @@
 
 import uvloop
 
-from burdockquay_transport import Event, log_event, setup_logging
+from burdockquay_transport import Event, log_event, setup_json_logging, setup_logging
 
 from ._settings_file import load_settings
 
@@ -40,7 +40,10 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok().settings
-    setup_logging(settings.log_level, sys.stdout if role == "forwarder" else sys.stderr)
+    if role == "forwarder":
+        setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+    else:
+        setup_logging(settings.log_level, sys.stderr)
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=str(path))
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
@@ -70,7 +73,9 @@
         print(f"cannot listen: {error}", file=sys.stderr)
         return EXIT_ADDRESS
     ports = {"vm": settings.vm, "port": process.port, "status_port": process.status_port}
-    print(json.dumps(ports), flush=True)
+    if role != "forwarder":
+        # A forwarder's standard output holds log lines alone; its event tells the port.
+        print(json.dumps(ports), flush=True)
     await stop_wanted.wait()
     stopping = asyncio.create_task(process.stop())
     killing = asyncio.create_task(kill_wanted.wait())
--- /dev/null
+++ b/packages/burdockquay/src/burdockquay/tests/test_explain.py
@@ -0,0 +1,65 @@
+"""The story of a request from the logs."""
+
+import json
+
+import pytest
+
+from burdockquay._explain import read_lines, tell_story
+from burdockquay.cli import app
+
+
+def line(seconds, name, vm="edge-1", **fields):
+    time = f"2026-03-01T08:30:{seconds:06.3f}Z"
+    return json.dumps({"time": time, "level": "INFO", "name": name, "vm": vm} | fields)
+
+
+LOG = [
+    "a line of something else",
+    line(1.0, "configuration_applied", revision=7),
+    line(9.0, "configuration_applied", revision=8),
+    line(9.5, "configuration_applied", vm="edge-2", revision=8),
+    line(10.4, "send_failed", request="r1", upstream="i-1", reason="ClientOSError"),
+    line(10.0, "call_sent", request="r1", upstream="i-1", sends=0),
+    line(10.3, "send_failed", vm="edge-2", request="r2", upstream="i-1", reason="x"),
+    line(10.5, "call_ended", request="r1", status=502, upstreams="i-1"),
+    line(11.0, "upstreams_changed", removed="i-1"),
+    line(11.1, "upstreams_changed", removed="i-3"),
+    '{"time": "broken',
+]
+
+
+def test_story_holds_the_request_and_what_changed_around_it():
+    story = tell_story(read_lines(LOG), "r1")
+    assert [(item.name, item.request) for item in story] == [
+        ("configuration_applied", None),
+        ("call_sent", "r1"),
+        ("send_failed", "r1"),
+        ("call_ended", "r1"),
+        ("upstreams_changed", None),
+    ]
+
+
+def run(*words):
+    with pytest.raises(SystemExit) as ended:
+        app(["explain", *words])
+    return ended.value.code
+
+
+@pytest.fixture
+def log_file(tmp_path):
+    path = tmp_path / "edge.log"
+    path.write_text("\n".join(LOG))
+    return path
+
+
+def test_command_tells_the_story_and_how_others_fared(log_file, capsys):
+    assert run("r1", str(log_file)) == 0
+    text = capsys.readouterr().out
+    assert "*    +0.000 s  edge-1  call_sent" in text
+    assert "1 other sends failed at i-1" in text
+
+
+def test_unknown_request_and_missing_file_have_exit_codes_of_their_own(log_file, capsys):
+    assert run("nobody", str(log_file)) == 7
+    assert run("r1", str(log_file) + ".gone") == 2
+    assert "cannot be read" in capsys.readouterr().err
