--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -152,7 +152,7 @@
                 owner.call.urgency = LATE_URGENCY
             owner.settle(self._note_sent(owner.call, start.placement, now))
         for waiting in self.queue.take_expired(now):
-            waiting.owner.refuse(RequestError(ErrorKind.OVERLOADED))
+            waiting.owner.refuse(RequestError(ErrorKind.OVERLOADED, self._describe_load(now)))
         if len(self.queue) and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look_again)
 
@@ -166,6 +166,15 @@
     def _upstreams(self) -> list[Upstream]:
         return self.book.of_service(self.service)
 
+    def _describe_load(self, now: float) -> str:
+        backlogs = [
+            self.model.reading_s(item, item.pending.tokens(now), now)
+            for item in self._upstreams()
+            if item.takes_work()
+        ]
+        least = min(backlogs, default=0.0)
+        return f"{len(self.queue)} others wait; the least busy upstream has {least:.2f} s to read"
+
     def _make_waiting(self, call: ForwardCall) -> WaitingPrompt:
         silence = call.route.silence_s or call.route.timeout_s
         patience = call.ends - call.started
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -312,6 +312,7 @@
             Event.CALL_REFUSED,
             request=request.id if request else None,
             kind=error.kind,
+            detail=error.detail or None,
             status=answer.status,
             run=answer.run,
             retry_after=headers.get("Retry-After"),
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -5,7 +5,44 @@
 
 import pytest
 
-PACKAGES = Path(__file__).parent.parent / "packages"
+ROOT = Path(__file__).parent.parent
+PACKAGES = ROOT / "packages"
+ADAPTER = ROOT / "platform" / "src" / "burdockquay_platform"
+
+MAX_ADAPTER_LINES = 1500
+"""Lines of the adapter without its tests: what grows beyond them belongs in the product."""
+
+PLATFORM_WORDS = (
+    "rows-get",
+    "rows-feed",
+    "rows-tx",
+    "blob-put",
+    "Attempt-Id",
+    "Response-Seal",
+    "Not-Executed",
+    "Expect-Instance",
+    "Instance-Id",
+    "Prefix-Hash",
+    "Token-Count",
+    "X-Api-Key",
+    "Deadline-Ms",
+    "Weight-Versions",
+    "Last-Event-Id",
+    "apiKeys",
+    "trafficSplit",
+    "timeoutMs",
+    "targetLatencyMs",
+    "gapTargetMs",
+    "maxAttempts",
+    "sessionAffinity",
+    "streamResume",
+    "expectedRevision",
+    "setKeys",
+    "tombstone",
+    "waitMs",
+    "nowMs",
+)
+"""Paths, headers and fields that only the adapter may know."""
 
 # Each package may import those behind it in the list; the stand-ins only what lasts.
 ALLOWED = {
@@ -47,3 +84,33 @@
     for path in sources:
         ours = set(imported_packages(path)) & set(ALLOWED) - {package}
         assert ours <= ALLOWED[package], f"{path} imports {ours - ALLOWED[package]}"
+
+
+def source_files(folder):
+    return [path for path in folder.rglob("*.py") if "tests" not in path.parts]
+
+
+def test_only_the_adapter_knows_the_words_of_the_platform():
+    found = {
+        f"{path.relative_to(ROOT)}: {word}"
+        for path in source_files(PACKAGES)
+        for word in PLATFORM_WORDS
+        if word in path.read_text()
+    }
+    assert found == set()
+
+
+def test_adapter_imports_layers_below_and_no_other_package_imports_it():
+    ours = {name for path in source_files(ADAPTER) for name in imported_packages(path)}
+    assert ours & set(ALLOWED) <= {
+        "burdockquay_state",
+        "burdockquay_coordination",
+        "burdockquay_transport",
+    }
+    others = {name for path in source_files(PACKAGES) for name in imported_packages(path)}
+    assert "burdockquay_platform" not in others
+
+
+def test_adapter_stays_small():
+    lines = sum(len(path.read_text().splitlines()) for path in source_files(ADAPTER))
+    assert lines <= MAX_ADAPTER_LINES
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -8,6 +8,7 @@
 
 from burdockquay_protocol import ANSWERS, ErrorKind
 from burdockquay_transport import Event, _metrics
+from burdockquay_transport.forwarding._figures import Figures
 
 ROOT = Path(__file__).parent.parent
 
@@ -67,3 +68,10 @@
     }
     assert {"upstream.crashed", "peer.fault."} <= named
     assert sorted(name for name in named | constants | timers if f"`{name}" not in page) == []
+
+
+def test_every_figure_of_a_forwarder_is_on_the_page():
+    page = (ROOT / "docs" / "metrics.md").read_text()
+    named = {family.name for family in Figures().registry.collect()}
+    assert named
+    assert sorted(name for name in named if f"`{name}" not in page) == []
