--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from ._budget import RetryWindow
-from ._choice import choose_upstream, usable_upstreams
+from ._choice import choose_backup, choose_upstream, usable_upstreams
 from ._config import (
     CallerLimits,
     CallerOrganisation,
@@ -55,6 +55,7 @@
     "UpstreamBook",
     "UpstreamChanges",
     "WaitingPrompt",
+    "choose_backup",
     "choose_upstream",
     "place_prompt",
     "usable_upstreams",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -39,6 +39,23 @@
     return _least_outstanding(candidates, failure_domain, rng)
 
 
+def choose_backup(
+    upstreams: Sequence[Upstream], serving: Upstream, now: float, rng: random.Random
+) -> Upstream | None:
+    """Return the upstream that keeps a copy of what another one generates, None if there is none.
+
+    It is in another failure domain if possible, since a whole domain can go down at once, and has
+    the fewest running requests, beside which the copy takes memory.
+    """
+    others = usable_upstreams(upstreams, (serving.id,), now)
+
+    def cost(item: Upstream) -> tuple[bool, int, float]:
+        together = item.entry.failure_domain == serving.entry.failure_domain
+        return (together, item.running(now), rng.random())
+
+    return min(others, key=cost, default=None)
+
+
 def usable_upstreams(
     upstreams: Sequence[Upstream], tried: Collection[str], now: float
 ) -> Sequence[Upstream]:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -102,6 +102,12 @@
         """Id of the incarnation."""
         return self.entry.id
 
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        host = f"[{self.entry.host}]" if ":" in self.entry.host else self.entry.host
+        return f"{host}:{self.entry.port}"
+
     def running(self, now: float) -> int:
         """Return the requests that all processes have there."""
         return self.outstanding + self.pending.running_elsewhere(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -8,7 +8,7 @@
 import attrs
 from aiohttp import web
 
-from burdockquay_coordination.forwarding import ForwardRoute, Upstream
+from burdockquay_coordination.forwarding import ForwardRoute, RouteKind, Upstream
 from burdockquay_protocol import ErrorKind, RequestError
 
 from ._platform import CallerRequest
@@ -59,6 +59,10 @@
     last_event : str or None
         Id of the last event that the caller has.
     weights_version : str or None
+    backup : Upstream or None
+        Keeps a copy of the memory of the run.
+    goes_on_at : Upstream or None
+        Where the run goes on from such a copy.
     first_at : float or None
         When its first event came.
     sent : SentPrompt or None
@@ -81,6 +85,8 @@
     answer: web.StreamResponse | None = None
     last_event: str | None = None
     weights_version: str | None = None
+    backup: Upstream | None = None
+    goes_on_at: Upstream | None = None
     first_at: float | None = None
     sent: SentPrompt | None = None
 
@@ -94,6 +100,11 @@
         """Whether upstreams are chosen by the prompt."""
         return self.route.by_prompt and self.request.prompt is not None
 
+    @property
+    def wants_backup(self) -> bool:
+        """Whether only a copy of its memory lets another upstream go on with it."""
+        return self.by_prompt and self.route.kind is RouteKind.STREAM and not self.route.can_resume
+
     @property
     def digest(self) -> str:
         """Names the content of the request, the same for each repeat by its caller."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -75,6 +75,10 @@
         Id of the last event that the caller has.
     weights_version : str or None
         Version of the weights that began the stream, if known.
+    backup_at : str or None
+        Host and port of the upstream that is to keep a copy of the memory of the run.
+    copy_at : str or None
+        Host and port of the upstream that keeps such a copy, from which the run goes on.
     """
 
     upstream: str
@@ -83,6 +87,8 @@
     urgency: int
     resume_after: str | None = None
     weights_version: str | None = None
+    backup_at: str | None = None
+    copy_at: str | None = None
 
 
 @attrs.frozen
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -12,6 +12,7 @@
 from burdockquay_coordination.forwarding import (
     RouteKind,
     Upstream,
+    choose_backup,
     choose_upstream,
     usable_upstreams,
 )
@@ -97,7 +98,10 @@
             self.state.figures.sends.labels(call.service, name).inc()
             if isinstance(outcome, Answered):
                 return outcome.response
-            await self._note(call, outcome)
+            went_down = await self._note(call, outcome)
+            if went_down and self._can_go_on(call):
+                call.goes_on_at, call.backup = call.backup, None
+                continue
             if not self._may_repeat(call, outcome):
                 return self._give_up(call, outcome)
 
@@ -114,6 +118,8 @@
             if upstream is None:
                 raise CallFailed(failure_of(call))
             return await self._send(call, upstream)
+        if call.goes_on_at is not None:
+            return await self._send(call, call.goes_on_at)
         dispatcher = self.state.dispatcher(call.service)
         call.sent = await dispatcher.start(call)
         if call.sent is None:
@@ -143,8 +149,17 @@
             state.rng,
         )
 
-    async def _note(self, call: ForwardCall, outcome: Outcome) -> None:
-        """Remember what an outcome says of the upstream."""
+    def _can_go_on(self, call: ForwardCall) -> bool:
+        """Return whether a run can go on from the copy of its memory at another upstream.
+
+        The upstream that ran it is down, so that it does not run twice; the copy holds what was
+        generated, so that no event is generated again.
+        """
+        backup = call.backup
+        return backup is not None and call.last_event is not None and backup.takes_work()
+
+    async def _note(self, call: ForwardCall, outcome: Outcome) -> bool:
+        """Remember what an outcome says of the upstream; return whether it is down."""
         now = self.state.clock.now()
         upstream = outcome.upstream
         log_event(
@@ -157,9 +172,11 @@
         )
         if isinstance(outcome, Broke):
             upstream.note_failure(now)
-        if isinstance(outcome, NotSent) or await self._went_down(outcome):
+        is_down = isinstance(outcome, NotSent) or await self._went_down(outcome)
+        if is_down:
             upstream.note_unreachable(now)
             self.state.note_down(upstream.id)
+        return is_down
 
     async def _went_down(self, outcome: Outcome) -> bool:
         """Return whether an upstream that broke off is down altogether.
@@ -248,6 +265,8 @@
             backlog_s=placement.backlog_s if placement else None,
             missing_tokens=placement.tokens if placement else None,
             resume_after=call.last_event,
+            backup=call.backup.id if call.backup else None,
+            goes_on=call.goes_on_at is upstream or None,
             revision=directory.config.version if directory else None,
             config_age_s=self.state.lease.age(now),
         )
@@ -270,7 +289,14 @@
             return None
         return max(MIN_TURN_S, self._remaining(call) * PATIENCE_SHARE)
 
+    def _choose_backup(self, call: ForwardCall, upstream: Upstream) -> None:
+        state = self.state
+        if call.wants_backup and call.goes_on_at is None:
+            others = state.book.of_service(call.service)
+            call.backup = choose_backup(others, upstream, state.clock.now(), state.rng)
+
     def _compose(self, call: ForwardCall, upstream: Upstream) -> Send:
+        self._choose_backup(call, upstream)
         terms = SendTerms(
             upstream.id,
             max(self._remaining(call), 0.001),
@@ -278,6 +304,8 @@
             call.urgency,
             call.last_event or call.request.resume_after,
             call.weights_version,
+            call.backup.address if call.backup else None,
+            upstream.address if call.goes_on_at is upstream else None,
         )
 
         def check() -> None:
