--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -53,6 +53,10 @@
 MIN_TURN_S = 0.25
 """Least such time, seconds; about ten times the work of a plain request."""
 
+BACKUP_FROM_S = 0.5
+"""Predicted time of an answer from which a copy of its memory is kept, seconds. The copy costs the
+same for a short answer, which is far less likely to meet the end of its upstream."""
+
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -291,7 +295,8 @@
 
     def _choose_backup(self, call: ForwardCall, upstream: Upstream) -> None:
         state = self.state
-        if call.wants_backup and call.goes_on_at is None:
+        sent = call.sent
+        if call.wants_backup and sent is not None and sent.placement.answer_s >= BACKUP_FROM_S:
             others = state.book.of_service(call.service)
             call.backup = choose_backup(others, upstream, state.clock.now(), state.rng)
 
