Import what a package exports when it is first used

Cause: a forwarder listened 1.0 s after its VM had power (0.7 s of imports); requests of that second find no process. Change: the packages import lazily, and what speaks to peers is loaded once callers are served.

--- a/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
@@ -4,33 +4,42 @@
 that a process loads only what its role needs.
 """
 
-from ._clock import Clock, SystemClock
-from ._events import Event, log_event, setup_json_logging, setup_logging
-from ._metrics import MemorySink, MetricsSink, NullSink, StatsdSink, make_sink, metrics_sinks
-from ._platform import Platform, open_platform
-from ._platform_http import HttpObjectStore, HttpTable, HttpVmList
-from ._settings import EntrySettings, MetricsSettings, PlatformSettings, SlotSettings
+from burdockquay_state._lazy import lazy_exports
 
-__all__ = [
-    "Clock",
-    "EntrySettings",
-    "Event",
-    "HttpObjectStore",
-    "HttpTable",
-    "HttpVmList",
-    "MemorySink",
-    "MetricsSettings",
-    "MetricsSink",
-    "NullSink",
-    "Platform",
-    "PlatformSettings",
-    "SlotSettings",
-    "StatsdSink",
-    "SystemClock",
-    "log_event",
-    "make_sink",
-    "metrics_sinks",
-    "open_platform",
-    "setup_json_logging",
-    "setup_logging",
-]
+_EXPORTS = {
+    "._clock": (
+        "Clock",
+        "SystemClock",
+    ),
+    "._events": (
+        "Event",
+        "log_event",
+        "setup_json_logging",
+        "setup_logging",
+    ),
+    "._metrics": (
+        "MemorySink",
+        "MetricsSink",
+        "NullSink",
+        "StatsdSink",
+        "make_sink",
+        "metrics_sinks",
+    ),
+    "._platform": (
+        "Platform",
+        "open_platform",
+    ),
+    "._platform_http": (
+        "HttpObjectStore",
+        "HttpTable",
+        "HttpVmList",
+    ),
+    "._settings": (
+        "EntrySettings",
+        "MetricsSettings",
+        "PlatformSettings",
+        "SlotSettings",
+    ),
+}
+
+__getattr__, __dir__, __all__ = lazy_exports(__name__, _EXPORTS)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -12,13 +12,11 @@
 from burdockquay_coordination import Work
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 
+from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
-    BROKEN_ERRORS,
-    CONNECT_ERRORS,
     CONTROL_TIMEOUT,
     PROBE_TIMEOUT,
     AnswerPart,
-    SendOnce,
     Token,
     UpstreamClient,
     UpstreamError,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_order_follower.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_order_follower.py
@@ -22,7 +22,8 @@
 
 from ._clock import Clock
 from ._events import Event, log_event
-from ._upstream import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce, UpstreamSessions
+from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
+from ._upstream import UpstreamSessions
 
 FIRST_PAUSE_S = 0.5
 """Time until a record that had to wait is tried again, seconds; doubles with each try."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
@@ -6,13 +6,11 @@
 
 from burdockquay_protocol import MAX_BODY_BYTES, AnswerEnd, AnswerHead, ErrorKind, Run
 
+from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
-    BROKEN_ERRORS,
-    CONNECT_ERRORS,
     PROBE_TIMEOUT,
     AnswerPart,
     BodyPiece,
-    SendOnce,
     UpstreamClient,
     UpstreamError,
     upstream_clients,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -13,7 +13,7 @@
 
 from burdockquay_coordination.forwarding import ListedUpstream
 
-from .._upstream import CONNECT_ERRORS, SendOnce
+from .._send_once import CONNECT_ERRORS, SendOnce
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest wait for a new connection, seconds. A lost opening packet is only sent again after a
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -5,19 +5,21 @@
 import asyncio
 import random
 import secrets
+from typing import TYPE_CHECKING
 
 from .._background import BackgroundTasks
 from .._clock import Clock, SuspendedClock
 from .._events import Event, log_event
-from .._peer import Identity
 from .._status_http import StatusServer, serve_status
 from ._following import follow_configuration, follow_upstreams, settle_upstreams
 from ._ingress import Ingress
-from ._peers import PeerMesh
 from ._platform import PlatformAddress, forwarding_platforms, load_adapters
 from ._settings import ForwarderSettings, split_address
 from ._state import ForwarderState
 
+if TYPE_CHECKING:
+    from ._peers import PeerMesh
+
 STOP_MARGIN_S = 0.8
 """Time between the end of a planned stop and the moment at which the platform kills the process,
 seconds: for the last answers to arrive and the process to close."""
@@ -107,6 +109,10 @@
         settings = self.settings
         if settings.peer_listen is None:
             return None
+        # What speaks to peers is loaded once callers are served: it takes a tenth of the start.
+        from .._peer import Identity
+        from ._peers import PeerMesh
+
         identity = Identity(settings.vm, settings.failure_domain, secrets.token_hex(8))
         mesh = PeerMesh(self._state, identity, settings.peer_listen)
         self._state.tell_crash = mesh.tell_crash
--- a/packages/burdockquay/src/burdockquay/_settings_file.py
+++ b/packages/burdockquay/src/burdockquay/_settings_file.py
@@ -283,6 +283,9 @@
 
 
 def _find_adapter_faults(settings: EntrySettings | SlotSettings) -> Iterator[Fault]:
+    # Importing it registers the adapters of the package, of which a forwarder needs none.
+    import burdockquay_transport._platform_http  # noqa: F401
+
     platform: PlatformSettings = settings.platform
     for name, registry in _ADAPTERS.items():
         chosen = getattr(platform, name)
