--- a/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
@@ -109,6 +109,10 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        await self.go_down()
+
+    async def go_down(self) -> None:
+        """Refuse connections and break off all that run, as a crash does."""
         self._server.close()
         for task in tuple(self._tasks):
             task.cancel()
@@ -124,9 +128,11 @@
                 self.received.append(request)
                 behave = self.script.pop(0) if self.script else self.behaviour
                 await behave(request, connection)
-        except (ConnectionError, asyncio.CancelledError):
-            # The client left, or the test is over.
+        except ConnectionError:
+            # The client left.
             pass
+        except asyncio.CancelledError:
+            connection.reset()
         finally:
             self._tasks.discard(task)
             writer.close()
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -12,23 +12,12 @@
 from burdockquay_protocol import ErrorKind, RequestError, Run, RunState
 from burdockquay_state import ClassRecord, OrganisationRecord, RouteRecord
 
+from ._call_error import CallError
+
 if TYPE_CHECKING:
     from ._slot_link import SlotLink
 
 
-class CallError(Exception):
-    """A call ended without a whole answer.
-
-    Parameters
-    ----------
-    error : RequestError
-    """
-
-    def __init__(self, error: RequestError):
-        super().__init__(error.kind.value)
-        self.error = error
-
-
 @attrs.frozen
 class PeerLost:
     """The connection to the slot that had the attempt broke."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -39,7 +39,8 @@
 from burdockquay_state import StoredAnswer
 
 from ._answer_store import split_answer
-from ._call import Call, CallError, PeerLost, Refused
+from ._call import Call, PeerLost, Refused
+from ._call_error import CallError
 from ._clock import Clock
 from ._dispatcher import GroupDispatcher
 from ._events import Event, log_event
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -22,7 +22,8 @@
 )
 from burdockquay_state import OrganisationRecord, RouteRecord
 
-from ._call import Call, CallError, CallRequest
+from ._call import Call, CallRequest
+from ._call_error import CallError
 from ._call_runner import Body, Tokens
 from ._chat import ChatRequest, ChunkWriter, parse_chat
 from ._events import Event, describe_fault, log_event
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -4,6 +4,7 @@
 :mod:`burdockquay_transport.forwarding.forwarder`, so that the other roles do not load it.
 """
 
+from ._headers import pass_on_headers
 from ._platform import (
     AnswerFacts,
     CallerRequest,
@@ -37,4 +38,5 @@
     "UpstreamSource",
     "forwarding_platforms",
     "load_adapters",
+    "pass_on_headers",
 ]
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -0,0 +1,182 @@
+"""Takes the answers of upstreams, and passes on what is whole and the caller's own."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp import web
+
+from burdockquay_coordination.forwarding import RouteKind, Upstream
+
+from ._call import Answered, Broke, ForwardCall, NotRun, Outcome
+from ._connections import SENT_ERRORS, BrokenError, check_end, read_body
+from ._event_stream import EventSplitter, StreamEvent
+from ._headers import pass_on_headers
+from ._platform import AnswerFacts
+from ._state import ForwarderState
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request certainly has not run."""
+
+
+class AnswerTaker:
+    """Checks answers and passes them on.
+
+    Parameters
+    ----------
+    state : ForwarderState
+    """
+
+    def __init__(self, state: ForwarderState):
+        self.state = state
+
+    async def take(
+        self, call: ForwardCall, upstream: Upstream, response: aiohttp.ClientResponse
+    ) -> Outcome:
+        """Return what an answer is worth, once it was passed on or is ready to be.
+
+        Raises
+        ------
+        BrokenError
+            If the connection breaks before the end of the answer.
+        """
+        facts = self.state.platform.read_answer(response.status, response.headers)
+        if facts.request_id not in (None, call.request.id):
+            return broke(self.state, call, upstream, "answer to another request", crashed=False)
+        if facts.not_run and facts.answered_by not in (None, upstream.id):
+            self.state.book.drop(upstream)
+            return NotRun(upstream, "another incarnation answered")
+        if response.status < 300 and not facts.sealed:
+            return broke(
+                self.state, call, upstream, "answer without proof of origin", crashed=False
+            )
+        if response.status < 300 and call.route.kind is RouteKind.STREAM:
+            return await self._take_stream(call, upstream, response, facts)
+        return await self._take_plain(call, upstream, response, facts)
+
+    async def _take_plain(
+        self,
+        call: ForwardCall,
+        upstream: Upstream,
+        response: aiohttp.ClientResponse,
+        facts: AnswerFacts,
+    ) -> Outcome:
+        body = await read_body(response)
+        if facts.not_run and response.status != 400:
+            return NotRun(upstream, f"status {response.status}")
+        call.maybe_run = call.maybe_run or not facts.not_run
+        if call.answer is not None:
+            return Broke(upstream, f"status {response.status} to the rest of a stream")
+        ready = web.Response(
+            status=response.status,
+            reason=response.reason,
+            body=body,
+            headers=pass_on_headers(response.headers),
+        )
+        if response.status < 500 and response.status not in PROMISES:
+            upstream.note_success(self.state.clock.now())
+            return Answered(ready)
+        if response.status in PROMISES:
+            # The caller would take it for a promise that the request has not run.
+            return Broke(upstream, f"status {response.status} without proof that it did not run")
+        return Broke(upstream, f"status {response.status}", ready)
+
+    async def _take_stream(
+        self,
+        call: ForwardCall,
+        upstream: Upstream,
+        response: aiohttp.ClientResponse,
+        facts: AnswerFacts,
+    ) -> Outcome:
+        call.maybe_run = True
+        if call.answer is None:
+            call.weights_version = facts.weights_version
+        protocol = response.connection.protocol if response.connection else None
+        splitter = EventSplitter()
+        first_at = None
+        count = 0
+        async for data in _read_pieces(response):
+            events = splitter.feed(data)
+            count += len(events)
+            if events and first_at is None:
+                first_at = self.state.clock.now()
+                call.first_at = call.first_at or first_at
+            await self._pass_on(call, events, response)
+        check_end(protocol)
+        if splitter.rest:
+            return broke(self.state, call, upstream, "ended inside an event")
+        if call.answer is None:
+            await self._begin(call, response)
+        await call.answer.write_eof()
+        if call.by_prompt and first_at is not None:
+            self.state.dispatcher(call.service).learn_pace(
+                upstream,
+                call.request.prompt.answer_tokens,
+                count - 1,
+                self.state.clock.now() - first_at,
+            )
+        upstream.note_success(self.state.clock.now())
+        return Answered(call.answer)
+
+    async def _pass_on(
+        self, call: ForwardCall, events: list[StreamEvent], response: aiohttp.ClientResponse
+    ) -> None:
+        if events:
+            self._note_first_token(call)
+        fresh = [event for event in events if _is_new(event, call.last_event)]
+        if not fresh:
+            return
+        if call.answer is None:
+            await self._begin(call, response)
+        await call.answer.write(b"".join(event.data for event in fresh))
+        for event in fresh:
+            call.last_event = event.id or call.last_event
+
+    async def _begin(self, call: ForwardCall, response: aiohttp.ClientResponse) -> None:
+        """Write the head of a stream to the caller; only now is it too late for another answer."""
+        answer = web.StreamResponse(
+            status=response.status,
+            reason=response.reason,
+            headers=pass_on_headers(response.headers),
+        )
+        if self.state.leaving:
+            answer.force_close()
+        call.answer = answer
+        await answer.prepare(call.incoming)
+
+    def _note_first_token(self, call: ForwardCall) -> None:
+        if call.sent is not None:
+            self.state.dispatcher(call.service).first_token(call.sent)
+            call.sent = None
+
+
+def broke(
+    state: ForwarderState, call: ForwardCall, upstream: Upstream, reason: str, crashed: bool = True
+) -> Broke:
+    """Note that an upstream broke off a call, and return that outcome.
+
+    Parameters
+    ----------
+    crashed : bool
+        Whether the connection broke, as it does when an upstream goes down.
+    """
+    call.maybe_run = True
+    if crashed:
+        state.suspects.note_break(call.digest, upstream.id, state.clock.now())
+    return Broke(upstream, reason, crashed=crashed)
+
+
+async def _read_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        async for data in response.content.iter_any():
+            yield data
+    except SENT_ERRORS as error:
+        raise BrokenError(type(error).__name__) from error
+
+
+def _is_new(event: StreamEvent, last: str | None) -> bool:
+    """Return whether the caller does not have an event yet."""
+    if last is None or event.number is None or not last.isdecimal():
+        return True
+    return event.number > int(last)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -17,19 +17,6 @@
     from ._dispatch import SentPrompt
 
 
-class CallFailed(Exception):  # noqa: N818 - it ends a call, like StopIteration a loop
-    """The call ends with an answer of the forwarder's own.
-
-    Parameters
-    ----------
-    error : RequestError
-    """
-
-    def __init__(self, error: RequestError):
-        super().__init__(error.kind.value)
-        self.error = error
-
-
 @attrs.define(eq=False)
 class ForwardCall:
     """What is known of a request while it is served.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -21,9 +21,10 @@
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
+from .._call_error import CallError
 from .._clock import Clock
 from .._events import Event, log_event
-from ._call import CallFailed, ForwardCall
+from ._call import ForwardCall
 
 LOOK_S = 0.02
 """Time between two looks at what waits, seconds. Most starts come at once with the news that an
@@ -94,7 +95,7 @@
 
         Raises
         ------
-        CallFailed
+        CallError
             If it has waited too long.
         """
         if call.sends or call.unreachable:
@@ -229,4 +230,4 @@
 
     def refuse(self, error: RequestError) -> None:
         if not self.started.done():
-            self.started.set_exception(CallFailed(error))
+            self.started.set_exception(CallError(error))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -15,10 +15,12 @@
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
+from .._call_error import CallError
 from .._events import Event, describe_fault, log_event
-from ._call import CallFailed, ForwardCall
+from ._answers import PROMISES
+from ._call import ForwardCall
 from ._platform import CallerRequest
-from ._relay import PROMISES, Relay
+from ._relay import Relay
 from ._state import ForwarderState
 
 BODY_TIMEOUT_S = 10.0
@@ -158,7 +160,7 @@
         request = read.ok()
         try:
             call = await self._admit(incoming, request, started)
-        except CallFailed as failure:
+        except CallError as failure:
             return self._refuse(request, started, failure.error)
         return await self._run(call)
 
@@ -168,7 +170,7 @@
                 response = await self._relay.run(call)
             self._note_end(call, response.status, "")
             return response
-        except CallFailed as failure:
+        except CallError as failure:
             return self._fail(call, failure.error)
         except TimeoutError:
             kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
@@ -227,12 +229,12 @@
 
         Raises
         ------
-        CallFailed
+        CallError
             If it is refused.
         """
         directory = self.state.directory
         if directory is None:
-            raise CallFailed(RequestError(ErrorKind.NOT_READY))
+            raise CallError(RequestError(ErrorKind.NOT_READY))
         route = self._find_route(directory, request)
         organisation = self._find_organisation(directory, route, request)
         body = await self._read_body(incoming, directory)
@@ -254,13 +256,13 @@
             started + patience,
         )
         if self.state.suspects.is_refused(call.digest, self.state.clock.now()):
-            raise CallFailed(RequestError(ErrorKind.CRASH_SUSPECT))
+            raise CallError(RequestError(ErrorKind.CRASH_SUSPECT))
         return call
 
     def _find_route(self, directory: ConfigDirectory, request: CallerRequest) -> ForwardRoute:
         route = directory.find_route(request.host, request.path)
         if route is None:
-            raise CallFailed(self._unless_stale(ErrorKind.NOT_FOUND))
+            raise CallError(self._unless_stale(ErrorKind.NOT_FOUND))
         return route
 
     def _find_organisation(
@@ -270,9 +272,9 @@
             return None
         found = directory.find_organisation(request.api_key or "")
         if found is None:
-            raise CallFailed(self._unless_stale(ErrorKind.UNAUTHENTICATED))
+            raise CallError(self._unless_stale(ErrorKind.UNAUTHENTICATED))
         if not self.state.keys_trusted(self.state.clock.now()):
-            raise CallFailed(RequestError(ErrorKind.CONFIGURATION_STALE))
+            raise CallError(RequestError(ErrorKind.CONFIGURATION_STALE))
         return found
 
     def _unless_stale(self, kind: ErrorKind) -> RequestError:
@@ -291,11 +293,11 @@
                     size += len(data)
                     if size > limit:
                         detail = f"expected at most {limit} bytes"
-                        raise CallFailed(RequestError(ErrorKind.BODY_TOO_LARGE, detail))
+                        raise CallError(RequestError(ErrorKind.BODY_TOO_LARGE, detail))
                     pieces.append(data)
         except TimeoutError:
             detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
-            raise CallFailed(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
+            raise CallError(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
         return b"".join(pieces)
 
     def _refuse(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from burdockquay_coordination.forwarding import (
     RouteKind,
@@ -18,28 +16,24 @@
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
+from .._call_error import CallError
 from .._events import Event, log_event
+from ._answers import AnswerTaker, broke
 from ._call import (
     Answered,
     Broke,
-    CallFailed,
     ForwardCall,
-    NotRun,
     NotSent,
     Outcome,
     failure_of,
 )
 from ._connections import (
-    SENT_ERRORS,
     BrokenError,
     NotSentError,
     Send,
     accepts_connections,
-    check_end,
-    read_body,
 )
-from ._event_stream import EventSplitter, StreamEvent
-from ._platform import AnswerFacts, SendTerms
+from ._platform import SendTerms
 from ._state import ForwarderState
 
 MAX_UNREACHABLE = 4
@@ -57,24 +51,6 @@
 """Predicted time of an answer from which a copy of its memory is kept, seconds. The copy costs the
 same for a short answer, which is far less likely to meet the end of its upstream."""
 
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    }
-)
-"""Headers of an answer that belong to one connection, and the length, which is set anew."""
-
-PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request certainly has not run."""
-
 
 class Relay:
     """Runs calls: chooses upstreams, sends, passes answers on and repeats where that is safe.
@@ -86,13 +62,14 @@
 
     def __init__(self, state: ForwarderState):
         self.state = state
+        self._taker = AnswerTaker(state)
 
     async def run(self, call: ForwardCall) -> web.StreamResponse:
         """Return the answer of a call.
 
         Raises
         ------
-        CallFailed
+        CallError
             If it ends without an answer of an upstream.
         """
         self.state.budget(call.service).note_request(self.state.clock.now())
@@ -114,20 +91,20 @@
 
         Raises
         ------
-        CallFailed
+        CallError
             If there is no upstream, or no room in time.
         """
         if not call.by_prompt:
             upstream = self._choose(call)
             if upstream is None:
-                raise CallFailed(failure_of(call))
+                raise CallError(failure_of(call))
             return await self._send(call, upstream)
         if call.goes_on_at is not None:
             return await self._send(call, call.goes_on_at)
         dispatcher = self.state.dispatcher(call.service)
         call.sent = await dispatcher.start(call)
         if call.sent is None:
-            raise CallFailed(failure_of(call))
+            raise CallError(failure_of(call))
         try:
             return await self._send(call, call.sent.placement.upstream)
         finally:
@@ -138,11 +115,6 @@
             self.state.dispatcher(call.service).ended(call.sent)
             call.sent = None
 
-    def _note_first_token(self, call: ForwardCall) -> None:
-        if call.sent is not None:
-            self.state.dispatcher(call.service).first_token(call.sent)
-            call.sent = None
-
     def _choose(self, call: ForwardCall) -> Upstream | None:
         state = self.state
         return choose_upstream(
@@ -213,7 +185,7 @@
     def _give_up(self, call: ForwardCall, outcome: Outcome) -> web.StreamResponse:
         if isinstance(outcome, Broke) and outcome.ready is not None and call.answer is None:
             return outcome.ready
-        raise CallFailed(failure_of(call))
+        raise CallError(failure_of(call))
 
     async def _send(self, call: ForwardCall, upstream: Upstream) -> Outcome:
         """Send a call to one upstream and pass its answer on."""
@@ -226,18 +198,18 @@
             async with asyncio.timeout(self._turn_s(call)):
                 response = await self.state.connections.send(send)
             call.sends += 1
-            return await self._take(call, upstream, response)
+            return await self._taker.take(call, upstream, response)
         except NotSentError as error:
             call.unreachable += 1
             return NotSent(upstream, str(error))
         except BrokenError as error:
             call.sends += response is None
-            return self._broke(call, upstream, str(error))
+            return broke(self.state, call, upstream, str(error))
         except TimeoutError:
             if self._remaining(call) <= 0:
                 raise
             call.sends += response is None
-            return self._broke(call, upstream, "silent", crashed=False)
+            return broke(self.state, call, upstream, "silent", crashed=False)
         except asyncio.CancelledError:
             # A deadline or a caller that left ends the call here; whether it ran is not known.
             call.maybe_run = True
@@ -275,14 +247,6 @@
             config_age_s=self.state.lease.age(now),
         )
 
-    def _broke(
-        self, call: ForwardCall, upstream: Upstream, reason: str, crashed: bool = True
-    ) -> Broke:
-        call.maybe_run = True
-        if crashed:
-            self.state.suspects.note_break(call.digest, upstream.id, self.state.clock.now())
-        return Broke(upstream, reason, crashed=crashed)
-
     def _remaining(self, call: ForwardCall) -> float:
         return call.ends - self.state.clock.now()
 
@@ -332,148 +296,18 @@
 
         Raises
         ------
-        CallFailed
+        CallError
         """
         if call.organisation is None:
             return
         state = self.state
         if not state.keys_trusted(state.clock.now()):
-            raise CallFailed(_unsent(call, ErrorKind.CONFIGURATION_STALE))
+            raise CallError(_unsent(call, ErrorKind.CONFIGURATION_STALE))
         holder = state.directory.find_organisation(call.request.api_key or "")
         if holder is None or holder.name != call.organisation:
-            raise CallFailed(_unsent(call, ErrorKind.UNAUTHENTICATED))
-
-    async def _take(
-        self, call: ForwardCall, upstream: Upstream, response: aiohttp.ClientResponse
-    ) -> Outcome:
-        facts = self.state.platform.read_answer(response.status, response.headers)
-        if facts.request_id not in (None, call.request.id):
-            return self._broke(call, upstream, "answer to another request", crashed=False)
-        if facts.not_run and facts.answered_by not in (None, upstream.id):
-            self.state.book.drop(upstream)
-            return NotRun(upstream, "another incarnation answered")
-        if response.status < 300 and not facts.sealed:
-            return self._broke(call, upstream, "answer without proof of origin", crashed=False)
-        if response.status < 300 and call.route.kind is RouteKind.STREAM:
-            return await self._take_stream(call, upstream, response, facts)
-        return await self._take_plain(call, upstream, response, facts)
-
-    async def _take_plain(
-        self,
-        call: ForwardCall,
-        upstream: Upstream,
-        response: aiohttp.ClientResponse,
-        facts: AnswerFacts,
-    ) -> Outcome:
-        body = await read_body(response)
-        if facts.not_run and response.status != 400:
-            return NotRun(upstream, f"status {response.status}")
-        call.maybe_run = call.maybe_run or not facts.not_run
-        if call.answer is not None:
-            return Broke(upstream, f"status {response.status} to the rest of a stream")
-        ready = web.Response(
-            status=response.status,
-            reason=response.reason,
-            body=body,
-            headers=passed_headers(response.headers),
-        )
-        if response.status < 500 and response.status not in PROMISES:
-            upstream.note_success(self.state.clock.now())
-            return Answered(ready)
-        if response.status in PROMISES:
-            # The caller would take it for a promise that the request has not run.
-            return Broke(upstream, f"status {response.status} without proof that it did not run")
-        return Broke(upstream, f"status {response.status}", ready)
-
-    async def _take_stream(
-        self,
-        call: ForwardCall,
-        upstream: Upstream,
-        response: aiohttp.ClientResponse,
-        facts: AnswerFacts,
-    ) -> Outcome:
-        call.maybe_run = True
-        if call.answer is None:
-            call.weights_version = facts.weights_version
-        protocol = response.connection.protocol if response.connection else None
-        splitter = EventSplitter()
-        first_at = None
-        count = 0
-        async for data in _read_pieces(response):
-            events = splitter.feed(data)
-            count += len(events)
-            if events and first_at is None:
-                first_at = self.state.clock.now()
-                call.first_at = call.first_at or first_at
-            await self._pass_on(call, events, response)
-        check_end(protocol)
-        if splitter.rest:
-            return self._broke(call, upstream, "ended inside an event")
-        if call.answer is None:
-            await self._begin(call, response)
-        await call.answer.write_eof()
-        if call.by_prompt and first_at is not None:
-            self.state.dispatcher(call.service).learn_pace(
-                upstream,
-                call.request.prompt.answer_tokens,
-                count - 1,
-                self.state.clock.now() - first_at,
-            )
-        upstream.note_success(self.state.clock.now())
-        return Answered(call.answer)
-
-    async def _pass_on(
-        self, call: ForwardCall, events: list[StreamEvent], response: aiohttp.ClientResponse
-    ) -> None:
-        if events:
-            self._note_first_token(call)
-        fresh = [event for event in events if _is_new(event, call.last_event)]
-        if not fresh:
-            return
-        if call.answer is None:
-            await self._begin(call, response)
-        await call.answer.write(b"".join(event.data for event in fresh))
-        for event in fresh:
-            call.last_event = event.id or call.last_event
-
-    async def _begin(self, call: ForwardCall, response: aiohttp.ClientResponse) -> None:
-        """Write the head of a stream to the caller; only now is it too late for another answer."""
-        answer = web.StreamResponse(
-            status=response.status,
-            reason=response.reason,
-            headers=passed_headers(response.headers),
-        )
-        if self.state.leaving:
-            answer.force_close()
-        call.answer = answer
-        await answer.prepare(call.incoming)
-
-
-async def _read_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    try:
-        async for data in response.content.iter_any():
-            yield data
-    except SENT_ERRORS as error:
-        raise BrokenError(type(error).__name__) from error
-
-
-def _is_new(event: StreamEvent, last: str | None) -> bool:
-    """Return whether the caller does not have an event yet."""
-    if last is None or event.number is None or not last.isdecimal():
-        return True
-    return event.number > int(last)
+            raise CallError(_unsent(call, ErrorKind.UNAUTHENTICATED))
 
 
 def _unsent(call: ForwardCall, kind: ErrorKind) -> RequestError:
     """Return the error of a send that was held back, or what an earlier send left unknown."""
     return failure_of(call) if call.maybe_run else RequestError(kind)
-
-
-def passed_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
-    """Return the headers of an answer that go to the caller."""
-    named = {part.strip().lower() for part in headers.get("Connection", "").split(",")}
-    passed: CIMultiDict[str] = CIMultiDict()
-    for name, value in headers.items():
-        if name.lower() not in _HOP_HEADERS and name.lower() not in named:
-            passed.add(name, value)
-    return passed
