--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -285,6 +285,9 @@
 
     async def _read_body(self, incoming: web.BaseRequest, directory: ConfigDirectory) -> bytes:
         limit = directory.config.limits.max_body_bytes or MAX_BODY_BYTES
+        if incoming.headers.get("Expect", "").lower() == "100-continue":
+            await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            incoming.writer.output_size = 0
         pieces: list[bytes] = []
         size = 0
         try:
--- a/packages/burdockquay/src/burdockquay/tests/test_daemon.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_daemon.py
@@ -31,6 +31,7 @@
     [
         (["entry", "--settings", "/nonexistent"], 2, "cannot be read"),
         (["slot", "--settings=/nonexistent"], 2, "cannot be read"),
+        (["forwarder", "--settings", "/nonexistent"], 2, "cannot be read"),
         (["entry"], 2, "requires an argument"),
         (["entyr", "--settings", "/nonexistent"], 2, 'Did you mean "entry"?'),
         (["--version"], 0, "0.1.0"),
