Let late requests keep the urgency of their route, avoid upstreams without a place, undo abandoned starts

Change: the urgency sent is always the route's; late requests are only last in the forwarder's own queue. A caller that left between the start of its request and its notice left its tokens noted at the upstream for ever; a test fails without the change.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -18,6 +18,10 @@
 some twenty running requests at each engine, a fixed weight of 3 served 0.71, 0.72, 0.42 and 0.38 of
 the possible worth, 8 served 0.76, 0.73, 0.51 and 0.42, and 16 served 0.78, 0.74, 0.49 and 0.44."""
 
+FULL_COST_S = 1.0
+"""Cost of an upstream whose places are all taken, seconds: a request waits there until an answer of
+the usual length ends, while another upstream may have a place at once."""
+
 OVERDUE_SHARE = 0.5
 """Part of the age of the oldest unanswered request that counts as delay of a new one."""
 
@@ -97,6 +101,8 @@
         reread_s = model.reading_s(upstream, shared, now)
         cost = placement.first_token_s + answer_weight * placement.answer_s
         cost += (1 + READ_HARM * upstream.running(now)) * reread_s
+        if upstream.running(now) >= upstream.entry.places:
+            cost += FULL_COST_S
         if cost < best_cost:
             best, best_cost = placement, cost
     return best
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -92,11 +92,6 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    @property
-    def tokens(self) -> int:
-        """Prompt tokens that wait."""
-        return sum(item.demand.prompt.own_tokens for item in self._waiting)
-
     def add(self, waiting: WaitingPrompt) -> None:
         """Let a request wait."""
         self._waiting.append(waiting)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -108,6 +108,19 @@
     assert place(upstreams, short_prompt(), model, 0.0).upstream is not home
 
 
+def test_upstream_without_a_free_place_is_avoided(upstreams, model):
+    """All places of the home of a part are taken.
+
+    A request sent there waits until one of the answers ends.
+    """
+    home = place(upstreams, short_prompt(), model, 0.0).upstream
+    for upstream in upstreams:
+        upstream.outstanding = 7
+    assert place(upstreams, short_prompt(), model, 0.0).upstream is home
+    home.outstanding = 8
+    assert place(upstreams, short_prompt(), model, 0.0).upstream is not home
+
+
 def test_model_learns_the_pace_of_answers(make_upstream):
     model = EngineModel()
     upstream = make_upstream("a")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -35,9 +35,6 @@
 """Parts of the silence that callers bear, and of their patience, after which a request that has not
 started is refused: its caller can still come back in time for a late answer."""
 
-LATE_URGENCY = 9
-"""Urgency of a request that has missed its target: every other one goes first."""
-
 
 @attrs.define(eq=False)
 class SentPrompt:
@@ -104,8 +101,15 @@
         waiting = self._make_waiting(call)
         self.queue.add(waiting)
         self.look()
+        started = waiting.owner.started
         try:
-            return await waiting.owner.started
+            return await started
+        except asyncio.CancelledError:
+            # The caller may leave in the moment between the start and its notice. What was noted at
+            # the upstream would stay there for ever, and the upstream would seem ever slower.
+            if started.done() and not started.cancelled() and started.result() is not None:
+                self.ended(started.result())
+            raise
         finally:
             self.queue.remove(waiting)
 
@@ -149,8 +153,6 @@
             self._settle_all(None)
         while (start := self._take_start(now)) is not None:
             owner: _Owner = start.waiting.owner
-            if start.late:
-                owner.call.urgency = LATE_URGENCY
             owner.settle(self._note_sent(owner.call, start.placement, now))
         for waiting in self.queue.take_expired(now):
             waiting.owner.refuse(RequestError(ErrorKind.OVERLOADED, self._describe_load(now)))
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -0,0 +1,86 @@
+"""Prompts that wait for an upstream."""
+
+import asyncio
+
+import pytest
+from multidict import CIMultiDict
+
+from burdockquay_coordination.forwarding import (
+    ForwardRoute,
+    ListedUpstream,
+    Prompt,
+    RouteKind,
+    ServiceShare,
+    ServiceTargets,
+    UpstreamBook,
+    UpstreamChanges,
+)
+from burdockquay_protocol import ErrorKind
+from burdockquay_transport import SystemClock
+from burdockquay_transport._call_error import CallError
+from burdockquay_transport.forwarding._call import ForwardCall
+from burdockquay_transport.forwarding._dispatch import PromptDispatcher
+from burdockquay_transport.forwarding._platform import CallerRequest
+
+ROUTE = ForwardRoute(
+    "talk", "h", "/", RouteKind.STREAM, (ServiceShare("s", 1.0),), 5.0, 0.5, 1, 1, by_prompt=True
+)
+
+
+@pytest.fixture
+def book():
+    book = UpstreamBook()
+    entry = ListedUpstream("u", "s", "127.0.0.1", 1, "a", 8, False, 1)
+    book.apply(UpstreamChanges(True, (entry,)), 0.0)
+    return book
+
+
+@pytest.fixture
+def upstream(book):
+    return book.of_service("s")[0]
+
+
+@pytest.fixture
+def dispatcher(book):
+    targets = ServiceTargets(0.25, 0)
+    return PromptDispatcher("s", book, SystemClock(), lambda: targets, lambda ratio: None)
+
+
+def make_call(patience_s=5.0):
+    prompt = Prompt((("shared", 500), ("own", 100)), 40)
+    request = CallerRequest("id", "POST", "/x", "/x", "h", CIMultiDict(), prompt=prompt)
+    now = SystemClock().now()
+    return ForwardCall(None, request, ROUTE, "s", None, 1, b"", now, now + patience_s)
+
+
+async def test_caller_that_leaves_at_the_moment_of_its_start_leaves_nothing_behind(
+    dispatcher, upstream
+):
+    """A caller closes its connection just as its request is started.
+
+    What was noted at the upstream would stay there, and the upstream would be avoided for ever.
+    """
+    upstream.pending.add("other", 50_000, dispatcher.clock.now())
+    waiting = asyncio.create_task(dispatcher.start(make_call()))
+    await asyncio.sleep(0)
+    upstream.pending.remove("other")
+    dispatcher.look()
+    assert upstream.pending.own_tokens == 600
+    waiting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
+    assert upstream.pending.own_tokens == 0
+    assert len(dispatcher.queue) == 0
+
+
+async def test_request_that_finds_no_room_in_time_is_refused_with_the_load(dispatcher, upstream):
+    upstream.pending.add("other", 50_000, dispatcher.clock.now())
+    with pytest.raises(CallError) as refused:
+        await dispatcher.start(make_call(patience_s=0.2))
+    assert refused.value.error.kind is ErrorKind.OVERLOADED
+    assert "to read" in refused.value.error.detail
+
+
+async def test_service_without_upstreams_keeps_nobody_waiting(dispatcher, book):
+    book.apply(UpstreamChanges(True), 1.0)
+    assert await dispatcher.start(make_call()) is None
