--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -160,6 +160,7 @@
         for vm in removed:
             self._members.pop(vm, None)
         self._members |= listed
+        self.state.processes = len(self._members)
         for vm in removed | set(listed):
             self._link(vm)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -26,7 +26,8 @@
 good. The rest covers a send that is under way and readings of a store that lags by a second."""
 
 ASSUMED_PROCESSES = 10
-"""Processes among which the retries beyond the ratio are split."""
+"""Least number of processes among which the repeats beyond the ratio are split: a process may not
+know the others yet."""
 
 
 class ForwarderState:
@@ -57,6 +58,7 @@
         self.suspects = CrashSuspects()
         self.connections = UpstreamConnections()
         self.leaving = False
+        self.processes = 1
         self.figures = Figures()
         self.tell_crash: Callable[[str, list[str]], None] = lambda upstream, digests: None
         self._dispatchers: dict[str, PromptDispatcher] = {}
@@ -107,12 +109,12 @@
 
     def budget(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
+        settings = self.settings
         found = self._budgets.get(service)
         if found is None:
-            settings = self.settings
-            burst = settings.retry_burst / ASSUMED_PROCESSES
-            found = RetryWindow(settings.retry_ratio, burst, settings.retry_window_s)
+            found = RetryWindow(settings.retry_ratio, 0.0, settings.retry_window_s)
             self._budgets[service] = found
+        found.burst = settings.retry_burst / max(ASSUMED_PROCESSES, self.processes)
         return found
 
     def keys_trusted(self, now: float) -> bool:
