--- /dev/null
+++ b/benchmarks/_forwarder_path.py
@@ -0,0 +1,55 @@
+"""Cost of the path through a forwarder, against calling the upstream directly."""
+
+from __future__ import annotations
+
+import time
+
+import aiohttp
+
+from burdockquay_platform.tests.emulator import World, make_route, serve
+from burdockquay_platform.tests.experiment import (
+    Experiment,
+    Service,
+    start_forwarder,
+    stop_forwarders,
+)
+
+ROUTE = "look"
+
+
+async def measure_forwarder(pairs: int, warm_up: int) -> tuple[list[float], list[float]]:
+    """Send the same plain request to an upstream and through a forwarder, in turn.
+
+    Parameters
+    ----------
+    pairs, warm_up : int
+        Pairs that are measured, and pairs before them.
+
+    Returns
+    -------
+    tuple of two lists of float
+        Seconds of each direct request, and of each through the forwarder.
+    """
+    async with World([make_route(ROUTE)]) as world:
+        experiment = Experiment([Service(ROUTE, "safe", 1)], world=world)
+        upstream = await world.add_upstream(f"{ROUTE}-service", serve)
+        try:
+            await start_forwarder(experiment, 0)
+            ports = (upstream.port, experiment.ports[0])
+            timed = [
+                [await _time_one(world, port) for port in ports] for _ in range(warm_up + pairs)
+            ][warm_up:]
+        finally:
+            await stop_forwarders(experiment)
+    return [pair[0] for pair in timed], [pair[1] for pair in timed]
+
+
+async def _time_one(world: World, port: int) -> float:
+    session: aiohttp.ClientSession = world.session
+    start = time.perf_counter()
+    url = f"http://127.0.0.1:{port}/{ROUTE}/x"
+    async with session.get(url, headers=world.headers()) as response:
+        body = await response.read()
+    if (response.status, body) != (200, b"done"):
+        raise RuntimeError(f"{url}: expected a whole answer, got {response.status} {body!r}")
+    return time.perf_counter() - start
--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -1,7 +1,8 @@
 """Cost of the path through entry and slot, against calling the engines directly.
 
 Prints ``overhead_ms_p50`` and ``overhead_ms_p99`` of a short plain request, ``requests_per_s`` and
-``tokens_per_s`` through one entry process, and the direct figures of the same run.
+``tokens_per_s`` through one entry process, and the direct figures of the same run;
+``forwarder_overhead_ms_p50`` and ``forwarder_overhead_ms_p99`` of one through a forwarder.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import uvloop
 from _callers import PlannedCall, new_session, send
 from _closed_loop import LoopCounts, LoopPlan, run_processes
+from _forwarder_path import measure_forwarder
 from _harness import Cluster
 from _records import CHAT_PATH, api_key, class_route, organisation_record
 from _report import print_load_average, print_result, print_table, quantile
@@ -119,7 +121,8 @@
         plain = await measure_load(cluster, [entry], SHORT, PLAIN_CALLERS, "plain")
         stream_direct = await measure_load(cluster, engines, LONG, STREAM_CALLERS, "stream-direct")
         stream = await measure_load(cluster, [entry], LONG, STREAM_CALLERS, "stream")
-    report(direct, through, (plain_direct, plain), (stream_direct, stream))
+    forwarder = await measure_forwarder(PAIRS, WARM_UP_PAIRS)
+    report(direct, through, (plain_direct, plain), (stream_direct, stream), forwarder)
 
 
 def report(
@@ -127,9 +130,11 @@
     through: list[float],
     plain: tuple[LoopCounts, LoopCounts],
     stream: tuple[LoopCounts, LoopCounts],
+    forwarder: tuple[list[float], list[float]],
 ) -> None:
     """Print the figures."""
     overhead_ms = [(b - a) * 1000.0 for a, b in zip(direct, through, strict=True)]
+    forwarder_ms = [(b - a) * 1000.0 for a, b in zip(*forwarder, strict=True)]
     result = {
         "overhead_ms_p50": statistics.median(overhead_ms),
         "overhead_ms_p99": quantile(overhead_ms, 0.99),
@@ -137,6 +142,8 @@
         "tokens_per_s": stream[1].tokens / MEASURED_S,
         "direct_requests_per_s": plain[0].requests / MEASURED_S,
         "direct_tokens_per_s": stream[0].tokens / MEASURED_S,
+        "forwarder_overhead_ms_p50": statistics.median(forwarder_ms),
+        "forwarder_overhead_ms_p99": quantile(forwarder_ms, 0.99),
         "failed": sum(counts.failed for counts in (*plain, *stream)),
     }
     rows = [
@@ -147,6 +154,11 @@
         ("failed requests", plain[0].failed + stream[0].failed, plain[1].failed + stream[1].failed),
     ]
     print_table(f"{ENGINES} engines, one entry", ("figure", "direct", "through entry"), rows)
+    rows = [
+        ("plain request, ms (median)", *(statistics.median(x) * 1000 for x in forwarder)),
+        ("plain request, ms (p99)", *(quantile(x, 0.99) * 1000 for x in forwarder)),
+    ]
+    print_table("one upstream, one forwarder", ("figure", "direct", "through forwarder"), rows)
     print_load_average()
     print_result(result)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -131,6 +131,7 @@
             "revision": state.directory.config.version if state.directory else None,
             "configuration_age_s": state.lease.age(now),
             "upstreams": len(state.book),
+            "leaving_upstreams": sum(item.entry.leaving for item in state.book.all()),
             "peers": self._mesh.connected if self._mesh else 0,
         }
 
