--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -220,7 +220,7 @@
 def format_json_event(event: Event, fields: dict[str, Any]) -> str:
     """Return the line of an event as one JSON object, with the time of day.
 
-    Fields that are None are left out.
+    Fields that are None are left out. A field of the name of a common one is about another process.
     """
     moment = datetime.datetime.now(datetime.UTC)
     line = {
@@ -232,7 +232,7 @@
     line |= _form.common
     for name, value in fields.items():
         if value is not None:
-            line[name] = _plain_value(value)
+            line[f"peer_{name}" if name in _form.common else name] = _plain_value(value)
     return json.dumps(line, separators=(",", ":"))
 
 
