--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_log_pipe.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_log_pipe.py
@@ -105,7 +105,7 @@
 async def test_line_about_another_process_keeps_the_name_of_its_own(pipe_ends):
     """A process logs that a peer connected.
 
-    With the name of the peer in place of its own, the story of a request would miss what its process
+    With the name of the peer in place of its own, a story would miss what its process
     knew, and tell what others did instead.
     """
     handler = setup_json_logging("INFO", pipe_ends[1], vm="edge-1")
