--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -60,8 +60,6 @@
         Whether the requests carry prompts whose parts upstreams keep in memory.
     can_resume : bool
         Whether another upstream may go on with a stream that broke off.
-    event_gap_s : float or None
-        Longest pause between two events that is in time, seconds.
     silence_s : float or None
         Silence after which callers abandon a stream, seconds.
     """
@@ -78,7 +76,6 @@
     anonymous: bool = False
     by_prompt: bool = False
     can_resume: bool = False
-    event_gap_s: float | None = None
     silence_s: float | None = None
 
     @property
@@ -136,12 +133,9 @@
     Parameters
     ----------
     max_body_bytes : int or None
-    idle_s : float or None
-        How long a connection of a caller may be idle, seconds.
     """
 
     max_body_bytes: int | None = None
-    idle_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
@@ -7,8 +7,8 @@
 import attrs
 
 DEFAULT_TOKENS = 250_000
-"""Tokens that an upstream is taken to keep until it tells its size; of the order of present
-accelerators."""
+"""Tokens that an upstream is taken to keep, of the order of present accelerators. With too large a
+figure parts seem to be in memory that are read anew; with too small a one they are spread."""
 
 
 @attrs.frozen
