--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -144,6 +144,11 @@
     UPSTREAMS_CHANGED = (1904, "INFO", "The list of upstreams has changed.")
     MEMBER_NOT_REMOVED = (1907, "WARNING", "A leaving forwarder could not take out its entry.")
     MEMBER_FORGOTTEN = (1908, "NOTICE", "A forwarder was unreachable for long; its entry goes.")
+    MEMBERS_UNREACHABLE = (
+        1912,
+        "WARNING",
+        "The list of forwarders cannot be read or written; known ones stay connected.",
+    )
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration cannot be read and is left out.")
     CALL_SENT = (
         1911,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -129,6 +129,7 @@
         me = Member(self.identity.vm, self.identity.incarnation, self.listen)
         pause_s = RETRY_S[0]
         while isinstance(joined := await self._registry.join(me), Err):
+            log_event(Event.MEMBERS_UNREACHABLE, detail=joined.err().detail)
             await asyncio.sleep(pause_s * self.state.rng.uniform(0.5, 1.0))
             pause_s = min(2 * pause_s, RETRY_S[1])
         self._key = joined.ok()
@@ -148,6 +149,7 @@
         while True:
             read = await self._registry.next(MEMBERS_WAIT_S)
             if isinstance(read, Err):
+                log_event(Event.MEMBERS_UNREACHABLE, detail=read.err().detail)
                 await asyncio.sleep(self.state.rng.uniform(*RETRY_S))
                 continue
             self._take_members(read.ok())
@@ -157,13 +159,25 @@
         removed = set(changes.removed)
         if changes.whole:
             removed |= set(self._members) - set(listed)
+        changed = removed | {vm for vm, member in listed.items() if self._is_changed(member)}
         for vm in removed:
             self._members.pop(vm, None)
         self._members |= listed
         self.state.processes = len(self._members)
-        for vm in removed | set(listed):
+        for vm in changed:
             self._link(vm)
 
+    def _is_changed(self, member: Member) -> bool:
+        """Return whether a member must be connected to anew.
+
+        All are listed again when the history of the store has a gap. Connections that stand stay,
+        or all processes would know nothing of each other for a moment.
+        """
+        known = self._members.get(member.vm)
+        if known is None:
+            return True
+        return (known.incarnation, known.address) != (member.incarnation, member.address)
+
     def _link(self, vm: str) -> None:
         """Connect to a member. Of each two processes the one with the smaller name connects."""
         task = self._links.pop(vm, None)
@@ -200,7 +214,8 @@
                     return False
                 await self._converse(greeted.ok())
                 return True
-        except (OSError, TimeoutError, WebSocketException):
+        except (OSError, TimeoutError, WebSocketException) as error:
+            log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=type(error).__name__)
             return False
 
     async def _converse(self, peer: PeerConnection) -> None:
