Know an upstream that starts again under its id anew, and leave out entries that cannot be read

Change: ListedUpstream.started_ms and incarnation; the book replaces an upstream whose start is later and ignores late news of a former one; peers' figures, parts and crashes go by incarnation; runs of the former incarnation end at once and go on elsewhere where that is safe.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -25,7 +25,13 @@
 from ._prompts import Prompt, PromptMemory
 from ._return import OtherProcesses, return_after_s
 from ._suspects import CrashSuspects
-from ._upstreams import ListedUpstream, Upstream, UpstreamBook, UpstreamChanges
+from ._upstreams import (
+    ListedUpstream,
+    UnreadableEntry,
+    Upstream,
+    UpstreamBook,
+    UpstreamChanges,
+)
 from ._urgency import SHORT_SHARE, UrgencyScale
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
@@ -55,6 +61,7 @@
     "ServiceTargets",
     "SpeedFactor",
     "Start",
+    "UnreadableEntry",
     "Upstream",
     "UpstreamBook",
     "UpstreamChanges",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_suspects.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_suspects.py
@@ -17,6 +17,8 @@
 class CrashSuspects:
     """Counts on how many upstreams each request was running when they went down.
 
+    An upstream that starts again under its id can go down once more, so that incarnations count.
+
     A request can crash every upstream that starts it, and its caller sends it again. Without a
     limit it takes the fleet down one upstream after another. An answer that breaks off is no crash
     by itself: only if the upstream is then found to be down do the requests that broke there count.
@@ -26,11 +28,11 @@
         self._broken: dict[str, list[tuple[float, str]]] = {}
         self._crashed: dict[str, tuple[float, frozenset[str]]] = {}
 
-    def note_break(self, digest: str, upstream_id: str, now: float) -> None:
+    def note_break(self, digest: str, incarnation: str, now: float) -> None:
         """Note that an upstream broke off a request."""
-        self._broken.setdefault(upstream_id, []).append((now, digest))
+        self._broken.setdefault(incarnation, []).append((now, digest))
 
-    def note_down(self, upstream_id: str, now: float) -> list[str]:
+    def note_down(self, incarnation: str, now: float) -> list[str]:
         """Note that an upstream is down: it refuses connections, or its entry is gone.
 
         Returns
@@ -38,16 +40,16 @@
         list of str
             Digests of the requests that broke off there a short time ago.
         """
-        broken = self._broken.pop(upstream_id, [])
+        broken = self._broken.pop(incarnation, [])
         digests = [digest for at, digest in broken if now - at <= LINK_S]
         for digest in digests:
-            self.note_crash(digest, upstream_id, now)
+            self.note_crash(digest, incarnation, now)
         return digests
 
-    def note_crash(self, digest: str, upstream_id: str, now: float) -> None:
+    def note_crash(self, digest: str, incarnation: str, now: float) -> None:
         """Note that a request was running at an upstream that went down."""
         _, ids = self._crashed.get(digest, (now, frozenset()))
-        self._crashed[digest] = (now, ids | {upstream_id})
+        self._crashed[digest] = (now, ids | {incarnation})
 
     def crashes(self, digest: str) -> int:
         """Return how many upstreams went down under a request."""
@@ -62,6 +64,6 @@
         old = [digest for digest, (at, _) in self._crashed.items() if at < now - KEEP_S]
         for digest in old:
             del self._crashed[digest]
-        for upstream_id, breaks in list(self._broken.items()):
+        for incarnation, breaks in list(self._broken.items()):
             if breaks[-1][0] < now - LINK_S:
-                del self._broken[upstream_id]
+                del self._broken[incarnation]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -35,7 +35,7 @@
     Parameters
     ----------
     id : str
-        Names one incarnation: an upstream that restarts has another id.
+        Stays the same when the upstream starts again.
     service : str
     host, port
     failure_domain : str
@@ -45,6 +45,8 @@
         Whether it takes no new work.
     revision : int
         Grows with each change of the entry.
+    started_ms : int or None
+        When it started, Unix milliseconds; None if the entry does not say.
     """
 
     id: str
@@ -55,6 +57,26 @@
     places: int
     leaving: bool
     revision: int
+    started_ms: int | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Names one run of the process: another one knows nothing of the requests of this one."""
+        return self.id if self.started_ms is None else f"{self.id}@{self.started_ms}"
+
+
+@attrs.frozen
+class UnreadableEntry:
+    """An entry of the list that cannot be read, as another writer may leave one.
+
+    Parameters
+    ----------
+    id : str
+    revision : int
+    """
+
+    id: str
+    revision: int
 
 
 @attrs.frozen
@@ -68,11 +90,13 @@
     listed : tuple of ListedUpstream
     removed : tuple of str
         Ids whose entries are gone.
+    unreadable : tuple of UnreadableEntry
     """
 
     whole: bool
     listed: tuple[ListedUpstream, ...] = ()
     removed: tuple[str, ...] = ()
+    unreadable: tuple[UnreadableEntry, ...] = ()
 
 
 class Upstream:
@@ -92,6 +116,8 @@
         self.reading = SpeedFactor()
         self.writing = SpeedFactor()
         self.gone = False
+        self.ended = False
+        self._run_enders: set[Callable[[], None]] = set()
         self._failure_share = 0.0
         self._seen_at = 0.0
         self._suspended_until = float("-inf")
@@ -99,9 +125,14 @@
 
     @property
     def id(self) -> str:
-        """Id of the incarnation."""
+        """Id, which it keeps when it starts again."""
         return self.entry.id
 
+    @property
+    def incarnation(self) -> str:
+        """Names the run of its process that this is known of."""
+        return self.entry.incarnation
+
     @property
     def address(self) -> str:
         """Host and port."""
@@ -131,6 +162,26 @@
         """Return whether the list says that new requests may be sent."""
         return not (self.gone or self.entry.leaving)
 
+    def add_run(self, end: Callable[[], None]) -> None:
+        """Note a request that was sent, and how it is ended if the upstream starts again."""
+        self._run_enders.add(end)
+
+    def remove_run(self, end: Callable[[], None]) -> None:
+        """Note that a request is over."""
+        self._run_enders.discard(end)
+
+    def note_ended(self) -> None:
+        """Note that this run of its process is over: a later one has taken its place.
+
+        The connections of its requests may stay silent, as behind a cut link. Their callers would
+        wait for the kernel to give up, seconds later, for answers that cannot come any more.
+        """
+        self.gone = True
+        self.ended = True
+        enders, self._run_enders = self._run_enders, set()
+        for end in enders:
+            end()
+
     def suspended(self, now: float) -> bool:
         """Return whether it failed to answer a short time ago."""
         return now < self._suspended_until
@@ -184,6 +235,9 @@
     def __len__(self) -> int:
         return len(self._upstreams)
 
+    def __contains__(self, id_: object) -> bool:
+        return id_ in self._upstreams
+
     def all(self) -> Collection[Upstream]:
         """Return all upstreams."""
         return self._upstreams.values()
@@ -196,17 +250,31 @@
         """Note that the list could not be read."""
         self._steady_at = now + RETURN_WAIT_S
 
-    def apply(self, changes: UpstreamChanges, now: float) -> None:
-        """Take over a reading of the list."""
+    def apply(self, changes: UpstreamChanges, now: float) -> list[str]:
+        """Take over a reading of the list.
+
+        Returns
+        -------
+        list of str
+            Incarnations that are over: their entries are gone, or they started again.
+        """
+        over = [self._upstreams[id_].incarnation for id_ in changes.removed if id_ in self]
+        for unreadable in changes.unreadable:
+            self._hold_back(unreadable)
         for entry in changes.listed:
-            self._list(entry)
+            replaced = self._list(entry)
+            if replaced is not None:
+                replaced.note_ended()
+                over.append(replaced.incarnation)
         removed: Iterable[str] = changes.removed
         if changes.whole:
-            removed = set(self._upstreams) - {entry.id for entry in changes.listed}
+            present = (*changes.listed, *changes.unreadable)
+            removed = set(self._upstreams) - {entry.id for entry in present}
         for id_ in removed:
             if id_ in self._upstreams:
                 self._vanished[id_] = None
         self.settle(now)
+        return over
 
     def settle(self, now: float) -> None:
         """Drop vanished entries once the list can be trusted."""
@@ -223,11 +291,49 @@
         """Forget an upstream whose address answered under another id."""
         upstream.gone = True
 
-    def _list(self, entry: ListedUpstream) -> None:
-        self._vanished.pop(entry.id, None)
+    def _hold_back(self, unreadable: UnreadableEntry) -> None:
+        """Send no new work to an upstream whose entry cannot be read any more.
+
+        What is known of it may be wrong by now. Its requests go on, as they do where one leaves.
+        """
+        known = self._upstreams.get(unreadable.id)
+        if known is not None and unreadable.revision >= known.entry.revision:
+            known.entry = attrs.evolve(known.entry, leaving=True, revision=unreadable.revision)
+
+    def _list(self, entry: ListedUpstream) -> Upstream | None:
+        """Take over an entry; return the incarnation that it replaces, None if it replaces none."""
         known = self._upstreams.get(entry.id)
         if known is None:
-            known = self._upstreams[entry.id] = Upstream(entry)
+            self._add(entry)
+            return None
+        order = _compare_starts(entry.started_ms, known.entry.started_ms)
+        if order < 0:
+            # News of a former incarnation that comes late says nothing of the present one.
+            return None
+        self._vanished.pop(entry.id, None)
+        if order > 0:
+            self._by_service[known.entry.service].remove(known)
+            self._add(entry)
+            return known
+        if entry.revision >= known.entry.revision:
+            self._by_service[known.entry.service].remove(known)
+            known.entry = attrs.evolve(entry, started_ms=known.entry.started_ms)
             self._by_service.setdefault(entry.service, []).append(known)
-        elif entry.revision >= known.entry.revision:
-            known.entry = entry
+        return None
+
+    def _add(self, entry: ListedUpstream) -> None:
+        self._vanished.pop(entry.id, None)
+        added = self._upstreams[entry.id] = Upstream(entry)
+        self._by_service.setdefault(entry.service, []).append(added)
+
+
+def _compare_starts(listed_ms: int | None, known_ms: int | None) -> int:
+    """Return 1 if an entry is of a later incarnation than the known one, 0 of the same, -1 before.
+
+    An entry without a start goes on with the known incarnation. One that says it for the first time
+    cannot be shown to be of the same incarnation, so that it begins a new one: to forget what is
+    known of a warm upstream costs little, to go on with what a former one held misleads.
+    """
+    if listed_ms is None or listed_ms == known_ms:
+        return 0
+    return 1 if known_ms is None or listed_ms > known_ms else -1
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
@@ -2,17 +2,21 @@
 
 import random
 
+import attrs
+import pytest
+
 from burdockquay_coordination.forwarding import (
     CrashSuspects,
     ListedUpstream,
+    UnreadableEntry,
     UpstreamBook,
     UpstreamChanges,
     choose_upstream,
 )
 
 
-def entry(id_, revision=1, leaving=False):
-    return ListedUpstream(id_, "s", "10.0.0.1", 80, "a", 8, leaving, revision)
+def entry(id_, revision=1, leaving=False, started_ms=None):
+    return ListedUpstream(id_, "s", "10.0.0.1", 80, "a", 8, leaving, revision, started_ms)
 
 
 def listed(book):
@@ -109,3 +113,98 @@
     suspects = CrashSuspects()
     suspects.note_break("digest", "a", 0.0)
     assert suspects.note_down("a", 10.0) == []
+
+
+def test_upstream_that_started_again_under_its_id_is_known_anew():
+    """An upstream crashes and starts again under the id it had.
+
+    Its memory is empty and what ran there is lost, but requests would be sent there for the prompt
+    parts that it held, and count as running for ever.
+    """
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a", 1, started_ms=100),)), 0.0)
+    former = book.of_service("s")[0]
+    former.memory.note("part", 500)
+    former.outstanding = 3
+    ended = []
+    former.add_run(lambda: ended.append("run"))
+    over = book.apply(UpstreamChanges(False, (entry("a", 2, started_ms=200),)), 1.0)
+    (present,) = book.of_service("s")
+    assert over == ["a@100"] and ended == ["run"]
+    assert not former.takes_work() and former.ended
+    assert present.takes_work() and not present.memory.holds("part") and present.running(1.0) == 0
+
+
+@pytest.mark.parametrize("revision", [1, 9])
+def test_late_news_of_a_former_incarnation_changes_nothing(revision):
+    """A write of the former incarnation is done after that of the present one.
+
+    The present upstream would be taken for the former one, which is down.
+    """
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a", 5, started_ms=200),)), 0.0)
+    late = entry("a", revision, leaving=True, started_ms=100)
+    assert book.apply(UpstreamChanges(False, (late,)), 1.0) == []
+    (present,) = book.of_service("s")
+    assert present.takes_work() and present.incarnation == "a@200"
+
+
+def test_entry_without_a_start_goes_on_with_the_known_incarnation():
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a", 1, started_ms=100),)), 0.0)
+    (known,) = book.of_service("s")
+    book.apply(UpstreamChanges(False, (entry("a", 2),)), 1.0)
+    assert book.of_service("s") == [known] and known.incarnation == "a@100"
+
+
+def test_first_start_that_an_entry_names_begins_a_new_incarnation():
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a", 1),)), 0.0)
+    assert book.apply(UpstreamChanges(False, (entry("a", 2, started_ms=100),)), 1.0) == ["a"]
+
+
+def test_upstream_moves_to_the_service_that_its_entry_names():
+    """The same id is listed under another service.
+
+    Requests of the former service would go on to it.
+    """
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a"),)), 0.0)
+    book.apply(UpstreamChanges(False, (attrs.evolve(entry("a", 2), service="t"),)), 1.0)
+    assert listed(book) == [] and [item.id for item in book.of_service("t")] == ["a"]
+    book.apply(UpstreamChanges(False, removed=("a",)), 2.0)
+    assert book.of_service("t") == []
+
+
+def test_entry_that_cannot_be_read_any_more_gets_no_work_until_it_can():
+    """Another writer overwrites the entry of an upstream with something else.
+
+    Requests would go to an address that may be of anything by now.
+    """
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a"), entry("b"))), 0.0)
+    book.apply(UpstreamChanges(False, unreadable=(UnreadableEntry("a", 3),)), 1.0)
+    assert [item.id for item in book.of_service("s") if item.takes_work()] == ["b"]
+    book.apply(UpstreamChanges(False, (entry("a", 2),)), 2.0)
+    assert [item.id for item in book.of_service("s") if item.takes_work()] == ["b"]
+    book.apply(UpstreamChanges(False, (entry("a", 4),)), 3.0)
+    assert sorted(item.id for item in book.of_service("s") if item.takes_work()) == ["a", "b"]
+
+
+def test_whole_reading_with_an_unreadable_entry_keeps_the_upstream_on_the_list():
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a"), entry("b"))), 0.0)
+    book.apply(UpstreamChanges(True, (entry("b"),), unreadable=(UnreadableEntry("a", 3),)), 1.0)
+    assert listed(book) == ["a", "b"]
+
+
+def test_request_that_crashes_an_upstream_twice_under_one_id_is_refused():
+    """A request crashes an upstream, which starts again under its id and runs the request again.
+
+    Counted by id that is one crash, and the request would take down one upstream after another.
+    """
+    suspects = CrashSuspects()
+    for incarnation in ("a@100", "a@200"):
+        suspects.note_break("culprit", incarnation, 1.0)
+        suspects.note_down(incarnation, 1.1)
+    assert suspects.is_refused("culprit", 1.2)
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -28,6 +28,7 @@
     Parameters
     ----------
     upstream : str
+        Incarnation of the upstream.
     prompt_tokens : int
         Prompt tokens whose first answer token has not come.
     running : int
@@ -58,6 +59,7 @@
     Parameters
     ----------
     upstream : str
+        Incarnation of the upstream.
     digests : list of str
         Digests of these requests.
     """
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -129,9 +129,11 @@
             return
         if call.answer is None:
             await self._begin(call, response)
-        await call.answer.write(b"".join(event.data for event in fresh))
+        # The library buffers the events before it waits for a slow caller. A run that is ended in
+        # that wait goes on elsewhere, and must not repeat what the caller is about to get.
         for event in fresh:
             call.last_event = event.id or call.last_event
+        await call.answer.write(b"".join(event.data for event in fresh))
 
     async def _begin(self, call: ForwardCall, response: aiohttp.ClientResponse) -> None:
         """Write the head of a stream to the caller; only now is it too late for another answer."""
@@ -163,7 +165,7 @@
     """
     call.maybe_run = True
     if crashed:
-        state.suspects.note_break(call.digest, upstream.id, state.clock.now())
+        state.suspects.note_break(call.digest, upstream.incarnation, state.clock.now())
     return Broke(upstream, reason, crashed=crashed)
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -89,16 +89,18 @@
             continue
         pauses.note_success()
         changes = read.ok()
-        state.book.apply(changes, now)
+        over = state.book.apply(changes, now)
         state.note_read("upstreams")
-        for id_ in changes.removed:
-            state.note_down(id_)
-        if changes.listed or changes.removed:
+        for incarnation in over:
+            state.note_down(incarnation)
+        if changes.listed or changes.removed or changes.unreadable:
             log_event(
                 Event.UPSTREAMS_CHANGED,
-                listed=",".join(entry.id for entry in changes.listed),
+                listed=",".join(entry.incarnation for entry in changes.listed),
                 leaving=",".join(entry.id for entry in changes.listed if entry.leaving),
                 removed=",".join(changes.removed),
+                unreadable=",".join(entry.id for entry in changes.unreadable),
+                over=",".join(over),
                 known=len(state.book),
             )
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -143,9 +143,9 @@
         if self._server is not None:
             await self._server.close()
 
-    def tell_crash(self, upstream: str, digests: list[str]) -> None:
+    def tell_crash(self, incarnation: str, digests: list[str]) -> None:
         """Tell all others which requests ran at an upstream that went down."""
-        self._post(UpstreamCrash(upstream, digests))
+        self._post(UpstreamCrash(incarnation, digests))
 
     async def _join(self) -> None:
         me = Member(self.identity.vm, self.identity.incarnation, self.listen)
@@ -291,9 +291,11 @@
 
     def _hear_loads(self, peer: PeerConnection, message: UpstreamLoads) -> None:
         now = self.state.clock.now()
+        # Processes hear that an upstream started again at different moments. Figures and parts of
+        # another incarnation than the one known here are not of it.
         told = {load.upstream: load for load in message.loads}
         for upstream in self.state.book.all():
-            load = told.get(upstream.id)
+            load = told.get(upstream.incarnation)
             share = LoadShare(load.prompt_tokens, load.running) if load else _NOTHING
             upstream.pending.hear(peer.peer.incarnation, share, now)
             for part in load.parts if load else ():
@@ -310,7 +312,8 @@
 
 def _describe_load(upstream: Upstream) -> UpstreamLoad:
     parts = [PromptPart(id_, tokens) for id_, tokens in upstream.take_untold_parts().items()]
-    return UpstreamLoad(upstream.id, upstream.pending.own_tokens, upstream.outstanding, parts)
+    own = upstream.pending.own_tokens
+    return UpstreamLoad(upstream.incarnation, own, upstream.outstanding, parts)
 
 
 _NOTHING = LoadShare(0, 0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 import aiohttp
 from aiohttp import web
@@ -151,7 +153,7 @@
         is_down = isinstance(outcome, NotSent) or await self._went_down(outcome)
         if is_down:
             upstream.note_unreachable(now)
-            self.state.note_down(upstream.id)
+            self.state.note_down(upstream.incarnation)
         return is_down
 
     async def _went_down(self, outcome: Outcome) -> bool:
@@ -162,6 +164,8 @@
         """
         if not isinstance(outcome, Broke) or not outcome.crashed:
             return False
+        if outcome.upstream.ended:
+            return True
         return not await accepts_connections(outcome.upstream.entry)
 
     def _may_repeat(self, call: ForwardCall, outcome: Outcome) -> bool:
@@ -195,10 +199,11 @@
         upstream.outstanding += 1
         response: aiohttp.ClientResponse | None = None
         try:
-            async with asyncio.timeout(self._turn_s(call)):
-                response = await self.state.connections.send(send)
-            call.sends += 1
-            return await self._taker.take(call, upstream, response)
+            async with _until_ended(upstream):
+                async with asyncio.timeout(self._turn_s(call)):
+                    response = await self.state.connections.send(send)
+                call.sends += 1
+                return await self._taker.take(call, upstream, response)
         except NotSentError as error:
             call.unreachable += 1
             return NotSent(upstream, str(error))
@@ -209,6 +214,8 @@
             if self._remaining(call) <= 0:
                 raise
             call.sends += response is None
+            if upstream.ended:
+                return broke(self.state, call, upstream, "started again")
             return broke(self.state, call, upstream, "silent", crashed=False)
         except asyncio.CancelledError:
             # A deadline or a caller that left ends the call here; whether it ran is not known.
@@ -317,6 +324,22 @@
             raise CallError(_unsent(call, ErrorKind.UNAUTHENTICATED))
 
 
+@contextlib.asynccontextmanager
+async def _until_ended(upstream: Upstream) -> AsyncIterator[None]:
+    """Raise TimeoutError in the body once the upstream has started again."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as turn:
+
+        def end() -> None:
+            turn.reschedule(loop.time())
+
+        upstream.add_run(end)
+        try:
+            yield
+        finally:
+            upstream.remove_run(end)
+
+
 def _source_of(call: ForwardCall) -> str | None:
     """Return the address that prompt parts are fetched from, None if none are."""
     source = call.sent.placement.source if call.sent else None
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -71,7 +71,7 @@
         self.leaving = False
         self.processes = 1
         self.figures = Figures()
-        self.tell_crash: Callable[[str, list[str]], None] = lambda upstream, digests: None
+        self.tell_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self._unread = set(FIRST_READS)
         self._knows_all = asyncio.Event()
         self._dispatchers: dict[str, PromptDispatcher] = {}
@@ -137,11 +137,11 @@
         for dispatcher in self._dispatchers.values():
             dispatcher.look()
 
-    def note_down(self, upstream_id: str) -> None:
+    def note_down(self, incarnation: str) -> None:
         """Note that an upstream is down, and tell the other processes what ran there."""
-        digests = self.suspects.note_down(upstream_id, self.clock.now())
+        digests = self.suspects.note_down(incarnation, self.clock.now())
         if digests:
-            self.tell_crash(upstream_id, digests)
+            self.tell_crash(incarnation, digests)
 
     def budget(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
