--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -97,6 +97,7 @@
         self.model = EngineModel(switches)
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = 0.0
         self._next_look_at = float("-inf")
 
     async def start(self, call: ForwardCall) -> SentPrompt | None:
@@ -197,10 +198,12 @@
     def _come_back(self, delay_s: float) -> None:
         """Look again after a delay at the latest."""
         loop = asyncio.get_running_loop()
-        if self._timer is not None and self._timer.when() <= loop.time() + delay_s:
-            return
+        due = loop.time() + delay_s
         if self._timer is not None:
+            if self._timer_due <= due:
+                return
             self._timer.cancel()
+        self._timer_due = due
         self._timer = loop.call_later(delay_s, self._look_again)
 
     def _look_again(self) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 from multidict import CIMultiDict
 
 from burdockquay_coordination.forwarding import (
@@ -138,3 +139,21 @@
     async with asyncio.timeout(5):
         sent = await waiting
     assert sent.placement.upstream is upstream
+
+
+def test_looks_are_planned_anew_on_the_loop_that_processes_run_on(dispatcher, upstream):
+    """Something changes while a later look is planned, on the event loop of the daemons.
+
+    Its timers know less than those of the standard library; requests got an internal error.
+    """
+
+    async def wait_twice():
+        upstream.pending.add("other", 50_000, dispatcher.clock.now())
+        calls = [make_call(patience_s=0.2) for _ in range(2)]
+        first = asyncio.create_task(dispatcher.start(calls[0]))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(dispatcher.start(calls[1]))
+        return await asyncio.gather(first, second, return_exceptions=True)
+
+    failures = uvloop.run(wait_twice())
+    assert [failure.error.kind for failure in failures] == [ErrorKind.OVERLOADED] * 2
