Take the memory of upstreams from the configuration, and log the longest pause of each stream

The pause and the targets in call_ended tell whether a stream was late by its first event or was written too slowly.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -13,6 +13,7 @@
     ForwardConfig,
     ForwardRoute,
     RouteKind,
+    ServiceMemory,
     ServiceShare,
     ServiceTargets,
 )
@@ -59,6 +60,7 @@
     "RetryWindow",
     "SHORT_SHARE",
     "RouteKind",
+    "ServiceMemory",
     "ServiceShare",
     "ServiceTargets",
     "SpeedFactor",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -62,6 +62,8 @@
         Whether another upstream may go on with a stream that broke off.
     silence_s : float or None
         Silence after which callers abandon a stream, seconds.
+    pause_target_s : float or None
+        Longest pause between two events with which a stream is in time, seconds.
     """
 
     name: str
@@ -77,6 +79,7 @@
     by_prompt: bool = False
     can_resume: bool = False
     silence_s: float | None = None
+    pause_target_s: float | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -138,6 +141,21 @@
     max_body_bytes: int | None = None
 
 
+@attrs.frozen
+class ServiceMemory:
+    """How much the upstreams of a service keep in memory.
+
+    Parameters
+    ----------
+    service : str
+    tokens : int
+        For running requests and prompt parts together.
+    """
+
+    service: str
+    tokens: int
+
+
 @attrs.frozen
 class ForwardConfig:
     """One version of the whole configuration.
@@ -150,9 +168,12 @@
     organisations : tuple of CallerOrganisation or None
         None where requests need no key at all.
     limits : CallerLimits
+    memories : tuple of ServiceMemory
+        Of the services whose upstreams keep prompt parts.
     """
 
     version: int
     routes: tuple[ForwardRoute, ...]
     organisations: tuple[CallerOrganisation, ...] | None = None
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    memories: tuple[ServiceMemory, ...] = ()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
@@ -7,8 +7,9 @@
 import attrs
 
 DEFAULT_TOKENS = 250_000
-"""Tokens that an upstream is taken to keep, of the order of present accelerators. With too large a
-figure parts seem to be in memory that are read anew; with too small a one they are spread."""
+"""Tokens that an upstream is taken to keep where the configuration does not say, of the order of
+present accelerators. With too large a figure parts seem to be in memory that are read anew; with
+too small a one they are spread."""
 
 
 @attrs.frozen
@@ -52,7 +53,7 @@
     Examples
     --------
     >>> memory = PromptMemory()
-    >>> memory.capacity = 1000
+    >>> memory.set_capacity(1000)
     >>> memory.note("a", 600)
     >>> memory.note("b", 600)
     >>> memory.holds("a"), memory.holds("b")
@@ -60,15 +61,28 @@
     """
 
     def __init__(self):
-        self.capacity = DEFAULT_TOKENS
+        self._capacity = DEFAULT_TOKENS
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
 
+    @property
+    def capacity(self) -> int:
+        """Tokens that the upstream keeps."""
+        return self._capacity
+
+    def set_capacity(self, tokens: int) -> None:
+        """Take over how many tokens the upstream keeps."""
+        self._capacity = tokens
+        self._drop_beyond()
+
     def note(self, part: str, tokens: int) -> None:
         """Note that a part is read there, or was found in memory."""
         self._tokens += tokens - self._parts.pop(part, 0)
         self._parts[part] = tokens
-        while self._tokens > self.capacity and len(self._parts) > 1:
+        self._drop_beyond()
+
+    def _drop_beyond(self) -> None:
+        while self._tokens > self._capacity and len(self._parts) > 1:
             _, dropped = self._parts.popitem(last=False)
             self._tokens -= dropped
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
@@ -231,6 +231,7 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._vanished: dict[str, None] = {}
         self._steady_at = float("-inf")
+        self._memories: Mapping[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -246,6 +247,16 @@
         """Return the upstreams of a service, also those that take no work."""
         return self._by_service.get(service, [])
 
+    def set_memories(self, memories: Mapping[str, int]) -> None:
+        """Take over how many tokens the upstreams of each service keep in memory.
+
+        Without it all were taken to keep 250,000. Where they keep more, parts that are there seem
+        to be gone, and are read again or fetched elsewhere; where they keep less, the reverse.
+        """
+        self._memories = memories
+        for upstream in self._upstreams.values():
+            self._size_memory(upstream)
+
     def note_trouble(self, now: float) -> None:
         """Note that the list could not be read."""
         self._steady_at = now + RETURN_WAIT_S
@@ -324,8 +335,14 @@
     def _add(self, entry: ListedUpstream) -> None:
         self._vanished.pop(entry.id, None)
         added = self._upstreams[entry.id] = Upstream(entry)
+        self._size_memory(added)
         self._by_service.setdefault(entry.service, []).append(added)
 
+    def _size_memory(self, upstream: Upstream) -> None:
+        tokens = self._memories.get(upstream.entry.service)
+        if tokens is not None:
+            upstream.memory.set_capacity(tokens)
+
 
 def _compare_starts(listed_ms: int | None, known_ms: int | None) -> int:
     """Return 1 if an entry is of a later incarnation than the known one, 0 of the same, -1 before.
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -258,7 +258,7 @@
 
 def test_part_stays_in_memory_until_others_have_pushed_it_out():
     memory = PromptMemory()
-    memory.capacity = 10_000
+    memory.set_capacity(10_000)
     memory.note("a", 4000)
     memory.note("b", 4000)
     memory.note("a", 4000)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
@@ -208,3 +208,20 @@
         suspects.note_break("culprit", incarnation, 1.0)
         suspects.note_down(incarnation, 1.1)
     assert suspects.is_refused("culprit", 1.2)
+
+
+def test_memory_of_upstreams_is_as_large_as_the_configuration_says():
+    """Engines keep twice as much as a usual one.
+
+    Parts that are there would be taken for gone, and read again elsewhere.
+    """
+    book = UpstreamBook()
+    book.apply(UpstreamChanges(True, (entry("a"),)), 0.0)
+    book.set_memories({"s": 500_000})
+    book.apply(UpstreamChanges(False, (entry("b"),)), 1.0)
+    for upstream in book.of_service("s"):
+        upstream.memory.note("old", 200_000)
+        upstream.memory.note("new", 200_000)
+        assert upstream.memory.holds("old")
+    book.set_memories({"s": 300_000})
+    assert not book.of_service("s")[0].memory.holds("old")
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -150,6 +150,7 @@
         "The list of forwarders cannot be read or written; known ones stay connected.",
     )
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration cannot be read and is left out.")
+    SERVICE_FAULT = (1914, "ERROR", "What the configuration says of a service cannot be read.")
     CALL_SENT = (
         1911,
         "INFO",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -99,9 +99,10 @@
         async for data in _read_pieces(response):
             events = splitter.feed(data)
             count += len(events)
-            if events and first_at is None:
-                first_at = self.state.clock.now()
-                call.first_at = call.first_at or first_at
+            if events:
+                now = self.state.clock.now()
+                call.note_events(now)
+                first_at = first_at or now
             await self._pass_on(call, events, response)
         check_end(protocol)
         if splitter.rest:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -52,6 +52,10 @@
         Where the run goes on from such a copy.
     first_at : float or None
         When its first event came.
+    event_at : float or None
+        When its newest event came.
+    longest_pause_s : float
+        Longest time between two of its events, seconds.
     sent : SentPrompt or None
         The prompt at its upstream, until the first token.
     """
@@ -75,8 +79,18 @@
     backup: Upstream | None = None
     goes_on_at: Upstream | None = None
     first_at: float | None = None
+    event_at: float | None = None
+    longest_pause_s: float = 0.0
     sent: SentPrompt | None = None
 
+    def note_events(self, now: float) -> None:
+        """Note that events came."""
+        if self.event_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.event_at)
+        self.event_at = now
+
     @property
     def class_labels(self) -> tuple[str, str]:
         """Kind of the route and urgency, by which figures are kept apart."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -240,6 +240,9 @@
             last_event=call.last_event,
             first_s=None if call.first_at is None else call.first_at - call.started,
             seconds=seconds,
+            longest_pause_s=call.longest_pause_s if call.event_at is not None else None,
+            target_s=call.route.target_s,
+            pause_target_s=call.route.pause_target_s,
         )
 
     async def _admit(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -108,6 +108,7 @@
         if self.directory is not None and config.version <= self.directory.config.version:
             return False
         self.directory = ConfigDirectory(config)
+        self.book.set_memories({item.service: item.tokens for item in config.memories})
         return True
 
     def dispatcher(self, service: str) -> PromptDispatcher:
