Fetch prompt parts only from upstreams that have read them

Cause: a part counted as held from the moment a request for it was sent. In a burst, and at the start of a process, other upstreams were told to fetch it from where it was still being read, found nothing and read it once more; peers believed the same. Change: parts on their way count for the home, not as a source; peers hear of them once they are read; a request that ends before its first token takes its claim back.

--- a/benchmarks/bench_policy.py
+++ b/benchmarks/bench_policy.py
@@ -213,7 +213,7 @@
             self.sent[request.id] = Sent(now, ahead + placement.tokens, placement)
             upstream.pending.add(str(request.id), placement.tokens, now)
             upstream.outstanding += 1
-            upstream.note_prompt(request.prompt)
+            upstream.note_sent(request.prompt)
             level = self.scale.level(request.urgency, placement.is_short)
             by_upstream[upstream].send(request, level, by_upstream.get(placement.source))
         self.waiting.take_expired(now)
@@ -227,6 +227,7 @@
         self.model.learn_first_token(
             upstream, sent.tokens, seconds, now, placement.fetched_tokens, placement.is_short
         )
+        upstream.note_prompt(request.prompt)
         upstream.pending.remove(str(request.id))
         upstream.outstanding -= 1
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -218,10 +218,11 @@
     """
     first = prompt.parts[0][0]
     held = [
-        Holder(item, item.memory.missing(prompt))
+        Holder(item, item.memory.unread(prompt))
         for item in upstreams
         if item.memory.holds(first) and not item.gone and not item.suspended(now)
     ]
+    held = [holder for holder in held if holder.missing < prompt.tokens]
     return sorted(held, key=lambda holder: (holder.missing, holder.upstream.id))
 
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
@@ -38,6 +38,10 @@
         """Tokens of all parts."""
         return sum(tokens for _, tokens in self.parts)
 
+    def tokens_from(self, position: int) -> int:
+        """Return the tokens of the part at a position and of all behind it."""
+        return sum(tokens for _, tokens in self.parts[position:])
+
     @property
     def own_tokens(self) -> int:
         """Tokens of the last part."""
@@ -64,6 +68,8 @@
         self._capacity = DEFAULT_TOKENS
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
+        # How many requests are on their way that will read a part.
+        self._coming: dict[str, int] = {}
 
     @property
     def capacity(self) -> int:
@@ -76,23 +82,58 @@
         self._drop_beyond()
 
     def note(self, part: str, tokens: int) -> None:
-        """Note that a part is read there, or was found in memory."""
-        self._tokens += tokens - self._parts.pop(part, 0)
-        self._parts[part] = tokens
+        """Note that a part was read there, or was found in memory."""
+        self._put(part, tokens)
+        self._coming.pop(part, None)
         self._drop_beyond()
 
-    def _drop_beyond(self) -> None:
-        while self._tokens > self._capacity and len(self._parts) > 1:
-            _, dropped = self._parts.popitem(last=False)
-            self._tokens -= dropped
+    def note_coming(self, part: str, tokens: int) -> None:
+        """Note that a request was sent that will read a part, unless it is in memory already."""
+        is_read = part in self._parts and part not in self._coming
+        self._put(part, tokens)
+        if not is_read:
+            self._coming[part] = self._coming.get(part, 0) + 1
+        self._drop_beyond()
+
+    def note_abandoned(self, part: str) -> None:
+        """Note that a request ended before it had read a part."""
+        if part not in self._coming:
+            return
+        self._coming[part] -= 1
+        if self._coming[part] == 0:
+            self._drop(part)
 
     def holds(self, part: str) -> bool:
-        """Return whether a part is in memory."""
+        """Return whether a part is in memory, or will be once what was sent is read."""
         return part in self._parts
 
     def missing(self, prompt: Prompt) -> int:
         """Return how many tokens of a prompt must be read: all from its first missing part on."""
         for position, (part, _) in enumerate(prompt.parts):
             if part not in self._parts:
-                return sum(tokens for _, tokens in prompt.parts[position:])
+                return prompt.tokens_from(position)
+        return 0
+
+    def unread(self, prompt: Prompt) -> int:
+        """Return how many tokens of a prompt are not in memory yet: none of them can be fetched.
+
+        Parts on their way count as missing here. At the start of a process and in a burst, many
+        requests with one part come before it is read; an upstream that was told to fetch it would
+        find nothing and read it once more.
+        """
+        for position, (part, _) in enumerate(prompt.parts):
+            if part not in self._parts or part in self._coming:
+                return prompt.tokens_from(position)
         return 0
+
+    def _put(self, part: str, tokens: int) -> None:
+        self._tokens += tokens - self._parts.pop(part, 0)
+        self._parts[part] = tokens
+
+    def _drop(self, part: str) -> None:
+        self._tokens -= self._parts.pop(part, 0)
+        self._coming.pop(part, None)
+
+    def _drop_beyond(self) -> None:
+        while self._tokens > self._capacity and len(self._parts) > 1:
+            self._drop(next(iter(self._parts)))
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -147,8 +147,18 @@
         """Return whether it runs fewer requests than it can at once."""
         return self.running(now) < self.entry.places
 
+    def note_sent(self, prompt: Prompt) -> None:
+        """Note that a prompt was sent there."""
+        for part, tokens in prompt.parts:
+            self.memory.note_coming(part, tokens)
+
+    def note_abandoned(self, prompt: Prompt) -> None:
+        """Note that a request ended there before its first token."""
+        for part, _ in prompt.parts:
+            self.memory.note_abandoned(part)
+
     def note_prompt(self, prompt: Prompt) -> None:
-        """Note that a prompt was sent there, for this process and to be told to the others."""
+        """Note that a prompt was read there, for this process and to be told to the others."""
         for part, tokens in prompt.parts:
             self.memory.note(part, tokens)
             self.untold_parts[part] = tokens
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -88,6 +88,38 @@
     assert placement.is_warm
 
 
+def test_nothing_is_fetched_from_an_upstream_that_has_not_read_it_yet(upstreams, model):
+    """A burst of requests with one shared part arrives before any of them is read.
+
+    An upstream that was told to fetch the part found nothing to fetch and read all of it once more:
+    the engines read the same tokens two to four times, and everybody waited for that.
+    """
+    home = place(upstreams, long_prompt(), model, 0.0).upstream
+    home.note_sent(long_prompt(0))
+    home.pending.add("a", 20_000, 0.0)
+    assert place(upstreams, long_prompt(3), model, 0.0).source is None
+    home.note_prompt(long_prompt(0))
+    assert place(upstreams, long_prompt(3), model, 0.0).source is home
+
+
+def test_parts_of_requests_that_ended_before_they_were_read_are_not_in_memory(upstreams):
+    home = upstreams[0]
+    home.note_sent(long_prompt(0))
+    home.note_sent(long_prompt(1))
+    home.note_abandoned(long_prompt(0))
+    assert home.memory.missing(long_prompt(1)) == 0
+    home.note_abandoned(long_prompt(1))
+    assert home.memory.missing(long_prompt(1)) == long_prompt(1).tokens
+
+
+def test_parts_that_were_read_stay_when_a_later_request_is_abandoned(upstreams):
+    home = upstreams[0]
+    home.note_prompt(long_prompt(0))
+    home.note_sent(long_prompt(0))
+    home.note_abandoned(long_prompt(0))
+    assert home.memory.unread(long_prompt(0)) == 0
+
+
 @pytest.mark.parametrize("lost", ["gone", "silent"])
 def test_nothing_is_fetched_from_an_upstream_that_does_not_answer(upstreams, model, lost):
     """The only upstream that has a part goes down.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -13,6 +13,7 @@
     EngineModel,
     Mechanism,
     Placement,
+    Prompt,
     PromptQueue,
     ServiceTargets,
     Switches,
@@ -53,6 +54,7 @@
     ----------
     call : str
         Id of the request.
+    prompt : Prompt
     placement : Placement
     ahead : int
         Prompt tokens that were to be read before; none where it overtakes others.
@@ -60,6 +62,7 @@
     """
 
     call: str
+    prompt: Prompt
     placement: Placement
     ahead: int
     sent_at: float
@@ -154,14 +157,19 @@
         self.model.learn_first_token(
             upstream, tokens, seconds, now, fetched, sent.placement.is_short
         )
-        self.ended(sent)
+        upstream.note_prompt(sent.prompt)
+        self._remove(sent)
 
     def learn_pace(self, upstream: Upstream, tokens: int, events: int, seconds: float) -> None:
         """Learn from the pace of a whole answer behind its first event."""
         self.model.learn_answer(upstream, tokens, events, seconds, self.clock.now())
 
     def ended(self, sent: SentPrompt) -> None:
-        """Note that a prompt does not wait at its upstream any more."""
+        """Note that a request ended before its first token."""
+        sent.placement.upstream.note_abandoned(sent.prompt)
+        self._remove(sent)
+
+    def _remove(self, sent: SentPrompt) -> None:
         sent.placement.upstream.pending.remove(sent.call)
         self.look()
 
@@ -255,9 +263,10 @@
     def _note_sent(self, call: ForwardCall, placement: Placement, now: float) -> SentPrompt:
         upstream = placement.upstream
         ahead = 0 if placement.is_short else upstream.pending.tokens(now)
-        sent = SentPrompt(call.request.id, placement, ahead, now)
+        prompt = call.request.prompt
+        sent = SentPrompt(call.request.id, prompt, placement, ahead, now)
         upstream.pending.add(sent.call, placement.tokens, now)
-        upstream.note_prompt(call.request.prompt)
+        upstream.note_sent(prompt)
         return sent
 
 
