--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -21,6 +21,7 @@
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
+from ._losses import LossRate
 from ._mechanisms import Mechanism, Switches
 from ._pending import LoadShare, PendingPrompts
 from ._placing import Demand, Placement, place_prompt
@@ -51,6 +52,7 @@
     "ListedUpstream",
     "LoadShare",
     "PendingPrompts",
+    "LossRate",
     "Mechanism",
     "OtherProcesses",
     "Placement",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
@@ -20,7 +20,7 @@
     FETCHES = "fetches"
     """Upstreams fetch prompt parts from each other instead of reading them again."""
     COPIES = "copies"
-    """Streams that must not run twice have a copy of their memory at a second upstream."""
+    """Streams that must not run twice have a copy of their memory where upstreams go down often."""
     READ_HARM = "read_harm"
     """Reading a part a second time counts by what runs where it would be read."""
     WRITE_HARM = "write_harm"
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_losses.py
@@ -0,0 +1,29 @@
+"""When streams get a copy of their memory."""
+
+import pytest
+
+from burdockquay_coordination.forwarding import LossRate
+
+
+@pytest.mark.parametrize(
+    ("lost", "answer_s", "upstreams", "pays"),
+    [(0, 10.0, 5, False), (1, 0.5, 5, False), (1, 2.0, 5, True), (1, 2.0, 26, False)],
+)
+def test_copies_are_kept_where_a_stream_is_likely_to_lose_its_upstream(
+    lost, answer_s, upstreams, pays
+):
+    """Upstreams crash one after the other, and streams that must not run twice are lost with them.
+
+    Copies save them, but they cost memory and transfers for every stream while nothing goes down.
+    """
+    losses = LossRate()
+    for number in range(lost):
+        losses.note(f"u{number}", 0.0)
+    assert losses.copies_pay(answer_s, upstreams, 1.0) == pays
+
+
+def test_one_incarnation_that_is_found_down_again_and_again_counts_once():
+    losses = LossRate()
+    for _ in range(50):
+        losses.note("u1", 0.0)
+    assert not losses.copies_pay(0.5, 5, 0.1)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -26,8 +26,8 @@
 
 GATHER_S = 0.1
 """Pause after news of upstreams before the next question, seconds: when many start or leave
-together, one answer brings the changes of a tenth of a second. Short beside the two seconds and more
-that a leaving upstream still serves."""
+together, one answer brings the changes of a tenth of a second. Short beside the two seconds and
+more that a leaving upstream still serves."""
 
 SETTLE_S = 0.25
 """Time between two looks at upstreams that vanished from the list, seconds."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -50,10 +50,6 @@
 MIN_TURN_S = 0.25
 """Least such time, seconds; about ten times the work of a plain request."""
 
-BACKUP_FROM_S = 0.5
-"""Predicted time of an answer from which a copy of its memory is kept, seconds. The copy costs the
-same for a short answer, which is far less likely to meet the end of its upstream."""
-
 
 class Relay:
     """Runs calls: chooses upstreams, sends, passes answers on and repeats where that is safe.
@@ -155,6 +151,7 @@
         is_down = isinstance(outcome, NotSent) or await self._went_down(outcome)
         if is_down:
             upstream.note_unreachable(now)
+            self.state.losses(call.service).note(upstream.incarnation, now)
             self.state.note_down(upstream.incarnation)
         return is_down
 
@@ -274,10 +271,13 @@
         state = self.state
         if not state.switches.uses(Mechanism.COPIES):
             return
-        sent = call.sent
-        if call.wants_backup and sent is not None and sent.placement.answer_s >= BACKUP_FROM_S:
-            others = state.book.of_service(call.service)
-            call.backup = choose_backup(others, upstream, state.clock.now(), state.rng)
+        if not call.wants_backup or call.sent is None:
+            return
+        now = state.clock.now()
+        others = state.book.of_service(call.service)
+        answer_s = call.sent.placement.answer_s
+        if state.losses(call.service).copies_pay(answer_s, len(others), now):
+            call.backup = choose_backup(others, upstream, now, state.rng)
 
     def _compose(self, call: ForwardCall, upstream: Upstream) -> Send:
         self._choose_backup(call, upstream)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -12,6 +12,7 @@
     CrashSuspects,
     ForwardConfig,
     FreshnessLease,
+    LossRate,
     Mechanism,
     OtherProcesses,
     RetryWindow,
@@ -79,6 +80,7 @@
         self._knows_all = asyncio.Event()
         self._dispatchers: dict[str, PromptDispatcher] = {}
         self._budgets: dict[str, RetryWindow] = {}
+        self._losses: dict[str, LossRate] = {}
 
     def note_read(self, what: str) -> None:
         """Note that something was read from the platform for the first time or once more.
@@ -148,6 +150,10 @@
         if digests:
             self.tell_crash(incarnation, digests)
 
+    def losses(self, service: str) -> LossRate:
+        """Return how often the upstreams of a service go down."""
+        return self._losses.setdefault(service, LossRate())
+
     def budget(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
         settings = self.settings
