--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,7 @@
 """Imports between the packages run one way only."""
 
 import ast
+import graphlib
 from pathlib import Path
 
 import pytest
@@ -114,3 +115,28 @@
 def test_adapter_stays_small():
     lines = sum(len(path.read_text().splitlines()) for path in source_files(ADAPTER))
     assert lines <= MAX_ADAPTER_LINES
+
+
+FORWARDING = [
+    PACKAGES / "burdockquay-coordination/src/burdockquay_coordination/forwarding",
+    PACKAGES / "burdockquay-transport/src/burdockquay_transport/forwarding",
+    ADAPTER,
+]
+
+
+def imported_siblings(path):
+    """Yield the modules of the same folder that a module imports, also for types alone."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.level == 1:
+            names = [node.module] if node.module else [alias.name for alias in node.names]
+            yield from (name for name in names if (path.parent / f"{name}.py").exists())
+
+
+@pytest.mark.parametrize("folder", FORWARDING, ids=lambda folder: folder.parts[-2])
+def test_modules_of_a_folder_never_import_each_other_in_a_circle(folder):
+    modules = {path.stem: path for path in folder.glob("*.py") if path.stem != "__init__"}
+    assert modules
+    order = graphlib.TopologicalSorter(
+        {name: set(imported_siblings(path)) for name, path in modules.items()}
+    )
+    order.prepare()
