Count the time of a request from when it came, not from when it was read

Cause: a forwarder took the moment at which it read a request for its arrival. A process without enough processor time reads requests a second late, gave them that second once more and held them past the time limit of their route. The kernel knows when the newest data of a connection came, and is asked. The guess for the start of a process stays for kernels that do not tell. The time unread is a histogram, so that lack of processor time can be told from a full link.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
@@ -11,6 +11,10 @@
 WHOLE_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0)
 """Bounds for whole answers, seconds."""
 
+UNREAD_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+"""Bounds for the time that requests lie unread, seconds: from a process with time to spare to one
+that reads requests when their callers have left."""
+
 ERROR_BUCKETS = (0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0)
 """Bounds for the ratio of a first token to its prediction; 1 is a prediction that came true."""
 
@@ -33,6 +37,12 @@
         self.waited = self._histogram(
             "waited_seconds", "Wait before the first send.", FIRST_BUCKETS
         )
+        self.unread = Histogram(
+            "forwarder_unread_seconds",
+            "Arrival of a request to its reading.",
+            buckets=UNREAD_BUCKETS,
+            registry=self.registry,
+        )
         self.prediction = Histogram(
             "forwarder_first_token_ratio",
             "First tokens against their prediction.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-import attrs
 from aiohttp import web
 from result import Err
 
@@ -19,6 +18,7 @@
 from .._call_error import CallError
 from .._early_listener import BACKLOG, EarlyListener
 from .._events import Event, describe_fault, log_event
+from ._arrival import BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
 from ._platform import CallerRequest
 from ._refusals import Refusals
@@ -45,37 +45,10 @@
 CLOSE_S = 0.3
 """Longest wait for connections that close with the process, seconds; their answers are out."""
 
-BACKLOG_S = 0.05
-"""Time after the start in which requests may have waited in the kernel, seconds; all that waited
-are read within it."""
-
 LOST_CALLER = (ConnectionResetError, ConnectionAbortedError, BrokenPipeError)
 """Errors of a write to a caller that has left."""
 
 
-@attrs.frozen
-class _Backlog:
-    """When requests came that waited in the kernel for the process to start.
-
-    Nothing tells when each of them came. Counted from the moment it is read, a request would get
-    more time than its caller still waits, and an upstream would work for nobody.
-
-    Parameters
-    ----------
-    opened_at : float
-        When the socket began to listen, the earliest arrival.
-    read_until : float
-        Until when such requests are read.
-    """
-
-    opened_at: float
-    read_until: float
-
-    def arrival(self, now: float) -> float:
-        """Return the earliest moment at which a request that is read now can have come."""
-        return self.opened_at if now < self.read_until else now
-
-
 class Ingress:
     """Serves callers.
 
@@ -118,7 +91,7 @@
         await self._runner.setup()
         self._site = web.SockSite(self._runner, early.listening, backlog=BACKLOG)
         now = self.state.clock.now()
-        self._backlog = _Backlog(now - early.age(), now + BACKLOG_S)
+        self._arrivals = ArrivalClock(now - early.age(), now + BACKLOG_S)
         await self._site.start()
         self._port = self._runner.addresses[0][1]
 
@@ -169,7 +142,9 @@
         return response
 
     async def _serve(self, incoming: web.BaseRequest) -> web.StreamResponse:
-        started = self._backlog.arrival(self.state.clock.now())
+        now = self.state.clock.now()
+        started = self._arrivals.arrival(incoming.transport, now)
+        self.state.figures.unread.observe(now - started)
         read = self.state.platform.read_request(
             incoming.method, incoming.raw_path, incoming.headers
         )
