Keep the level of a log line about a send: the urgency told to the upstream has a name of its own

Cause: call_sent has a field level, which took the place of the level of the line. Lines were told apart by the urgency of their request, and a filter for INFO lost them. Fields with the names of what a line tells of itself are refused now, as those with secrets are; the test that walks all calls failed on this one.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -51,6 +51,10 @@
 )
 """Names of fields that would carry a secret or the content of a request."""
 
+LINE_FIELDS = frozenset({"time", "level", "event", "name"})
+"""What each line tells of itself. A field of the same name would take its place: lines about sends
+had the urgency of a request as their level, and no filter by level found them."""
+
 MAX_ITEMS = 100
 """Items of a list that are written."""
 
@@ -195,14 +199,15 @@
     ----------
     event : Event
     **fields
-        What is known of it; names as in :data:`FORBIDDEN_FIELDS` are refused.
+        What is known of it; names as in :data:`FORBIDDEN_FIELDS` and :data:`LINE_FIELDS` are
+        refused.
 
     Raises
     ------
     ValueError
         If a field has a forbidden name, whatever the level of the log.
     """
-    forbidden = FORBIDDEN_FIELDS.intersection(fields)
+    forbidden = (FORBIDDEN_FIELDS | LINE_FIELDS).intersection(fields)
     if forbidden:
         raise ValueError(f"field {min(forbidden)!r} of {event.name} must not be logged")
     if event.severity < _logger.level:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -243,7 +243,7 @@
             waited_s=now - call.started,
             remaining_s=call.ends - now,
             urgency=call.urgency,
-            level=self._level(call),
+            sent_urgency=self._level(call),
             running=upstream.running(now),
             predicted_s=placement.first_token_s if placement else None,
             backlog_s=placement.backlog_s if placement else None,
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_events.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies as st
 
 from burdockquay_transport import Event, log_event, setup_logging
-from burdockquay_transport._events import FORBIDDEN_FIELDS, MAX_VALUE_CHARACTERS, format_event
+from burdockquay_transport._events import (
+    FORBIDDEN_FIELDS,
+    LINE_FIELDS,
+    MAX_VALUE_CHARACTERS,
+    format_event,
+)
 
 PACKAGES = Path(__file__).parents[4]
 
@@ -61,6 +66,13 @@
         log_event(Event.REQUEST_REFUSED, **{name: "x"})
 
 
+@pytest.mark.parametrize("name", sorted(LINE_FIELDS - {"event"}))
+def test_fields_that_would_replace_what_a_line_tells_of_itself_are_refused(name):
+    """A field takes the place of the level of its line, and no filter by level finds the line."""
+    with pytest.raises(ValueError, match=name):
+        log_event(Event.REQUEST_REFUSED, **{name: "x"})
+
+
 def test_no_call_in_the_sources_names_a_forbidden_field():
     for path in PACKAGES.glob("*/src/**/*.py"):
         if "tests" in path.parts:
@@ -68,7 +80,7 @@
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Call) and getattr(node.func, "id", "") == "log_event":
                 named = {keyword.arg for keyword in node.keywords}
-                assert not named & FORBIDDEN_FIELDS, f"{path}:{node.lineno}"
+                assert not named & (FORBIDDEN_FIELDS | LINE_FIELDS), f"{path}:{node.lineno}"
 
 
 def test_every_event_of_the_catalogue_is_logged_somewhere():
