Let the route decide among requests of one organisation priority, here and at the upstreams

An organisation's priority replaced that of the route, so that urgent and other requests of one organisation differed by length alone, and engines that ran out of memory preempted urgent ones. Change: requests have a rank, by the organisation's priority first and by the route's second, which orders the queue here and the levels that upstreams are told. Where ranks do not fit into ten levels twice, the most urgent ones keep two.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -17,7 +17,7 @@
     ServiceShare,
     ServiceTargets,
 )
-from ._directory import ConfigDirectory, pick_service
+from ._directory import ConfigDirectory, pick_service, request_priority
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
@@ -81,6 +81,7 @@
     "choose_backup",
     "choose_upstream",
     "place_prompt",
+    "request_priority",
     "return_after_s",
     "usable_upstreams",
     "pick_service",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -25,7 +25,8 @@
             for share in route.shares:
                 known = self._targets.get(share.service, ServiceTargets())
                 self._targets[share.service] = known.with_route(route)
-        self.urgency = UrgencyScale(_priorities(config))
+        self._route_ranks = _rank_routes(config)
+        self.urgency = UrgencyScale(self._possible_ranks())
         self._organisations = {
             api_key: organisation
             for organisation in config.organisations or ()
@@ -60,15 +61,43 @@
         """Return what the routes to a service demand."""
         return self._targets.get(service, ServiceTargets())
 
+    def rank(self, route: ForwardRoute, organisation: CallerOrganisation | None) -> int:
+        """Return how urgent a request is among all: 0 is the first.
+
+        The priority of the organisation goes before that of the route, which decides where the
+        first is the same. With that of the organisation alone, upstreams that ran out of memory
+        preempted urgent streams while those of less urgent routes ran on.
+        """
+        priority = request_priority(route, organisation)
+        kinds = max(1, len(self._route_ranks))
+        return priority * kinds + self._route_ranks.get(route.priority, kinds - 1)
+
+    def _possible_ranks(self) -> list[int]:
+        organisations = (None, *(self.config.organisations or ()))
+        return [self.rank(*pair) for pair in itertools.product(self.config.routes, organisations)]
+
     def find_organisation(self, api_key: str) -> CallerOrganisation | None:
         """Return the organisation that holds a key."""
         return self._organisations.get(api_key)
 
 
-def _priorities(config: ForwardConfig) -> list[int]:
-    routes = [route.priority for route in config.routes]
-    organisations = [item.priority for item in config.organisations or ()]
-    return routes + [priority for priority in organisations if priority is not None]
+def request_priority(route: ForwardRoute, organisation: CallerOrganisation | None) -> int:
+    """Return the priority of a request: that of its organisation, or else of its route."""
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
+
+
+def _rank_routes(config: ForwardConfig) -> dict[int, int]:
+    """Return the rank of each route priority among requests of one organisation priority.
+
+    Only routes whose upstreams choose by urgency count: more ranks than levels would be left.
+    """
+    if all(item.priority is None for item in config.organisations or ()):
+        # The priority of a request is that of its route, which need not be told twice.
+        return {}
+    priorities = {route.priority for route in config.routes if route.by_prompt}
+    return {priority: rank for rank, priority in enumerate(sorted(priorities))}
 
 
 def _has_port(host: str) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_urgency.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_urgency.py
@@ -18,12 +18,13 @@
     Upstreams read prompts of one level in the order they came. In a burst of long prompts the short
     ones then wait for the long ones, miss their targets, and gain the long ones next to nothing: on
     a day of high load the first token of 60 in 100 short prompts was late behind long ones of the
-    same priority. So each priority has two levels, the first of them for short prompts.
+    same priority. So each rank has two levels as far as there are enough, the more urgent ranks
+    first; the first level of a rank is for short prompts.
 
     Parameters
     ----------
-    priorities : iterable of int
-        All that the configuration names; 0 is the most urgent.
+    ranks : iterable of int
+        All that requests may have; 0 is the most urgent.
 
     Examples
     --------
@@ -32,20 +33,21 @@
     (1, 2)
     """
 
-    def __init__(self, priorities: Iterable[int]):
-        highest = max(priorities, default=0)
-        # The levels do not depend on which priorities there are, but on whether all fit twice: a
-        # new priority then does not move the others while processes change over one by one.
-        self.has_pairs = 2 * highest + 1 < LEVELS
+    def __init__(self, ranks: Iterable[int]):
+        # The levels do not depend on which ranks there are, but on the highest one alone: a new
+        # rank then does not move the others while processes change over one by one, unless it takes
+        # a second level from them.
+        count = max(ranks, default=0) + 1
+        self._pairs = max(0, min(count, LEVELS - count))
 
-    def level(self, priority: int, is_short: bool) -> int:
+    def level(self, rank: int, is_short: bool) -> int:
         """Return the level of a request.
 
         Parameters
         ----------
-        priority : int
+        rank : int
         is_short : bool
             Whether its prompt is read in a short time; false for requests without a prompt.
         """
-        level = 2 * priority + (not is_short) if self.has_pairs else priority
+        level = 2 * rank + (not is_short) if rank < self._pairs else rank + self._pairs
         return min(max(level, 0), LEVELS - 1)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -44,7 +44,7 @@
     ----------
     demand : Demand
     urgency : int
-        0 is the most urgent.
+        Priority; 0 is the most urgent.
     target_at : float
         When the first token is due.
     give_up_at : float
@@ -53,6 +53,8 @@
         Upstreams it was sent to before.
     owner : object
         Whatever the caller of the queue wants to find it by.
+    rank : int
+        The urgency among requests of one priority too; that of the priority if not given.
     """
 
     demand: Demand
@@ -61,6 +63,11 @@
     give_up_at: float
     tried: Collection[str]
     owner: Any = None
+    rank: int = attrs.field(kw_only=True)
+
+    @rank.default
+    def _rank_of_priority(self) -> int:
+        return self.urgency
 
 
 @attrs.frozen
@@ -203,7 +210,7 @@
         """Rank what can be in time first, then by urgency, then by what is soon read."""
         waiting = start.waiting
         is_cold = self._by_warmth and not start.placement.is_warm
-        return (start.late, waiting.urgency, is_cold, waiting.target_at)
+        return (start.late, waiting.rank, is_cold, waiting.target_at)
 
 
 def _evaluate(item: WaitingPrompt, round_: PlacementRound) -> Start | None:
@@ -218,7 +225,7 @@
 
 
 def _order(item: WaitingPrompt) -> tuple[int, float]:
-    return (item.urgency, item.target_at)
+    return (item.rank, item.target_at)
 
 
 def _may_start(start: Start, switches: Switches, targets: ServiceTargets, now: float) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
@@ -106,3 +106,48 @@
             # Counts are kept in buckets, so a request may count for one bucket longer.
             counted = sum(1 for at in requests if at > since - 1.0)
             assert sum(1 for at in repeats if at > since) <= 0.2 * counted + 2.0
+
+
+def directory_of(route_priorities, organisation_priorities):
+    routes = tuple(
+        make_route(f"/{priority}/", priority=priority, by_prompt=True)
+        for priority in route_priorities
+    )
+    organisations = tuple(
+        CallerOrganisation(f"o{number}", frozenset({f"k{number}"}), priority)
+        for number, priority in enumerate(organisation_priorities)
+    )
+    return ConfigDirectory(ForwardConfig(1, routes, organisations))
+
+
+def test_the_route_decides_among_requests_of_one_organisation_priority():
+    """All organisations have the same priority, which goes before that of the routes.
+
+    Requests of an urgent and of another route then had the same urgency but for their length. When
+    the memory of an engine ran out, it preempted the newest, the urgent ones: 55 of them in one
+    burst, whose callers saw their streams stop while less urgent ones went on.
+    """
+    directory = directory_of((0, 1), (1, 1))
+    organisation = directory.find_organisation("k0")
+    urgent, other = (directory.rank(route, organisation) for route in directory.config.routes)
+    assert directory.urgency.level(urgent, False) < directory.urgency.level(other, True)
+
+
+@given(
+    st.lists(st.integers(0, 3), min_size=1, max_size=4, unique=True),
+    st.lists(st.one_of(st.none(), st.integers(0, 3)), min_size=1, max_size=4),
+    st.data(),
+)
+def test_priorities_of_organisations_go_before_those_of_routes(routes, organisations, data):
+    directory = directory_of(sorted(routes), organisations)
+    levels = []
+    for _ in range(2):
+        route = data.draw(st.sampled_from(directory.config.routes))
+        organisation = data.draw(st.sampled_from(directory.config.organisations))
+        priority = route.priority if organisation.priority is None else organisation.priority
+        level = directory.urgency.level(
+            directory.rank(route, organisation), data.draw(st.booleans())
+        )
+        levels.append(((priority, route.priority), level))
+    (first, first_level), (second, second_level) = sorted(levels)
+    assert first == second or first_level <= second_level
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -26,10 +26,13 @@
     service : str
     organisation : str or None
     urgency : int
+        Priority; 0 is the most urgent.
     body : bytes
     started : float
     ends : float
         Time after which no answer is of use.
+    rank : int
+        The urgency among requests of one priority too.
     tried : set of str
         Ids of the upstreams it was sent to.
     sends : int
@@ -66,6 +69,7 @@
     body: bytes
     started: float
     ends: float
+    rank: int
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
     unreachable: int = 0
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -229,6 +229,7 @@
             call.started + hold_s,
             call.tried,
             _Owner(call, asyncio.get_running_loop().create_future()),
+            rank=call.rank,
         )
 
     def _demand_of(self, call: ForwardCall) -> Demand:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -12,6 +12,7 @@
     ConfigDirectory,
     ForwardRoute,
     pick_service,
+    request_priority,
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
@@ -243,19 +244,17 @@
         if patience <= 0:
             # The decisions weigh times against the patience and cannot do so with none.
             raise CallError(RequestError(ErrorKind.DEADLINE_EXCEEDED))
-        urgency = route.priority
-        if organisation is not None and organisation.priority is not None:
-            urgency = organisation.priority
         call = ForwardCall(
             incoming,
             request,
             route,
             pick_service(route, self.state.rng),
             organisation.name if organisation else None,
-            urgency,
+            request_priority(route, organisation),
             body,
             started,
             started + patience,
+            directory.rank(route, organisation),
         )
         if self.state.suspects.is_refused(call.digest, self.state.clock.now()):
             raise CallError(RequestError(ErrorKind.CRASH_SUSPECT))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -310,7 +310,7 @@
     def _level(self, call: ForwardCall) -> int:
         """Return the urgency that the upstream is told."""
         is_short = call.sent is not None and call.sent.placement.is_short
-        return self.state.directory.urgency.level(call.urgency, is_short)
+        return self.state.directory.urgency.level(call.rank, is_short)
 
     def check_key(self, call: ForwardCall) -> None:
         """Refuse a send whose API key may have been withdrawn.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -64,7 +64,7 @@
     prompt = Prompt((("shared", 5000), ("own", 1000)), 40)
     request = CallerRequest("id", "POST", "/x", "/x", "h", CIMultiDict(), prompt=prompt)
     now = SystemClock().now()
-    return ForwardCall(None, request, ROUTE, "s", None, 1, b"", now, now + patience_s)
+    return ForwardCall(None, request, ROUTE, "s", None, 1, b"", now, now + patience_s, 1)
 
 
 async def test_caller_that_leaves_at_the_moment_of_its_start_leaves_nothing_behind(
