Take a request for late where what is read ahead of it makes it so

Cause: a waiting request counted as in time by its own reading alone. Change: the prediction with the reading ahead decides.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -219,8 +219,9 @@
     placement = round_.place(item.demand, item.tried)
     if placement is None:
         return None
-    soonest_s = model.first_token_s(placement.upstream, placement.tokens, now, placement.is_short)
-    late = now + MARGIN * soonest_s > item.target_at
+    # With the reading of others that is ahead of it: without, half of the long prompts that engines
+    # read in a burst were late, and as many that could have been in time were refused meanwhile.
+    late = now + MARGIN * placement.first_token_s > item.target_at
     return Start(item, placement, late and model.switches.uses(Mechanism.LATE_LAST))
 
 
