Take two races out of tests that failed once beside load

test_slot_that_leaves_finishes_its_answers failed as test_connection_that_breaks_mid_answer had: a short answer ended between the look at the engines and the look at the slots. The clock of the test stands still now. What is checked is the same.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -43,13 +43,18 @@
 
 
 class ShiftedClock(SystemClock):
-    """The clock of the system, moved on by hand."""
+    """The clock of the system, moved on by hand, and stopped by hand."""
 
     def __init__(self):
         self.shift_s = 0.0
+        self.stopped_at = None
+
+    def stop(self):
+        self.stopped_at = super().now()
 
     def now(self):
-        return super().now() + self.shift_s
+        present = super().now() if self.stopped_at is None else self.stopped_at
+        return present + self.shift_s
 
 
 @pytest.fixture
@@ -74,6 +79,8 @@
 
     What was noted at the upstream would stay there, and the upstream would be avoided for ever.
     """
+    # The pause between two looks follows from the time that the first one takes.
+    dispatcher.clock.stop()
     upstream.pending.add("other", 50_000, dispatcher.clock.now())
     waiting = asyncio.create_task(dispatcher.start(make_call()))
     await asyncio.sleep(0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -176,6 +176,21 @@
         async with self.post(path, body, **headers) as response:
             return response.status, await response.json()
 
+    async def wait_for_busy_slot(self) -> Slot:
+        """Wait until an answer is under way, and return its slot.
+
+        One look tells both: between two of them a short answer can end.
+        """
+        found: list[Slot] = []
+
+        def is_under_way() -> bool:
+            if any(engine.tokens_generated > 5 for engine in self.engines):
+                found[:] = [slot for slot in self.slots if slot.describe()["running"]]
+            return bool(found)
+
+        await until(is_under_way)
+        return found[0]
+
     async def ask_stream(self, body: Any, **headers: str) -> tuple[str, bool, dict | None]:
         """Return what :func:`read_stream` makes of a streamed chat."""
         async with self.post("/v1/chat/completions", body, **headers) as response:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -113,11 +113,10 @@
 
     The answer comes to its end, and every request after the signal goes elsewhere.
     """
-    async with deployment(base_step_s=0.005) as running:
+    async with deployment(base_step_s=0.02) as running:
         body = chat_body("ceremony", stream=True, max_tokens=100)
         reading = asyncio.create_task(running.ask_stream(body))
-        await until(lambda: any(engine.tokens_generated > 5 for engine in running.engines))
-        busy = next(slot for slot in running.slots if slot.describe()["running"])
+        busy = await running.wait_for_busy_slot()
         engine = running.engines[running.slots.index(busy)]
         stopping = asyncio.create_task(busy.stop())
         await asyncio.sleep(0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -145,14 +145,7 @@
     async with deployment(base_step_s=0.02) as running:
         body = chat_body("ceremony", stream=True, max_tokens=100)
         reading = asyncio.create_task(running.ask_stream(body))
-
-        def busy_slots():
-            if not any(engine.tokens_generated > 5 for engine in running.engines):
-                return []
-            return [slot for slot in running.slots if slot.describe()["running"]]
-
-        await until(busy_slots)
-        (busy,) = busy_slots()
+        busy = await running.wait_for_busy_slot()
         for peer in list(busy._connected_peers()):
             peer.websocket.transport.abort()
         text, whole, error = await reading
