--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -54,7 +54,7 @@
     owner : object
         Whatever the caller of the queue wants to find it by.
     rank : int
-        The urgency among requests of one priority too; that of the priority if not given.
+        Place in the order of all requests, 0 is the first; the priority if not given.
     """
 
     demand: Demand
@@ -66,7 +66,7 @@
     rank: int = attrs.field(kw_only=True)
 
     @rank.default
-    def _rank_of_priority(self) -> int:
+    def _default_rank(self) -> int:
         return self.urgency
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -32,7 +32,7 @@
     ends : float
         Time after which no answer is of use.
     rank : int
-        The urgency among requests of one priority too.
+        Place in the order of all requests; 0 is the first.
     tried : set of str
         Ids of the upstreams it was sent to.
     sends : int
