Take out a property that nobody reads and a removal of what cannot be there

PromptMemory.capacity had no reader. UpstreamBook._add took an id out of the vanished ones that is known to the book in no case: only known ids vanish, and _list takes out the others.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_prompts.py
@@ -71,11 +71,6 @@
         # How many requests are on their way that will read a part.
         self._coming: dict[str, int] = {}
 
-    @property
-    def capacity(self) -> int:
-        """Tokens that the upstream keeps."""
-        return self._capacity
-
     def set_capacity(self, tokens: int) -> None:
         """Take over how many tokens the upstream keeps."""
         self._capacity = tokens
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -343,7 +343,6 @@
         return None
 
     def _add(self, entry: ListedUpstream) -> None:
-        self._vanished.pop(entry.id, None)
         added = self._upstreams[entry.id] = Upstream(entry)
         self._size_memory(added)
         self._by_service.setdefault(entry.service, []).append(added)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_arrival.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_arrival.py
@@ -13,9 +13,11 @@
 are read within it."""
 
 _LAST_DATA_MS_AT = 52
+"""Place of the age of the newest data in the kernel's description of a TCP connection, bytes; part
+of Linux' interface to programs."""
+
 _LAST_DATA_MS = struct.Struct("=I")
-"""Where the kernel's description of a TCP connection tells the age of the newest data, and how:
-milliseconds, unsigned, 32 bits. The place is part of Linux' interface to programs."""
+"""How it is told there: milliseconds, unsigned, 32 bits."""
 
 
 @attrs.frozen
