Wait for a caller's answer and not for a probe's in tests of answers that are under way

Cause, from runs beside six busy processes: tests waited until an engine had generated some tokens, and the slot's own probes generate them too. On a busy machine they did so before the caller's request was there: the entry was stopped, or the engine crashed, too early (answer leaving, patience_exceeded in place of no_upstream). One condition asks for a caller's request as well.

--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -184,8 +184,12 @@
         found: list[Slot] = []
 
         def is_under_way() -> bool:
-            if any(engine.tokens_generated > 5 for engine in self.engines):
-                found[:] = [slot for slot in self.slots if slot.describe()["running"]]
+            pairs = zip(self.slots, self.engines, strict=True)
+            found[:] = [
+                slot
+                for slot, engine in pairs
+                if is_answering(engine, 5) and slot.describe()["running"]
+            ]
             return bool(found)
 
         await until(is_under_way)
@@ -219,6 +223,14 @@
     return [request for request in engine.starts if not request.startswith("engine-")]
 
 
+def is_answering(engine: EngineStandin, tokens: int) -> bool:
+    """Return whether an engine has begun a caller's request and generated more than some tokens.
+
+    The slot's own probes generate tokens too, and can do so before the caller's request is there.
+    """
+    return bool(callers_requests(engine)) and engine.tokens_generated > tokens
+
+
 def chat_body(text: str = "", stream: bool = False, max_tokens: int = 20) -> dict[str, Any]:
     """Return the body of a chat request."""
     message = {"role": "user", "content": text or secrets.token_hex(4)}
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_counted_requests.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_counted_requests.py
@@ -3,7 +3,7 @@
 from burdockquay_standins import expected_answer
 from burdockquay_transport import MemorySink
 
-from ._deployment import chat_body, read_stream, until
+from ._deployment import chat_body, is_answering, read_stream, until
 
 
 async def test_every_request_and_token_is_counted_once(deployment):
@@ -34,7 +34,7 @@
         sink = entry.metrics = entry.runner.metrics = MemorySink()
         body = chat_body("ceremony", stream=True, max_tokens=400)
         async with running.post("/v1/chat/completions", body) as response:
-            await until(lambda: running.engines[0].tokens_generated > 5)
+            await until(lambda: is_answering(running.engines[0], 5))
             running.engines[0].crash(60.0)
             text, _, _ = await read_stream(response)
     assert sink.counts["tokens.wasted"] == len(text.split())
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_failures.py
@@ -8,7 +8,7 @@
 from burdockquay_state import ClaimStore, ClassRecord, MemoryObjectStore
 from burdockquay_transport._caller_http import digest_request
 
-from ._deployment import callers_requests, chat_body, until
+from ._deployment import callers_requests, chat_body, is_answering, until
 
 HOLD = "/services/booking/holds"
 
@@ -140,7 +140,7 @@
     async with deployment(engines=1, base_step_s=0.005) as running:
         body = chat_body("ceremony", stream=True, max_tokens=60)
         reading = asyncio.create_task(running.ask_stream(body))
-        await until(lambda: running.engines[0].tokens_generated > 2)
+        await until(lambda: is_answering(running.engines[0], 2))
         entry = running.entries.pop()
         await entry.stop()
         text, whole, _ = await reading
@@ -210,7 +210,7 @@
         body = chat_body("ceremony", stream=True, max_tokens=600)
         body["min_tokens"] = 200
         reading = asyncio.create_task(running.ask_stream(body))
-        await until(lambda: any(engine.tokens_generated > 80 for engine in running.engines))
+        await until(lambda: any(is_answering(engine, 80) for engine in running.engines))
         first = max(running.engines, key=lambda engine: engine.tokens_generated)
         others = [{**chat_body(f"draft {n}", True, 600), "min_tokens": 150} for n in range(5)]
         filling = [asyncio.create_task(running.ask_stream(other)) for other in others]
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_health.py
@@ -7,7 +7,7 @@
 from burdockquay_transport._caller_http import digest_request
 from burdockquay_transport._slot_runner import SlotRunner
 
-from ._deployment import callers_requests, chat_body, until
+from ._deployment import callers_requests, chat_body, is_answering, until
 
 
 async def test_straggler_is_left_out_and_comes_back_by_its_own_probes(deployment):
@@ -77,7 +77,7 @@
     async with deployment(engines=2, base_step_s=0.01, restart_s=60.0) as running:
         bodies = [{**chat_body(f"{n}", True, 400), "min_tokens": 50} for n in range(4)]
         reading = [asyncio.create_task(running.ask_stream(body)) for body in bodies]
-        await until(lambda: any(engine.tokens_generated > 20 for engine in running.engines))
+        await until(lambda: any(is_answering(engine, 20) for engine in running.engines))
         max(running.engines, key=lambda engine: len(engine.batch.running)).crash(60.0)
         for _, whole, _ in await asyncio.gather(*reading):
             assert whole
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -22,7 +22,7 @@
 from burdockquay_transport import _peer
 from burdockquay_transport._peer import Identity, TrafficCounts, greet_peer
 
-from ._deployment import PEER_KEY, chat_body, until
+from ._deployment import PEER_KEY, chat_body, is_answering, until
 
 ROGUE = Identity("rogue", "north", "rogue-1")
 
@@ -54,7 +54,7 @@
     async with deployment(engines=1, base_step_s=0.005) as running:
         body = chat_body("ceremony", stream=True, max_tokens=60)
         reading = asyncio.create_task(running.ask_stream(body))
-        await until(lambda: running.engines[0].tokens_generated > 2)
+        await until(lambda: is_answering(running.engines[0], 2))
         websocket, greeted = await open_peer(running.slots[0])
         assert greeted.is_ok()
         with pytest.raises(ConnectionClosed):
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
@@ -5,7 +5,7 @@
 
 from burdockquay_standins import expected_answer
 
-from ._deployment import API_KEY, chat_body, read_stream, until
+from ._deployment import API_KEY, chat_body, is_answering, read_stream, until
 
 
 async def test_plain_chat_answer_is_whole(deployment):
@@ -26,6 +26,7 @@
         async def ask(index):
             body = chat_body(f"eulogy {index}", stream=True)
             async with running.post("/v1/chat/completions", body) as response:
+                assert response.status == 200, await response.text()
                 text, whole, error = await read_stream(response)
             assert (whole, error) == (True, None)
             assert text == "".join(expected_answer(body, seed=1))
@@ -67,7 +68,7 @@
     async with deployment(base_step_s=0.005, restart_s=60.0) as running:
         body = chat_body("ceremony", stream=True, max_tokens=400)
         async with running.post("/v1/chat/completions", body) as response:
-            await until(lambda: any(engine.tokens_generated > 5 for engine in running.engines))
+            await until(lambda: any(is_answering(engine, 5) for engine in running.engines))
             busy = max(running.engines, key=lambda engine: engine.tokens_generated)
             busy.crash(60.0)
             text, whole, error = await read_stream(response)
@@ -84,7 +85,7 @@
     async with deployment(engines=1, base_step_s=0.005, restart_s=60.0) as running:
         body = chat_body("ceremony", stream=True, max_tokens=400)
         async with running.post("/v1/chat/completions", body) as response:
-            await until(lambda: running.engines[0].tokens_generated > 5)
+            await until(lambda: is_answering(running.engines[0], 5))
             running.engines[0].crash(60.0)
             text, whole, error = await read_stream(response)
         assert not whole
@@ -101,7 +102,7 @@
     async with deployment(engines=1, base_step_s=0.005) as running:
         body = chat_body("ceremony", stream=True, max_tokens=4000)
         response = await running.post("/v1/chat/completions", body)
-        await until(lambda: running.engines[0].tokens_generated > 5)
+        await until(lambda: is_answering(running.engines[0], 5))
         response.close()
         await until(lambda: not running.engines[0].batch.running)
         await until(lambda: running.slots[0].describe()["running"] == 0)
