Crash the engine of a test once its caller has read a piece of the answer

Cause: the engine had generated tokens of which none had reached the entry, and an answer that has not begun is refused for its wait; one that has is given up for want of an upstream, which the test is about. The caller reads one piece first now; what is checked is the same and one piece more.

--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
@@ -85,13 +85,15 @@
     async with deployment(engines=1, base_step_s=0.005, restart_s=60.0) as running:
         body = chat_body("ceremony", stream=True, max_tokens=400)
         async with running.post("/v1/chat/completions", body) as response:
-            await until(lambda: is_answering(running.engines[0], 5))
+            # An answer of which the caller has nothing may still be refused for its wait.
+            begin = json.loads((await response.content.readline()).removeprefix(b"data: "))
             running.engines[0].crash(60.0)
             text, whole, error = await read_stream(response)
         assert not whole
         assert error["code"] == "no_upstream"
         assert error["run"] == "unknown"
-        assert "".join(expected_answer(body, seed=1)).startswith(text)
+        begun = begin["choices"][0]["delta"]["content"]
+        assert "".join(expected_answer(body, seed=1)).startswith(begun + text)
 
 
 async def test_caller_that_leaves_frees_its_place(deployment):
