--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -67,7 +67,7 @@
         Among prompts the priority of the route goes first, and that of the organisation decides
         between requests to routes of the same one. With that of the organisation first, upstreams
         that ran out of memory preempted streams of urgent routes while long prompts of other routes
-        ran on: 142 in one burst, and of the streams 0.46 were served in time in place of 0.56.
+        ran on, 119 on a day of high load, and the streams earned 0.47 of what was owed, not 0.52.
         """
         priority = request_priority(route, organisation)
         if not route.by_prompt:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -215,7 +215,7 @@
         Without regard to the reading ahead, half of the long prompts that engines read in a burst
         were late, and as many that could have been in time were refused meanwhile. What is late for
         that reading alone still starts when nothing else wants the place: held back like other late
-        work, it made one in eight late after the burst, while engines had time.
+        work, 342 of 538 requests of two seconds after a burst were in time in place of 408.
         """
         waiting = start.waiting
         is_cold = self._by_warmth and not start.placement.is_warm
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -55,6 +55,8 @@
 """What each line tells of itself. A field of the same name would take its place: lines about sends
 had the urgency of a request as their level, and no filter by level found them."""
 
+_REFUSED_FIELDS = FORBIDDEN_FIELDS | LINE_FIELDS
+
 MAX_ITEMS = 100
 """Items of a list that are written."""
 
@@ -207,7 +209,7 @@
     ValueError
         If a field has a forbidden name, whatever the level of the log.
     """
-    forbidden = (FORBIDDEN_FIELDS | LINE_FIELDS).intersection(fields)
+    forbidden = _REFUSED_FIELDS.intersection(fields)
     if forbidden:
         raise ValueError(f"field {min(forbidden)!r} of {event.name} must not be logged")
     if event.severity < _logger.level:
