Let a few processes poll the platform's tables and tell the others what they hear

A process that the store turned away refused callers with keys after 3.6 s although every neighbour held a fresh confirmation.

Hypothesis: three pollers for each table, ranked by each process among those it is connected to, and one message to all for each answer of the store, cut the calls to a fifth; nothing is later, since a poller passes a change on in the moment it hears it.

How it stays true: a message holds the store's own steady clock and the range of revisions it covers. Each process relates that clock to its own by its own calls, so that a late, doubled or frozen message confirms nothing newer than what it says; one behind a gap confirms nothing, and the process asks. A process that hears nothing asks by itself, spread in time, and polls in place of lost ones. A failing poller leaves the asking to the others while they tell. Large rows (over 8 KiB) are not told: each process reads them. The time of the last unanswered question goes along, so that entries that lapsed in an outage are kept also by processes that asked nothing meanwhile.

Tests: five in test_shared_tables.py with real processes, of which three fail on the code before (questions that wait at the store, a process turned away, an outage it did not see), a state machine of processes with drifting clocks, late and lost messages and restarts, and a directed case of a missed message. Three mutants (message time ignored, own rows dropped, gap ignored) are found.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -26,6 +26,7 @@
 from ._pace import PaceGuard
 from ._pending import LoadShare, PendingPrompts
 from ._placing import Demand, Placement, place_prompt
+from ._polling import Fit, PollTurn, is_poller
 from ._prompts import Prompt, PromptMemory
 from ._reading import ReadingLine
 from ._return import OtherProcesses, return_after_s
@@ -48,6 +49,7 @@
     "Demand",
     "EngineModel",
     "LinearModel",
+    "Fit",
     "ForwardConfig",
     "ForwardRoute",
     "FreshnessLease",
@@ -59,6 +61,7 @@
     "Mechanism",
     "OtherProcesses",
     "Placement",
+    "PollTurn",
     "Prompt",
     "PromptMemory",
     "PromptQueue",
@@ -80,6 +83,7 @@
     "WaitingPrompt",
     "choose_backup",
     "choose_upstream",
+    "is_poller",
     "place_prompt",
     "request_priority",
     "return_after_s",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
@@ -47,6 +47,8 @@
     """Upstreams that could not be reached are left out for a while."""
     REFERRAL = "referral"
     """A process that cannot honour keys sends callers to one that can."""
+    SHARED_POLLS = "shared_polls"
+    """A few processes ask the platform for changes and tell the others."""
 
 
 class Switches:
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -0,0 +1,195 @@
+"""Which processes ask the platform for the changes of a table, and when the others ask too."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import random
+from collections.abc import Iterable
+
+from ._mechanisms import ALL_ON, Mechanism, Switches
+
+POLLERS = 3
+"""Processes that wait at the platform for the changes of one table: with one alone, its loss would
+delay changes for all until they notice."""
+
+OVERDUE_SHARES = (1.2, 1.5)
+"""Age of the last confirmation at which a process asks by itself, in times of the longest wait of a
+question. Drawn anew each time: the first to ask tells the others, so that they need not."""
+
+STEP_DOWN_S = 3.0
+"""Time for which a poller that the platform did not answer leaves the asking to others, seconds."""
+
+STAND_IN_S = 10.0
+"""Time for which a process polls after nobody told it anything, seconds."""
+
+FOREVER_S = 3600.0
+"""Time since the last trouble that is told where there was none, seconds."""
+
+
+class Fit(enum.Enum):
+    """How changes that a peer tells of relate to what a process knows."""
+
+    NEXT = "next"
+    """They go on from there."""
+    KNOWN = "known"
+    """They are known already."""
+    GAP = "gap"
+    """There are changes before them that the process does not know."""
+
+
+class PollTurn:
+    """Decides when a process asks the platform for the changes of one table.
+
+    With hundreds of processes that each ask every second or two, almost all calls return what the
+    neighbours have just heard, and the platform limits and charges them. So a few processes poll
+    and tell all others what they hear. Nobody is appointed: each process ranks those that it is
+    connected to. Where the ranking or the telling fails, what a process last heard grows old, and
+    it asks by itself, so that a lost poller means older news and never none.
+
+    Parameters
+    ----------
+    rng : random.Random
+    switches : Switches
+
+    Examples
+    --------
+    >>> turn = PollTurn(random.Random(1))
+    >>> turn.is_poller = False
+    >>> turn.confirm(10.0)
+    >>> turn.is_due(11.0, wait_s=2.0), turn.is_due(13.0, wait_s=2.0)
+    (False, True)
+    """
+
+    def __init__(self, rng: random.Random, switches: Switches = ALL_ON):
+        self.rng = rng
+        self.switches = switches
+        self.is_poller = True
+        self._as_of = float("-inf")
+        self._overdue_share = rng.uniform(*OVERDUE_SHARES)
+        self._missed = False
+        self._told_at = float("-inf")
+        self._failed_at = float("-inf")
+        self._steps_down_until = float("-inf")
+        self._stands_in_until = float("-inf")
+
+    def polls(self, now: float) -> bool:
+        """Return whether the process waits at the platform for changes."""
+        if not self.switches.uses(Mechanism.SHARED_POLLS):
+            return True
+        if now < self._steps_down_until:
+            return False
+        return self.is_poller or now < self._stands_in_until
+
+    def is_due(self, now: float, wait_s: float) -> bool:
+        """Return whether the process asks now.
+
+        Parameters
+        ----------
+        now : float
+        wait_s : float
+            Longest wait of a question, seconds.
+        """
+        return self._missed or self.polls(now) or now >= self._overdue_at(wait_s)
+
+    def next_due_at(self, now: float, wait_s: float) -> float:
+        """Return when the process asks at the latest if it hears nothing."""
+        due = self._overdue_at(wait_s)
+        if self.is_poller and now < self._steps_down_until:
+            due = min(due, self._steps_down_until)
+        return due
+
+    def hold_s(self, now: float, wait_s: float) -> float:
+        """Return how long the platform may hold a question that is asked now, seconds.
+
+        One that only makes up for what was missed is answered at once.
+        """
+        return wait_s if self.polls(now) else 0.0
+
+    def tells(self, now: float, wait_s: float) -> bool:
+        """Return whether the others are told the answer to a question that is asked now.
+
+        After a gap many processes ask at once, and all have pollers that tell them the rest.
+        """
+        return self.polls(now) or now >= self._overdue_at(wait_s)
+
+    def judge(self, known: int, after: int, upto: int) -> Fit:
+        """Return how changes that a peer tells of fit what is known.
+
+        Parameters
+        ----------
+        known : int
+            Revision up to which the process knows all changes.
+        after, upto : int
+            The changes are all those behind the one revision up to the other.
+        """
+        if upto <= known:
+            return Fit.KNOWN
+        if after > known:
+            self._missed = True
+            return Fit.GAP
+        self._missed = False
+        return Fit.NEXT
+
+    def confirm(self, as_of: float) -> None:
+        """Note a moment as of which the process knows all changes."""
+        if as_of > self._as_of:
+            self._as_of = as_of
+            self._overdue_share = self.rng.uniform(*OVERDUE_SHARES)
+
+    def confirm_by_peer(self, as_of: float, now: float) -> None:
+        """Note such a moment that a peer told of."""
+        self._told_at = now
+        self.confirm(as_of)
+
+    def succeed(self, as_of: float, now: float, wait_s: float) -> None:
+        """Note that the platform answered a question."""
+        if not self._missed and not self.polls(now) and now >= self._overdue_at(wait_s):
+            self._stands_in_until = now + STAND_IN_S
+        self._missed = False
+        self.confirm(as_of)
+
+    def fail(self, now: float) -> None:
+        """Note that the platform did not answer a question.
+
+        While others tell what they hear, asking again and again gains nothing.
+        """
+        self._failed_at = now
+        if now - self._told_at < STEP_DOWN_S:
+            self._steps_down_until = now + STEP_DOWN_S
+
+    def steady_s(self, now: float) -> float:
+        """Return the time since the last question that failed, seconds."""
+        return min(now - self._failed_at, FOREVER_S)
+
+    def _overdue_at(self, wait_s: float) -> float:
+        return self._as_of + self._overdue_share * wait_s
+
+
+def is_poller(table: str, me: str, others: Iterable[str]) -> bool:
+    """Return whether a process is one of those that poll a table.
+
+    Parameters
+    ----------
+    table : str
+    me : str
+        Incarnation of the process.
+    others : iterable of str
+        Those of the processes that it is connected to.
+
+    Notes
+    -----
+    Each table has its own order, so that the work of asking and telling is spread.
+
+    Examples
+    --------
+    >>> names = ["a", "b", "c", "d", "e"]
+    >>> sum(is_poller("table", me, set(names) - {me}) for me in names)
+    3
+    """
+    mine = _order(table, me)
+    return sum(_order(table, other) < mine for other in others) < POLLERS
+
+
+def _order(table: str, incarnation: str) -> bytes:
+    return hashlib.blake2b(f"{table}\0{incarnation}".encode(), digest_size=8).digest()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -91,12 +91,15 @@
     removed : tuple of str
         Ids whose entries are gone.
     unreadable : tuple of UnreadableEntry
+    troubled_at : float
+        When the platform last left a question for the list unanswered, at whichever process.
     """
 
     whole: bool
     listed: tuple[ListedUpstream, ...] = ()
     removed: tuple[str, ...] = ()
     unreadable: tuple[UnreadableEntry, ...] = ()
+    troubled_at: float = float("-inf")
 
 
 class Upstream:
@@ -269,7 +272,7 @@
 
     def note_trouble(self, now: float) -> None:
         """Note that the list could not be read."""
-        self._steady_at = now + RETURN_WAIT_S
+        self._steady_at = max(self._steady_at, now + RETURN_WAIT_S)
 
     def apply(self, changes: UpstreamChanges, now: float) -> list[str]:
         """Take over a reading of the list.
@@ -279,6 +282,7 @@
         list of str
             Incarnations that are over: their entries are gone, or they started again.
         """
+        self.note_trouble(changes.troubled_at)
         over = [self._upstreams[id_].incarnation for id_ in changes.removed if id_ in self]
         for unreadable in changes.unreadable:
             self._hold_back(unreadable)
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -26,8 +26,10 @@
         "RunState",
     ),
     "._forwarder_messages": (
+        "ChangedRow",
         "KeysHonoured",
         "PromptPart",
+        "TableChanges",
         "UpstreamCrash",
         "UpstreamLoad",
         "UpstreamLoads",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -1,4 +1,4 @@
-"""The messages between forwarders: what each has at the upstreams, and crashes."""
+"""The messages between forwarders: what each has at the upstreams, crashes, platform tables."""
 
 from __future__ import annotations
 
@@ -74,3 +74,48 @@
     """Whether the configuration of a forwarder is recent enough to honour API keys."""
 
     honoured: bool
+
+
+@attrs.frozen
+class ChangedRow:
+    """A row of one of the platform's tables.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes or None
+        None if the row was removed.
+    revision : int
+        Counter of the platform's transactions at its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@message(33, since=5)
+@attrs.frozen
+class TableChanges:
+    """What the platform told the sender of a table.
+
+    Parameters
+    ----------
+    table : str
+    after, upto : int
+        ``rows`` are all that changed behind the one revision up to the other. If both are the same,
+        the sender leaves out what changed before, and a process that does not know it asks.
+    store_s : float
+        A moment as of which this was all, on the platform's own steady clock, seconds. A message
+        may be late by any time: this moment stays true.
+    steady_s : float
+        Time since the last question of the sender that the platform did not answer, seconds.
+    rows : list of ChangedRow
+    """
+
+    table: str
+    after: int
+    upto: int
+    store_s: float
+    steady_s: float
+    rows: list[ChangedRow]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -4,6 +4,8 @@
 :mod:`burdockquay_transport.forwarding.forwarder`, so that the other roles do not load it.
 """
 
+from burdockquay_protocol import ChangedRow
+
 from ._headers import pass_on_headers
 from ._platform import (
     AnswerFacts,
@@ -21,12 +23,15 @@
     load_adapters,
 )
 from ._settings import ForwarderPlatformSettings, ForwarderSettings
+from ._table_feed import FeedExchange, TableFeed, TableNews, TableReading, TableStore
 
 __all__ = [
     "AnswerFacts",
     "CallerRequest",
+    "ChangedRow",
     "ConfigReading",
     "ConfigSource",
+    "FeedExchange",
     "ForwarderPlatformSettings",
     "ForwarderSettings",
     "ForwardingPlatform",
@@ -35,6 +40,10 @@
     "MemberRegistry",
     "PlatformAddress",
     "SendTerms",
+    "TableFeed",
+    "TableNews",
+    "TableReading",
+    "TableStore",
     "UpstreamSource",
     "forwarding_platforms",
     "load_adapters",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -16,6 +16,7 @@
     Heartbeat,
     KeysHonoured,
     PromptPart,
+    TableChanges,
     UpstreamCrash,
     UpstreamLoad,
     UpstreamLoads,
@@ -107,12 +108,14 @@
         self._up: dict[str, PeerConnection] = {}
         self._server: PeerServer | None = None
         self._key = b""
+        state.platform.exchange.tell = self._post
         self._loads = RepeatedNews()
         self._keys = RepeatedNews()
         self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
             UpstreamLoads: self._hear_loads,
             UpstreamCrash: self._hear_crash,
             KeysHonoured: self._hear_keys,
+            TableChanges: self._hear_changes,
             Heartbeat: _ignore,
             Goodbye: _ignore,
         }
@@ -263,12 +266,19 @@
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
         self._loads.forget()
         self._keys.forget()
+        self._note_peers()
 
     def _go_down(self, peer: PeerConnection) -> None:
         if self._up.get(peer.peer.incarnation) is peer:
             del self._up[peer.peer.incarnation]
             self.state.others.forget(peer.peer.incarnation)
             log_event(Event.PEER_DISCONNECTED, vm=peer.peer.vm)
+            self._note_peers()
+
+    def _note_peers(self) -> None:
+        """Choose anew who asks the platform, among the processes that tell what they hear."""
+        others = [name for name, peer in self._up.items() if peer.version >= TableChanges.since]
+        self.state.platform.exchange.note_peers(self.identity.incarnation, others)
 
     async def _keep_telling(self) -> None:
         while True:
@@ -314,6 +324,9 @@
     def _hear_keys(self, peer: PeerConnection, message: KeysHonoured) -> None:
         self.state.others.hear(peer.peer.incarnation, message.honoured, self.state.clock.now())
 
+    def _hear_changes(self, peer: PeerConnection, message: TableChanges) -> None:
+        self.state.platform.exchange.hear(message)
+
     def _hear_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
         for digest in message.digests:
             self.state.suspects.note_crash(digest, message.upstream, self.state.clock.now())
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -18,6 +18,8 @@
 from burdockquay_coordination.forwarding import ForwardConfig, Prompt, UpstreamChanges
 from burdockquay_state import Registry, TableError
 
+from ._table_feed import FeedExchange
+
 
 @attrs.frozen
 class CallerRequest:
@@ -236,10 +238,13 @@
     Parameters
     ----------
     address : PlatformAddress
+    exchange : FeedExchange
+        What the other forwarders tell of the platform's tables.
     """
 
-    def __init__(self, address: PlatformAddress):
+    def __init__(self, address: PlatformAddress, exchange: FeedExchange):
         self.address = address
+        self.exchange = exchange
 
     @abstractmethod
     async def open(self) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -16,7 +16,6 @@
     Mechanism,
     OtherProcesses,
     RetryWindow,
-    Switches,
     UpstreamBook,
 )
 
@@ -65,7 +64,7 @@
         self.platform = platform
         self.clock = clock
         self.rng = rng
-        self.switches = Switches(settings.mechanisms_off)
+        self.switches = platform.exchange.switches
         self.directory: ConfigDirectory | None = None
         self.lease = FreshnessLease(settings.withdrawal_ms / 1000 * LEASE_SHARE)
         self.book = UpstreamBook()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from burdockquay_coordination.forwarding import Switches
+
 from .._addresses import split_address
 from .._background import BackgroundTasks
 from .._clock import Clock, SuspendedClock
@@ -20,6 +22,7 @@
 from ._platform import PlatformAddress, forwarding_platforms, load_adapters
 from ._settings import ForwarderSettings
 from ._state import ForwarderState
+from ._table_feed import FeedExchange
 
 if TYPE_CHECKING:
     from ._peers import PeerMesh
@@ -93,12 +96,9 @@
         platform_class = forwarding_platforms.get(settings.platform.adapter)
         clock = self.clock or SuspendedClock()
         address = PlatformAddress(settings.platform.address, settings.platform.timeout_s, clock.now)
-        self._state = ForwarderState(
-            settings,
-            platform_class(address),
-            clock,
-            self.rng or random.Random(secrets.randbits(64)),
-        )
+        rng = self.rng or random.Random(secrets.randbits(64))
+        exchange = FeedExchange(rng, Switches(settings.mechanisms_off))
+        self._state = ForwarderState(settings, platform_class(address, exchange), clock, rng)
         self._tasks = BackgroundTasks()
         await self._state.platform.open()
         self._state.connections.open()
