Tell loads within a failure domain, and their sums to the other domains by relays

Cause: each process told every other one all it had at the upstreams, 60 messages a second at most together. With 68 processes the figures were 1.1 s old, about as long as an answer takes, so that many processes chose the same place; the bytes crossed domains five times in six.

Hypothesis: figures 0.1 to 0.4 s old let fewer requests meet a full upstream.

Change: a process tells those of its own domain every 0.1 s (0.5 s with fifty of them). Two relays of each domain, ranked by each process among those it is connected to, tell the sums to their counterparts every 0.2 s, who pass them on. A lost relay means older figures, and the second way has no process in common with the first. A message for many is encoded once; whether a process honours keys is told to eight others in place of all. `_peers.py` is split: links there, loads in `_load_sharing.py`.

Tests: messages between domains do not grow with the processes, every domain hears from every other one also without any one process, and in real processes of three domains all know a prompt that is under way; the messages of the code before fail the first by their number.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -18,6 +18,7 @@
     ServiceTargets,
 )
 from ._directory import ConfigDirectory, pick_service, request_priority
+from ._domain_loads import DomainLoads, choose_relay_targets
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
@@ -28,6 +29,7 @@
 from ._placing import Demand, Placement, place_prompt
 from ._polling import Fit, PollTurn, is_poller
 from ._prompts import Prompt, PromptMemory
+from ._ranking import rank_processes
 from ._reading import ReadingLine
 from ._return import OtherProcesses, return_after_s
 from ._suspects import CrashSuspects
@@ -47,6 +49,7 @@
     "ConfigDirectory",
     "CrashSuspects",
     "Demand",
+    "DomainLoads",
     "EngineModel",
     "LinearModel",
     "Fit",
@@ -82,9 +85,11 @@
     "UrgencyScale",
     "WaitingPrompt",
     "choose_backup",
+    "choose_relay_targets",
     "choose_upstream",
     "is_poller",
     "place_prompt",
+    "rank_processes",
     "request_priority",
     "return_after_s",
     "usable_upstreams",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import enum
-import hashlib
 import random
 from collections.abc import Iterable
 
 from ._mechanisms import ALL_ON, Mechanism, Switches
+from ._ranking import rank_processes
 
 POLLERS = 3
 """Processes that wait at the platform for the changes of one table: with one alone, its loss would
@@ -177,19 +177,10 @@
     others : iterable of str
         Those of the processes that it is connected to.
 
-    Notes
-    -----
-    Each table has its own order, so that the work of asking and telling is spread.
-
     Examples
     --------
     >>> names = ["a", "b", "c", "d", "e"]
     >>> sum(is_poller("table", me, set(names) - {me}) for me in names)
     3
     """
-    mine = _order(table, me)
-    return sum(_order(table, other) < mine for other in others) < POLLERS
-
-
-def _order(table: str, incarnation: str) -> bytes:
-    return hashlib.blake2b(f"{table}\0{incarnation}".encode(), digest_size=8).digest()
+    return me in rank_processes(table, [me, *others])[:POLLERS]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ._linear import SpeedFactor
-from ._pending import PendingPrompts
+from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
 
 RETURN_WAIT_S = 2.2
@@ -142,6 +142,10 @@
         host = f"[{self.entry.host}]" if ":" in self.entry.host else self.entry.host
         return f"{host}:{self.entry.port}"
 
+    def share(self) -> LoadShare:
+        """Return what this process has there."""
+        return LoadShare(self.pending.own_tokens, self.outstanding)
+
     def running(self, now: float) -> int:
         """Return the requests that all processes have there."""
         return self.outstanding + self.pending.running_elsewhere(now)
@@ -256,6 +260,13 @@
         """Return all upstreams."""
         return self._upstreams.values()
 
+    def find(self, incarnation: str) -> Upstream | None:
+        """Return the upstream whose present run has a name, None if that run is not known."""
+        found = self._upstreams.get(incarnation)
+        if found is None:
+            found = self._upstreams.get(incarnation.rpartition("@")[0])
+        return found if found is not None and found.incarnation == incarnation else None
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service, also those that take no work."""
         return self._by_service.get(service, [])
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -28,6 +28,7 @@
     "._forwarder_messages": (
         "ChangedRow",
         "KeysHonoured",
+        "LoadsOfDomain",
         "PromptPart",
         "TableChanges",
         "UpstreamCrash",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -51,6 +51,24 @@
     loads: list[UpstreamLoad]
 
 
+@message(34, since=5)
+@attrs.frozen
+class LoadsOfDomain:
+    """All that the forwarders of a failure domain together have at upstreams now.
+
+    A forwarder of another domain passes it on to those of its own.
+
+    Parameters
+    ----------
+    domain : str
+    loads : list of UpstreamLoad
+        An upstream that is not named has nothing of them.
+    """
+
+    domain: str
+    loads: list[UpstreamLoad]
+
+
 @message(31, since=3)
 @attrs.frozen
 class UpstreamCrash:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -96,6 +96,19 @@
     bytes_received: int = 0
 
 
+class EncodedMessage:
+    """A message that goes to many peers and is encoded once.
+
+    Parameters
+    ----------
+    message : object
+    """
+
+    def __init__(self, message: Any):
+        self.since = message.since
+        self.data = encode(message)
+
+
 class PeerConnection:
     """An authenticated connection.
 
@@ -324,13 +337,17 @@
     async def _send_pending(self) -> None:
         while self._pending:
             item = self._pending.popleft()
-            message = self._gather_frames(item) if isinstance(item, Frame) else item
-            data = encode(message)
+            data = self._encode(item)
             self.traffic_mark_sent += 1
             self.traffic.messages_sent += 1
             self.traffic.bytes_sent += len(data)
             await self.websocket.send(data)
 
+    def _encode(self, item: Any) -> bytes:
+        if isinstance(item, EncodedMessage):
+            return item.data
+        return encode(self._gather_frames(item) if isinstance(item, Frame) else item)
+
     def _gather_frames(self, first: Frame) -> Frames:
         frames = [first]
         size = len(first.data)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from result import Err
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from burdockquay_coordination.forwarding import LoadShare, Mechanism, Upstream
+from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_protocol import (
     Goodbye,
     Heartbeat,
     KeysHonoured,
-    PromptPart,
+    LoadsOfDomain,
     TableChanges,
     UpstreamCrash,
-    UpstreamLoad,
     UpstreamLoads,
 )
 
@@ -29,12 +28,14 @@
     HEARTBEAT_S,
     SILENCE_S,
     WEBSOCKET_OPTIONS,
+    EncodedMessage,
     Identity,
     PeerConnection,
     TrafficCounts,
     greet_peer,
 )
 from .._peer_server import PeerServer
+from ._load_sharing import LoadSharing, RepeatedNews
 from ._platform import Member, MemberChanges, MemberRegistry
 from ._state import ForwarderState
 
@@ -42,13 +43,16 @@
 """Shortest time between two messages about loads, seconds: about the time in which an upstream
 reads one long prompt. Older figures would let processes start more than fits."""
 
-REPEAT_S = 1.0
-"""Time after which unchanged figures are told again, seconds, so that they are not taken for those
-of a process that is gone."""
+MAX_MESSAGES_PER_S = 100
+"""Messages about loads that one process sends to the others of its failure domain together; with
+more of them the figures are told less often, so that the cost does not grow with their square."""
 
-MAX_MESSAGES_PER_S = 60
-"""Messages about loads that one process sends to all others together; with more peers the figures
-are told less often, so that the cost does not grow with the square of the processes."""
+TELL_DOMAINS_S = 0.2
+"""Time between two messages of a relay to the other domains, seconds. Bytes between domains cost
+more than those within; two relays together halve it."""
+
+KEYS_TOLD_TO = 8
+"""Other processes that one tells whether it honours API keys: enough that each hears from some."""
 
 MEMBERS_WAIT_S = 10.0
 """How long the platform holds a question for changes of the members, seconds."""
@@ -66,26 +70,6 @@
 restart or a partition that heals."""
 
 
-class RepeatedNews:
-    """Something that is told when it changes, and again after a while."""
-
-    def __init__(self):
-        self._told: Any = None
-        self._told_at = float("-inf")
-
-    def is_due(self, news: Any, now: float) -> bool:
-        """Return whether to tell it now, and take it as told if so."""
-        if news == self._told and now - self._told_at < REPEAT_S:
-            return False
-        self._told = news
-        self._told_at = now
-        return True
-
-    def forget(self) -> None:
-        """Tell it anew: a process that has just connected knows nothing."""
-        self._told_at = float("-inf")
-
-
 class PeerMesh:
     """The connections of one forwarder to all others.
 
@@ -109,10 +93,12 @@
         self._server: PeerServer | None = None
         self._key = b""
         state.platform.exchange.tell = self._post
-        self._loads = RepeatedNews()
+        self._loads = LoadSharing(state, identity, post_all)
         self._keys = RepeatedNews()
+        self._told_of_keys: list[PeerConnection] = []
         self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
-            UpstreamLoads: self._hear_loads,
+            UpstreamLoads: self._loads.hear,
+            LoadsOfDomain: self._loads.hear_domain,
             UpstreamCrash: self._hear_crash,
             KeysHonoured: self._hear_keys,
             TableChanges: self._hear_changes,
@@ -128,11 +114,14 @@
     async def run(self) -> None:
         """Join the members, and connect to them until cancelled."""
         await self._join()
-        telling = asyncio.create_task(self._keep_telling())
+        telling = [
+            asyncio.create_task(work()) for work in (self._keep_telling, self._keep_telling_domains)
+        ]
         try:
             await self._follow_members()
         finally:
-            telling.cancel()
+            for task in telling:
+                task.cancel()
 
     async def leave(self) -> None:
         """Take this process out of the members."""
@@ -264,7 +253,6 @@
         # A cut link sends nothing, not even an end; without this it would count as connected.
         peer.keep_alive(HEARTBEAT_S, SILENCE_S, lambda: Heartbeat(0))
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
-        self._loads.forget()
         self._keys.forget()
         self._note_peers()
 
@@ -279,47 +267,29 @@
         """Choose anew who asks the platform, among the processes that tell what they hear."""
         others = [name for name, peer in self._up.items() if peer.version >= TableChanges.since]
         self.state.platform.exchange.note_peers(self.identity.incarnation, others)
+        self._loads.note_peers(self._up)
+        near = rank_processes(self.identity.incarnation, self._up)[:KEYS_TOLD_TO]
+        self._told_of_keys = [self._up[name] for name in near]
 
     async def _keep_telling(self) -> None:
         while True:
-            await asyncio.sleep(max(TELL_S, len(self._up) / MAX_MESSAGES_PER_S))
-            self._tell_loads()
+            await asyncio.sleep(max(TELL_S, self._loads.near / MAX_MESSAGES_PER_S))
+            self._loads.tell()
             self._tell_keys()
 
+    async def _keep_telling_domains(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_DOMAINS_S * self.state.rng.uniform(0.9, 1.1))
+            self._loads.tell_other_domains()
+
     def _tell_keys(self) -> None:
         now = self.state.clock.now()
         honoured = self.state.keys_trusted(now)
         if self._keys.is_due(honoured, now):
-            self._post(KeysHonoured(honoured))
-
-    def _tell_loads(self) -> None:
-        loads = [
-            _describe_load(upstream)
-            for upstream in self.state.book.all()
-            if upstream.outstanding or upstream.untold_parts
-        ]
-        if self._loads.is_due(loads, self.state.clock.now()):
-            self._post(UpstreamLoads(loads))
+            post_all(self._told_of_keys, KeysHonoured(honoured))
 
     def _post(self, message: Any) -> None:
-        for peer in self._up.values():
-            peer.post(message)
-
-    def _hear_loads(self, peer: PeerConnection, message: UpstreamLoads) -> None:
-        now = self.state.clock.now()
-        switches = self.state.switches
-        # Processes hear that an upstream started again at different moments. Figures and parts of
-        # another incarnation than the one known here are not of it.
-        told = {load.upstream: load for load in message.loads}
-        for upstream in self.state.book.all():
-            load = told.get(upstream.incarnation, _NO_LOAD)
-            if switches.uses(Mechanism.SHARED_LOADS):
-                share = LoadShare(load.prompt_tokens, load.running)
-                upstream.pending.hear(peer.peer.incarnation, share, now)
-            if switches.uses(Mechanism.SHARED_PARTS):
-                for part in load.parts:
-                    upstream.memory.note(part.id, part.tokens)
-        self.state.look_at_waiting()
+        post_all(self._up.values(), message)
 
     def _hear_keys(self, peer: PeerConnection, message: KeysHonoured) -> None:
         self.state.others.hear(peer.peer.incarnation, message.honoured, self.state.clock.now())
@@ -332,13 +302,11 @@
             self.state.suspects.note_crash(digest, message.upstream, self.state.clock.now())
 
 
-def _describe_load(upstream: Upstream) -> UpstreamLoad:
-    parts = [PromptPart(id_, tokens) for id_, tokens in upstream.take_untold_parts().items()]
-    own = upstream.pending.own_tokens
-    return UpstreamLoad(upstream.incarnation, own, upstream.outstanding, parts)
-
-
-_NO_LOAD = UpstreamLoad("", 0, 0, [])
+def post_all(peers: Iterable[PeerConnection], message: Any) -> None:
+    """Queue a message for some connections, encoded once for all."""
+    encoded = EncodedMessage(message)
+    for peer in peers:
+        peer.post(encoded)
 
 
 def _ignore(peer: PeerConnection, message: Any) -> None:
