Answer what a stopping process cannot finish, in place of closing its connection

Now a request whose answer has not begun gets one: 503 as not run with Retry-After if it was never sent, 504 otherwise.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -64,6 +64,7 @@
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
         self._busy: set[web.RequestHandler] = set()
+        self._answers_cut = False
 
     @property
     def held(self) -> int:
@@ -117,6 +118,14 @@
         while self._handling:
             await asyncio.wait(set(self._handling))
 
+    async def answer_all(self) -> None:
+        """End what still runs, with an error for each request whose answer has not begun.
+
+        A caller whose connection is closed instead cannot tell whether its request has run.
+        """
+        self._answers_cut = True
+        await self.cut_all()
+
     async def cut_all(self) -> None:
         """End what still runs."""
         tasks = set(self._handling)
@@ -172,6 +181,10 @@
             kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
             return self._fail(call, RequestError(kind))
         except asyncio.CancelledError:
+            if self._answers_cut:
+                asyncio.current_task().uncancel()
+                kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.LEAVING
+                return self._fail(call, RequestError(kind))
             self._note_end(call, 0, "caller left")
             raise
         except LOST_CALLER:
