Set upstreams apart as soon as steady streams pause, and show how old knowledge of loads is

Upstreams are set apart for them only where the other streams pause, and these bear more, so that they told nothing.

Hypothesis: the steady streams' own pauses as a second sign, over ten streams, serve them better and change nothing where they are in time.

`forwarder_loads_age_seconds` tells how long ago a process heard of the requests of others.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_pace.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_pace.py
@@ -18,6 +18,15 @@
 are set apart and below which none are. Measured on the other streams, it goes on telling how it is
 where prompts are read, so that setting upstreams apart does not end its own reason."""
 
+STEADY_PAUSE_WEIGHT = 0.1
+"""Weight of the newest stream in the share of steady streams that are written too slowly. A process
+of many sees few of them, so that about ten must tell."""
+
+STEADY_BEGIN_SHARE = 0.12
+STEADY_END_SHARE = 0.03
+"""Share of the steady streams with pauses longer than they may have, above which upstreams are set
+apart too, and below which this alone is no reason any more."""
+
 LEAST_UPSTREAMS = 4
 """Upstreams of a service from which on some are set apart; of fewer, one would be too many."""
 
@@ -43,15 +52,15 @@
     """
 
     def __init__(self):
-        self._long_pauses = 0.0
+        self._others = _LatePauses(PAUSE_WEIGHT, BEGIN_SHARE, END_SHARE)
+        self._steady = _LatePauses(STEADY_PAUSE_WEIGHT, STEADY_BEGIN_SHARE, STEADY_END_SHARE)
         self._steady_work = 0.0
         self._all_work = 0.0
-        self._active = False
 
     @property
     def active(self) -> bool:
         """Whether upstreams are set apart."""
-        return self._active
+        return self._others.active or self._steady.active
 
     def note_demand(self, is_steady: bool, prompt_tokens: int, answer_tokens: int) -> None:
         """Note a request.
@@ -68,12 +77,14 @@
         self._all_work = WORK_MEMORY * self._all_work + work
         self._steady_work = WORK_MEMORY * self._steady_work + (work if is_steady else 0.0)
 
-    def note_pause(self, longest_s: float, limit_s: float) -> None:
-        """Note the longest pause of another stream, beside what steady ones may have."""
-        is_long = longest_s > limit_s
-        self._long_pauses += PAUSE_WEIGHT * (is_long - self._long_pauses)
-        threshold = END_SHARE if self._active else BEGIN_SHARE
-        self._active = self._long_pauses > threshold
+    def note_pause(self, longest_s: float, limit_s: float, is_steady: bool = False) -> None:
+        """Note the longest pause of a stream, beside what steady ones may have.
+
+        Pauses of other streams tell of much reading everywhere. Steady streams can be late without:
+        where few requests run at once at an upstream, a single long prompt beside them is enough.
+        """
+        pauses = self._steady if is_steady else self._others
+        pauses.note(longest_s > limit_s)
 
     def choose(self, upstreams: Sequence[Upstream]) -> frozenset[str]:
         """Return the ids of the upstreams that are set apart, none while that is not needed.
@@ -83,7 +94,7 @@
         upstreams : sequence of Upstream
             Those of the service that take work.
         """
-        if not self._active or len(upstreams) < LEAST_UPSTREAMS or not self._all_work:
+        if not self.active or len(upstreams) < LEAST_UPSTREAMS or not self._all_work:
             return frozenset()
         share = min(self._steady_work / self._all_work, MOST_SHARE)
         count = round(share * len(upstreams))
@@ -91,6 +102,21 @@
         return frozenset(item.id for item in ranked[:count])
 
 
+class _LatePauses:
+    """The share of streams with a pause that is too long, and whether that is too many."""
+
+    def __init__(self, weight: float, begin_share: float, end_share: float):
+        self._weight = weight
+        self._begin_share = begin_share
+        self._end_share = end_share
+        self._share = 0.0
+        self.active = False
+
+    def note(self, is_long: bool) -> None:
+        self._share += self._weight * (is_long - self._share)
+        self.active = self._share > (self._end_share if self.active else self._begin_share)
+
+
 @functools.lru_cache(maxsize=4096)
 def _rank(id_: str) -> bytes:
     """Return a place in an order that is the same at every process."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_pace.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_pace.py
@@ -108,3 +108,27 @@
     apart = guard.choose(upstreams)
     placed = {place(upstreams, long(number), guard, ["set_apart"]) for number in range(60)}
     assert placed & apart
+
+
+def test_upstreams_are_set_apart_when_steady_streams_alone_pause():
+    """Few requests run at once at an upstream, and each long prompt stops them for a moment.
+
+    The other streams bear that and show few pauses, so that nothing was set apart, while a quarter
+    of the steady streams were late by a single pause.
+    """
+    guard = PaceGuard()
+    for number in range(40):
+        guard.note_demand(True, 1000, 150)
+        guard.note_demand(False, 4000, 100)
+        guard.note_pause(0.5 * LIMIT_S, LIMIT_S)
+        guard.note_pause(2 * LIMIT_S if number % 4 == 0 else 0.5 * LIMIT_S, LIMIT_S, True)
+    assert guard.active
+    for _ in range(60):
+        guard.note_pause(0.5 * LIMIT_S, LIMIT_S, True)
+    assert not guard.active
+
+
+def test_single_late_steady_stream_sets_nothing_apart():
+    guard = PaceGuard()
+    guard.note_pause(2 * LIMIT_S, LIMIT_S, True)
+    assert not guard.active
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -215,8 +215,9 @@
     def learn_pause(self, route: ForwardRoute, longest_s: float) -> None:
         """Learn from the longest pause between two events of a whole answer."""
         targets = self.targets()
-        if targets.shortest_pause_s is not None and not targets.is_steady(route):
-            self.model.pace.note_pause(longest_s, targets.shortest_pause_s)
+        if targets.shortest_pause_s is not None:
+            is_steady = targets.is_steady(route)
+            self.model.pace.note_pause(longest_s, targets.shortest_pause_s, is_steady)
 
     def _make_waiting(self, call: ForwardCall) -> WaitingPrompt:
         silence = call.route.silence_s or call.route.timeout_s
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
@@ -55,6 +55,9 @@
         self.keys_trusted = self._gauge("keys_trusted", "1 while API keys are honoured.")
         self.held = self._gauge("held_calls", "Requests that are not answered yet.")
         self.peers = self._gauge("peers", "Other forwarders that are connected.")
+        self.loads_age = self._gauge(
+            "loads_age_seconds", "Time since it heard of the requests of other forwarders."
+        )
         self.waiting = Gauge(
             "forwarder_waiting_calls",
             "Requests that wait for an upstream.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -90,6 +90,7 @@
         self._watches_far: dict[str, RelayWatch] = defaultdict(RelayWatch)
         self._chosen: str | None = None
         self._served = 0
+        self._heard_at = float("-inf")
         self._far: dict[str, str] = {}
         self._recent_parts: deque[tuple[float, UpstreamLoad]] = deque(maxlen=200)
         self._told = RepeatedNews()
@@ -100,6 +101,10 @@
         """Whether this process adds up the figures of its failure domain."""
         return self._chosen == self.identity.incarnation
 
+    def age(self, now: float) -> float:
+        """Return the time since this process heard of the requests of others, seconds."""
+        return now - self._heard_at
+
     @property
     def served(self) -> int:
         """How many processes hear from this one as their relay."""
@@ -258,6 +263,7 @@
     def _take(self, source: str, loads: list[UpstreamLoad], is_whole: bool) -> None:
         """Take over the figures of one source."""
         now = self.state.clock.now()
+        self._heard_at = now
         book = self.state.book
         if self.state.switches.uses(Mechanism.SHARED_LOADS):
             named = {load.upstream for load in loads}
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -112,6 +112,10 @@
         """How many other forwarders are connected."""
         return len(self._up)
 
+    def loads_age(self, now: float) -> float:
+        """Return the time since this process heard of the requests of others, seconds."""
+        return self._loads.age(now)
+
     async def run(self) -> None:
         """Join the members, and connect to them until cancelled."""
         await self._join()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -159,6 +159,8 @@
         self._state.refresh_gauges()
         self._state.figures.held.set(self._ingress.held)
         self._state.figures.peers.set(self._mesh.connected if self._mesh else 0)
+        if self._mesh is not None and self._mesh.connected:
+            self._state.figures.loads_age.set(self._mesh.loads_age(self._state.clock.now()))
         return self._state.figures.expose()
 
     async def stop(self) -> None:
