--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -66,8 +66,8 @@
 
         Among prompts the priority of the route goes first, and that of the organisation decides
         between requests to routes of the same one. With that of the organisation first, upstreams
-        that ran out of memory preempted streams of urgent routes while long prompts of other routes
-        ran on, 119 on a day of high load, and the streams earned 0.47 of what was owed, not 0.52.
+        that run out of memory preempt streams of urgent routes while long prompts of other routes
+        run on.
         """
         priority = request_priority(route, organisation)
         if not route.by_prompt:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_losses.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_losses.py
@@ -10,9 +10,7 @@
 
 COPY_COST = 0.05
 """Part of what a stream is worth that a copy of its memory costs: it takes memory at a second
-upstream and time on the links of both, which other prompts wait for. Kept for every stream of half
-a second and more, copies cost 0.013 of the possible worth on six days each of two deployments, as
-many answers came whole without them."""
+upstream and time on the links of both, which other prompts wait for."""
 
 
 class LossRate:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_pace.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_pace.py
@@ -46,9 +46,8 @@
 
     While an engine reads a long prompt, the answers beside it are written four to five times more
     slowly. In a burst of long prompts nearly every upstream reads all the time, and streams whose
-    callers bear short pauses only are late wherever they run: 40 in 100 of the most urgent requests
-    on a day of high load before 26 upstreams. A part of the upstreams, which every process chooses
-    the same way, then takes these streams and no long prompts.
+    callers bear short pauses only are late wherever they run. A part of the upstreams, which every
+    process chooses the same way, then takes these streams and no long prompts.
     """
 
     def __init__(self):
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -15,21 +15,17 @@
 READ_HARM = 0.7
 """Delay that the reading of shared tokens counts for, beside its own time, for each request that
 runs at the upstream, in times of that time. All that runs there waits meanwhile, and the tokens
-push others out of memory, which are then read again in their turn. On four days of high load with
-some twenty running requests at each engine, a fixed weight of 3 served 0.71, 0.72, 0.42 and 0.38 of
-the possible worth, 8 served 0.76, 0.73, 0.51 and 0.42, and 16 served 0.78, 0.74, 0.49 and 0.44."""
+push others out of memory, which are then read again in their turn."""
 
 WRITE_HARM = 0.08
 """Delay that the reading of any tokens counts for, for each request that runs at the upstream, in
 times of the reading. While a prompt is read, the answers beside it are written four to five times
-more slowly, and long ones run out of time. With it long prompts and long answers part: on eight
-days with 30 to 100 requests a second 0.561 of the possible worth against 0.557 without."""
+more slowly, and long ones run out of time. With it long prompts and long answers part."""
 
 FETCH_SHARE = 0.35
 """Part of the same delay that fetching shared tokens from another upstream counts for: the fetch
-takes some hundredths of the time, but the tokens then take memory at both and time on both links.
-On six days of each of two deployments 0.125 served 0.862 and 0.628 of the possible worth, 0.35
-served 0.869 and 0.632, and no fetches at all 0.869 and 0.618."""
+takes some hundredths of the time, but the tokens then take memory and time of the link at
+both."""
 
 FULL_COST_S = 1.0
 """Cost of an upstream whose places are all taken, seconds: a request waits there until an answer of
@@ -39,9 +35,7 @@
 HOLDERS_LOOKED_AT = 3
 """Upstreams that one decision weighs: the first homes of the shared part, which for each part are
 others, and those that hold most of the prompt. More hardly find a better one, and a decision would
-take longer with each upstream: processes with a fraction of a core then noticed only after a second
-that a caller had left. One look at 20 waiting prompts before 26 upstreams took 27 ms when all were
-weighed, and takes 3 ms (``benchmarks/bench_look.py`` on a busy machine)."""
+take longer with each upstream: small processes would notice late that a caller has left."""
 
 APART_COST_S = 1.0
 """Cost of a steady stream beside long prompts, or of a long prompt beside steady streams, seconds:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_reading.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_reading.py
@@ -18,9 +18,8 @@
 """Prompts from which on figures are taken from them and not from the first guess."""
 
 FAST_SHARE = 0.1
-"""Part of the prompts that count as read without a wait. In the burst of a day of high load the
-reading of a tenth took 41 to 47 us a token, of the half 87 to 114, of an idle engine 24; a much
-smaller part would follow prompts that were in memory although this process did not know."""
+"""Part of the prompts that count as read without a wait. A much smaller one would follow prompts
+that were in memory although this process did not know."""
 
 LONG_TOKENS = 1000
 """Prompt tokens from which on a prompt tells the slope. Shorter ones tell what each prompt takes
@@ -40,11 +39,10 @@
 
     A prompt also waits for a place, for memory and for the answers that are written beside it.
     Under load these waits are many times the reading, and figures of other processes are out of
-    date, so that a line fitted to all samples becomes flat: nothing seemed to take time to read,
-    all prompts were sent at once as short ones, and on a day of high load the engines ran twice
-    what they have places for. But no first token comes before its own prompt is read. So the slope
-    is that of the prompts that were read fastest, less what short prompts take, and all other time
-    is in the offset.
+    date, so that a line fitted to all samples becomes flat: nothing seems to take time to read,
+    all prompts are sent at once as short ones, and engines run twice what they have places for.
+    But no first token comes before its own prompt is read. So the slope is that of the prompts that
+    were read fastest, less what short prompts take, and all other time is in the offset.
 
     Parameters
     ----------
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_urgency.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_urgency.py
@@ -16,10 +16,9 @@
     """Levels of urgency for upstreams.
 
     Upstreams read prompts of one level in the order they came. In a burst of long prompts the short
-    ones then wait for the long ones, miss their targets, and gain the long ones next to nothing: on
-    a day of high load the first token of 60 in 100 short prompts was late behind long ones of the
-    same priority. So each rank has two levels as far as there are enough, the more urgent ranks
-    first; the first level of a rank is for short prompts.
+    ones then wait for the long ones, miss their targets, and gain the long ones next to nothing. So
+    each rank has two levels as far as there are enough, the more urgent ranks first; the first
+    level of a rank is for short prompts.
 
     Parameters
     ----------
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -25,9 +25,8 @@
 
 LATE_SHARE = 0.15
 """Part of the window up to which work that has missed its target is started: where an upstream
-reads next to nothing. At half the window late work alone kept upstreams reading all the time, and
-the answers beside it were written too slowly to end in time: 0.561 of the possible worth on the
-same eight days, 0.564 with 0.15."""
+reads next to nothing. With more, late work alone keeps upstreams reading all the time, and the
+answers beside it are written too slowly to end in time."""
 
 MARGIN = 0.9
 """Part of a target that a prediction must keep to count as in time."""
@@ -162,7 +161,7 @@
         Notes
         -----
         Every request is placed once, and again only if something started meanwhile where it would
-        go. To place all of them again after each start took 27 ms for twenty before 26 upstreams.
+        go: to place all of them again after each start takes most of a small process.
         """
         looked_at = heapq.nsmallest(MAX_LOOKED_AT, self._waiting, key=_order)
         candidates = _Candidates(PlacementRound(upstreams, model, now), looked_at)
@@ -212,10 +211,9 @@
     def _rank(self, start: Start) -> tuple[bool, bool, int, bool, float]:
         """Rank what can be in time first, then by urgency, then by what is soon read.
 
-        Without regard to the reading ahead, half of the long prompts that engines read in a burst
-        were late, and as many that could have been in time were refused meanwhile. What is late for
-        that reading alone still starts when nothing else wants the place: held back like other late
-        work, 342 of 538 requests of two seconds after a burst were in time in place of 408.
+        Without regard to the reading ahead, engines read prompts in a burst that are late all the
+        same, and others that could be in time are refused meanwhile. What is late for that reading
+        alone still starts when nothing else wants the place, or places stay empty after a burst.
         """
         waiting = start.waiting
         is_cold = self._by_warmth and not start.placement.is_warm
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -59,8 +59,8 @@
 
 GATHER_S = 1.0
 """Pause after news of the members before the next question, seconds. When all processes start
-together, each would otherwise ask once for each other one: 784 of the 2,800 calls of a day of 28
-processes. A process that joins a second later is served all the same."""
+together, each would otherwise ask once for each other one. A process that joins a second later is
+served all the same."""
 
 RETRY_S = (0.2, 5.0)
 """First and longest pause between two tries to reach a peer, seconds."""
