Keep the figures of an upstream that a relay names for its prompt parts alone

Cause: a relay tells what changed. An upstream whose parts changed and whose figures did not was named with figures of nothing, and all processes took it for idle until the next whole message, a second later at most. Found on reading; the test fails on the code before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -232,6 +232,8 @@
     view = {upstream: share for upstream, share in view.items() if share != NOTHING}
     is_whole = now - target.whole_at >= WHOLE_S
     shares: Shares = view if is_whole else _changed(target.told, view)
+    # An upstream that is named for its parts alone must not seem idle.
+    shares = {**{name: view.get(name, NOTHING) for name in target.parts}, **shares}
     is_due = shares or target.parts or now - target.told_at >= BEAT_S
     if not (is_due or is_whole):
         return None
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
@@ -128,3 +128,18 @@
     watch = RelayWatch()
     assert watch.choose(["me", "b"], 0.0, "me") == "me"
     assert watch.choose(["me", "b"], 9.0, "me") == "me"
+
+
+def test_news_of_a_part_keeps_the_figures_of_its_upstream():
+    """A process tells that an upstream read a part, while its requests there are as before.
+
+    The message named the upstream without figures, and all others took it for idle.
+    """
+    relay = LoadRelay()
+    relay.hear("one", {"u": LoadShare(500, 2)}, 0.0, is_near=True)
+    relay.set_targets(["two"], [])
+    relay.compose("two", 0.0)
+    relay.hear("one", {"u": LoadShare(500, 2)}, 0.1, is_near=True)
+    relay.hear_parts("one", "u", {"aa": 100})
+    news = relay.compose("two", 0.1)
+    assert (news.is_whole, news.shares) == (False, {"u": LoadShare(500, 2)})
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -253,8 +253,7 @@
 
     def _message(self, news: LoadNews, is_far: bool) -> LoadsOfDomain | LoadsElsewhere:
         loads = [
-            _describe(name, news.shares.get(name, NOTHING), news.parts.get(name, {}))
-            for name in news.shares.keys() | news.parts.keys()
+            _describe(name, share, news.parts.get(name, {})) for name, share in news.shares.items()
         ]
         if is_far:
             return LoadsOfDomain(self.identity.failure_domain, news.is_whole, loads)
