Do not leave a relay because this process itself stood still

Now a gap between its own looks counts for nothing, a relay is tried again after 2 s, and a process tells the parts of its last five seconds to a new one.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -12,9 +12,13 @@
 RELAY_SILENCE_S = 0.6
 """Time after which a relay that says nothing is left for the next one, seconds."""
 
-RELAY_RETRY_S = 5.0
+RELAY_RETRY_S = 2.0
 """Time after which it is tried again, seconds."""
 
+DEAF_S = 0.3
+"""Time between two looks after which a process takes itself and not the relay to have stood still,
+seconds: what it was told meanwhile is not read yet."""
+
 BEAT_S = 0.2
 """Longest time between two messages of a relay to each process, seconds: a third of the silence
 that makes others turn away."""
@@ -38,11 +42,12 @@
     Examples
     --------
     >>> watch = RelayWatch()
-    >>> watch.choose(["a", "b"], now=0.0), watch.choose(["a", "b"], now=1.0)
-    ('a', 'b')
+    >>> [watch.choose(["a", "b"], now) for now in (0.0, 0.25, 0.5, 0.75)]
+    ['a', 'a', 'a', 'b']
     """
 
     def __init__(self):
+        self._looked_at = float("-inf")
         self._chosen: str | None = None
         self._heard_at = 0.0
         self._left_until: dict[str, float] = {}
@@ -63,6 +68,9 @@
         me : str or None
             This process, which is never silent.
         """
+        if now - self._looked_at > DEAF_S:
+            self._heard_at = now
+        self._looked_at = now
         for name in ranked:
             if now < self._left_until.get(name, 0.0):
                 continue
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
@@ -113,15 +113,37 @@
     assert relay.compose("two", 5.0).parts == {}
 
 
+def look(watch, until, now=0.0, speaking=()):
+    """Look every tenth of a second, hearing from some relays each time; return the last choice."""
+    chosen = None
+    while now < until - 1e-9:
+        now += 0.1
+        for name in speaking:
+            watch.note_heard(name, now)
+        chosen = watch.choose(["a", "b"], now)
+    return chosen
+
+
 def test_silent_relay_is_left_and_tried_again_later():
     """A relay freezes; its connections stay open and nobody hears anything of other processes."""
     watch = RelayWatch()
-    assert watch.choose(["a", "b"], 0.0) == "a"
-    watch.note_heard("a", 0.5)
-    assert watch.choose(["a", "b"], 1.0) == "a"
-    assert watch.choose(["a", "b"], 1.2) == "b"
-    watch.note_heard("b", 6.0)
-    assert watch.choose(["a", "b"], 6.3) == "a"
+    assert look(watch, 1.0, speaking=["a"]) == "a"
+    assert look(watch, 1.5, now=1.0) == "a"
+    assert look(watch, 2.0, now=1.5, speaking=["b"]) == "b"
+    assert look(watch, 3.0, now=2.0, speaking=["b"]) == "b"
+    assert look(watch, 4.0, now=3.0, speaking=["a", "b"]) == "a"
+
+
+def test_process_that_stood_still_itself_does_not_leave_its_relay():
+    """A process gets no processor time for a second; what its relay told it lies unread.
+
+    It left the relay, heard nobody for seconds, and what it told meanwhile reached nobody.
+    """
+    watch = RelayWatch()
+    assert look(watch, 1.0, speaking=["a"]) == "a"
+    assert watch.choose(["a", "b"], 2.5) == "a"
+    assert look(watch, 3.0, now=2.5) == "a"
+    assert look(watch, 3.5, now=3.0) == "b"
 
 
 def test_process_that_is_the_relay_itself_never_leaves_itself():
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -31,9 +31,9 @@
 """Time after which unchanged figures are told again, seconds, so that they are not taken for those
 of a process that is gone."""
 
-RECENT_PARTS_S = 3.0
+RECENT_PARTS_S = 5.0
 """Age up to which prompt parts read by this process are told again to a new relay, seconds: the one
-before may have been lost with them."""
+before may have been lost with them. Longer than a relay is left before it is tried again."""
 
 MAX_KNOWN_PARTS = 4000
 """Most prompt parts that a process which has just started is told of, some hundred kilobytes."""
