Make the empty load share once, and keep the far targets of a relay as a list

The same constant stood in three modules, and the far targets were a mapping whose values nobody read. No change of behaviour; all tests and the linter pass.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -25,7 +25,7 @@
 from ._losses import LossRate
 from ._mechanisms import Mechanism, Switches
 from ._pace import PaceGuard
-from ._pending import LoadShare, PendingPrompts
+from ._pending import NO_LOAD, LoadShare, PendingPrompts
 from ._placing import Demand, Placement, place_prompt
 from ._polling import Fit, PollTurn, is_poller
 from ._prompts import Prompt, PromptMemory
@@ -63,6 +63,7 @@
     "PendingPrompts",
     "LossRate",
     "Mechanism",
+    "NO_LOAD",
     "OtherProcesses",
     "Placement",
     "PollTurn",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ._pending import PEER_KEEP_S, LoadShare
+from ._pending import NO_LOAD, PEER_KEEP_S, LoadShare
 
 RELAY_SILENCE_S = 0.6
 """Time after which a relay that says nothing is left for the next one, seconds."""
@@ -27,8 +27,6 @@
 """Time after which figures are told whole and not only what changed, seconds, so that a message
 that was lost with a connection is made up for."""
 
-NOTHING = LoadShare(0, 0)
-
 Shares = Mapping[str, LoadShare]
 Parts = dict[str, dict[str, int]]
 
@@ -237,11 +235,11 @@
 
 
 def _compose(target: _Target, view: Shares, now: float) -> LoadNews | None:
-    view = {upstream: share for upstream, share in view.items() if share != NOTHING}
+    view = {upstream: share for upstream, share in view.items() if share != NO_LOAD}
     is_whole = now - target.whole_at >= WHOLE_S
     shares: Shares = view if is_whole else _changed(target.told, view)
     # An upstream that is named for its parts alone must not seem idle.
-    shares = {**{name: view.get(name, NOTHING) for name in target.parts}, **shares}
+    shares = {**{name: view.get(name, NO_LOAD) for name in target.parts}, **shares}
     is_due = shares or target.parts or now - target.told_at >= BEAT_S
     if not (is_due or is_whole):
         return None
@@ -257,7 +255,7 @@
 def _changed(before: Shares, now: Shares) -> dict[str, LoadShare]:
     """Return the figures that are not the same as before."""
     changed = {name: share for name, share in now.items() if before.get(name) != share}
-    return changed | dict.fromkeys(before.keys() - now.keys(), NOTHING)
+    return changed | dict.fromkeys(before.keys() - now.keys(), NO_LOAD)
 
 
 def split_by_domain(domains: Mapping[str, str]) -> dict[str, Collection[str]]:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_pending.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_pending.py
@@ -27,6 +27,10 @@
     running: int
 
 
+NO_LOAD = LoadShare(0, 0)
+"""What a process has at an upstream where it has nothing."""
+
+
 class PendingPrompts:
     """What is under way at one upstream, of this process and of its peers.
 
@@ -84,7 +88,7 @@
         return 0.0
 
     def _forget(self, peer: str) -> None:
-        share, _ = self._peers.pop(peer, (_NOTHING, 0.0))
+        share, _ = self._peers.pop(peer, (NO_LOAD, 0.0))
         self._peer_tokens -= share.tokens
         self._peer_running -= share.running
 
@@ -94,6 +98,3 @@
             if at >= now - PEER_KEEP_S:
                 return
             self._forget(peer)
-
-
-_NOTHING = LoadShare(0, 0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from burdockquay_coordination.forwarding import (
+    NO_LOAD,
     LoadNews,
     LoadRelay,
     LoadShare,
@@ -41,8 +42,6 @@
 ELSEWHERE = "elsewhere"
 """Source of the figures that a relay adds up for this process."""
 
-NOTHING = LoadShare(0, 0)
-
 Post = Callable[[Iterable[PeerConnection], Any], None]
 
 
@@ -91,7 +90,7 @@
         self._chosen: str | None = None
         self._served = 0
         self._heard_at = float("-inf")
-        self._far: dict[str, str] = {}
+        self._far: list[str] = []
         self._recent_parts: deque[tuple[float, UpstreamLoad]] = deque(maxlen=200)
         self._told = RepeatedNews()
         self._named_by: dict[str, set[str]] = {}
@@ -226,10 +225,10 @@
         me = self.identity.incarnation
         near = [name for name in self.relay.near_sources(now) if name != me]
         self._served = len(near)
-        far = {}
+        far = []
         if self.is_relay:
             for domain, ranked in self._ranked_far.items():
-                far[self._watches_far[domain].choose(ranked, now)] = domain
+                far.append(self._watches_far[domain].choose(ranked, now))
         self._far = far
         for name in self.relay.set_targets(near, far):
             self._tell_known_parts(name)
@@ -268,7 +267,7 @@
             named = {load.upstream for load in loads}
             known = self._named_by.get(source, set())
             for incarnation in known - named if is_whole else ():
-                _hear(book, incarnation, source, NOTHING, now)
+                _hear(book, incarnation, source, NO_LOAD, now)
             for load in loads:
                 _hear(book, load.upstream, source, _share(load), now)
             self._named_by[source] = named if is_whole else known | named
