Close a peer server that was stopped before it listened

Cause: a forwarder opens its peers' port in a task. Closed while that task was at it, the server object existed and its socket did not, and close failed with an AttributeError; what is closed after the peers stayed open. Seen once, in test_few_of_many_processes_wait_at_the_store, whose last assertion can come true before the sixth process listens.

The new test fails before with the same error and passes after.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
@@ -93,6 +93,9 @@
         for peer in self.all():
             peer.post(Goodbye("shutdown"))
             await peer.drain()
+        if self._server is None:
+            # A process may be stopped while it starts, before it listens.
+            return
         self._server.close()
         await self._server.wait_closed()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -19,8 +19,9 @@
     encode,
 )
 from burdockquay_standins import expected_answer
-from burdockquay_transport import _peer
+from burdockquay_transport import _peer, _peer_server
 from burdockquay_transport._peer import Identity, TrafficCounts, greet_peer
+from burdockquay_transport._peer_server import PeerServer
 
 from ._deployment import PEER_KEY, chat_body, is_answering, until
 
@@ -242,3 +243,25 @@
         await until(lambda: slot.describe()["running"] == 0)
         assert slot._held() == 0
         websocket.transport.abort()
+
+
+async def test_server_that_was_stopped_before_it_listened_is_closed(monkeypatch):
+    """A process is stopped while it opens the port for its peers.
+
+    Closing failed with an AttributeError, so that the process ended with a traceback, and what it
+    closes after its peers stayed open.
+    """
+    starting = asyncio.Event()
+
+    async def serve_never(*_, **__):
+        starting.set()
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(_peer_server, "serve", serve_never)
+    server = PeerServer(ROGUE, b"", 0.0, TrafficCounts(), None, {}, None, None)
+    listening = asyncio.create_task(server.listen("127.0.0.1", 0))
+    await starting.wait()
+    listening.cancel()
+    await asyncio.gather(listening, return_exceptions=True)
+    await server.close()
+    assert server.all() == []
