Bind the port of peers before joining, so that it may be any free one

Only suspected as the first error: the tests took a port, let it go and had a forwarder bind it later, which another process of the run can take meanwhile; that forwarder then never connects.

One place binds sockets: the early listener, slots and the mesh share it.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_early_listener.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_early_listener.py
@@ -8,7 +8,7 @@
 import socket
 import time
 
-from ._addresses import split_address
+from ._addresses import bind_socket, split_address
 
 BACKLOG = 1024
 """Connections that wait in the kernel until the process takes them; the kernel may allow fewer.
@@ -55,12 +55,8 @@
     OSError
         If the address is in use.
     """
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listening = socket.socket(family, socket.SOCK_STREAM)
+    listening = bind_socket(*split_address(address))
     try:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, port))
         listening.listen(BACKLOG)
     except OSError:
         listening.close()
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -78,15 +79,15 @@
         """Return the connection of a peer, by its incarnation."""
         return self._connections.get(incarnation)
 
-    async def listen(self, host: str, port: int) -> None:
-        """Accept peers.
+    async def listen(self, bound: socket.socket) -> None:
+        """Accept peers at a socket, which this server closes in the end.
 
         Raises
         ------
         OSError
-            If the address is in use.
+            If another socket listens there.
         """
-        self._server = await serve(self._serve, host, port, **WEBSOCKET_OPTIONS)
+        self._server = await serve(self._serve, sock=bound, **WEBSOCKET_OPTIONS)
 
     async def close(self) -> None:
         """Say goodbye and close all connections."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -22,7 +23,7 @@
     UpstreamLoads,
 )
 
-from .._addresses import split_address
+from .._addresses import bind_socket, bound_address, split_address
 from .._events import Event, log_event
 from .._peer import (
     HANDSHAKE_TIMEOUT_S,
@@ -78,7 +79,7 @@
     state : ForwarderState
     identity : Identity
     listen : str
-        Address where other forwarders connect.
+        Address where other forwarders connect; with port 0 any that is free.
     """
 
     def __init__(self, state: ForwarderState, identity: Identity, listen: str):
@@ -90,6 +91,7 @@
         self._links: dict[str, asyncio.Task] = {}
         self._members: dict[str, Member] = {}
         self._up: dict[str, PeerConnection] = {}
+        self._bound: socket.socket | None = None
         self._server: PeerServer | None = None
         self._key = b""
         state.platform.exchange.tell = self._post
@@ -118,7 +120,8 @@
 
     async def run(self) -> None:
         """Join the members, and connect to them until cancelled."""
-        await self._join()
+        self._bound = bind_socket(*split_address(self.listen))
+        await self._join(self._bound)
         telling = asyncio.create_task(self._keep_telling())
         try:
             await self._follow_members()
@@ -141,13 +144,15 @@
         await asyncio.gather(*self._links.values(), return_exceptions=True)
         if self._server is not None:
             await self._server.close()
+        if self._bound is not None:
+            self._bound.close()
 
     def tell_crash(self, incarnation: str, digests: list[str]) -> None:
         """Tell all others which requests ran at an upstream that went down."""
         self._post(UpstreamCrash(incarnation, digests))
 
-    async def _join(self) -> None:
-        me = Member(self.identity.vm, self.identity.incarnation, self.listen)
+    async def _join(self, bound: socket.socket) -> None:
+        me = Member(self.identity.vm, self.identity.incarnation, bound_address(bound))
         pause_s = RETRY_S[0]
         while isinstance(joined := await self._registry.join(me), Err):
             log_event(Event.MEMBERS_UNREACHABLE, detail=joined.err().detail)
@@ -164,7 +169,7 @@
             self._come_up,
             self._go_down,
         )
-        await self._server.listen(*split_address(self.listen))
+        await self._server.listen(bound)
 
     async def _follow_members(self) -> None:
         while True:
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -33,6 +33,7 @@
 from burdockquay_state import ClaimStore, GroupCommitter, GroupRecord, LeaseStore
 
 from . import _engine_client, _service_client  # noqa: F401 (they register upstream clients)
+from ._addresses import bind_socket
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
 from ._order_follower import HttpOrderTarget, OrderFollower
@@ -88,7 +89,7 @@
 
     async def _listen(self) -> None:
         settings = self.settings
-        await self._peers.listen(settings.host, settings.port)
+        await self._peers.listen(bind_socket(settings.host, settings.port))
         self._status_server = await serve_status(
             settings.host, settings.status_port, lambda: self.ready, self.describe
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -20,6 +20,7 @@
 )
 from burdockquay_standins import expected_answer
 from burdockquay_transport import _peer, _peer_server
+from burdockquay_transport._addresses import bind_socket
 from burdockquay_transport._peer import Identity, TrafficCounts, greet_peer
 from burdockquay_transport._peer_server import PeerServer
 
@@ -259,9 +260,10 @@
 
     monkeypatch.setattr(_peer_server, "serve", serve_never)
     server = PeerServer(ROGUE, b"", 0.0, TrafficCounts(), None, {}, None, None)
-    listening = asyncio.create_task(server.listen("127.0.0.1", 0))
-    await starting.wait()
-    listening.cancel()
-    await asyncio.gather(listening, return_exceptions=True)
-    await server.close()
+    with bind_socket("127.0.0.1", 0) as bound:
+        listening = asyncio.create_task(server.listen(bound))
+        await starting.wait()
+        listening.cancel()
+        await asyncio.gather(listening, return_exceptions=True)
+        await server.close()
     assert server.all() == []
