Let processes tell each other which upstreams fail

Hypothesis: at 68 processes the sends to upstreams that are down, or that reset every request, grow with processes times upstreams times pauses, since each process must fail there itself; telling outcomes by the relays ends that.

Change: outcomes of requests go the way of the loads, failures at the next message. Two processes that could not reach an upstream suspend it at all; failures of others count in the failure share, less than own ones, and each process returns at a share of its own, so that few try first. What an upstream's outcomes say of it has a class of its own now (UpstreamHealth).

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -24,6 +24,7 @@
 from ._load_relay import LoadNews, LoadRelay, RelayWatch, split_by_domain
 from ._losses import LossRate
 from ._mechanisms import Mechanism, Switches
+from ._outcome_ledger import OutcomeLedger, Outcomes, OutcomesByUpstream, add_outcomes
 from ._pace import PaceGuard
 from ._pending import NO_LOAD, LoadShare, PendingPrompts
 from ._placing import Demand, Placement, place_prompt
@@ -60,6 +61,10 @@
     "ListedUpstream",
     "LoadShare",
     "PaceGuard",
+    "OutcomeLedger",
+    "Outcomes",
+    "OutcomesByUpstream",
+    "add_outcomes",
     "PendingPrompts",
     "LossRate",
     "Mechanism",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -76,10 +76,10 @@
     usable = [item for item in upstreams if item.takes_work() and item.id not in tried]
     reached = usable
     if switches.uses(Mechanism.SUSPENSION):
-        reached = [item for item in usable if not item.suspended(now)]
+        reached = [item for item in usable if not item.health.suspended(now)]
     sound = reached
     if switches.uses(Mechanism.FAILURE_SHARE):
-        sound = [item for item in reached if not item.is_grey(now)]
+        sound = [item for item in reached if not item.health.is_grey(now)]
     return sound or reached or usable
 
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
@@ -39,6 +39,8 @@
     """Processes tell each other what they have under way at upstreams."""
     SHARED_PARTS = "shared_parts"
     """Processes tell each other which prompt parts they sent where."""
+    SHARED_OUTCOMES = "shared_outcomes"
+    """Processes tell each other which upstreams fail."""
     SPEED_FACTORS = "speed_factors"
     """Upstreams slower than the others are found by their answers."""
     FAILURE_SHARE = "failure_share"
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -242,7 +242,7 @@
     held = [
         Holder(item, item.memory.unread(prompt))
         for item in upstreams
-        if item.memory.holds(first) and not item.gone and not item.suspended(now)
+        if item.memory.holds(first) and not item.gone and not item.health.suspended(now)
     ]
     held = [holder for holder in held if holder.missing < prompt.tokens]
     return sorted(held, key=lambda holder: (holder.missing, holder.upstream.id))
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
@@ -9,24 +10,12 @@
 from ._linear import SpeedFactor
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
+from ._upstream_health import UpstreamHealth
 
 RETURN_WAIT_S = 2.2
 """How long a vanished entry is kept after trouble of the list, seconds. The platform needs about
 two seconds to bring back the entries of live upstreams; 0.2 s for the way of the news."""
 
-SUSPEND_S = 0.5
-"""First pause of an upstream that could not be reached, seconds; doubles with each failure."""
-MAX_SUSPEND_S = 4.0
-"""Longest such pause, seconds: an upstream behind a mended link is back in use within it."""
-
-FAILURE_WEIGHT = 0.15
-"""Weight of the newest outcome in the failure share: about the last seven outcomes count."""
-GREY_SHARE = 0.3
-"""Failure share above which an upstream is used only if no better one is there."""
-GREY_HALF_LIFE_S = 4.0
-"""Time in which the failure share of an upstream that gets no work halves, seconds, so that it is
-tried again."""
-
 
 @attrs.frozen
 class ListedUpstream:
@@ -108,9 +97,11 @@
     Parameters
     ----------
     entry : ListedUpstream
+    spread : float
+        See :class:`UpstreamHealth`.
     """
 
-    def __init__(self, entry: ListedUpstream):
+    def __init__(self, entry: ListedUpstream, spread: float = 0.0):
         self.entry = entry
         self.outstanding = 0
         self.pending = PendingPrompts()
@@ -121,10 +112,7 @@
         self.gone = False
         self.ended = False
         self._run_enders: set[Callable[[], None]] = set()
-        self._failure_share = 0.0
-        self._seen_at = 0.0
-        self._suspended_until = float("-inf")
-        self._suspend_s = SUSPEND_S
+        self.health = UpstreamHealth(spread)
 
     @property
     def id(self) -> str:
@@ -199,41 +187,6 @@
         for end in enders:
             end()
 
-    def suspended(self, now: float) -> bool:
-        """Return whether it failed to answer a short time ago."""
-        return now < self._suspended_until
-
-    def failure_share(self, now: float) -> float:
-        """Return the share of recent requests that failed, faded by the time since then."""
-        return self._failure_share * 0.5 ** ((now - self._seen_at) / GREY_HALF_LIFE_S)
-
-    def is_grey(self, now: float) -> bool:
-        """Return whether it fails too many requests."""
-        return self.failure_share(now) > GREY_SHARE
-
-    def note_success(self, now: float) -> None:
-        """Note a whole answer."""
-        self._note_outcome(0.0, now)
-        self._suspended_until = float("-inf")
-        self._suspend_s = SUSPEND_S
-
-    def note_failure(self, now: float) -> None:
-        """Note an answer that failed or broke off."""
-        self._note_outcome(1.0, now)
-
-    def note_unreachable(self, now: float) -> None:
-        """Note a connection that was refused, reset or silent: pause, longer each time."""
-        self._note_outcome(1.0, now)
-        if self.suspended(now):
-            return
-        self._suspended_until = now + self._suspend_s
-        self._suspend_s = min(self._suspend_s * 2, MAX_SUSPEND_S)
-
-    def _note_outcome(self, failed: float, now: float) -> None:
-        share = self.failure_share(now)
-        self._failure_share = share + FAILURE_WEIGHT * (failed - share)
-        self._seen_at = now
-
 
 class UpstreamBook:
     """All upstreams, by service.
@@ -241,9 +194,15 @@
     Entries may vanish from the list while the platform's store is in trouble although their
     upstreams live. Dropping them then would take a whole service out of use. A vanished entry
     therefore counts at once only while the list has been read without trouble for a while.
+
+    Parameters
+    ----------
+    rng : random.Random or None
+        Spreads over the processes when each tries an upstream again after failures.
     """
 
-    def __init__(self):
+    def __init__(self, rng: random.Random | None = None):
+        self.rng = rng
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._vanished: dict[str, None] = {}
@@ -330,6 +289,7 @@
     def drop(self, upstream: Upstream) -> None:
         """Forget an upstream whose address answered under another id."""
         upstream.gone = True
+        upstream.health.note_replaced()
 
     def _hold_back(self, unreadable: UnreadableEntry) -> None:
         """Send no new work to an upstream whose entry cannot be read any more.
@@ -362,7 +322,8 @@
         return None
 
     def _add(self, entry: ListedUpstream) -> None:
-        added = self._upstreams[entry.id] = Upstream(entry)
+        spread = self.rng.random() if self.rng is not None else 0.0
+        added = self._upstreams[entry.id] = Upstream(entry, spread)
         self._size_memory(added)
         self._by_service.setdefault(entry.service, []).append(added)
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_mechanisms.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_mechanisms.py
@@ -58,11 +58,11 @@
 def test_upstreams_that_fail_or_are_unreachable_are_left_out_only_by_their_mechanisms(upstreams):
     grey, unreachable, sound = upstreams
     for _ in range(8):
-        grey.note_failure(0.0)
-    unreachable.note_unreachable(0.0)
+        grey.health.note_failure(0.0)
+    unreachable.health.note_unreachable(0.0)
     for _ in range(8):
-        unreachable.note_success(0.0)
-    unreachable.note_unreachable(0.0)
+        unreachable.health.note_success(0.0)
+    unreachable.health.note_unreachable(0.0)
 
     def usable(*off):
         return list(usable_upstreams(upstreams, (), 0.1, Switches(off)))
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -133,7 +133,7 @@
     if lost == "gone":
         home.gone = True
     else:
-        home.note_unreachable(0.0)
+        home.health.note_unreachable(0.0)
     placement = place(upstreams, long_prompt(3), model, 0.0)
     assert placement.upstream is not home
     assert placement.source is None
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_outcomes.py
@@ -0,0 +1,146 @@
+"""Upstreams that many processes find to be failing."""
+
+import random
+
+import pytest
+
+from burdockquay_coordination.forwarding import (
+    OutcomeLedger,
+    Outcomes,
+    UpstreamBook,
+    UpstreamChanges,
+    choose_upstream,
+)
+
+from .test_upstreams import entry
+
+PROCESSES = 40
+UPSTREAMS = 20
+BAD = {f"u{number}" for number in range(5)}
+TICK_S = 0.04
+REQUESTS_PER_TICK = 12
+DURATION_S = 6.0
+
+
+class Fleet:
+    """Processes that send to upstreams, some of which fail every request.
+
+    Parameters
+    ----------
+    shares : bool
+        Whether the processes tell each other how their requests end, a tick later.
+    unreachable : bool
+        Whether the bad upstreams refuse connections; otherwise they reset what was sent.
+    seed : int
+    """
+
+    def __init__(self, shares, unreachable, seed):
+        self.rng = random.Random(seed)
+        self.shares = shares
+        self.unreachable = unreachable
+        self.ledger = OutcomeLedger()
+        self.ledger.set_targets(near=map(str, range(PROCESSES)), far=[])
+        self.books = [UpstreamBook(self.rng) for _ in range(PROCESSES)]
+        listed = tuple(entry(f"u{number}", 1) for number in range(UPSTREAMS))
+        for book in self.books:
+            book.apply(UpstreamChanges(True, listed), 0.0)
+
+    def play(self):
+        """Return how many requests failed in all."""
+        failed = 0
+        for tick in range(round(DURATION_S / TICK_S)):
+            now = 10.0 + tick * TICK_S
+            failed += sum(self._send(now) for _ in range(REQUESTS_PER_TICK))
+            self._tell(now)
+        return failed
+
+    def _send(self, now):
+        book = self.rng.choice(self.books)
+        upstream = choose_upstream(book.of_service("s"), "a", (), now, self.rng)
+        if upstream.id not in BAD:
+            upstream.health.note_success(now)
+        elif self.unreachable:
+            upstream.health.note_unreachable(now)
+        else:
+            upstream.health.note_failure(now)
+        return upstream.id in BAD
+
+    def _tell(self, now):
+        for number, book in enumerate(self.books):
+            told = {
+                upstream.id: outcomes
+                for upstream in book.all()
+                if (outcomes := upstream.health.take_untold_outcomes()) is not None
+            }
+            self.ledger.hear(str(number), told, is_near=True)
+        for number, book in enumerate(self.books):
+            for id_, outcomes in self.ledger.take(str(number)).items():
+                if self.shares:
+                    book.find(id_).health.hear_outcomes(outcomes, now)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("unreachable", [False, True], ids=["reset", "refused"])
+def test_processes_find_failing_upstreams_together(unreachable, seed):
+    """Five of twenty upstreams go down at one moment, or answer health checks and reset requests.
+
+    Each of forty processes had to fail at each of them some times before it avoided it, and again
+    after each pause: most requests of these seconds were lost or sent again.
+    """
+    alone = Fleet(False, unreachable, seed).play()
+    together = Fleet(True, unreachable, seed).play()
+    assert alone > 300
+    assert together < alone / 3
+
+
+def test_one_process_that_reaches_nothing_takes_no_upstream_out_of_use(make_upstream):
+    """A process whose own link is down tells that it cannot reach an upstream, more than once."""
+    cut, other = make_upstream("a"), make_upstream("a")
+    for now in (0.0, 0.1, 0.6, 0.7):
+        cut.health.note_unreachable(now)
+        told = cut.health.take_untold_outcomes()
+        other.health.hear_outcomes(told, now)
+        assert not other.health.suspended(now)
+
+
+def test_answer_shows_that_an_upstream_is_well_whatever_others_say(make_upstream):
+    upstream = make_upstream("a")
+    upstream.health.hear_outcomes(Outcomes(failed=2, unreachable=2), 0.0)
+    assert upstream.health.suspended(0.1)
+    upstream.health.note_success(0.2)
+    assert not upstream.health.suspended(0.2)
+
+
+def test_few_failures_among_many_answers_do_not_make_an_upstream_suspect(make_upstream):
+    """All processes together see a few failures of a sound upstream every second."""
+    upstream = make_upstream("a")
+    for number in range(200):
+        upstream.health.hear_outcomes(Outcomes(whole=18, failed=2), 0.1 * number)
+        assert not upstream.health.is_grey(0.1 * number)
+
+
+def test_processes_return_to_an_upstream_one_after_the_other():
+    """An upstream that all have heard of as failing is tried again.
+
+    Were all to try at one moment, as many requests would fail as without a word.
+    """
+    rng = random.Random(1)
+    books = [UpstreamBook(rng) for _ in range(20)]
+    returned = []
+    for book in books:
+        book.apply(UpstreamChanges(True, (entry("a", 1),)), 0.0)
+        health = book.of_service("s")[0].health
+        health.hear_outcomes(Outcomes(failed=40), 0.0)
+        returned.append(next(t for t in range(100) if not health.is_grey(0.1 * t)))
+    assert max(returned) - min(returned) > 20
+    assert max(returned) < 80
+
+
+def test_relay_tells_outcomes_of_its_domain_to_the_others_once():
+    ledger = OutcomeLedger()
+    ledger.set_targets(near=["near"], far=["far"])
+    ledger.hear("me", {"u": Outcomes(failed=1)}, is_near=True)
+    ledger.hear("far", {"u": Outcomes(failed=2)}, is_near=False)
+    assert ledger.take("near") == {"u": Outcomes(failed=3)}
+    assert ledger.take("far") == {"u": Outcomes(failed=1)}
+    assert ledger.take("near") == {}
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
@@ -56,12 +56,12 @@
 
 def test_unreachable_upstream_is_left_out_longer_each_time_and_comes_back(make_upstream):
     upstream = make_upstream("a")
-    upstream.note_unreachable(0.0)
-    assert upstream.suspended(0.4) and not upstream.suspended(0.6)
-    upstream.note_unreachable(0.6)
-    assert upstream.suspended(1.5)
-    upstream.note_success(1.6)
-    assert not upstream.suspended(1.6)
+    upstream.health.note_unreachable(0.0)
+    assert upstream.health.suspended(0.4) and not upstream.health.suspended(0.6)
+    upstream.health.note_unreachable(0.6)
+    assert upstream.health.suspended(1.5)
+    upstream.health.note_success(1.6)
+    assert not upstream.health.suspended(1.6)
 
 
 def test_upstream_that_fails_many_requests_is_avoided_and_tried_again(make_upstream):
@@ -71,16 +71,16 @@
     """
     grey, sound = make_upstream("a"), make_upstream("b")
     for _ in range(6):
-        grey.note_failure(1.0)
+        grey.health.note_failure(1.0)
     rng = random.Random(1)
     chosen = {choose_upstream([grey, sound], "a", (), 1.1, rng).id for _ in range(20)}
     assert chosen == {"b"}
-    assert not grey.is_grey(10.0)
+    assert not grey.health.is_grey(10.0)
 
 
 def test_bad_upstreams_are_used_when_no_other_is_left(make_upstream):
     only = make_upstream("a")
-    only.note_unreachable(0.0)
+    only.health.note_unreachable(0.0)
     assert choose_upstream([only], "a", (), 0.1, random.Random(1)) is only
 
 
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -35,6 +35,8 @@
         "UpstreamCrash",
         "UpstreamLoad",
         "UpstreamLoads",
+        "UpstreamOutcome",
+        "UpstreamOutcomes",
     ),
     "._handshake": (
         "NONCE_BYTES",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -85,6 +85,36 @@
     loads: list[UpstreamLoad]
 
 
+@attrs.frozen
+class UpstreamOutcome:
+    """What became of some requests at one upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        Incarnation of the upstream.
+    whole : int
+        Whole answers.
+    failed : int
+        Answers that failed or broke off, and connections that did not come about.
+    unreachable : int
+        How many of these were refused, reset at once or silent.
+    """
+
+    upstream: str
+    whole: int
+    failed: int
+    unreachable: int
+
+
+@message(36, since=5)
+@attrs.frozen
+class UpstreamOutcomes:
+    """What became of requests since the last message, of the sender or of those it relays for."""
+
+    outcomes: list[UpstreamOutcome]
+
+
 @message(31, since=3)
 @attrs.frozen
 class UpstreamCrash:
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -18,7 +18,8 @@
 PROTOCOL_VERSIONS = (1, 2, 3, 4, 5)
 """Protocol versions that this release speaks; version 2 adds :class:`Suspicions`, version 3 the
 messages between forwarders, version 4 :class:`KeysHonoured`, version 5
-:class:`TableChanges`, :class:`LoadsOfDomain` and :class:`LoadsElsewhere`."""
+:class:`TableChanges`, :class:`LoadsOfDomain`, :class:`LoadsElsewhere` and
+:class:`UpstreamOutcomes`."""
 
 message_types: dict[int, type] = {}
 """The class of each type number."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -148,6 +148,11 @@
     CALL_ENDED = (1902, "INFO", "A forwarded request ended with this status after so many sends.")
     SEND_FAILED = (1903, "INFO", "A send to an upstream brought no answer that could be passed on.")
     UPSTREAMS_CHANGED = (1904, "INFO", "The list of upstreams has changed.")
+    UPSTREAM_AVOIDED = (
+        1915,
+        "INFO",
+        "Others told that an upstream fails; it is avoided.",
+    )
     MEMBER_NOT_REMOVED = (1907, "WARNING", "A leaving forwarder could not take out its entry.")
     MEMBER_FORGOTTEN = (1908, "NOTICE", "A forwarder was unreachable for long; its entry goes.")
     MEMBERS_UNREACHABLE = (
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -75,7 +75,7 @@
             headers=pass_on_headers(response.headers),
         )
         if response.status < 500 and response.status not in PROMISES:
-            upstream.note_success(self.state.clock.now())
+            upstream.health.note_success(self.state.clock.now())
             return Answered(ready)
         if response.status in PROMISES:
             # The caller would take it for a promise that the request has not run.
@@ -118,7 +118,7 @@
                 self.state.clock.now() - first_at,
             )
             self.state.dispatcher(call.service).learn_pause(call.route, call.longest_pause_s)
-        upstream.note_success(self.state.clock.now())
+        upstream.health.note_success(self.state.clock.now())
         return Answered(call.answer)
 
     async def _pass_on(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+import attrs
+
 from burdockquay_coordination.forwarding import (
     NO_LOAD,
     LoadNews,
@@ -45,6 +47,25 @@
 Post = Callable[[Iterable[PeerConnection], Any], None]
 
 
+@attrs.frozen
+class RelayTargets:
+    """Whom this process speaks to about upstreams.
+
+    Parameters
+    ----------
+    relay : PeerConnection or None
+        The relay of its failure domain, None if it is that itself or has none.
+    near : mapping of str to PeerConnection
+        The processes of its failure domain that hear from it as their relay, by incarnation.
+    far : mapping of str to PeerConnection
+        The relays of the other failure domains that hear from it.
+    """
+
+    relay: PeerConnection | None
+    near: Mapping[str, PeerConnection]
+    far: Mapping[str, PeerConnection]
+
+
 class RepeatedNews:
     """Something that is told when it changes, and again after a while."""
 
@@ -88,7 +109,7 @@
         self._watch = RelayWatch()
         self._watches_far: dict[str, RelayWatch] = defaultdict(RelayWatch)
         self._chosen: str | None = None
-        self._served = 0
+        self._near: list[str] = []
         self._heard_at = float("-inf")
         self._far: list[str] = []
         self._recent_parts: deque[tuple[float, UpstreamLoad]] = deque(maxlen=200)
@@ -100,6 +121,16 @@
         """Whether this process adds up the figures of its failure domain."""
         return self._chosen == self.identity.incarnation
 
+    @property
+    def targets(self) -> RelayTargets:
+        """Whom this process speaks to now."""
+        peers = self._peers
+        return RelayTargets(
+            None if self.is_relay else peers.get(self._chosen),
+            {name: peers[name] for name in self._near if name in peers},
+            {name: peers[name] for name in self._far if name in peers},
+        )
+
     def age(self, now: float) -> float:
         """Return the time since this process heard of the requests of others, seconds."""
         return now - self._heard_at
@@ -107,7 +138,7 @@
     @property
     def served(self) -> int:
         """How many processes hear from this one as their relay."""
-        return self._served
+        return len(self._near)
 
     def note_peers(self, peers: Mapping[str, PeerConnection]) -> None:
         """Take over which processes are connected, by incarnation."""
@@ -224,11 +255,11 @@
         """Find those who chose this process as their relay, and the relays of the other domains."""
         me = self.identity.incarnation
         near = [name for name in self.relay.near_sources(now) if name != me]
-        self._served = len(near)
         far = []
         if self.is_relay:
             for domain, ranked in self._ranked_far.items():
                 far.append(self._watches_far[domain].choose(ranked, now))
+        self._near = near
         self._far = far
         for name in self.relay.set_targets(near, far):
             self._tell_known_parts(name)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -21,6 +21,7 @@
     TableChanges,
     UpstreamCrash,
     UpstreamLoads,
+    UpstreamOutcomes,
 )
 
 from .._addresses import bind_socket, bound_address, split_address
@@ -38,6 +39,7 @@
 )
 from .._peer_server import PeerServer
 from ._load_sharing import LoadSharing, RepeatedNews
+from ._outcome_sharing import OutcomeSharing
 from ._platform import Member, MemberChanges, MemberRegistry
 from ._state import ForwarderState
 
@@ -96,12 +98,14 @@
         self._key = b""
         state.platform.exchange.tell = self._post
         self._loads = LoadSharing(state, identity, post_all)
+        self._outcomes = OutcomeSharing(state, identity, post_all)
         self._keys = RepeatedNews()
         self._told_of_keys: list[PeerConnection] = []
         self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
             UpstreamLoads: self._loads.hear,
             LoadsOfDomain: self._loads.hear_domain,
             LoadsElsewhere: self._loads.hear_elsewhere,
+            UpstreamOutcomes: self._outcomes.hear,
             UpstreamCrash: self._hear_crash,
             KeysHonoured: self._hear_keys,
             TableChanges: self._hear_changes,
@@ -284,6 +288,7 @@
             shortest_s = TELL_S if is_busy else IDLE_TELL_S
             await asyncio.sleep(max(shortest_s, self._loads.served / MAX_MESSAGES_PER_S))
             self._loads.tell()
+            self._outcomes.tell(self._loads.targets)
             self._tell_keys()
 
     def _tell_keys(self) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -147,10 +147,10 @@
             sends=call.sends,
         )
         if isinstance(outcome, Broke):
-            upstream.note_failure(now)
+            upstream.health.note_failure(now)
         is_down = isinstance(outcome, NotSent) or await self._went_down(outcome)
         if is_down:
-            upstream.note_unreachable(now)
+            upstream.health.note_unreachable(now)
             self.state.losses(call.service).note(upstream.incarnation, now)
             self.state.note_down(upstream.incarnation)
         return is_down
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -67,7 +67,7 @@
         self.switches = platform.exchange.switches
         self.directory: ConfigDirectory | None = None
         self.lease = FreshnessLease(settings.withdrawal_ms / 1000 * LEASE_SHARE)
-        self.book = UpstreamBook()
+        self.book = UpstreamBook(rng)
         self.suspects = CrashSuspects()
         self.others = OtherProcesses()
         self.connections = UpstreamConnections()
