--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SECONDS ?= 60
 SEED ?= 1
 
-.PHONY: setup test lint format demo bench fuzz clean
+.PHONY: setup test lint format demo bench fuzz soak clean
 
 setup: $(READY)
 
@@ -37,5 +37,8 @@
 fuzz: $(READY)
 	$(BIN)/python benchmarks/fuzz_once.py --seconds $(SECONDS) --seed $(SEED)
 
+soak: $(READY)
+	cd platform/src && ../../$(BIN)/python -m burdockquay_platform.tests.soak --seed $(SEED) --seconds $(SECONDS)
+
 clean:
 	rm -rf .venv
