Try a connection again that took too long because this process stood still

Cause that a run shows: a process that stands still for longer than the 0.4 s of a connection takes the upstream for unreachable, answers 503 and leaves it out.

A connection that took 0.1 s longer than its limit is tried once more.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -19,6 +19,9 @@
 """Longest wait for a new connection, seconds. A lost opening packet is only sent again after a
 second, and another upstream is a few milliseconds away."""
 
+STANDSTILL_S = 0.1
+"""Time beyond that limit from which on this process must have stood still, seconds."""
+
 CHECK_TIMEOUT_S = 0.2
 """Longest wait for the sign of life of an upstream that broke off an answer, seconds: many times
 the way to it, and short enough for its caller to wait."""
@@ -99,11 +102,24 @@
     async def send(self, send: Send) -> aiohttp.ClientResponse:
         """Send a request and return the answer once its head is there.
 
+        A connection that took longer than its limit by much did so because this process stood
+        still. It says nothing of the upstream, which would be left out, so another one is tried.
+
         Raises
         ------
         NotSentError
         BrokenError
         """
+        clock = asyncio.get_running_loop().time
+        begun = clock()
+        try:
+            return await self._send(send)
+        except NotSentError:
+            if clock() - begun < CONNECT_TIMEOUT_S + STANDSTILL_S:
+                raise
+        return await self._send(send)
+
+    async def _send(self, send: Send) -> aiohttp.ClientResponse:
         session = self._kept if send.reuse else self._fresh
         host, port = send.upstream.host, send.upstream.port
         try:
