--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstream_health.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstream_health.py
@@ -16,11 +16,14 @@
 HEARD_FAILURE_WEIGHT = 0.08
 """The same for outcomes of other processes: of many processes some always see a few failures one
 after the other at a sound upstream."""
-MAX_HEARD_SHARE = 0.5
-"""Largest failure share that outcomes of others lead to, so that an upstream that is well again is
-tried within some seconds."""
-RETURN_SPREAD = 0.5
+MAX_HEARD_SHARE = 0.36
+"""Largest failure share that outcomes of others lead to, so that some process tries an upstream
+again after a second: with many of them a trial costs each next to nothing."""
+RETURN_SPREAD = 0.3
 """Part of that share over which the processes spread the moments at which they try it again."""
+HEARD_SUSPEND_S = 0.5
+"""Pause of an upstream that others could not reach, seconds. It does not grow, for the same
+reason."""
 LEAST_REPORTS = 2
 """Other processes that could not reach an upstream after which it counts as unreachable."""
 UNREACHABLE_MEMORY_S = 0.45
@@ -128,7 +131,9 @@
         # Requests that were on their way together are one sign: their process may be what is cut.
         is_news = not self.suspended(now)
         self._note_untold(Outcomes(failed=1, unreachable=int(is_news)))
-        self._suspend(now, 0.0)
+        if is_news:
+            self._suspended_until = now + self._suspend_s
+            self._suspend_s = min(self._suspend_s * 2, MAX_SUSPEND_S)
 
     def note_replaced(self) -> None:
         """Note that its address answers under another id.
@@ -150,13 +155,8 @@
         self._heard_unreachable_at = now
         if self._heard_unreachable >= LEAST_REPORTS:
             self._heard_unreachable = 0
-            self._suspend(now, self._spread * self._suspend_s)
-
-    def _suspend(self, now: float, more_s: float) -> None:
-        if self.suspended(now):
-            return
-        self._suspended_until = now + self._suspend_s + more_s
-        self._suspend_s = min(self._suspend_s * 2, MAX_SUSPEND_S)
+            until = now + HEARD_SUSPEND_S * (1 + self._spread)
+            self._suspended_until = max(self._suspended_until, until)
 
     def _note_outcome(self, failed: float, now: float) -> None:
         self._note_share(failed, FAILURE_WEIGHT, 1.0, now)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_outcomes.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_outcomes.py
@@ -132,8 +132,8 @@
         health = book.of_service("s")[0].health
         health.hear_outcomes(Outcomes(failed=40), 0.0)
         returned.append(next(t for t in range(100) if not health.is_grey(0.1 * t)))
-    assert max(returned) - min(returned) > 20
-    assert max(returned) < 80
+    assert max(returned) - min(returned) > 10
+    assert max(returned) < 40
 
 
 def test_relay_tells_outcomes_of_its_domain_to_the_others_once():
