Let each of many processes look at three homes of a prompt, in place of six

Hypothesis: 68 processes that look at six homes with figures 50 to 100 ms old find the same one idle at the same moment.

So it is three from 16 processes on.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
@@ -49,10 +49,16 @@
     ----------
     switches : Switches
         Mechanisms that decide by this model.
+
+    Attributes
+    ----------
+    processes : int
+        How many processes decide by such a model, each by itself.
     """
 
     def __init__(self, switches: Switches = ALL_ON):
         self.switches = switches
+        self.processes = 1
         self.pace = PaceGuard()
         self.first_token = ReadingLine(FIRST_S, TOKEN_S)
         self.short_first_token = LinearModel(FIRST_S, TOKEN_S, USUAL_SHORT_TOKENS)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -37,6 +37,12 @@
 others, and those that hold most of the prompt. More hardly find a better one, and a decision would
 take longer with each upstream: small processes would notice late that a caller has left."""
 
+MANY_PROCESSES = 16
+HOMES_OF_MANY = 3
+"""Homes that one decision weighs where this many processes or more decide. Figures of the others
+are some hundredths of a second old, so that all who look at many upstreams find the same one idle
+at the same moment and send their prompts there, one behind the other."""
+
 APART_COST_S = 1.0
 """Cost of a steady stream beside long prompts, or of a long prompt beside steady streams, seconds:
 as much as a place that is not free, so that it only happens where the others are overrun."""
@@ -165,16 +171,17 @@
     ) -> list[Upstream]:
         """Return the upstreams that are looked at, the home of the prompt first."""
         prompt = demand.prompt
+        homes = HOMES_LOOKED_AT if self.model.processes < MANY_PROCESSES else HOMES_OF_MANY
         usable = self._usable
         if tried:
             usable = usable_upstreams(self.upstreams, tried, self.now, self.model.switches)
         if self._set_apart:
             meant = [item for item in usable if self._is_apart(item) == demand.is_steady]
             others = [item for item in usable if self._is_apart(item) != demand.is_steady]
-            found = rank_homes(meant, prompt.key, HOMES_LOOKED_AT)
+            found = rank_homes(meant, prompt.key, homes)
             found += rank_homes(others, prompt.key, OTHERS_LOOKED_AT)
         else:
-            found = rank_homes(usable, prompt.key, HOMES_LOOKED_AT)
+            found = rank_homes(usable, prompt.key, homes)
         for holder in holders[:HOLDERS_LOOKED_AT]:
             if holder.upstream in usable and holder.upstream not in found:
                 found.append(holder.upstream)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -199,10 +199,16 @@
     ----------
     rng : random.Random or None
         Spreads over the processes when each tries an upstream again after failures.
+
+    Attributes
+    ----------
+    processes : int
+        How many processes send to these upstreams.
     """
 
     def __init__(self, rng: random.Random | None = None):
         self.rng = rng
+        self.processes = 1
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._vanished: dict[str, None] = {}
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_delayed_knowledge.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_delayed_knowledge.py
@@ -19,15 +19,10 @@
     WaitingPrompt,
 )
 
-PROCESSES = 12
-UPSTREAMS = 12
 TOKENS_PER_S = 50_000
 TICK_S = 0.01
 TARGET_S = 0.4
 PATIENCE_S = 4.0
-BURST_S = 3.0
-ARRIVALS_PER_S = 200
-PARTS = 60
 
 
 @attrs.define(eq=False)
@@ -42,16 +37,34 @@
 
 
 class Fleet:
-    """Processes with decisions of their own before engines that read one prompt after another."""
+    """Processes with decisions of their own before as many engines, which read one prompt after
+    another.
+
+    Parameters
+    ----------
+    delay_s : float
+        Age of what each process knows of the others.
+    seed : int
+    size : int
+        Processes, and engines.
+    arrivals_per_s : int
+    burst_s : float
+    parts : int
+        Shared parts, each prompt has one of them.
+    """
 
-    def __init__(self, delay_s, seed):
+    def __init__(self, delay_s, seed, size=12, arrivals_per_s=200, burst_s=3.0, parts=60):
+        self.size = size
+        self.arrivals_per_s = arrivals_per_s
+        self.burst_s = burst_s
+        self.parts = parts
         self.rng = random.Random(seed)
         self.delay_ticks = round(delay_s / TICK_S)
         self.now = 0.0
-        self.books = [self._make_book() for _ in range(PROCESSES)]
-        self.queues = [PromptQueue() for _ in range(PROCESSES)]
+        self.books = [self._make_book() for _ in range(self.size)]
+        self.queues = [PromptQueue() for _ in range(self.size)]
         self.model = EngineModel()
-        self.engines = {f"u{number}": deque() for number in range(UPSTREAMS)}
+        self.engines = {f"u{number}": deque() for number in range(self.size)}
         self.history = deque(maxlen=self.delay_ticks + 1)
         self.asked = 0
         self.in_time = 0
@@ -59,7 +72,7 @@
     def _make_book(self):
         entries = [
             ListedUpstream(f"u{number}", "s", "h", 1, "a", 12, False, 1)
-            for number in range(UPSTREAMS)
+            for number in range(self.size)
         ]
         book = UpstreamBook()
         book.apply(UpstreamChanges(True, tuple(entries)), 0.0)
@@ -67,20 +80,20 @@
 
     def play(self):
         """Play a burst, and what is left after it; return the share that is in time."""
-        while self.now < BURST_S + 2.0:
-            if self.now < BURST_S:
+        while self.now < self.burst_s + 2.0:
+            if self.now < self.burst_s:
                 self._arrive()
             self._tell()
-            for process in range(PROCESSES):
+            for process in range(self.size):
                 self._start(process)
             self._read()
             self.now += TICK_S
         return self.in_time / self.asked
 
     def _arrive(self):
-        for _ in range(round(ARRIVALS_PER_S * TICK_S)):
+        for _ in range(round(self.arrivals_per_s * TICK_S)):
             self.asked += 1
-            shared = f"part{self.rng.randrange(PARTS)}"
+            shared = f"part{self.rng.randrange(self.parts)}"
             prompt = Prompt(((shared, 3000), (f"own{self.asked}", 3000)), 50)
             waiting = WaitingPrompt(
                 Demand(prompt, TARGET_S, PATIENCE_S),
@@ -90,7 +103,7 @@
                 (),
                 f"call{self.asked}",
             )
-            self.queues[self.rng.randrange(PROCESSES)].add(waiting)
+            self.queues[self.rng.randrange(self.size)].add(waiting)
 
     def _tell(self):
         """Let each process hear what the others had some time ago."""
@@ -98,7 +111,7 @@
         heard = self.history[0]
         for me, book in enumerate(self.books):
             for upstream in book.all():
-                others = [heard[other][upstream.id] for other in range(PROCESSES) if other != me]
+                others = [heard[other][upstream.id] for other in range(self.size) if other != me]
                 tokens = sum(share.tokens for share in others)
                 running = sum(share.running for share in others)
                 upstream.pending.hear("others", LoadShare(tokens, running), self.now)
@@ -146,3 +159,22 @@
     fresh = Fleet(0.05, seed).play()
     old = Fleet(1.0, seed).play()
     assert fresh > old + 0.1
+
+
+def test_many_processes_look_at_fewer_upstreams_each():
+    """Twenty processes send a burst and hear of each other a tenth of a second late.
+
+    All that look at many upstreams find the same one idle and send their prompts there at the same
+    moment, so that these are late while other upstreams have nothing to read.
+    """
+
+    def play(processes, seed):
+        fleet = Fleet(0.1, seed, size=20, arrivals_per_s=300, burst_s=1.5, parts=300)
+        fleet.model.processes = processes
+        return fleet.play()
+
+    seeds = [1, 2, 3]
+    many = [play(20, seed) for seed in seeds]
+    as_few = [play(1, seed) for seed in seeds]
+    assert all(more > less for more, less in zip(many, as_few, strict=True))
+    assert sum(many) > 1.05 * sum(as_few)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -177,6 +177,7 @@
 
     def _start_and_refuse(self, now: float) -> None:
         upstreams = self._upstreams()
+        self.model.processes = self.book.processes
         if not upstreams:
             self._settle_all(None)
         for start in self.queue.take_starts(upstreams, self.model, self.targets(), now):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -194,7 +194,7 @@
         for vm in removed:
             self._members.pop(vm, None)
         self._members |= listed
-        self.state.processes = len(self._members)
+        self.state.book.processes = len(self._members)
         for vm in changed:
             self._link(vm)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -72,7 +72,6 @@
         self.others = OtherProcesses()
         self.connections = UpstreamConnections()
         self.leaving = False
-        self.processes = 1
         self.figures = Figures()
         self.tell_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self._unread = set(FIRST_READS)
@@ -160,7 +159,7 @@
         if found is None:
             found = RetryWindow(settings.retry_ratio, 0.0, settings.retry_window_s)
             self._budgets[service] = found
-        found.burst = settings.retry_burst / max(ASSUMED_PROCESSES, self.processes)
+        found.burst = settings.retry_burst / max(ASSUMED_PROCESSES, self.book.processes)
         return found
 
     def keys_trusted(self, now: float) -> bool:
