Trace the stream that ended without its end: it was refused, and the test did not look at the status

A run that lets the test's process stand still for 5 and for 8 s shows the same: 20 to 22 of 30 requests get 503 patience_exceeded, not run, whose body is no stream; stalls of 3 s and less do nothing. Their class bears 5 s. The refusal is right.

The test asks for a class that bears any wait now, so that its verdict does not depend on the machine; its assertions are the same, and pass with stalls of 5 and 8 s.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_outcome_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_outcome_sharing.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from typing import Any
-
 import attrs
 
 from burdockquay_coordination.forwarding import (
@@ -19,15 +16,13 @@
 
 from .._events import Event, log_event
 from .._peer import Identity, PeerConnection
-from ._load_sharing import RelayTargets
+from ._load_sharing import Post, RelayTargets
 from ._state import ForwarderState
 
 TELL_S = 0.4
 """Time between two messages that tell of whole answers alone, seconds. Failures do not wait: until
 others hear of them they send to the same upstream, which looks idle."""
 
-Post = Callable[[Iterable[PeerConnection], Any], None]
-
 
 class OutcomeSharing:
     """Tells the others how requests of this process ended, and takes in what they say.
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
@@ -4,8 +4,12 @@
 import json
 
 from burdockquay_standins import expected_answer
+from burdockquay_state import ClassRecord
 
-from ._deployment import API_KEY, chat_body, is_answering, read_stream, until
+from ._deployment import API_KEY, chat_body, is_answering, put_records, read_stream, until
+
+PATIENT_S = 600.0
+"""Time that nothing in a test takes."""
 
 
 async def test_plain_chat_answer_is_whole(deployment):
@@ -21,7 +25,15 @@
 
 
 async def test_streamed_chat_answers_do_not_mix(deployment):
+    """Thirty streams wait for eight places at once.
+
+    Their class bears any wait here: where the process stood still for five seconds, streams were
+    refused as not run, which is right and not what this test is about.
+    """
     async with deployment() as running:
+        patient = ClassRecord("draft", 10, 2.0, 0.1, PATIENT_S, 0.3)
+        await put_records(running.log, [patient])
+        await until(lambda: running.entries[0].snapshot.classes["draft"].patience_s == PATIENT_S)
 
         async def ask(index):
             body = chat_body(f"eulogy {index}", stream=True)
