--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -113,7 +113,13 @@
         self._mesh = self._open_mesh()
         for work in (follow_configuration, follow_upstreams, settle_upstreams):
             self._tasks.spawn(work(self._state))
-        log_event(Event.PROCESS_LISTENING, role=self.role, vm=settings.vm, port=self.port)
+        log_event(
+            Event.PROCESS_LISTENING,
+            role=self.role,
+            vm=settings.vm,
+            port=self.port,
+            status_port=self.status_port,
+        )
         log_event(Event.MECHANISMS_SET, off=",".join(settings.mechanisms_off))
 
     def _open_mesh(self) -> PeerMesh | None:
