Read what has come before a stopping process closes idle connections

A process was told to stop at 31.240 s, a request was sent on a kept connection at 33.416 s, and the connection was closed at 33.965 s without an answer. The process begins to close idle connections 2.5 s after the signal. Cause: it first ended the tasks of all idle connections and closed these 0.1 s later; what came in between, or lay unread in the sockets of a process that was late, was read by nobody.

Now idle connections are closed after everything that has come is read and begun; a request that comes until then is served, and its answer closes the connection.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -43,6 +43,10 @@
 """Time for the writing of an answer that is ready, seconds; the rest of a slow reader is in the
 buffer of the connection by then."""
 
+READ_ROUNDS = 3
+"""Rounds of the event loop in which all that lies in the sockets is read, and its handling begins:
+one to read, one to wake the task of the connection, one for that task."""
+
 CLOSE_S = 0.3
 """Longest wait for connections that close with the process, seconds; their answers are out."""
 
@@ -64,6 +68,8 @@
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
         self._busy: set[web.RequestHandler] = set()
+        # Those that had a request since this process began to refuse new connections.
+        self._served_late: set[web.RequestHandler] = set()
         self._answers_cut = False
 
     @property
@@ -103,15 +109,21 @@
         A request that came on a kept connection much later would be cut by the end of the process.
         """
         await self._site.stop()
-        idle = [item for item in self._server.connections if item not in self._busy]
-        for connection in self._server.connections:
-            connection.close()
+        idle = {item for item in self._server.connections if item not in self._busy}
+        self._served_late.clear()
         # An answer that was ready a moment ago may still be on its way to the socket.
         await asyncio.sleep(WRITE_S)
-        for connection in idle:
-            # The library ends the task of an idle connection, but leaves the connection open.
-            if connection not in self._busy and connection.transport is not None:
+        # What came while this process was busy is read before anything is closed: its caller would
+        # get neither an answer nor a refusal.
+        for _ in range(READ_ROUNDS):
+            await asyncio.sleep(0)
+        idle -= self._served_late
+        for connection in self._server.connections:
+            if connection in idle and connection.transport is not None:
+                # The library ends the task of an idle connection, but leaves the connection open.
                 connection.transport.close()
+            else:
+                connection.close()
 
     async def finish_all(self) -> None:
         """Wait until every caller has its answer."""
@@ -142,6 +154,8 @@
         task = asyncio.current_task()
         self._handling.add(task)
         self._busy.add(incoming.protocol)
+        if self.state.leaving:
+            self._served_late.add(incoming.protocol)
         try:
             response = await self._serve(incoming)
         finally:
