Accept what waits before a stopping process stops listening

Suspected cause, of the same class: a connection that the kernel has taken and the process has not is reset with the listening socket.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -108,6 +108,9 @@
 
         A request that came on a kept connection much later would be cut by the end of the process.
         """
+        # Connections that wait to be accepted would be reset with the listening socket, also those
+        # whose request is there.
+        await _read_what_came()
         await self._site.stop()
         idle = {item for item in self._server.connections if item not in self._busy}
         self._served_late.clear()
@@ -115,8 +118,7 @@
         await asyncio.sleep(WRITE_S)
         # What came while this process was busy is read before anything is closed: its caller would
         # get neither an answer nor a refusal.
-        for _ in range(READ_ROUNDS):
-            await asyncio.sleep(0)
+        await _read_what_came()
         idle -= self._served_late
         for connection in self._server.connections:
             if connection in idle and connection.transport is not None:
@@ -330,3 +332,9 @@
             detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
             raise CallError(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
         return b"".join(pieces)
+
+
+async def _read_what_came() -> None:
+    """Let the event loop accept and read what lies in the sockets, and begin to handle it."""
+    for _ in range(READ_ROUNDS):
+        await asyncio.sleep(0)
