Tell what upstreams hold in small messages, and to processes that have just started alone

A process could not connect to four upstreams in turn within 0.4 s each, and what it sent at 21.537 s reached its upstream at 22.693 s, 0.6 s after its caller had left; at 19.6 s eight peers had connected to it. Suspected cause: a new relay told every process of its domain up to 4,000 prompt parts, some hundred kilobytes to each, over a link of 5 to 10 Mbit/s, although all but the process that had started knew them.

Parts go out 100 in a message now, and only to processes whose connection came up in the last five seconds. The test of the messages fails before (900 in one).

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -27,6 +27,10 @@
 """Time after which figures are told whole and not only what changed, seconds, so that a message
 that was lost with a connection is made up for."""
 
+MAX_PARTS_TOLD = 100
+"""Most prompt parts in one message, some kilobytes: the thousands that a process is told after its
+start would keep callers' answers from a small link for most of a second."""
+
 Shares = Mapping[str, LoadShare]
 Parts = dict[str, dict[str, int]]
 
@@ -238,20 +242,34 @@
     view = {upstream: share for upstream, share in view.items() if share != NO_LOAD}
     is_whole = now - target.whole_at >= WHOLE_S
     shares: Shares = view if is_whole else _changed(target.told, view)
+    parts = _take_parts(target.parts)
     # An upstream that is named for its parts alone must not seem idle.
-    shares = {**{name: view.get(name, NO_LOAD) for name in target.parts}, **shares}
-    is_due = shares or target.parts or now - target.told_at >= BEAT_S
+    shares = {**{name: view.get(name, NO_LOAD) for name in parts}, **shares}
+    is_due = shares or parts or now - target.told_at >= BEAT_S
     if not (is_due or is_whole):
         return None
-    news = LoadNews(is_whole, shares, target.parts)
+    news = LoadNews(is_whole, shares, parts)
     target.told = view
     target.told_at = now
-    target.parts = defaultdict(dict)
     if is_whole:
         target.whole_at = now
     return news
 
 
+def _take_parts(parts: Parts) -> Parts:
+    """Take out as many parts as one message holds."""
+    taken: Parts = {}
+    room = MAX_PARTS_TOLD
+    while parts and room:
+        upstream, waiting = parts.popitem()
+        items = list(waiting.items())
+        taken[upstream] = dict(items[:room])
+        if len(items) > room:
+            parts[upstream] = dict(items[room:])
+        room -= len(taken[upstream])
+    return taken
+
+
 def _changed(before: Shares, now: Shares) -> dict[str, LoadShare]:
     """Return the figures that are not the same as before."""
     changed = {name: share for name, share in now.items() if before.get(name) != share}
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
@@ -165,3 +165,23 @@
     relay.hear_parts("one", "u", {"aa": 100})
     news = relay.compose("two", 0.1)
     assert (news.is_whole, news.shares) == (False, {"u": LoadShare(500, 2)})
+
+
+def test_many_parts_are_told_in_small_messages():
+    """A process starts and is told of thousands of prompt parts that upstreams hold.
+
+    In one message to each process of its failure domain they filled the link of a small VM for a
+    second: connections to upstreams timed out, and callers left before their answers came.
+    """
+    relay = LoadRelay()
+    relay.hear("one", {}, now=1.0, is_near=True)
+    relay.set_targets(near=["one"], far=[])
+    for upstream in ("u", "v"):
+        relay.add_parts("one", upstream, {f"{upstream}{number}": 9 for number in range(450)})
+    told = []
+    for tick in range(20):
+        news = relay.compose("one", now=1.0 + 0.04 * tick)
+        if news is not None:
+            told.append(sum(map(len, news.parts.values())))
+    assert max(told) <= 100
+    assert sum(told) == 900
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -41,6 +41,10 @@
 MAX_KNOWN_PARTS = 4000
 """Most prompt parts that a process which has just started is told of, some hundred kilobytes."""
 
+NEW_S = 5.0
+"""Time after its connection came up in which a process counts as new, seconds. Only such a one is
+told all that upstreams hold: the others were told by the relay before this one."""
+
 ELSEWHERE = "elsewhere"
 """Source of the figures that a relay adds up for this process."""
 
@@ -103,6 +107,7 @@
         self.post = post
         self.relay = LoadRelay()
         self._peers: dict[str, PeerConnection] = {}
+        self._connected_at: dict[str, float] = {}
         self._ranked: list[str] = [identity.incarnation]
         self._ranked_far: dict[str, list[str]] = {}
         self._earlier_release: list[PeerConnection] = []
@@ -146,6 +151,8 @@
             self.relay.forget(gone)
             self._take(gone, [], is_whole=True)
         self._peers = dict(peers)
+        now = self.state.clock.now()
+        self._connected_at = {name: self._connected_at.get(name, now) for name in peers}
         speaking = {
             name: peer.peer.failure_domain
             for name, peer in peers.items()
@@ -262,7 +269,8 @@
         self._near = near
         self._far = far
         for name in self.relay.set_targets(near, far):
-            self._tell_known_parts(name)
+            if now - self._connected_at.get(name, now) < NEW_S:
+                self._tell_known_parts(name)
 
     def _pass_on(self, now: float) -> None:
         """Tell all targets what is new."""
