Let a relay that has just started tell few of the parts that it was told

A process that starts, hears thousands of parts from the relay and then becomes the relay took all others for new, as their connections are, and told them the same again.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -45,6 +46,10 @@
 """Time after its connection came up in which a process counts as new, seconds. Only such a one is
 told all that upstreams hold: the others were told by the relay before this one."""
 
+MAX_PARTS_OF_NEW = 200
+"""Most prompt parts told by a process that is new itself: all others seem new to it, and know as
+much as it does."""
+
 ELSEWHERE = "elsewhere"
 """Source of the figures that a relay adds up for this process."""
 
@@ -108,6 +113,7 @@
         self.relay = LoadRelay()
         self._peers: dict[str, PeerConnection] = {}
         self._connected_at: dict[str, float] = {}
+        self._started_at = state.clock.now()
         self._ranked: list[str] = [identity.incarnation]
         self._ranked_far: dict[str, list[str]] = {}
         self._earlier_release: list[PeerConnection] = []
@@ -270,7 +276,7 @@
         self._far = far
         for name in self.relay.set_targets(near, far):
             if now - self._connected_at.get(name, now) < NEW_S:
-                self._tell_known_parts(name)
+                self._tell_known_parts(name, now)
 
     def _pass_on(self, now: float) -> None:
         """Tell all targets what is new."""
@@ -278,14 +284,16 @@
             if name in self._peers:
                 self.post([self._peers[name]], self._message(news, is_far=name in self._far))
 
-    def _tell_known_parts(self, target: str) -> None:
+    def _tell_known_parts(self, target: str, now: float) -> None:
         """Tell a process what upstreams have in memory: one that has just started knows nothing.
 
         It would have shared parts read elsewhere that are in memory.
         """
+        is_new = now - self._started_at < NEW_S
+        most = MAX_PARTS_OF_NEW if is_new else MAX_KNOWN_PARTS
         upstreams = self.state.book.all()
         for upstream in upstreams:
-            parts = upstream.memory.newest(MAX_KNOWN_PARTS // len(upstreams))
+            parts = upstream.memory.newest(math.ceil(most / len(upstreams)))
             if parts:
                 self.relay.add_parts(target, upstream.incarnation, parts)
 
