Close each connection behind its answer once a process refuses new ones

A stream that ended while idle connections were being closed left its connection open, with the task that reads it ended; the next request on it lay unread until the process ended.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -68,6 +68,7 @@
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
         self._busy: set[web.RequestHandler] = set()
+        self._refuses_new = False
         # Those that had a request since this process began to refuse new connections.
         self._served_late: set[web.RequestHandler] = set()
         self._answers_cut = False
@@ -111,21 +112,17 @@
         # Connections that wait to be accepted would be reset with the listening socket, also those
         # whose request is there.
         await _read_what_came()
+        self._refuses_new = True
         await self._site.stop()
         idle = {item for item in self._server.connections if item not in self._busy}
-        self._served_late.clear()
         # An answer that was ready a moment ago may still be on its way to the socket.
         await asyncio.sleep(WRITE_S)
         # What came while this process was busy is read before anything is closed: its caller would
         # get neither an answer nor a refusal.
         await _read_what_came()
-        idle -= self._served_late
-        for connection in self._server.connections:
-            if connection in idle and connection.transport is not None:
-                # The library ends the task of an idle connection, but leaves the connection open.
+        for connection in idle - self._served_late:
+            if connection.transport is not None:
                 connection.transport.close()
-            else:
-                connection.close()
 
     async def finish_all(self) -> None:
         """Wait until every caller has its answer."""
@@ -156,13 +153,17 @@
         task = asyncio.current_task()
         self._handling.add(task)
         self._busy.add(incoming.protocol)
-        if self.state.leaving:
+        if self._refuses_new:
             self._served_late.add(incoming.protocol)
         try:
             response = await self._serve(incoming)
         finally:
             self._handling.discard(task)
             self._busy.discard(incoming.protocol)
+            if self._refuses_new:
+                # The library closes the connection behind the answer. Done to an idle connection,
+                # it would end the task that reads it and leave the connection open.
+                incoming.protocol.close()
         if self.state.leaving and not response.prepared:
             response.force_close()
         return response
