--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstream_health.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstream_health.py
@@ -77,6 +77,11 @@
         """
         return GREY_SHARE * (1 - RETURN_SPREAD * self._spread)
 
+    @property
+    def _grey_limit(self) -> float:
+        """Failure share above which it fails too many requests."""
+        return self._return_share if self._was_grey else GREY_SHARE
+
     def hear_outcomes(self, outcomes: Outcomes, now: float) -> None:
         """Take in what became of requests of other processes."""
         ended = outcomes.whole + outcomes.failed
@@ -105,8 +110,7 @@
 
     def is_grey(self, now: float) -> bool:
         """Return whether it fails too many requests."""
-        limit = self._return_share if self._was_grey else GREY_SHARE
-        return self.failure_share(now) > limit
+        return self.failure_share(now) > self._grey_limit
 
     def is_avoided(self, now: float) -> bool:
         """Return whether it is used only where no better one is left."""
@@ -165,5 +169,4 @@
         known = self.failure_share(now)
         self._failure_share = min(known + weight * (failed - known), max(most, known))
         self._seen_at = now
-        limit = self._return_share if self._was_grey else GREY_SHARE
-        self._was_grey = self._failure_share > limit
+        self._was_grey = self._failure_share > self._grey_limit
