--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_end_of_stopping.py
@@ -0,0 +1,83 @@
+"""What callers of an entry get at the moment in which the time for a planned stop is over."""
+
+import asyncio
+import json
+
+import pytest
+
+from ._deployment import API_KEY, chat_body, until
+
+KNOWN_RED = pytest.mark.xfail(reason="listed in KNOWN-RED.txt")
+
+LONG = {"max_tokens": 600, "min_tokens": 500}
+
+
+def error_of(answer):
+    """Return status and error of an answer."""
+    status, body = answer
+    return status, body["error"]
+
+
+@KNOWN_RED
+@pytest.mark.parametrize("stream", [False, True])
+async def test_chat_that_an_engine_has_is_told_that_it_may_have_run(deployment, stream):
+    """Guards against a close without an answer before the first token of an answer."""
+    async with deployment(engines=1, base_step_s=0.02, prefill_block_s=1.0) as running:
+        body = chat_body("ceremony", stream) | LONG
+        asking = asyncio.create_task(running.ask("/v1/chat/completions", body))
+        slot = running.slots[0]
+        await until(lambda: slot.describe()["running"])
+        await running.entries[0]._cut_all("the limit of the shutdown was reached")
+        status, error = error_of(await asking)
+    assert (status, error["run"]) == (504, "unknown")
+
+
+@KNOWN_RED
+async def test_chat_that_waits_for_a_place_is_refused_as_not_run(deployment):
+    """Guards against a close without an answer of a request that nobody has begun."""
+    async with deployment(engines=1, base_step_s=0.02) as running:
+        entry = running.entries[0]
+        dispatcher = entry.dispatcher("drafting")
+        bodies = [chat_body(f"draft {number}", True) | LONG for number in range(16)]
+        filling = [asyncio.create_task(running.ask_stream(body)) for body in bodies]
+        await until(lambda: len(dispatcher.queue) >= 4)
+        asking = asyncio.create_task(running.ask("/v1/chat/completions", chat_body() | LONG))
+        await until(lambda: entry._held() == 17)
+        await entry._cut_all("the limit of the shutdown was reached")
+        status, error = error_of(await asking)
+        await asyncio.gather(*filling, return_exceptions=True)
+    assert (status, error["run"]) == (503, "not_run")
+    assert error["retry_after_s"] > 0
+
+
+@KNOWN_RED
+async def test_request_whose_body_is_half_read_is_refused_as_not_run(deployment):
+    """Guards against a close without an answer while the body of a request is still coming."""
+    async with deployment(engines=1) as running:
+        entry = running.entries[0]
+        reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+            f"Authorization: Bearer {API_KEY}\r\nContent-Length: 100\r\n\r\n"
+        )
+        writer.write(head.encode() + b'{"model"')
+        await until(lambda: entry._held() == 1)
+        await entry._cut_all("the limit of the shutdown was reached")
+        async with asyncio.timeout(20):
+            received = await reader.readuntil(b"\r\n\r\n")
+            body = await reader.readuntil(b"}}")
+        writer.close()
+    assert received.startswith(b"HTTP/1.1 503")
+    assert json.loads(body)["error"]["run"] == "not_run"
+
+
+@KNOWN_RED
+async def test_order_that_runs_at_the_end_is_told_that_it_may_have_run(deployment):
+    """Guards against "not run" for a request that must not be repeated and is under way."""
+    async with deployment(engines=1, services=1) as running:
+        running.services[0].delay_s = 5.0
+        asking = asyncio.create_task(running.ask("/services/booking/holds", {"chapel": 1}))
+        await until(lambda: running.slot("service-1").describe()["running"])
+        await running.entries[0]._cut_all("the limit of the shutdown was reached")
+        status, error = error_of(await asking)
+    assert (status, error["run"]) == (504, "unknown")
