Answer requests that are half read when the time for a planned stop is over

What callers saw: the connection of a request closed without an answer, though the process that had it stopped as planned. Cause: the end of a stop answered only calls that had passed admission. A caller whose body was still coming, or who waited for the first reads of a process that had just started, was cancelled with its task; a connection with half a head counted as idle and was closed; a request read after the others were answered was sent on and cut a moment later.

Now all that is read at the end is refused as not run until something was sent, a stop waits for heads that are half read as it waits for answers, and those that are not whole at the end get a 503 too. The two sets of connections that a stop kept (idle at its start, served since) are one state of each connection.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -21,6 +21,7 @@
 from .._events import Event, describe_fault, log_event
 from ._arrival import BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
+from ._caller_connection import CallerConnection, CallerServer
 from ._platform import CallerRequest
 from ._refusals import Refusals
 from ._relay import Relay
@@ -47,6 +48,12 @@
 """Rounds of the event loop in which all that lies in the sockets is read, and its handling begins:
 one to read, one to wake the task of the connection, one for that task."""
 
+PART_LOOK_S = 0.02
+"""Time between two looks whether heads that are half read have become whole, seconds."""
+
+ANSWER_S = 0.5
+"""Longest wait until the answers of a process that ends are written, seconds."""
+
 CLOSE_S = 0.3
 """Longest wait for connections that close with the process, seconds; their answers are out."""
 
@@ -67,11 +74,8 @@
         self._relay = Relay(state)
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
-        self._busy: set[web.RequestHandler] = set()
         self._refuses_new = False
-        # Those that had a request since this process began to refuse new connections.
-        self._served_late: set[web.RequestHandler] = set()
-        self._answers_cut = False
+        self._has_ended = False
 
     @property
     def held(self) -> int:
@@ -85,11 +89,8 @@
 
     async def start(self, early: EarlyListener) -> None:
         """Serve the callers that connect to a listening socket."""
-        # handler_cancellation: a caller that leaves must end its request at once, or an upstream
-        # would go on with work that nobody waits for.
-        self._server = web.Server(
+        self._server = CallerServer(
             self._handle,
-            handler_cancellation=True,
             keepalive_timeout=IDLE_CONNECTION_S,
             access_log=None,
             max_line_size=MAX_HEAD_BYTES,
@@ -114,36 +115,43 @@
         await _read_what_came()
         self._refuses_new = True
         await self._site.stop()
-        idle = {item for item in self._server.connections if item not in self._busy}
         # An answer that was ready a moment ago may still be on its way to the socket.
         await asyncio.sleep(WRITE_S)
         # What came while this process was busy is read before anything is closed: its caller would
         # get neither an answer nor a refusal.
         await _read_what_came()
-        for connection in idle - self._served_late:
-            if connection.transport is not None:
+        for connection in self._server.connections:
+            if connection.is_idle and connection.transport is not None:
                 connection.transport.close()
 
     async def finish_all(self) -> None:
         """Wait until every caller has its answer."""
-        while self._handling:
-            await asyncio.wait(set(self._handling))
+        while self._handling or self._parts():
+            if self._handling:
+                await asyncio.wait(set(self._handling))
+            else:
+                await asyncio.sleep(PART_LOOK_S)
 
     async def answer_all(self) -> None:
         """End what still runs, with an error for each request whose answer has not begun.
 
         A caller whose connection is closed instead cannot tell whether its request has run.
         """
-        self._answers_cut = True
-        await self.cut_all()
-
-    async def cut_all(self) -> None:
-        """End what still runs."""
+        # From here on each request is refused as soon as it is read.
+        self._has_ended = True
+        await _read_what_came()
         tasks = set(self._handling)
         for task in tasks:
             task.cancel()
         if tasks:
-            await asyncio.wait(tasks, timeout=0.5)
+            await asyncio.wait(tasks, timeout=ANSWER_S)
+        for connection in self._parts():
+            leaving = RequestError(ErrorKind.LEAVING)
+            connection.refuse_part(self._refusals.answer(None, self.state.clock.now(), leaving))
+
+    def _parts(self) -> list[CallerConnection]:
+        """Return the connections on which a head is half read."""
+        return [connection for connection in self._server.connections if connection.has_part]
 
     async def close(self) -> None:
         """Stop listening."""
@@ -152,18 +160,12 @@
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         task = asyncio.current_task()
         self._handling.add(task)
-        self._busy.add(incoming.protocol)
-        if self._refuses_new:
-            self._served_late.add(incoming.protocol)
+        incoming.protocol.begin_request(incoming.content)
         try:
             response = await self._serve(incoming)
         finally:
             self._handling.discard(task)
-            self._busy.discard(incoming.protocol)
-            if self._refuses_new:
-                # The library closes the connection behind the answer. Done to an idle connection,
-                # it would end the task that reads it and leave the connection open.
-                incoming.protocol.close()
+            incoming.protocol.end_request(closes=self._refuses_new)
         if self.state.leaving and not response.prepared:
             response.force_close()
         return response
@@ -184,6 +186,11 @@
             call = await self._admit(incoming, request, started)
         except CallError as failure:
             return self._refusals.answer(request, started, failure.error)
+        except asyncio.CancelledError:
+            if not self._has_ended:
+                raise
+            asyncio.current_task().uncancel()
+            return self._refusals.answer(request, started, RequestError(ErrorKind.LEAVING))
         return await self._run(call)
 
     async def _run(self, call: ForwardCall) -> web.StreamResponse:
@@ -198,7 +205,7 @@
             kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
             return self._fail(call, RequestError(kind))
         except asyncio.CancelledError:
-            if self._answers_cut:
+            if self._has_ended:
                 asyncio.current_task().uncancel()
                 kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.LEAVING
                 return self._fail(call, RequestError(kind))
@@ -261,6 +268,8 @@
         CallError
             If it is refused.
         """
+        if self._has_ended:
+            raise CallError(RequestError(ErrorKind.LEAVING))
         await self.state.wait_for_first_reads()
         directory = self.state.directory
         if directory is None:
