Answer what a process holds when it is told to end at once

What callers saw: a second signal to stop closed every connection without an answer. Cause: the way at once cut tasks, the planned way answers them. Both answer now; test_requests_get_an_error_when_a_process_is_told_to_end_at_once failed before (connection closed) and passes.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -194,9 +194,9 @@
         log_event(Event.PROCESS_STOPPED, role=self.role)
 
     async def abort(self) -> None:
-        """Stop at once; what runs is cut."""
+        """Stop at once; what runs is cut, and its callers are told so."""
         self._state.leaving = True
-        await self._ingress.cut_all()
+        await self._ingress.answer_all()
         await self.close()
 
     async def close(self) -> None:
