Keep signals that come while a process loads until it can act on them

What callers saw: connections that waited in the queue of a process that was told to stop while it loaded were reset. Cause: a process listens before it loads its libraries, half a second on a small VM, and had no handlers of signals in that time, so that each ended it at once (exit by the signal); a SIGHUP, which only says that settings changed, ended it too. Signals are kept from the first moment and handed to the event loop once the process has started; a SIGHUP in the midst of the start met a process without its parts before.

--- a/packages/burdockquay/src/burdockquay/_run_process.py
+++ b/packages/burdockquay/src/burdockquay/_run_process.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +14,7 @@
 
 from burdockquay_transport import Event, log_event, setup_json_logging, setup_logging
 
+from ._early_signals import EarlySignals
 from ._settings_file import load_settings
 from ._settings_source import SettingsSource
 
@@ -24,7 +26,12 @@
 EXIT_ADDRESS = 3
 
 
-def run(role: str, source: SettingsSource | str | Path, early: EarlyListener | None = None) -> int:
+def run(
+    role: str,
+    source: SettingsSource | str | Path,
+    early: EarlyListener | None = None,
+    signals: EarlySignals | None = None,
+) -> int:
     """Run one process until it is stopped; return the exit code.
 
     Parameters
@@ -35,7 +42,12 @@
         The settings file, or a reading of it.
     early : EarlyListener or None
         Socket that already listens for callers; for a forwarder only.
+    signals : EarlySignals or None
+        Keeps the signals of a process that has been loading; None keeps them from now on.
     """
+    if signals is None:
+        signals = EarlySignals()
+        signals.keep()
     if not isinstance(source, SettingsSource):
         source = SettingsSource(str(source))
     loaded = load_settings(source, role)
@@ -51,10 +63,11 @@
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=source.path)
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
-    return uvloop.run(_serve(_make_process(role, settings, early), role, settings, source.path))
+    process = _make_process(role, settings, early)
+    return uvloop.run(_serve(process, role, settings, source.path, signals))
 
 
-async def _serve(process: Any, role: str, settings: Any, path: str) -> int:
+async def _serve(process: Any, role: str, settings: Any, path: str, signals: EarlySignals) -> int:
     """Run a process until a signal stops it.
 
     The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends it at once. SIGHUP
@@ -66,10 +79,6 @@
     def on_signal() -> None:
         (kill_wanted if stop_wanted.is_set() else stop_wanted).set()
 
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
-    loop.add_signal_handler(signal.SIGHUP, _reload_settings, role, process, path)
     try:
         await process.start()
     except OSError as error:
@@ -79,6 +88,9 @@
     if role != "forwarder":
         # A forwarder's standard output holds log lines alone; its event tells the port.
         print(json.dumps(ports), flush=True)
+    reload = partial(_reload_settings, role, process, path)
+    handlers = {signal.SIGTERM: on_signal, signal.SIGINT: on_signal, signal.SIGHUP: reload}
+    signals.hand_over(asyncio.get_running_loop(), handlers)
     await stop_wanted.wait()
     stopping = asyncio.create_task(process.stop())
     killing = asyncio.create_task(kill_wanted.wait())
--- a/packages/burdockquay/src/burdockquay/daemon.py
+++ b/packages/burdockquay/src/burdockquay/daemon.py
@@ -11,6 +11,7 @@
 from burdockquay_transport._early_listener import EarlyListener, listen_early
 
 from ._bundle import use_bundle
+from ._early_signals import EarlySignals
 from ._settings_source import SettingsSource
 
 
@@ -42,12 +43,14 @@
     """
     match sys.argv[1:]:
         case ["entry" | "slot" | "forwarder" as role, "--settings", path]:
+            signals = EarlySignals()
+            signals.keep()
             source = SettingsSource(path)
             early = open_early(source) if role == "forwarder" else None
             use_bundle()
             from ._run_process import run
 
-            sys.exit(run(role, source, early))
+            sys.exit(run(role, source, early, signals))
     from ._daemon_command import app
 
     sys.exit(app())
