Take in and send all that lies in the connections of a process before it closes

Every stop now ends in the state in which requests are refused, not only one that reached its limit. - A stop did not wait for answers that were being written: a caller that read slowly got 8.7 of 20 MB. It waits for them now, also for what the connection still buffers. - A refusal of half a head was reset by the other half if that came at the same moment (3 of 3).

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -19,6 +19,7 @@
 from .._call_error import CallError
 from .._early_listener import BACKLOG, EarlyListener
 from .._events import Event, describe_fault, log_event
+from .._take_in import accept_waiting, read_what_came
 from ._arrival import BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
 from ._caller_connection import CallerConnection, CallerServer
@@ -44,12 +45,11 @@
 """Time for the writing of an answer that is ready, seconds; the rest of a slow reader is in the
 buffer of the connection by then."""
 
-READ_ROUNDS = 3
-"""Rounds of the event loop in which all that lies in the sockets is read, and its handling begins:
-one to read, one to wake the task of the connection, one for that task."""
+LOOK_S = 0.02
+"""Time between two looks at connections whose answers are out, seconds."""
 
-PART_LOOK_S = 0.02
-"""Time between two looks whether heads that are half read have become whole, seconds."""
+PART_WAIT_S = 2.0
+"""Longest wait for more of a head that is half read, seconds."""
 
 ANSWER_S = 0.5
 """Longest wait until the answers of a process that ends are written, seconds."""
@@ -74,6 +74,8 @@
         self._relay = Relay(state)
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
+        # With those whose answers are being written.
+        self._answering: set[asyncio.Task] = set()
         self._refuses_new = False
         self._has_ended = False
 
@@ -91,6 +93,7 @@
         """Serve the callers that connect to a listening socket."""
         self._server = CallerServer(
             self._handle,
+            self.state.clock.now,
             keepalive_timeout=IDLE_CONNECTION_S,
             access_log=None,
             max_line_size=MAX_HEAD_BYTES,
@@ -99,6 +102,7 @@
         )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=CLOSE_S)
         await self._runner.setup()
+        self._listening = early.listening
         self._site = web.SockSite(self._runner, early.listening, backlog=BACKLOG)
         now = self.state.clock.now()
         self._arrivals = ArrivalClock(now - early.age(), now + BACKLOG_S)
@@ -110,27 +114,23 @@
 
         A request that came on a kept connection much later would be cut by the end of the process.
         """
-        # Connections that wait to be accepted would be reset with the listening socket, also those
-        # whose request is there.
-        await _read_what_came()
-        self._refuses_new = True
-        await self._site.stop()
+        await self._stop_listening()
         # An answer that was ready a moment ago may still be on its way to the socket.
         await asyncio.sleep(WRITE_S)
         # What came while this process was busy is read before anything is closed: its caller would
         # get neither an answer nor a refusal.
-        await _read_what_came()
+        await read_what_came()
         for connection in self._server.connections:
             if connection.is_idle and connection.transport is not None:
                 connection.transport.close()
 
     async def finish_all(self) -> None:
-        """Wait until every caller has its answer."""
-        while self._handling or self._parts():
-            if self._handling:
-                await asyncio.wait(set(self._handling))
+        """Wait until every caller has its answer, as far as this process can tell."""
+        while self._answering or self._has_unfinished():
+            if self._answering:
+                await asyncio.wait(set(self._answering))
             else:
-                await asyncio.sleep(PART_LOOK_S)
+                await asyncio.sleep(LOOK_S)
 
     async def answer_all(self) -> None:
         """End what still runs, with an error for each request whose answer has not begun.
@@ -139,15 +139,33 @@
         """
         # From here on each request is refused as soon as it is read.
         self._has_ended = True
-        await _read_what_came()
-        tasks = set(self._handling)
-        for task in tasks:
+        await self._stop_listening()
+        await read_what_came()
+        for task in self._handling:
             task.cancel()
-        if tasks:
-            await asyncio.wait(tasks, timeout=ANSWER_S)
-        for connection in self._parts():
+        if self._answering:
+            await asyncio.wait(set(self._answering), timeout=ANSWER_S)
+        parts = self._parts()
+        for connection in parts:
             leaving = RequestError(ErrorKind.LEAVING)
             connection.refuse_part(self._refusals.answer(None, self.state.clock.now(), leaving))
+        if parts:
+            await asyncio.sleep(WRITE_S)
+
+    async def _stop_listening(self) -> None:
+        if self._refuses_new:
+            return
+        await accept_waiting(self._listening)
+        self._refuses_new = True
+        await self._site.stop()
+
+    def _has_unfinished(self) -> bool:
+        """Return whether more of a head may come, or a part of an answer is still to be sent."""
+        now = self.state.clock.now()
+        return any(
+            connection.unsent_bytes or connection.awaits_rest(now, PART_WAIT_S)
+            for connection in self._server.connections
+        )
 
     def _parts(self) -> list[CallerConnection]:
         """Return the connections on which a head is half read."""
@@ -160,6 +178,8 @@
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         task = asyncio.current_task()
         self._handling.add(task)
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
         incoming.protocol.begin_request(incoming.content)
         try:
             response = await self._serve(incoming)
@@ -342,9 +362,3 @@
             detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
             raise CallError(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
         return b"".join(pieces)
-
-
-async def _read_what_came() -> None:
-    """Let the event loop accept and read what lies in the sockets, and begin to handle it."""
-    for _ in range(READ_ROUNDS):
-        await asyncio.sleep(0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -189,7 +189,7 @@
                 await self._ingress.finish_all()
         except TimeoutError:
             log_event(Event.STOP_LIMIT_REACHED, held=self._ingress.held)
-            await self._ingress.answer_all()
+        await self._ingress.answer_all()
         await self.close()
         log_event(Event.PROCESS_STOPPED, role=self.role)
 
