Count the time since an early signal for the stop, and write the last log lines of a process

A signal kept while a process loaded began the time to stop anew, so that what was held got its answer 4.01 to 5.61 s after a signal with a limit of 4 s: too late where the platform kills at the limit. The stop is told how old the signal is.

The line that says that a process has stopped, and those of the last 0.05 s, never reached a reader: lines wait for others that long, and the event loop ended first. A forwarder told to stop wrote process_stopping as its last line; it ends with process_stopped now. With it the refusals of its last moment can be found by their ids.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -93,9 +93,14 @@
             self._tasks.spawn(work)
         log_event(Event.PROCESS_LISTENING, role=self.role, vm=self.settings.vm, port=self.port)
 
-    async def stop(self) -> None:
+    async def stop(self, late_s: float = 0.0) -> None:
         """Shut down gracefully: take no new work, finish what runs, then close.
 
+        Parameters
+        ----------
+        late_s : float
+            Time since the process was told to stop, seconds.
+
         Notes
         -----
         What still runs at ``stop_limit_s`` is cut, and its callers are told that it broke off.
@@ -104,7 +109,7 @@
         self._leaving = True
         self._leaving_began()
         try:
-            async with asyncio.timeout(self.settings.stop_limit_s):
+            async with asyncio.timeout(max(0.0, self.settings.stop_limit_s - late_s)):
                 await self._finish_all()
         except TimeoutError:
             log_event(Event.STOP_LIMIT_REACHED, held=self._held())
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -169,9 +169,14 @@
             self._state.figures.loads_age.set(self._mesh.loads_age(self._state.clock.now()))
         return self._state.figures.expose()
 
-    async def stop(self) -> None:
+    async def stop(self, late_s: float = 0.0) -> None:
         """Shut down gracefully: leave the balancer, finish what runs, then close.
 
+        Parameters
+        ----------
+        late_s : float
+            Time since the process was told to stop, seconds.
+
         Notes
         -----
         The balancer goes on sending until it has asked twice. Connections refused meanwhile would
@@ -183,8 +188,9 @@
         if self._mesh is not None:
             self._tasks.spawn(self._mesh.leave())
         try:
-            async with asyncio.timeout(max(0.0, settings.stop_limit_s - STOP_MARGIN_S)):
-                await asyncio.sleep(settings.leave_delay_s)
+            limit_s = settings.stop_limit_s - STOP_MARGIN_S - late_s
+            async with asyncio.timeout(max(0.0, limit_s)):
+                await asyncio.sleep(max(0.0, settings.leave_delay_s - late_s))
                 await self._ingress.refuse_new()
                 await self._ingress.finish_all()
         except TimeoutError:
--- a/packages/burdockquay/src/burdockquay/_early_signals.py
+++ b/packages/burdockquay/src/burdockquay/_early_signals.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -25,27 +26,28 @@
     """
 
     def __init__(self):
-        self._kept: list[int] = []
+        self._kept: list[tuple[int, float]] = []
 
     def keep(self) -> None:
         """Keep each signal from now on."""
         for number in HANDLED:
             signal.signal(number, self._note)
 
-    def hand_over(self, loop: Any, handlers: Mapping[int, Callable[[], None]]) -> None:
+    def hand_over(self, loop: Any, handlers: Mapping[int, Callable[[float], None]]) -> None:
         """Let an event loop handle the signals, and handle those that came before.
 
         Parameters
         ----------
         loop : AbstractEventLoop
         handlers : mapping
-            What each of ``HANDLED`` brings about.
+            What each of ``HANDLED`` brings about; called with the age of the signal, seconds.
         """
         for number, handle in handlers.items():
-            loop.add_signal_handler(number, handle)
+            loop.add_signal_handler(number, handle, 0.0)
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
         kept, self._kept = self._kept, []
-        for number in kept:
-            handlers[number]()
+        for number, at in kept:
+            handlers[number](now - at)
 
     def _note(self, number: int, frame: Any) -> None:
-        self._kept.append(number)
+        self._kept.append((number, time.clock_gettime(time.CLOCK_BOOTTIME)))
--- a/packages/burdockquay/src/burdockquay/_run_process.py
+++ b/packages/burdockquay/src/burdockquay/_run_process.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import sys
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -56,15 +57,20 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok().settings
+    flush_log: Callable[[], None] = sys.stderr.flush
     if role == "forwarder":
-        setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+        handler = setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+        flush_log = handler.pipe.flush
     else:
         setup_logging(settings.log_level, sys.stderr)
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=source.path)
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
     process = _make_process(role, settings, early)
-    return uvloop.run(_serve(process, role, settings, source.path, signals))
+    try:
+        return uvloop.run(_serve(process, role, settings, source.path, signals))
+    finally:
+        flush_log()
 
 
 async def _serve(process: Any, role: str, settings: Any, path: str, signals: EarlySignals) -> int:
@@ -73,11 +79,14 @@
     The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends it at once. SIGHUP
     reads the settings again.
     """
-    stop_wanted = asyncio.Event()
+    stop_wanted: asyncio.Future[float] = asyncio.get_running_loop().create_future()
     kill_wanted = asyncio.Event()
 
-    def on_signal() -> None:
-        (kill_wanted if stop_wanted.is_set() else stop_wanted).set()
+    def on_signal(age_s: float) -> None:
+        if stop_wanted.done():
+            kill_wanted.set()
+        else:
+            stop_wanted.set_result(age_s)
 
     try:
         await process.start()
@@ -91,8 +100,7 @@
     reload = partial(_reload_settings, role, process, path)
     handlers = {signal.SIGTERM: on_signal, signal.SIGINT: on_signal, signal.SIGHUP: reload}
     signals.hand_over(asyncio.get_running_loop(), handlers)
-    await stop_wanted.wait()
-    stopping = asyncio.create_task(process.stop())
+    stopping = asyncio.create_task(process.stop(await stop_wanted))
     killing = asyncio.create_task(kill_wanted.wait())
     await asyncio.wait((stopping, killing), return_when=asyncio.FIRST_COMPLETED)
     if not stopping.done():
@@ -104,7 +112,7 @@
     return EXIT_OK
 
 
-def _reload_settings(role: str, process: Any, path: str) -> None:
+def _reload_settings(role: str, process: Any, path: str, age_s: float) -> None:
     """Read the settings again, take over what a running process can, and tell what it cannot.
 
     Without a handler the signal would end the process, and every request with it.
