Refuse what waits at an entry that ends, and do not wait for bodies that nobody reads

Of 50 callers in the queue of an entry at its end one was answered and 49 were reset; its listening socket was closed without accepting them. A refused request whose body never came made a stop with a limit of 1 s take 10.38 s, the library's own wait, and the platform would have killed the process before it told its peers. What waits is accepted and refused now, and connections get 0.3 s, as at a forwarder. test_all_that_wait_to_be_accepted_are_refused failed before (connection reset); the second has no test, since only its duration tells.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -22,13 +22,16 @@
 )
 from burdockquay_state import OrganisationRecord, RouteRecord
 
+from ._addresses import bind_socket
 from ._call import Call, CallRequest
 from ._call_error import CallError
 from ._call_runner import Body, Tokens
 from ._chat import ChatRequest, ChunkWriter, parse_chat
+from ._early_listener import BACKLOG
 from ._events import Event, describe_fault, log_event
 from ._metrics import REQUESTS, refusal_counter
 from ._status_http import add_status_routes
+from ._take_in import accept_waiting
 
 if TYPE_CHECKING:
     from .entry import Entry
@@ -44,6 +47,12 @@
 BODY_TIMEOUT_S = 20.0
 """Longest time a caller may take to send its body, seconds."""
 
+ANSWER_S = 1.0
+"""Longest wait until the answers of a process that ends are written, seconds."""
+
+CLOSE_S = 0.3
+"""Longest wait for connections that close with the process, seconds; their answers are out."""
+
 _PASSED_HEADERS = ("Content-Type", "Accept")
 """Headers of a request that the upstream gets."""
 
@@ -92,9 +101,12 @@
         app.router.add_route("*", "/services/{service}/{path:.*}", self._service)
         # handler_cancellation: a caller that leaves must end its request, or an engine would
         # go on generating tokens that nobody reads.
-        self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=CLOSE_S
+        )
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port, backlog=1024).start()
+        self._listening = bind_socket(host, port)
+        await web.SockSite(self._runner, self._listening, backlog=BACKLOG).start()
 
     async def finish_all(self) -> None:
         """Wait until every caller has its answer."""
@@ -108,10 +120,14 @@
         for task in tasks:
             task.cancel()
         if tasks:
-            await asyncio.wait(tasks, timeout=1.0)
+            await asyncio.wait(tasks, timeout=ANSWER_S)
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Refuse what still waits, then stop listening."""
+        self._cutting = True
+        await accept_waiting(self._listening)
+        if self._handling:
+            await asyncio.wait(set(self._handling), timeout=ANSWER_S)
         await self._runner.cleanup()
 
     @web.middleware
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_end_of_stopping.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_end_of_stopping.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+from contextlib import ExitStack
 
 from ._deployment import API_KEY, chat_body, until
 
@@ -74,6 +76,23 @@
     assert json.loads(body)["error"]["run"] == "not_run"
 
 
+async def test_all_that_wait_to_be_accepted_are_refused(deployment):
+    """Guards against resets of connections that a busy entry has not accepted when it ends."""
+    async with deployment(engines=1) as running:
+        entry = running.entries.pop()
+        head = f"GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {API_KEY}\r\n\r\n"
+        with ExitStack() as stack:
+            callers = [
+                stack.enter_context(socket.create_connection(("127.0.0.1", entry.port)))
+                for _ in range(20)
+            ]
+            for caller in callers:
+                caller.sendall(head.encode())
+            await entry.stop()
+            answers = [await asyncio.to_thread(caller.recv, 4096) for caller in callers]
+    assert all(answer.startswith(b"HTTP/1.1 ") for answer in answers)
+
+
 async def test_order_that_runs_at_the_end_is_told_that_it_may_have_run(deployment):
     """Guards against "not run" for a request that must not be repeated and is under way."""
     async with deployment(engines=1, services=1) as running:
