--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -4,7 +4,7 @@
 from ._chat import parse_stream
 from ._delay_line import DelayLine
 from ._engine import EngineParameters, EngineStandin
-from ._feed_table import FeedRow, FeedStore, ForgottenError
+from ._feed_table import EraEndedError, FeedCopy, FeedRow, FeedStore, ForgottenError
 from ._gate import Gate, GateState
 from ._platform import PlatformParameters, PlatformStandin
 from ._raw_server import Behaviour, RawConnection, RawRequest, RawServer
@@ -16,6 +16,8 @@
     "DelayLine",
     "EngineParameters",
     "EngineStandin",
+    "EraEndedError",
+    "FeedCopy",
     "FeedRow",
     "FeedStore",
     "ForgottenError",
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/tests/test_feed_table.py
@@ -0,0 +1,90 @@
+"""Store whose tables are followed by a feed, and its return from a copy."""
+
+import asyncio
+
+import pytest
+
+from burdockquay_standins import EraEndedError, FeedStore, ForgottenError
+
+
+@pytest.fixture
+def store():
+    """A store with two changes."""
+    made = FeedStore()
+    made.put("fruit", "apple", b"red")
+    made.put("fruit", "pear", b"green")
+    return made
+
+
+def values(store):
+    return {row.key: row.value for row in store.rows("fruit")}
+
+
+def test_return_undoes_what_was_written_since_the_copy(store):
+    copy = store.copy()
+    store.put("fruit", "apple", b"brown")
+    store.remove("fruit", "pear")
+    store.put("fruit", "plum", b"blue")
+    store.return_from(copy)
+    assert (store.era, store.revision) == (2, 2)
+    assert values(store) == {"apple": b"red", "pear": b"green"}
+
+
+def test_copy_of_an_earlier_revision_holds_the_rows_of_that_revision(store):
+    store.remove("fruit", "apple")
+    store.return_from(store.copy(1))
+    assert values(store) == {"apple": b"red"}
+    assert store.revision == 1
+
+
+def test_revisions_are_given_out_again(store):
+    copy = store.copy()
+    store.put("fruit", "apple", b"brown")
+    store.return_from(copy)
+    assert store.put("fruit", "pear", b"yellow") == 3
+    assert [(row.key, row.value) for row in store.changes("fruit", 2)] == [("pear", b"yellow")]
+
+
+def test_revision_beyond_the_copy_is_not_known_until_it_is_given_out_again(store):
+    copy = store.copy()
+    store.put("fruit", "apple", b"brown")
+    store.return_from(copy)
+    with pytest.raises(ForgottenError):
+        store.changes("fruit", 3)
+    store.put("fruit", "pear", b"yellow")
+    assert store.changes("fruit", 3) == []
+
+
+def test_history_that_was_forgotten_before_the_copy_stays_forgotten(store):
+    store.forget()
+    copy = store.copy()
+    store.put("fruit", "apple", b"brown")
+    store.return_from(copy)
+    with pytest.raises(ForgottenError):
+        store.changes("fruit", 1)
+    assert store.changes("fruit", 2) == []
+
+
+def test_history_that_was_forgotten_after_the_copy_is_there_again(store):
+    copy = store.copy()
+    store.put("fruit", "apple", b"brown")
+    store.forget()
+    store.return_from(copy)
+    assert [row.key for row in store.changes("fruit", 1)] == ["pear"]
+
+
+def test_copy_is_not_changed_by_the_store_that_returned_from_it(store):
+    copy = store.copy()
+    store.return_from(copy)
+    store.put("fruit", "apple", b"brown")
+    store.return_from(copy)
+    assert store.era == 3
+    assert values(store) == {"apple": b"red", "pear": b"green"}
+
+
+async def test_question_that_waits_ends_with_its_era(store):
+    waiting = asyncio.ensure_future(store.wait("fruit", 2, 60.0))
+    await asyncio.sleep(0)
+    store.return_from(store.copy())
+    with pytest.raises(EraEndedError):
+        await waiting
