Keep what is in force when the store comes back from a copy

What callers saw: after the store came back from a copy some seconds old, withdrawn keys could be honoured without end, upstreams that leave got new work, an upstream newer than the copy lost all its callers, and processes no longer found each other.

Cause: everything read from the store was ordered by its revision alone. A store that comes back gives revisions out again, so a feed went on from a revision that now stood for other changes, news of one history confirmed knowledge of another, and rows were written and removed on the condition of a revision that had become another row's.

What is read from the store now has a Position of era and revision. The store client reads the era from every answer, errors and writes too; an answer of a past era is an error, and a raised one makes every feed of the process read its table whole again, pollers at once, the others 0.05 to 0.6 s later, unless a poller has told the table by then. Peers are told the era (message 37); those that know none are told, and believed, only while the store names none.

What was in force stays until its writer's newer word is there: - a configuration older than the newest one known to be in force anywhere (processes tell it, message 38) confirms nothing, so keys run out; - within one run of an upstream its own sequence orders its words across eras; one that was gone and stands in the copy gets no work until it writes again, or the platform has gone on to list it for 10 s; one that the copy lacks is kept for RETURN_WAIT_S; - a member that the copy lacks, or shows with a former process, stays connected for 4 s and enters itself and the shared key again; a leaving one takes out its row only after reading that it is its own; - the relation of the store's clock to that of the process is learned anew in each era.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -17,6 +17,7 @@
     ServiceShare,
     ServiceTargets,
 )
+from ._config_standing import ConfigStanding
 from ._directory import ConfigDirectory, pick_service, request_priority
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
@@ -33,6 +34,7 @@
 from ._ranking import rank_processes
 from ._reading import ReadingLine
 from ._return import OtherProcesses, return_after_s
+from ._store_era import StoreEra
 from ._suspects import CrashSuspects
 from ._upstreams import (
     ListedUpstream,
@@ -48,6 +50,7 @@
     "CallerLimits",
     "CallerOrganisation",
     "ConfigDirectory",
+    "ConfigStanding",
     "CrashSuspects",
     "Demand",
     "LoadNews",
@@ -84,6 +87,7 @@
     "ServiceTargets",
     "SpeedFactor",
     "Start",
+    "StoreEra",
     "Switches",
     "UnreadableEntry",
     "Upstream",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -23,6 +23,10 @@
 STAND_IN_S = 10.0
 """Time for which a process polls after nobody told it anything, seconds."""
 
+REREAD_DELAYS_S = (0.05, 0.6)
+"""Time after which a process that does not poll reads a table again whose store came back from a
+copy, seconds. Drawn anew each time: all processes hear of it at the same moment."""
+
 FOREVER_S = 3600.0
 """Time since the last trouble that is told where there was none, seconds."""
 
@@ -113,6 +117,10 @@
         """
         return self.polls(now) or now >= self._overdue_at(wait_s)
 
+    def reread_delay_s(self, now: float) -> float:
+        """Return how long to wait before a table is read again after its store came back."""
+        return 0.0 if self.polls(now) else self.rng.uniform(*REREAD_DELAYS_S)
+
     def judge(self, known: int, after: int, upto: int) -> Fit:
         """Return how changes that a peer tells of fit what is known.
 
@@ -121,7 +129,8 @@
         known : int
             Revision up to which the process knows all changes.
         after, upto : int
-            The changes are all those behind the one revision up to the other.
+            The changes are all those behind the one revision up to the other, in the same era of
+            the store.
         """
         if upto <= known:
             return Fit.KNOWN
@@ -158,6 +167,10 @@
         if now - self._told_at < STEP_DOWN_S:
             self._steps_down_until = now + STEP_DOWN_S
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the last confirmation, seconds."""
+        return min(now - self._as_of, FOREVER_S)
+
     def steady_s(self, now: float) -> float:
         """Return the time since the last question that failed, seconds."""
         return min(now - self._failed_at, FOREVER_S)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from burdockquay_state import Position
+
 from ._linear import SpeedFactor
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
@@ -17,6 +19,15 @@
 two seconds to bring back the entries of live upstreams; 0.2 s for the way of the news."""
 
 
+ENDED_MEMORY_S = 60.0
+"""How long the last word of an upstream whose entry is gone is kept, seconds: far longer than the
+age of a copy from which a store comes back."""
+
+WITHHELD_S = 10.0
+"""How long an upstream that was gone and stands in the copy again gets no work, seconds: longer
+than the platform lists one that is silent. One that is listed still lives after all."""
+
+
 @attrs.frozen
 class ListedUpstream:
     """An upstream as the platform lists it.
@@ -33,9 +44,13 @@
     leaving : bool
         Whether it takes no new work.
     revision : int
-        Grows with each change of the entry.
+        Grows with each change of the entry, within one era.
     started_ms : int or None
         When it started, Unix milliseconds; None if the entry does not say.
+    era : int
+        Of the store that holds the entry.
+    sequence : int
+        Grows with each entry that the upstream writes while it runs, across eras.
     """
 
     id: str
@@ -47,6 +62,13 @@
     leaving: bool
     revision: int
     started_ms: int | None = None
+    era: int = 0
+    sequence: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Where the entry stands in the history of the store."""
+        return Position(self.era, self.revision)
 
     @property
     def incarnation(self) -> str:
@@ -62,10 +84,18 @@
     ----------
     id : str
     revision : int
+    era : int
+        Of the store that holds the entry.
     """
 
     id: str
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Where the entry stands in the history of the store."""
+        return Position(self.era, self.revision)
 
 
 @attrs.frozen
@@ -82,6 +112,8 @@
     unreadable : tuple of UnreadableEntry
     troubled_at : float
         When the platform last left a question for the list unanswered, at whichever process.
+    after_return : bool
+        Whether this is the first reading since the store came back from a copy.
     """
 
     whole: bool
@@ -89,6 +121,7 @@
     removed: tuple[str, ...] = ()
     unreadable: tuple[UnreadableEntry, ...] = ()
     troubled_at: float = float("-inf")
+    after_return: bool = False
 
 
 class Upstream:
@@ -212,6 +245,8 @@
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._vanished: dict[str, None] = {}
+        self._ended: dict[str, _KeptEntry] = {}
+        self._withheld: dict[str, _KeptEntry] = {}
         self._steady_at = float("-inf")
         self._memories: Mapping[str, int] = {}
 
@@ -221,6 +256,16 @@
     def __contains__(self, id_: object) -> bool:
         return id_ in self._upstreams
 
+    @property
+    def withheld(self) -> Collection[str]:
+        """Ids of upstreams that are listed again after they were gone, and get no work yet."""
+        return self._withheld.keys()
+
+    @property
+    def missing(self) -> Collection[str]:
+        """Ids of upstreams that are used although the list lacks them."""
+        return self._vanished.keys()
+
     def all(self) -> Collection[Upstream]:
         """Return all upstreams."""
         return self._upstreams.values()
@@ -267,22 +312,25 @@
         for unreadable in changes.unreadable:
             self._hold_back(unreadable)
         for entry in changes.listed:
-            replaced = self._list(entry)
+            replaced = self._list(entry, now)
             if replaced is not None:
                 replaced.note_ended()
                 over.append(replaced.incarnation)
         removed: Iterable[str] = changes.removed
         if changes.whole:
             present = (*changes.listed, *changes.unreadable)
-            removed = set(self._upstreams) - {entry.id for entry in present}
+            known = {*self._upstreams, *self._withheld}
+            removed = known - {entry.id for entry in present}
         for id_ in removed:
+            self._withheld.pop(id_, None)
             if id_ in self._upstreams:
                 self._vanished[id_] = None
         self.settle(now)
         return over
 
     def settle(self, now: float) -> None:
-        """Drop vanished entries once the list can be trusted."""
+        """Drop vanished entries once the list can be trusted, and release withheld ones."""
+        self._release(now)
         if now < self._steady_at:
             return
         for id_ in self._vanished:
@@ -290,8 +338,20 @@
             if upstream is not None:
                 upstream.gone = True
                 self._by_service[upstream.entry.service].remove(upstream)
+                self._note_last_word(upstream, now)
         self._vanished.clear()
 
+    def _note_last_word(self, upstream: Upstream, now: float) -> None:
+        """Keep the last word of an upstream, which a store that comes back may show again."""
+        self._ended = {id_: kept for id_, kept in self._ended.items() if now < kept.until}
+        self._ended[upstream.id] = _KeptEntry(upstream.entry, now + ENDED_MEMORY_S)
+
+    def _release(self, now: float) -> None:
+        """Give work to upstreams that the platform has gone on to list."""
+        for kept in [kept for kept in self._withheld.values() if now >= kept.until]:
+            del self._withheld[kept.entry.id]
+            self._add(kept.entry)
+
     def drop(self, upstream: Upstream) -> None:
         """Forget an upstream whose address answered under another id."""
         upstream.gone = True
@@ -303,13 +363,19 @@
         What is known of it may be wrong by now. Its requests go on, as they do where one leaves.
         """
         known = self._upstreams.get(unreadable.id)
-        if known is not None and unreadable.revision >= known.entry.revision:
-            known.entry = attrs.evolve(known.entry, leaving=True, revision=unreadable.revision)
+        if known is not None and unreadable.position >= known.entry.position:
+            known.entry = attrs.evolve(
+                known.entry, leaving=True, revision=unreadable.revision, era=unreadable.era
+            )
 
-    def _list(self, entry: ListedUpstream) -> Upstream | None:
+    def _list(self, entry: ListedUpstream, now: float) -> Upstream | None:
         """Take over an entry; return the incarnation that it replaces, None if it replaces none."""
         known = self._upstreams.get(entry.id)
         if known is None:
+            if self._is_word_of_ended(entry):
+                self._withheld.setdefault(entry.id, _KeptEntry(entry, now + WITHHELD_S))
+                return None
+            self._withheld.pop(entry.id, None)
             self._add(entry)
             return None
         order = _compare_starts(entry.started_ms, known.entry.started_ms)
@@ -321,12 +387,20 @@
             self._by_service[known.entry.service].remove(known)
             self._add(entry)
             return known
-        if entry.revision >= known.entry.revision:
+        if _is_newer_word(entry, known.entry):
             self._by_service[known.entry.service].remove(known)
             known.entry = attrs.evolve(entry, started_ms=known.entry.started_ms)
             self._by_service.setdefault(entry.service, []).append(known)
         return None
 
+    def _is_word_of_ended(self, entry: ListedUpstream) -> bool:
+        """Return whether an entry is what a copy holds of an upstream that is gone."""
+        kept = self._ended.get(entry.id)
+        if kept is None or entry.era <= kept.entry.era:
+            return False
+        order = _compare_starts(entry.started_ms, kept.entry.started_ms)
+        return order < 0 or (order == 0 and entry.sequence <= kept.entry.sequence)
+
     def _add(self, entry: ListedUpstream) -> None:
         spread = self.rng.random() if self.rng is not None else 0.0
         added = self._upstreams[entry.id] = Upstream(entry, spread)
@@ -339,6 +413,28 @@
             upstream.memory.set_capacity(tokens)
 
 
+@attrs.frozen
+class _KeptEntry:
+    """An entry, and until when it is kept."""
+
+    entry: ListedUpstream
+    until: float
+
+
+def _is_newer_word(entry: ListedUpstream, known: ListedUpstream) -> bool:
+    """Return whether an entry of the known incarnation says more than the known one.
+
+    Within one era the revisions tell. A store that came back from a copy first shows what the
+    upstream said some time before. The upstream's own count tells that from what it writes since;
+    with the same count an upstream that is known to leave stays so.
+    """
+    if entry.era == known.era:
+        return entry.revision >= known.revision
+    if entry.era < known.era or entry.sequence < known.sequence:
+        return False
+    return entry.sequence > known.sequence or entry.leaving or not known.leaving
+
+
 def _compare_starts(listed_ms: int | None, known_ms: int | None) -> int:
     """Return 1 if an entry is of a later incarnation than the known one, 0 of the same, -1 before.
 
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -27,9 +27,11 @@
     ),
     "._forwarder_messages": (
         "ChangedRow",
+        "EralessTableChanges",
         "KeysHonoured",
         "LoadsElsewhere",
         "LoadsOfDomain",
+        "NewestConfiguration",
         "PromptPart",
         "TableChanges",
         "UpstreamCrash",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -160,15 +160,41 @@
 
 @message(33, since=5)
 @attrs.frozen
+class EralessTableChanges:
+    """What the platform told the sender of a table, of a release that knows no eras.
+
+    See :class:`TableChanges`. It is of use only while the platform's store names no era.
+    """
+
+    table: str
+    after: int
+    upto: int
+    store_s: float
+    steady_s: float
+    rows: list[ChangedRow]
+
+    def in_first_era(self) -> TableChanges:
+        """Return the same news as of a store that names no era."""
+        return TableChanges(
+            self.table, 0, self.after, self.upto, self.store_s, self.steady_s, self.rows
+        )
+
+
+@message(37, since=6)
+@attrs.frozen
 class TableChanges:
     """What the platform told the sender of a table.
 
     Parameters
     ----------
     table : str
+    era : int
+        Of the platform's store; the revisions and ``store_s`` hold in this era only. 0 where the
+        store names none.
     after, upto : int
-        ``rows`` are all that changed behind the one revision up to the other. If both are the same,
-        the sender leaves out what changed before, and a process that does not know it asks.
+        ``rows`` are all that changed behind the one revision up to the other, the whole table where
+        ``after`` is 0. If both are the same, the sender leaves out what changed before, and a
+        process that does not know it asks.
     store_s : float
         A moment as of which this was all, on the platform's own steady clock, seconds. A message
         may be late by any time: this moment stays true.
@@ -178,8 +204,23 @@
     """
 
     table: str
+    era: int
     after: int
     upto: int
     store_s: float
     steady_s: float
     rows: list[ChangedRow]
+
+    def without_era(self) -> EralessTableChanges:
+        """Return the same news for a process of a release that knows no eras."""
+        return EralessTableChanges(
+            self.table, self.after, self.upto, self.store_s, self.steady_s, self.rows
+        )
+
+
+@message(38, since=6)
+@attrs.frozen
+class NewestConfiguration:
+    """The highest version of the configuration that is known to be in force at some process."""
+
+    version: int
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -15,11 +15,11 @@
 
 from ._errors import ErrorKind
 
-PROTOCOL_VERSIONS = (1, 2, 3, 4, 5)
+PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6)
 """Protocol versions that this release speaks; version 2 adds :class:`Suspicions`, version 3 the
 messages between forwarders, version 4 :class:`KeysHonoured`, version 5
-:class:`TableChanges`, :class:`LoadsOfDomain`, :class:`LoadsElsewhere` and
-:class:`UpstreamOutcomes`."""
+:class:`EralessTableChanges`, :class:`LoadsOfDomain`, :class:`LoadsElsewhere` and
+:class:`UpstreamOutcomes`, version 6 :class:`TableChanges` and :class:`NewestConfiguration`."""
 
 message_types: dict[int, type] = {}
 """The class of each type number."""
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -38,6 +38,7 @@
         "MemoryObjectStore",
         "MemoryTable",
     ),
+    "._position": ("Position",),
     "._record_change": (
         "Accepted",
         "PutRefusal",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -102,6 +102,12 @@
     )
 
     CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
+    CONFIGURATION_KEPT = (
+        1104,
+        "WARNING",
+        "The platform shows an older configuration than the newest one in force at any process;"
+        " what is in force here stays, and is not confirmed by it.",
+    )
     RECORD_FAULT = (1102, "ERROR", "A record cannot be used; its last good version stays in force.")
     RECORD_SCHEMA_UNKNOWN = (
         1103,
@@ -111,6 +117,13 @@
 
     TABLE_UNAVAILABLE = (1201, "ERROR", "The table service does not answer.")
     TABLE_RECOVERED = (1202, "INFO", "The table service answers again.")
+    STORE_RETURNED = (
+        1206,
+        "WARNING",
+        "The platform's store came back from a copy: its newest changes are lost, and its era rose."
+        " What was in force stays so until it is written again; ``ages_s`` tells how old what is"
+        " known of each table was.",
+    )
     VM_LIST_UNREADABLE = (1203, "WARNING", "The VM list cannot be read; the last one is used.")
     VM_LIST_RECOVERED = (1204, "INFO", "The VM list can be read again.")
     VM_ENTRY_FAULT = (1205, "WARNING", "An entry of the VM list is malformed and left out.")
@@ -154,6 +167,19 @@
         "Others told that an upstream fails; it is avoided.",
     )
     MEMBER_NOT_REMOVED = (1907, "WARNING", "A leaving forwarder could not take out its entry.")
+    MEMBER_REJOINED = (
+        1916,
+        "INFO",
+        "After a return of the store from a copy a forwarder made sure of its entry; ``kept`` says"
+        " whether it still stood there.",
+    )
+    UPSTREAMS_KEPT = (
+        1917,
+        "WARNING",
+        "The store came back from a copy with an older list of upstreams. Those known to leave"
+        " (``leaving``) or gone (``withheld``) get no work although it lists them; those it lacks"
+        " (``missing``) are used until they have had time to enter themselves again.",
+    )
     MEMBER_FORGOTTEN = (1908, "NOTICE", "A forwarder was unreachable for long; its entry goes.")
     MEMBERS_UNREACHABLE = (
         1912,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_figures.py
@@ -52,6 +52,11 @@
         )
         self.config_age = self._gauge("config_age_seconds", "Age of the last confirmation.")
         self.revision = self._gauge("config_revision", "Version of the configuration.")
+        self.store_era = self._gauge("store_era", "Newest era of the store that was heard of.")
+        self.config_kept = self._gauge(
+            "config_kept_seconds",
+            "Time for which the platform has shown an older configuration than the newest one.",
+        )
         self.keys_trusted = self._gauge("keys_trusted", "1 while API keys are honoured.")
         self.held = self._gauge("held_calls", "Requests that are not answered yet.")
         self.peers = self._gauge("peers", "Other forwarders that are connected.")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from burdockquay_coordination.forwarding import ForwardConfig, UpstreamBook, UpstreamChanges
 from burdockquay_state import TableError
 
 from .._events import Event, log_event
@@ -70,17 +71,32 @@
             continue
         pauses.note_success()
         reading = read.ok()
-        if reading.config is not None and state.apply(reading.config):
-            log_event(
-                Event.CONFIGURATION_APPLIED,
-                revision=reading.config.version,
-                routes=len(reading.config.routes),
-                age_s=state.clock.now() - reading.as_of,
-            )
-        state.lease.confirm(reading.as_of)
+        if reading.config is not None:
+            _take_configuration(state, reading.config, reading.as_of)
+        state.confirm_configuration(reading.as_of)
         state.note_read("configuration")
 
 
+def _take_configuration(state: ForwarderState, config: ForwardConfig, as_of: float) -> None:
+    now = state.clock.now()
+    state.standing.note_shown(config.version, now)
+    if state.apply(config):
+        log_event(
+            Event.CONFIGURATION_APPLIED,
+            revision=config.version,
+            routes=len(config.routes),
+            age_s=now - as_of,
+        )
+    if state.standing.is_behind:
+        log_event(
+            Event.CONFIGURATION_KEPT,
+            revision=state.directory.config.version,
+            shown=config.version,
+            newest=state.standing.newest,
+            age_s=state.lease.age(now),
+        )
+
+
 async def follow_upstreams(state: ForwarderState) -> None:
     """Apply each change of the list of upstreams, until cancelled."""
     source = state.platform.upstreams()
@@ -98,6 +114,8 @@
         state.note_read("upstreams")
         for incarnation in over:
             state.note_down(incarnation)
+        if changes.after_return:
+            _log_kept(state.book, changes)
         if changes.listed or changes.removed or changes.unreadable:
             log_event(
                 Event.UPSTREAMS_CHANGED,
@@ -111,6 +129,18 @@
             await asyncio.sleep(GATHER_S)
 
 
+def _log_kept(book: UpstreamBook, changes: UpstreamChanges) -> None:
+    """Log what is known better than a store that came back from a copy shows it."""
+    listed = {entry.id for entry in changes.listed if not entry.leaving}
+    leaving = [item.id for item in book.all() if item.entry.leaving and item.id in listed]
+    log_event(
+        Event.UPSTREAMS_KEPT,
+        leaving=",".join(leaving),
+        withheld=",".join(book.withheld),
+        missing=",".join(book.missing),
+    )
+
+
 async def settle_upstreams(state: ForwarderState) -> None:
     """Drop vanished upstreams once the list can be trusted again, until cancelled."""
     while True:
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_member_book.py
@@ -0,0 +1,107 @@
+"""The forwarders that one knows of, also while the platform's store lacks some of them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from ._platform import Member, MemberChanges
+
+REJOIN_WAIT_S = 4.0
+"""How long a member is kept that the store lacks after its return from a copy, seconds: it has two
+seconds to enter itself again once it has heard of the return, and the news takes a second or two
+each way."""
+
+
+@attrs.frozen
+class _Unconfirmed:
+    """A member that a copy lacks or shows otherwise; ``shown`` counts from ``until`` on."""
+
+    shown: Member | None
+    until: float
+
+
+class MemberBook:
+    """Members by VM.
+
+    A store that comes back from a copy shows the members of some seconds ago. Those that are
+    missing there, or stand there with a former process, live and enter themselves again. Were they
+    dropped meanwhile, the connections to them would end.
+
+    Examples
+    --------
+    >>> book = MemberBook()
+    >>> first = Member("a", "a1", "10.0.0.1:7200")
+    >>> sorted(book.take(MemberChanges(True, (first,)), now=0.0))
+    ['a']
+    >>> book.take(MemberChanges(True, after_return=True), now=5.0), len(book)
+    (set(), 1)
+    >>> book.take(MemberChanges(False), now=9.5), len(book)
+    ({'a'}, 0)
+    """
+
+    def __init__(self):
+        self._members: dict[str, Member] = {}
+        self._unconfirmed: dict[str, _Unconfirmed] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def get(self, vm: str) -> Member | None:
+        """Return the member on a VM."""
+        return self._members.get(vm)
+
+    def take(self, changes: MemberChanges, now: float) -> set[str]:
+        """Take over a reading.
+
+        Returns
+        -------
+        set of str
+            VMs whose members are new, gone or others than before.
+        """
+        before = dict(self._members)
+        listed = {member.vm: member for member in changes.listed}
+        if changes.after_return:
+            self._take_copy(listed, now)
+        else:
+            removed = set(changes.removed)
+            if changes.whole:
+                removed |= set(self._members) - set(listed) - set(self._unconfirmed)
+            for vm in removed:
+                self._members.pop(vm, None)
+            for vm in (*removed, *listed):
+                self._unconfirmed.pop(vm, None)
+            self._members |= listed
+        self._settle(now)
+        known = {*before, *self._members}
+        return {vm for vm in known if _is_other(before.get(vm), self._members.get(vm))}
+
+    def _take_copy(self, listed: Mapping[str, Member], now: float) -> None:
+        for vm in {*self._members, *listed}:
+            known, shown = self._members.get(vm), listed.get(vm)
+            if known is None or not _is_other(known, shown):
+                self._members[vm] = shown
+                self._unconfirmed.pop(vm, None)
+            else:
+                self._unconfirmed[vm] = _Unconfirmed(shown, now + REJOIN_WAIT_S)
+
+    def _settle(self, now: float) -> None:
+        """Believe the store of members that have not entered themselves again."""
+        due = [vm for vm, kept in self._unconfirmed.items() if now >= kept.until]
+        for vm in due:
+            shown = self._unconfirmed.pop(vm).shown
+            if shown is None:
+                self._members.pop(vm, None)
+            else:
+                self._members[vm] = shown
+
+
+def _is_other(known: Member | None, shown: Member | None) -> bool:
+    """Return whether there is another process, or none, where there was one.
+
+    An entry that was only written again is the same: connections that stand stay.
+    """
+    if known is None or shown is None:
+        return known is not shown
+    return (known.incarnation, known.address) != (shown.incarnation, shown.address)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -13,11 +14,13 @@
 
 from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_protocol import (
+    EralessTableChanges,
     Goodbye,
     Heartbeat,
     KeysHonoured,
     LoadsElsewhere,
     LoadsOfDomain,
+    NewestConfiguration,
     TableChanges,
     UpstreamCrash,
     UpstreamLoads,
@@ -39,6 +42,7 @@
 )
 from .._peer_server import PeerServer
 from ._load_sharing import LoadSharing, RepeatedNews
+from ._member_book import MemberBook
 from ._outcome_sharing import OutcomeSharing
 from ._platform import Member, MemberChanges, MemberRegistry
 from ._state import ForwarderState
@@ -91,15 +95,18 @@
         self.traffic = TrafficCounts()
         self._registry: MemberRegistry = state.platform.members()
         self._links: dict[str, asyncio.Task] = {}
-        self._members: dict[str, Member] = {}
+        self._members = MemberBook()
         self._up: dict[str, PeerConnection] = {}
         self._bound: socket.socket | None = None
         self._server: PeerServer | None = None
         self._key = b""
-        state.platform.exchange.tell = self._post
+        self._returned = asyncio.Event()
+        state.platform.exchange.tell = self._post_changes
+        state.platform.exchange.on_return = self._note_return
         self._loads = LoadSharing(state, identity, post_all)
         self._outcomes = OutcomeSharing(state, identity, post_all)
         self._keys = RepeatedNews()
+        self._newest_configuration = RepeatedNews()
         self._told_of_keys: list[PeerConnection] = []
         self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
             UpstreamLoads: self._loads.hear,
@@ -108,7 +115,9 @@
             UpstreamOutcomes: self._outcomes.hear,
             UpstreamCrash: self._hear_crash,
             KeysHonoured: self._hear_keys,
+            NewestConfiguration: self._hear_configuration,
             TableChanges: self._hear_changes,
+            EralessTableChanges: self._hear_eraless_changes,
             Heartbeat: _ignore,
             Goodbye: _ignore,
         }
@@ -157,6 +166,7 @@
 
     async def _join(self, bound: socket.socket) -> None:
         me = Member(self.identity.vm, self.identity.incarnation, bound_address(bound))
+        self._me = me
         pause_s = RETRY_S[0]
         while isinstance(joined := await self._registry.join(me), Err):
             log_event(Event.MEMBERS_UNREACHABLE, detail=joined.err().detail)
@@ -177,38 +187,56 @@
 
     async def _follow_members(self) -> None:
         while True:
+            self._returned.clear()
             read = await self._registry.next(MEMBERS_WAIT_S)
             if isinstance(read, Err):
                 log_event(Event.MEMBERS_UNREACHABLE, detail=read.err().detail)
-                await asyncio.sleep(self.state.rng.uniform(*RETRY_S))
+                await self._pause(self.state.rng.uniform(*RETRY_S))
                 continue
             self._take_members(read.ok())
-            await asyncio.sleep(GATHER_S)
+            if read.ok().after_return:
+                await self._rejoin(read.ok())
+            await self._pause(GATHER_S)
+
+    async def _pause(self, limit_s: float) -> None:
+        """Wait, no longer than until the store comes back from a copy.
+
+        The others keep this process only for a short time without its entry.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._returned.wait()
+
+    def _note_return(self) -> None:
+        self._returned.set()
+
+    async def _rejoin(self, changes: MemberChanges) -> None:
+        """Enter this process again where a store that came back from a copy lacks it."""
+        me = self._me
+        shown = next((member for member in changes.listed if member.vm == me.vm), None)
+        era = self.state.platform.exchange.era
+        returned_at = era.returned_at
+        while not self.state.leaving and era.returned_at == returned_at:
+            rejoined = await self._registry.rejoin(me, self._key, shown)
+            if rejoined.is_ok():
+                self._take_key(rejoined.ok())
+                kept = shown is not None and shown.incarnation == me.incarnation
+                log_event(Event.MEMBER_REJOINED, vm=me.vm, era=era.newest, kept=kept)
+                return
+            log_event(Event.MEMBERS_UNREACHABLE, detail=rejoined.err().detail)
+            await asyncio.sleep(RETRY_S[0] * self.state.rng.uniform(0.5, 1.0))
+
+    def _take_key(self, key: bytes) -> None:
+        """Greet with the shared key that stands; connections that are up stay so."""
+        self._key = key
+        self._server.key = key
 
     def _take_members(self, changes: MemberChanges) -> None:
-        listed = {member.vm: member for member in changes.listed}
-        removed = set(changes.removed)
-        if changes.whole:
-            removed |= set(self._members) - set(listed)
-        changed = removed | {vm for vm, member in listed.items() if self._is_changed(member)}
-        for vm in removed:
-            self._members.pop(vm, None)
-        self._members |= listed
+        changed = self._members.take(changes, self.state.clock.now())
         self.state.book.processes = len(self._members)
         for vm in changed:
             self._link(vm)
 
-    def _is_changed(self, member: Member) -> bool:
-        """Return whether a member must be connected to anew.
-
-        All are listed again when the history of the store has a gap. Connections that stand stay,
-        or all processes would know nothing of each other for a moment.
-        """
-        known = self._members.get(member.vm)
-        if known is None:
-            return True
-        return (known.incarnation, known.address) != (member.incarnation, member.address)
-
     def _link(self, vm: str) -> None:
         """Connect to a member. Of each two processes the one with the smaller name connects."""
         task = self._links.pop(vm, None)
@@ -265,6 +293,7 @@
         peer.keep_alive(HEARTBEAT_S, SILENCE_S, lambda: Heartbeat(0))
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
         self._keys.forget()
+        self._newest_configuration.forget()
         self._note_peers()
 
     def _go_down(self, peer: PeerConnection) -> None:
@@ -276,8 +305,10 @@
 
     def _note_peers(self) -> None:
         """Choose anew who asks the platform, among the processes that tell what they hear."""
-        others = [name for name, peer in self._up.items() if peer.version >= TableChanges.since]
-        self.state.platform.exchange.note_peers(self.identity.incarnation, others)
+        exchange = self.state.platform.exchange
+        needed = TableChanges if exchange.era.newest else EralessTableChanges
+        others = [name for name, peer in self._up.items() if peer.version >= needed.since]
+        exchange.note_peers(self.identity.incarnation, others)
         self._loads.note_peers(self._up)
         near = rank_processes(self.identity.incarnation, self._up)[:KEYS_TOLD_TO]
         self._told_of_keys = [self._up[name] for name in near]
@@ -296,15 +327,36 @@
         honoured = self.state.keys_trusted(now)
         if self._keys.is_due(honoured, now):
             post_all(self._told_of_keys, KeysHonoured(honoured))
+        newest = self.state.standing.newest
+        if newest and self._newest_configuration.is_due(newest, now):
+            post_all(self._told_of_keys, NewestConfiguration(newest))
 
     def _post(self, message: Any) -> None:
         post_all(self._up.values(), message)
 
+    def _post_changes(self, message: TableChanges) -> None:
+        """Tell the others of a table.
+
+        A process that knows no eras is told only while the store names none: it would take the
+        revisions of one era for those of another.
+        """
+        known = [peer for peer in self._up.values() if peer.version >= TableChanges.since]
+        post_all(known, message)
+        if message.era == 0 and len(known) < len(self._up):
+            former = [peer for peer in self._up.values() if peer.version < TableChanges.since]
+            post_all(former, message.without_era())
+
     def _hear_keys(self, peer: PeerConnection, message: KeysHonoured) -> None:
         self.state.others.hear(peer.peer.incarnation, message.honoured, self.state.clock.now())
 
     def _hear_changes(self, peer: PeerConnection, message: TableChanges) -> None:
-        self.state.platform.exchange.hear(message)
+        self.state.platform.exchange.hear(message, self.state.clock.now())
+
+    def _hear_eraless_changes(self, peer: PeerConnection, message: EralessTableChanges) -> None:
+        self._hear_changes(peer, message.in_first_era())
+
+    def _hear_configuration(self, peer: PeerConnection, message: NewestConfiguration) -> None:
+        self.state.standing.note_in_force(message.version, self.state.clock.now())
 
     def _hear_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
         for digest in message.digests:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -190,12 +190,15 @@
         Host and port where it takes connections of other forwarders.
     revision : int
         Of its entry on the platform; 0 if it has none yet.
+    era : int
+        Of the store that holds the entry.
     """
 
     vm: str
     incarnation: str
     address: str
     revision: int = 0
+    era: int = 0
 
 
 @attrs.frozen
@@ -209,11 +212,14 @@
     listed : tuple of Member
     removed : tuple of str
         Names of VMs whose entries are gone.
+    after_return : bool
+        Whether this is the first reading since the store came back from a copy.
     """
 
     whole: bool
     listed: tuple[Member, ...] = ()
     removed: tuple[str, ...] = ()
+    after_return: bool = False
 
 
 class MemberRegistry(ABC):
@@ -223,6 +229,26 @@
     async def join(self, member: Member) -> Result[bytes, TableError]:
         """Enter a member and return the key that all members share; the first one draws it."""
 
+    @abstractmethod
+    async def rejoin(
+        self, member: Member, key: bytes, shown: Member | None
+    ) -> Result[bytes, TableError]:
+        """Enter a member, and the shared key, where a store that came back lacks them.
+
+        Parameters
+        ----------
+        member : Member
+        key : bytes
+            The shared key that the member holds.
+        shown : Member or None
+            What the store shows in its place.
+
+        Returns
+        -------
+        Result of bytes, TableError
+            The shared key from now on.
+        """
+
     @abstractmethod
     async def leave(self, member: Member) -> Result[None, TableError]:
         """Take out a member unless its entry has changed meanwhile."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -9,6 +9,7 @@
 
 from burdockquay_coordination.forwarding import (
     ConfigDirectory,
+    ConfigStanding,
     CrashSuspects,
     ForwardConfig,
     FreshnessLease,
@@ -67,6 +68,7 @@
         self.switches = platform.exchange.switches
         self.directory: ConfigDirectory | None = None
         self.lease = FreshnessLease(settings.withdrawal_ms / 1000 * LEASE_SHARE)
+        self.standing = ConfigStanding()
         self.book = UpstreamBook(rng)
         self.suspects = CrashSuspects()
         self.others = OtherProcesses()
@@ -108,9 +110,19 @@
         if self.directory is not None and config.version <= self.directory.config.version:
             return False
         self.directory = ConfigDirectory(config)
+        self.standing.note_in_force(config.version, self.clock.now())
         self.book.set_memories({item.service: item.tokens for item in config.memories})
         return True
 
+    def confirm_configuration(self, as_of: float) -> None:
+        """Note that the platform showed the configuration that it showed last at a moment.
+
+        That confirms what is in force unless a newer one is in force at any process: the platform
+        then shows an old one, and what the newer one withdraws must not be honoured.
+        """
+        if not self.standing.is_behind:
+            self.lease.confirm(as_of)
+
     def dispatcher(self, service: str) -> PromptDispatcher:
         """Return the dispatcher of the prompts of a service."""
         found = self._dispatchers.get(service)
@@ -132,6 +144,8 @@
         figures = self.figures
         age = self.lease.age(now)
         figures.config_age.set(float("nan") if age is None else age)
+        figures.store_era.set(self.platform.exchange.era.newest)
+        figures.config_kept.set(self.standing.behind_s(now))
         figures.keys_trusted.set(self.keys_trusted(now))
         figures.revision.set(self.directory.config.version if self.directory else 0)
         for service, dispatcher in self._dispatchers.items():
