Refuse keys a second after a process learns that it acts on an old configuration

What callers saw: a process that started while the store showed an older configuration than its peers had in force honoured keys that the newer one withdraws, until its first confirmation ran out (3.6 s).

Cause: it had no newer configuration to keep, and news that there is one only withheld further confirmations.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config_standing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config_standing.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+CATCH_UP_S = 1.0
+"""Time that a process has to read a configuration that is in force at another one, seconds, before
+it honours no keys: on a calm day the news comes within some hundredths."""
+
 
 class ConfigStanding:
     """Compares what the platform shows with what is in force at this process and at others.
@@ -20,11 +24,16 @@
     >>> standing.note_shown(9, now=6.0)
     >>> standing.is_behind, standing.behind_s(7.0)
     (False, 0.0)
+    >>> standing.note_held(7, now=2.0)
+    >>> standing.is_outdated(2.5), standing.is_outdated(3.1)
+    (False, True)
     """
 
     def __init__(self):
         self._shown = 0
         self._newest = 0
+        self._held = 0
+        self._outdated_since: float | None = None
         self._behind_since: float | None = None
 
     @property
@@ -46,6 +55,19 @@
         """Return for how long the newest configuration has waited to be shown again, seconds."""
         return 0.0 if self._behind_since is None else now - self._behind_since
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether this process acts on an older configuration than it should by now.
+
+        A process that starts while the store shows an older configuration has no newer one to keep.
+        It learns from the others that there is one, and must not wait until its lease runs out.
+        """
+        return self._outdated_since is not None and now - self._outdated_since >= CATCH_UP_S
+
+    def note_held(self, version: int, now: float) -> None:
+        """Note the version that is in force at this process."""
+        self._held = version
+        self.note_in_force(version, now)
+
     def note_shown(self, version: int, now: float) -> None:
         """Note the version that the platform shows."""
         self._shown = version
@@ -57,7 +79,13 @@
         self._compare(now)
 
     def _compare(self, now: float) -> None:
-        if not self.is_behind:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
+        self._behind_since = _since(self.is_behind, self._behind_since, now)
+        is_older = 0 < self._held < self._newest
+        self._outdated_since = _since(is_older, self._outdated_since, now)
+
+
+def _since(holds: bool, since: float | None, now: float) -> float | None:
+    """Return since when something holds, None if it does not."""
+    if not holds:
+        return None
+    return now if since is None else since
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -110,7 +110,7 @@
         if self.directory is not None and config.version <= self.directory.config.version:
             return False
         self.directory = ConfigDirectory(config)
-        self.standing.note_in_force(config.version, self.clock.now())
+        self.standing.note_held(config.version, self.clock.now())
         self.book.set_memories({item.service: item.tokens for item in config.memories})
         return True
 
@@ -178,7 +178,9 @@
 
     def keys_trusted(self, now: float) -> bool:
         """Return whether API keys may be honoured."""
-        return not self.settings.keys_fail_closed or self.lease.is_fresh(now)
+        if not self.settings.keys_fail_closed:
+            return True
+        return self.lease.is_fresh(now) and not self.standing.is_outdated(now)
 
     def refers_callers(self, now: float) -> bool:
         """Return whether callers are better served by another process."""
