Tell in the story of a request that its process acted on what it kept

After a return of the store from a copy a process keeps its configuration and its knowledge of upstreams until they are written again, and refuses keys when that takes too long. explain told nothing of it: the log of a played drill had store_returned, configuration_kept and upstreams_kept lines, and the story of a refused request showed only that its configuration was 4.6 s old.

These events are now part of a story up to 30 s before the request, five seconds being too short while the writers of the rows take their time. Failures of others are still counted over the rest of the story only.

Tests: both new tests fail on the code before; test_explain.py passes.

--- a/packages/burdockquay/src/burdockquay/_explain.py
+++ b/packages/burdockquay/src/burdockquay/_explain.py
@@ -20,6 +20,7 @@
     {
         "configuration_applied",
         "member_forgotten",
+        "member_rejoined",
         "peer_connected",
         "peer_disconnected",
         "process_listening",
@@ -36,6 +37,13 @@
 )
 """Events of the process of a request that change what it knew."""
 
+STORE_RETURN = frozenset({"configuration_kept", "store_returned", "upstreams_kept"})
+"""Such events about a store that came back from a copy."""
+
+BEFORE_RETURN = timedelta(seconds=30)
+"""Time before a request from which on those are told: a process acts on what it kept until the
+writer of each row has written it again."""
+
 _HEAD = ("time", "level", "event", "name", "vm", "request")
 
 
@@ -96,7 +104,7 @@
     own = [line for line in all_lines if line.request == request]
     if not own:
         return []
-    first, last = own[0].time - BEFORE, own[-1].time + AFTER
+    last = own[-1].time + AFTER
     vms = {line.vm for line in own}
     upstreams = {
         name
@@ -110,19 +118,25 @@
         for line in all_lines
         if line.request == request
         or (
-            first <= line.time <= last
+            own[0].time - _time_before(line.name) <= line.time <= last
             and line.request is None
             and line.vm in vms
-            and (line.name in KNOWLEDGE or line.mentions(upstreams))
+            and (line.name in KNOWLEDGE | STORE_RETURN or line.mentions(upstreams))
         )
     ]
 
 
+def _time_before(event: str) -> timedelta:
+    """Return how long before a request an event may be to be told."""
+    return BEFORE_RETURN if event in STORE_RETURN else BEFORE
+
+
 def count_failures(lines: Iterable[LogLine], story: list[LogLine]) -> dict[str, int]:
     """Return how often other requests failed at each upstream of a story, in its time."""
     if not story:
         return {}
-    first, last = story[0].time, story[-1].time
+    told = [line.time for line in story if line.name not in STORE_RETURN]
+    first, last = told[0], told[-1]
     own = {line.request for line in story} - {None}
     upstreams = {str(line.fields["upstream"]) for line in story if "upstream" in line.fields}
     counts: dict[str, int] = {}
--- a/packages/burdockquay/src/burdockquay/tests/test_explain.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_explain.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from burdockquay._explain import read_lines, tell_story
+from burdockquay._explain import count_failures, read_lines, tell_story
 from burdockquay.cli import app
 
 
@@ -39,6 +39,37 @@
     ]
 
 
+def test_story_tells_of_a_return_of_the_store_long_before_the_request():
+    """A request is refused on a kept configuration, and nothing says that it was kept."""
+    log = [
+        line(1.0, "store_returned", era=2),
+        line(1.1, "configuration_kept", revision=4, shown=3),
+        line(1.2, "upstreams_kept", withheld="i-2"),
+        line(1.3, "member_rejoined", era=2),
+        line(1.4, "store_returned", vm="edge-2", era=2),
+        line(9.0, "call_refused", request="r1", kind="configuration_stale"),
+    ]
+    story = tell_story(read_lines(log), "r1")
+    assert [item.name for item in story] == [
+        "store_returned",
+        "configuration_kept",
+        "upstreams_kept",
+        "call_refused",
+    ]
+
+
+def test_failures_before_a_return_are_not_counted_among_those_of_the_request():
+    log = [
+        line(1.0, "store_returned", era=2),
+        line(2.0, "send_failed", request="r0", upstream="i-1"),
+        line(9.0, "send_failed", request="r1", upstream="i-1"),
+        line(9.1, "send_failed", request="r2", upstream="i-1"),
+        line(9.2, "call_ended", request="r1", upstreams="i-1"),
+    ]
+    lines = list(read_lines(log))
+    assert count_failures(lines, tell_story(lines, "r1")) == {"i-1": 1}
+
+
 def run(*words):
     with pytest.raises(SystemExit) as ended:
         app(["explain", *words])
