Take told rows where the clock of the new era is not known

A process that the store turns away after its return heard the whole tables from its peers and dropped them: it could not tell when they were true. Rows of the present era count now; only the moment that they would confirm does not, so that keys still run out there. A process that was told a table does not ask the store before its drawn delay is over.

A process enters itself again beside following the members, so that a store that turns it away does not keep it from hearing of others.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -72,6 +72,10 @@
 RETRY_S = (0.2, 5.0)
 """First and longest pause between two tries to reach a peer, seconds."""
 
+MAX_REJOIN_PAUSE_S = 1.0
+"""Longest pause between two tries to enter this process again after the store came back, seconds:
+the others keep it for a few seconds without its entry."""
+
 FORGET_S = 120.0
 """Time after which an unreachable peer is taken out of the members, seconds: far longer than a
 restart or a partition that heals."""
@@ -101,6 +105,7 @@
         self._server: PeerServer | None = None
         self._key = b""
         self._returned = asyncio.Event()
+        self._rejoining: asyncio.Task | None = None
         state.platform.exchange.tell = self._post_changes
         state.platform.exchange.on_return = self._note_return
         self._loads = LoadSharing(state, identity, post_all)
@@ -140,6 +145,7 @@
             await self._follow_members()
         finally:
             telling.cancel()
+            self._stop_rejoining()
 
     async def leave(self) -> None:
         """Take this process out of the members."""
@@ -195,7 +201,7 @@
                 continue
             self._take_members(read.ok())
             if read.ok().after_return:
-                await self._rejoin(read.ok())
+                self._start_rejoining(read.ok())
             await self._pause(GATHER_S)
 
     async def _pause(self, limit_s: float) -> None:
@@ -210,13 +216,20 @@
     def _note_return(self) -> None:
         self._returned.set()
 
-    async def _rejoin(self, changes: MemberChanges) -> None:
+    def _start_rejoining(self, changes: MemberChanges) -> None:
+        shown = next((member for member in changes.listed if member.vm == self._me.vm), None)
+        self._stop_rejoining()
+        self._rejoining = asyncio.create_task(self._rejoin(self._me, shown))
+
+    def _stop_rejoining(self) -> None:
+        if self._rejoining is not None:
+            self._rejoining.cancel()
+
+    async def _rejoin(self, me: Member, shown: Member | None) -> None:
         """Enter this process again where a store that came back from a copy lacks it."""
-        me = self._me
-        shown = next((member for member in changes.listed if member.vm == me.vm), None)
         era = self.state.platform.exchange.era
-        returned_at = era.returned_at
-        while not self.state.leaving and era.returned_at == returned_at:
+        pause_s = RETRY_S[0]
+        while not self.state.leaving:
             rejoined = await self._registry.rejoin(me, self._key, shown)
             if rejoined.is_ok():
                 self._take_key(rejoined.ok())
@@ -224,7 +237,8 @@
                 log_event(Event.MEMBER_REJOINED, vm=me.vm, era=era.newest, kept=kept)
                 return
             log_event(Event.MEMBERS_UNREACHABLE, detail=rejoined.err().detail)
-            await asyncio.sleep(RETRY_S[0] * self.state.rng.uniform(0.5, 1.0))
+            await asyncio.sleep(pause_s * self.state.rng.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, MAX_REJOIN_PAUSE_S)
 
     def _take_key(self, key: bytes) -> None:
         """Greet with the shared key that stands; connections that are up stay so."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -183,10 +183,12 @@
 
     def hear(self, message: TableChanges, now: float) -> None:
         """Hand on what a peer tells."""
+        if not self.switches.uses(Mechanism.SHARED_POLLS):
+            return
         if message.era:
             self.note_era(message.era, now)
         feed = self._feeds.get(message.table)
-        if feed is not None and self.switches.uses(Mechanism.SHARED_POLLS):
+        if feed is not None:
             feed.hear(message)
 
     def note_era(self, era: int, now: float) -> None:
@@ -250,7 +252,7 @@
             Longest wait of a question at the platform, seconds.
         """
         if self._position is None:
-            return await self._read()
+            return self._take_told_table() or await self._read()
         try:
             while True:
                 self._wake.clear()
@@ -289,9 +291,10 @@
         """Return what has come, None if it is time to wait."""
         if self._is_past():
             self._drop_question()
-            if self.store.now() < self._reread_at:
-                return None
-            return self._take_told_table() or await self._read()
+            told = self._take_told_table()
+            if told is not None:
+                return told
+            return await self._read() if self.store.now() >= self._reread_at else None
         news = self._take_heard()
         if news is not None:
             return Ok(news)
@@ -308,7 +311,9 @@
 
     def _ask_if_due(self, wait_s: float) -> None:
         now = self.store.now()
-        if self._question is not None or not self.turn.is_due(now, wait_s):
+        if self._question is not None or now < self._reread_at:
+            return
+        if not self.turn.is_due(now, wait_s):
             return
         hold_s = self.turn.hold_s(now, wait_s)
         answer = asyncio.ensure_future(self.store.wait_for_rows(self.table, self._position, hold_s))
@@ -322,7 +327,8 @@
         if self._is_past():
             limit_s = max(0.0, self._reread_at - now)
         elif self._question is None:
-            limit_s = max(0.0, self.turn.next_due_at(now, wait_s) - now)
+            due_at = max(self._reread_at, self.turn.next_due_at(now, wait_s))
+            limit_s = max(0.0, due_at - now)
         try:
             async with asyncio.timeout(limit_s):
                 await self._wake.wait()
@@ -335,9 +341,7 @@
             message = self._heard.popleft()
             if message.era != self._position.era:
                 continue
-            as_of = self.store.moment_of(message.store_s, message.era)
-            if as_of is None:
-                continue
+            as_of = self._moment_of(message)
             fit = self.turn.judge(self._position.revision, message.after, message.upto)
             if fit is Fit.GAP:
                 continue
@@ -356,9 +360,7 @@
             message = self._heard.popleft()
             if message.after != 0 or message.era != self.exchange.era.newest:
                 continue
-            as_of = self.store.moment_of(message.store_s, message.era)
-            if as_of is None:
-                continue
+            as_of = self._moment_of(message)
             self.turn.confirm_by_peer(as_of, self.store.now())
             rows = tuple(message.rows)
             after_return = self._start_anew(rows, Position(message.era, message.upto))
@@ -366,6 +368,14 @@
             return Ok(TableNews(True, rows, as_of, troubled_at, message.era, after_return))
         return None
 
+    def _moment_of(self, message: TableChanges) -> float:
+        """Return the moment of which a message tells; its rows count also where that is unknown.
+
+        A process that does not reach the store cannot relate the clock of a new era to its own.
+        """
+        moment = self.store.moment_of(message.store_s, message.era)
+        return float("-inf") if moment is None else moment
+
     def _troubled_at(self, message: TableChanges) -> float:
         asked_in_vain_at = self.store.now() - message.steady_s
         return max(asked_in_vain_at, self.exchange.era.returned_at)
