Make the era of the table a part of every version

What callers saw: nothing yet; a table that came back from a copy some seconds old gave the versions of lost writes out again, so a conditional write that had read a lost row could succeed on another row's state, and an attempt whose cancellation was lost could still claim its missing row.

Cause: the interface knew versions without the state of the table they belong to.

Now each answer names its era (header Table-Era of our HTTP dialect), versions and the version of a missing row bear it in their upper part, and the table refuses conditions of another era. A table that names none keeps era 0, and its versions are the numbers of before. MemoryTable, FaultyTable and the platform stand-in copy, return and raise the era.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
@@ -13,7 +13,6 @@
 from result import Result
 
 from burdockquay_state import (
-    ABSENT,
     ORDER_ORGANISATION,
     START_LIMIT_S,
     Claim,
@@ -276,7 +275,7 @@
         return ClaimRequest(
             organisation=ORDER_ORGANISATION,
             key=name,
-            expected_version=row.version if row else ABSENT,
+            expected_version=row.version if row else self.claims.table.absent,
             attempt=self._tries,
             attempt_id=f"{name}/{self._tries}",
             incarnation=self.incarnation,
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_suspicion_store.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_suspicion_store.py
@@ -12,7 +12,6 @@
 
 from burdockquay_protocol import Suspicion
 from burdockquay_state import (
-    ABSENT,
     Delete,
     Put,
     Row,
@@ -87,7 +86,7 @@
                 return rows
             (row,) = rows.ok()
             merged = _merge(suspicion, _decode(row) if row else None)
-            version = row.version if row else ABSENT
+            version = row.version if row else self.table.absent
             result = await self.table.transact([Put(key, _encode(merged), version)])
             if isinstance(result, Ok):
                 return Ok(None)
--- a/packages/burdockquay-standins/src/burdockquay_standins/_operations.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_operations.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from burdockquay_state import Check, Delete, Operation, Put, Row
+from burdockquay_state import Check, Delete, Operation, Put, Row, make_version, number_of
 
 
 def row_to_json(row: Row | None) -> dict[str, Any] | None:
@@ -15,7 +15,7 @@
     if row is None:
         return None
     value = base64.b64encode(row.value).decode()
-    return {"key": row.key, "value": value, "version": row.version}
+    return {"key": row.key, "value": value, "version": number_of(row.version)}
 
 
 def parse_keys(body: Mapping[str, Any]) -> list[str]:
@@ -73,7 +73,10 @@
         raise ValueError(f"expected a string 'key' that is not empty, got {key!r}")
     if version is not None and not _is_integer(version):
         raise ValueError(f"expected an integer or null 'expected_version', got {version!r}")
-    return parse(operation, key, version)
+    era = operation.get("era", 0)
+    if not _is_integer(era) or era < 0:
+        raise ValueError(f"expected an integer 'era' of at least 0, got {era!r}")
+    return parse(operation, key, None if version is None else make_version(era, version))
 
 
 def _parse_put(operation: Mapping[str, Any], key: str, version: int | None) -> Put:
--- a/packages/burdockquay-standins/src/burdockquay_standins/_platform.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_platform.py
@@ -23,6 +23,7 @@
     VmEntry,
     VmState,
     check_parameters,
+    number_of,
 )
 
 from ._faults import check_switches
@@ -30,12 +31,16 @@
 from ._operations import parse_keys, parse_operations, parse_scan, row_to_json
 from ._server import StandinServer, bad_request, cut_connection, read_object
 
+ERA_HEADER = "Table-Era"
+
 _SWITCHES: dict[str, Constraint] = {
     "outage": InstanceOf(bool),
     "hang": InstanceOf(bool),
     "slow_s": Interval(float, 0.0, 3600.0),
     "lose_confirmation": Interval(float, 0.0, 1_000_000_000),
     "stale_reads_s": Interval(float, 0.0, 3600.0),
+    "copy": InstanceOf(bool),
+    "return_to_copy": InstanceOf(bool),
 }
 
 
@@ -49,15 +54,19 @@
         Of the losses of confirmations.
     vm_list_lag_s : float
         Age of the VM list that is served, seconds.
+    era : int
+        Era of the table at the start; 0 names none.
     """
 
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
         "seed": [InstanceOf(int)],
         "vm_list_lag_s": [Interval(float, 0.0, 3600.0)],
+        "era": [Interval(int, 0)],
     }
 
     seed: int = 1
     vm_list_lag_s: float = 0.0
+    era: int = 0
 
 
 @attrs.define
@@ -104,7 +113,8 @@
         super().__init__(host, port)
         self.parameters = parameters or PlatformParameters()
         check_parameters(self.parameters)
-        self.table = MemoryTable()
+        self.table = MemoryTable(self.parameters.era)
+        self._copy = self.table.copy()
         self.objects: dict[str, bytes] = {}
         self.vms: dict[str, VmEntry] = {}
         self.faults = PlatformFaults()
@@ -120,9 +130,9 @@
     def routes(self) -> list[web.AbstractRouteDef]:
         """Return the routes of the platform."""
         return [
-            web.post("/table/get", self._guarded(self._get)),
-            web.post("/table/scan", self._guarded(self._scan)),
-            web.post("/table/transact", self._guarded(self._transact)),
+            web.post("/table/get", self._guarded(self._name_era(self._get))),
+            web.post("/table/scan", self._guarded(self._name_era(self._scan))),
+            web.post("/table/transact", self._guarded(self._name_era(self._transact))),
             web.put("/objects/{digest}", self._guarded(self._put_object)),
             web.get("/objects/{digest}", self._guarded(self._get_object)),
             web.get("/vms", self._guarded(self._list_vms)),
@@ -150,6 +160,8 @@
         ``lose_confirmation`` as an integer is the number of the next transactions that take effect
         and lose their answer, as a number with a fraction point the probability of it.
 
+        ``copy`` copies the table; ``return_to_copy`` brings it back as it was then, one era later.
+
         Raises
         ------
         ValueError
@@ -165,6 +177,11 @@
         if "stale_reads_s" in body:
             self.faults.stale_until = now + body["stale_reads_s"]
             self._stale_table = copy.deepcopy(self.table)
+        if body.get("copy"):
+            self._copy = self.table.copy()
+        if body.get("return_to_copy"):
+            self.table.return_to(self._copy)
+            self.faults.stale_until = now
 
     def _lose(self, amount: float) -> None:
         if isinstance(amount, int):
@@ -191,6 +208,16 @@
 
         return guarded
 
+    def _name_era(
+        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def named(request: web.Request) -> web.Response:
+            response = await handler(request)
+            response.headers[ERA_HEADER] = str(self.table.era)
+            return response
+
+        return named
+
     def _readable_table(self) -> MemoryTable:
         stale = time.monotonic() < self.faults.stale_until
         return self._stale_table if stale else self.table
@@ -214,7 +241,8 @@
         if self._loses_confirmation():
             return cut_connection(request)
         if result.is_ok():
-            return web.json_response({"versions": result.unwrap()})
+            versions = [version and number_of(version) for version in result.unwrap()]
+            return web.json_response({"versions": versions})
         error = result.unwrap_err()
         assert error.kind is TableErrorKind.CONFLICT
         self.counts["conflicts"] += 1
--- a/packages/burdockquay-standins/src/burdockquay_standins/tests/test_platform.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/tests/test_platform.py
@@ -155,3 +155,27 @@
         await client.put(url, data=b"content")
         async with client.get(url) as response:
             assert await response.read() == b"content"
+
+
+async def test_return_to_a_copy_loses_writes_and_gives_their_versions_again(client):
+    async with PlatformStandin(PlatformParameters(era=1)) as server:
+        await call(client, server, "/faults", {"copy": True})
+        assert await call(client, server, "/table/transact", put("a", b"1")) == {"versions": [1]}
+        await call(client, server, "/faults", {"outage": True, "return_to_copy": True})
+        await call(client, server, "/table/get", {"keys": ["a"]}, 503)
+        await call(client, server, "/faults", {"outage": False})
+        form = {"keys": ["a"]}
+        async with client.post(f"{server.url}/table/get", json=form) as response:
+            assert response.headers["Table-Era"] == "2"
+            assert await response.json() == {"rows": [None]}
+        assert await call(client, server, "/table/transact", put("a", b"2")) == {"versions": [1]}
+
+
+async def test_condition_of_an_earlier_era_fails(client):
+    async with PlatformStandin(PlatformParameters(era=1)) as server:
+        form = put("a", b"1", 0)
+        for era, status in ((0, 409), (2, 409), (1, 200)):
+            form["operations"][0]["era"] = era
+            await call(client, server, "/table/transact", form, status)
+        form["operations"][0]["era"] = "1"
+        await call(client, server, "/table/transact", form, 400)
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -37,6 +37,7 @@
     "._memory": (
         "MemoryObjectStore",
         "MemoryTable",
+        "TableCopy",
     ),
     "._record_change": (
         "Accepted",
@@ -116,6 +117,11 @@
         "table_services",
         "vm_lists",
     ),
+    "._versions": (
+        "era_of",
+        "make_version",
+        "number_of",
+    ),
     "._validation": (
         "NAME",
         "Constraint",
--- a/packages/burdockquay-state/src/burdockquay_state/_faulty.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_faulty.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ._memory import MemoryTable
+from ._memory import MemoryTable, TableCopy
 from ._table import Operation, Row, TableError, TableErrorKind
 
 _STATES_KEPT = 32
@@ -38,13 +38,18 @@
     b'1'
     """
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, era: int = 0):
+        super().__init__(era)
         self.down = False
         self.lost_confirmations: list[bool] = []
         self.stale_reads: list[int] = []
         self._states: deque[dict[str, Row]] = deque(maxlen=_STATES_KEPT)
 
+    def return_to(self, copy: TableCopy) -> None:
+        """Forget all writes since the copy; no read shows an older state any more."""
+        super().return_to(copy)
+        self._states.clear()
+
     async def get(self, keys: Sequence[str]) -> Result[list[Row | None], TableError]:
         """Return rows of the state that answers."""
         if self.down:
@@ -79,7 +84,7 @@
     def _view(self) -> MemoryTable:
         self.reads += 1
         age = self.stale_reads.pop(0) if self.stale_reads else 0
-        view = MemoryTable()
+        view = MemoryTable(self.era)
         view._rows = (
             self._states[-min(age, len(self._states))] if self._states and age else self._rows
         )
--- a/packages/burdockquay-state/src/burdockquay_state/_leases.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_leases.py
@@ -146,7 +146,7 @@
         row = found.ok()
         if row is None:
             wanted = _LeaseRow(holder, fencing=1, renewal=1, duration_s=duration_s)
-            return await self._write(name, wanted, ABSENT, now)
+            return await self._write(name, wanted, self.table.absent, now)
         if row.holder not in ("", holder) and not self._has_lapsed(name, row, now):
             return Err(LeaseHeld(name, row.holder, "held"))
         fencing = row.fencing if row.holder == holder else row.fencing + 1
--- a/packages/burdockquay-state/src/burdockquay_state/_memory.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_memory.py
@@ -5,10 +5,10 @@
 from bisect import bisect_right, insort
 from collections.abc import Sequence
 
+import attrs
 from result import Err, Ok, Result
 
 from ._table import (
-    ABSENT,
     Check,
     Delete,
     ObjectStore,
@@ -21,6 +21,22 @@
     object_stores,
     table_services,
 )
+from ._versions import make_version, number_of
+
+
+@attrs.frozen
+class TableCopy:
+    """State of a table in memory, to which it can return.
+
+    Parameters
+    ----------
+    rows : dict of str to Row
+    number : int
+        Number of the last write.
+    """
+
+    rows: dict[str, Row]
+    number: int
 
 
 @table_services.register("memory")
@@ -30,9 +46,15 @@
     Versions grow over the whole table, so that a row that was deleted and written again never
     shows an old version.
 
+    Parameters
+    ----------
+    era : int
+        Era at the start; 0 names none.
+
     Examples
     --------
     >>> import asyncio
+    >>> from burdockquay_state import ABSENT
     >>> table = MemoryTable()
     >>> asyncio.run(table.transact([Put("a", b"1", expected_version=ABSENT)]))
     Ok([1])
@@ -40,13 +62,33 @@
     (0,)
     """
 
-    def __init__(self):
+    def __init__(self, era: int = 0):
         self._rows: dict[str, Row] = {}
         self._keys: list[str] = []
-        self._version = 0
+        self._number = 0
+        self._era = era
         self.reads = 0
         self.writes = 0
 
+    @property
+    def era(self) -> int:
+        """The present era."""
+        return self._era
+
+    def copy(self) -> TableCopy:
+        """Return the present state, to which :meth:`return_to` goes back."""
+        return TableCopy(dict(self._rows), self._number)
+
+    def return_to(self, copy: TableCopy) -> None:
+        """Forget all writes since the copy and begin the next era."""
+        self._era += 1
+        self._number = copy.number
+        self._rows = {
+            key: attrs.evolve(row, version=make_version(self._era, number_of(row.version)))
+            for key, row in copy.rows.items()
+        }
+        self._keys = sorted(self._rows)
+
     async def get(self, keys: Sequence[str]) -> Result[list[Row | None], TableError]:
         """Return the row under each key, None where there is none."""
         self.reads += 1
@@ -85,7 +127,7 @@
         if operation.expected_version is None:
             return True
         row = self._rows.get(operation.key)
-        return (row.version if row else ABSENT) == operation.expected_version
+        return (row.version if row else self.absent) == operation.expected_version
 
     def _apply(self, operation: Operation) -> int | None:
         if isinstance(operation, Check):
@@ -97,11 +139,12 @@
                 self._keys.remove(operation.key)
             return None
         assert isinstance(operation, Put)
-        self._version += 1
-        self._rows[operation.key] = Row(operation.key, operation.value, self._version)
+        self._number += 1
+        version = make_version(self._era, self._number)
+        self._rows[operation.key] = Row(operation.key, operation.value, version)
         if not known:
             insort(self._keys, operation.key)
-        return self._version
+        return version
 
 
 @object_stores.register("memory")
--- a/packages/burdockquay-state/src/burdockquay_state/_record_log.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_log.py
@@ -152,7 +152,9 @@
             if isinstance(head, Err) or isinstance(rows, Err):
                 return head if isinstance(head, Err) else rows
             if fingerprint(row for _, row in rows.ok_value) == head.ok_value.fingerprint:
-                return Ok(StoredState.of(head.ok_value, found.ok_value[0], rows.ok_value))
+                head_row = found.ok_value[0]
+                version = head_row.version if head_row else self.table.absent
+                return Ok(StoredState.of(head.ok_value, version, rows.ok_value))
         detail = f"reads of the record rows disagreed with the head {READ_ATTEMPTS} times"
         return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
 
--- a/packages/burdockquay-state/src/burdockquay_state/_record_state.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_state.py
@@ -11,7 +11,8 @@
 from ._record_checks import CheckedState
 from ._record_rows import HeadRow, LogRow, decode_log_row
 from ._snapshot import build_snapshot
-from ._table import ABSENT, Row, TableError, TableService
+from ._table import Row, TableError, TableService
+from ._versions import era_of, make_version
 
 _PAGE = 1000
 
@@ -45,7 +46,7 @@
     ----------
     head : HeadRow
     head_version : int
-        Version of the head row.
+        Version of the head row, in the era of the reading.
     rows : dict of (str, str) to LogRow
         The last change of each record by kind and name, withdrawals included.
     versions : dict of (str, str) to int
@@ -59,16 +60,21 @@
 
     @classmethod
     def of(
-        cls, head: HeadRow, head_row: Row | None, rows: Sequence[tuple[Row, LogRow]]
+        cls, head: HeadRow, head_version: int, rows: Sequence[tuple[Row, LogRow]]
     ) -> StoredState:
         """Return the state made of the rows that were read."""
         return cls(
             head,
-            head_row.version if head_row else ABSENT,
+            head_version,
             {change.key: change for _, change in rows},
             {change.key: row.version for row, change in rows},
         )
 
+    @property
+    def absent(self) -> int:
+        """The version of a missing row in the era of the reading."""
+        return make_version(era_of(self.head_version), 0)
+
     def in_force(self) -> list[LogRow]:
         """Return the changes of the records that are not withdrawn."""
         return [row for row in self.rows.values() if not row.withdrawn]
--- a/packages/burdockquay-state/src/burdockquay_state/_record_writer.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_writer.py
@@ -29,7 +29,7 @@
     row_fingerprint,
 )
 from ._record_state import StoredState, checked_state
-from ._table import ABSENT, Delete, Operation, Put, TableError, TableErrorKind
+from ._table import Delete, Operation, Put, TableError, TableErrorKind
 from ._validation import Matches
 
 if TYPE_CHECKING:
@@ -173,8 +173,8 @@
             old = state.rows.get(key)
             row = LogRow(entry, self.change_id, old.entry.revision if old else 0)
             value = encode_row(row)
-            version = state.versions.get(key, ABSENT)
-            operations.append(Put(log_key(entry.revision), value, ABSENT))
+            version = state.versions.get(key, state.absent)
+            operations.append(Put(log_key(entry.revision), value, state.absent))
             operations.append(Put(record_key(*key), value, version))
             digest ^= row_fingerprint(old) if old and not old.withdrawn else 0
             digest ^= 0 if row.withdrawn else row_fingerprint(row)
--- a/packages/burdockquay-state/src/burdockquay_state/_table.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_table.py
@@ -14,9 +14,10 @@
 from result import Result
 
 from ._registry import Registry
+from ._versions import make_version
 
 ABSENT = 0
-"""The version of a row that does not exist."""
+"""The version of a row that does not exist, in a table that names no era."""
 
 
 @attrs.frozen
@@ -28,8 +29,9 @@
     key : str
     value : bytes
     version : int
-        Grows with every write of the row; never :data:`ABSENT`. A row that was deleted and
-        written again never shows a version that it had before: claims rely on it.
+        Grows with every write of the row and with the era of the table; never :data:`ABSENT`. A
+        row that was deleted and written again never shows a version that it had before: claims
+        rely on it.
     """
 
     key: str
@@ -44,7 +46,8 @@
     Parameters
     ----------
     expected_version : int or None
-        :data:`ABSENT` demands that there be no row; None accepts any version.
+        :attr:`TableService.absent` demands that there be no row; None accepts any version. A
+        version of another era than the table's is never met.
     """
 
     key: str
@@ -103,7 +106,24 @@
 
 
 class TableService(ABC):
-    """Transactional key-value table of the platform. Keys are ordered as strings."""
+    """Transactional key-value table of the platform. Keys are ordered as strings.
+
+    Notes
+    -----
+    The table may come back from a copy some seconds old. Acknowledged writes since the copy are
+    gone then, and their numbers are given out again. The era, which every answer names, tells the
+    states apart; it is part of every version (:func:`make_version`).
+    """
+
+    @property
+    def era(self) -> int:
+        """The latest era that an answer has named; 0 before any, or if the table names none."""
+        return 0
+
+    @property
+    def absent(self) -> int:
+        """The version of a row that does not exist, in the latest era known."""
+        return make_version(self.era, 0)
 
     @abstractmethod
     async def get(self, keys: Sequence[str]) -> Result[list[Row | None], TableError]:
--- a/packages/burdockquay-state/src/burdockquay_state/tests/test_memory.py
+++ b/packages/burdockquay-state/src/burdockquay_state/tests/test_memory.py
@@ -1,6 +1,16 @@
 """The table of one process against the contract of the interface."""
 
-from burdockquay_state import ABSENT, Check, Delete, MemoryTable, Put, TableErrorKind
+from burdockquay_state import (
+    ABSENT,
+    Check,
+    Delete,
+    FaultyTable,
+    MemoryTable,
+    Put,
+    TableErrorKind,
+    era_of,
+    number_of,
+)
 
 
 async def test_transaction_is_all_or_nothing():
@@ -27,3 +37,51 @@
     assert [row.key for row in first] == ["b/1", "b/2"]
     rest = (await table.scan("b/", after="b/2")).ok()
     assert [row.key for row in rest] == ["b/3"]
+
+
+async def write_lost(table):
+    """Write ``a`` after a copy, let the table return to it, and return the lost version."""
+    copy = table.copy()
+    (lost,) = (await table.transact([Put("a", b"lost")])).ok()
+    table.return_to(copy)
+    return lost
+
+
+async def test_version_of_an_earlier_era_is_never_met():
+    """A row has the same number after the return as a lost write had before it."""
+    table = MemoryTable(era=1)
+    lost = await write_lost(table)
+    (given_again,) = (await table.transact([Put("a", b"other", table.absent)])).ok()
+    assert number_of(given_again) == number_of(lost)
+    refused = await table.transact([Put("a", b"late", lost)])
+    assert refused.err().conflicts == (0,)
+    assert (await table.get(["a"])).ok()[0].value == b"other"
+
+
+async def test_missing_row_of_an_earlier_era_is_never_met():
+    """A write that expects no row arrives after the return, when its row is missing again."""
+    table = MemoryTable(era=1)
+    absent = table.absent
+    await write_lost(table)
+    assert (await table.transact([Put("a", b"late", absent)])).err().conflicts == (0,)
+    assert (await table.transact([Put("a", b"new", table.absent)])).is_ok()
+
+
+async def test_versions_grow_over_a_return():
+    """A reader takes an unchanged row of the later era for an old reading of the earlier one."""
+    table = MemoryTable(era=1)
+    (kept,) = (await table.transact([Put("b", b"kept")])).ok()
+    lost = await write_lost(table)
+    (row,) = (await table.get(["b"])).ok()
+    assert row.value == b"kept" and number_of(row.version) == number_of(kept)
+    assert row.version > lost > kept
+    assert era_of(row.version) == table.era == 2
+
+
+async def test_faulty_table_shows_no_state_from_before_a_return():
+    """A replica answers a read after the return with a write that was lost."""
+    table = FaultyTable(era=1)
+    await write_lost(table)
+    table.stale_reads = [1, 1]
+    assert (await table.get(["a"])).ok() == [None]
+    assert (await table.scan("")).ok() == []
--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
@@ -4,13 +4,17 @@
 
 * ``POST {table}/table/get``: ``{"keys": [...]}`` gives ``{"rows": [row or null, ...]}``;
 * ``POST {table}/table/scan``: ``{"prefix", "after", "limit"}`` gives ``{"rows": [row, ...]}``;
-* ``POST {table}/table/transact``: ``{"operations": [{"op", "key", "value", "expected_version"}]}``
-  gives ``{"versions": [int or null, ...]}``, or status 409 with ``{"conflicts": [int, ...]}``;
+* ``POST {table}/table/transact``:
+  ``{"operations": [{"op", "key", "value", "expected_version", "era"}]}`` gives
+  ``{"versions": [int or null, ...]}``, or status 409 with ``{"conflicts": [int, ...]}``;
 * ``PUT`` and ``GET {objects}/objects/{digest}``: the content itself;
 * ``GET {vms}/vms``: ``{"vms": [entry, ...]}``.
 
 A row is ``{"key", "value", "version"}``; values travel in base 64. Status 400 says that the call is
 malformed, 503 that it was certainly not carried out.
+
+The header ``Table-Era`` of an answer counts the returns of the table from a copy; without it the
+era is 0. An expected version holds only in the ``era`` beside it.
 """
 
 from __future__ import annotations
@@ -45,7 +49,10 @@
     VmEntry,
     VmList,
     VmState,
+    era_of,
     find_faults,
+    make_version,
+    number_of,
     object_stores,
     table_services,
     vm_lists,
@@ -58,6 +65,8 @@
 MAX_ANSWER_BYTES = 1 << 24
 """Longest answer of a platform service that is read, bytes."""
 
+ERA_HEADER = "Table-Era"
+
 _KIND_BY_STATUS = {
     400: TableErrorKind.INVALID,
     413: TableErrorKind.INVALID,
@@ -74,6 +83,7 @@
     status: int
     content: bytes
     etag: str = ""
+    era: int = 0
 
 
 @attrs.frozen
@@ -129,22 +139,14 @@
                 allow_redirects=False,
             ) as response:
                 etag = response.headers.get("ETag", "")
-                return Ok(_Reply(response.status, await _read(response), etag))
+                era = _read_era(response)
+                return Ok(_Reply(response.status, await _read(response), etag, era))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Nothing was sent: no connection came about.
             return _fail(TableErrorKind.UNAVAILABLE, error)
         except (TimeoutError, aiohttp.ClientError, OSError, _MalformedError) as error:
             return _fail(lost, error)
 
-    async def ask(
-        self, path: str, question: dict[str, Any], lost: TableErrorKind, read: Callable[[Any], T]
-    ) -> Result[T, TableError]:
-        """Post a question in JSON and return the answer as ``read`` understands it."""
-        reply = await self.call("POST", path, json.dumps(question).encode(), lost)
-        if reply.is_err():
-            return reply
-        return _interpret(reply.ok(), lost, read)
-
 
 class _HttpAdapter:
     """What the three adapters have in common.
@@ -168,26 +170,34 @@
 class HttpTable(_HttpAdapter, TableService):
     """Table service over HTTP; see :class:`_HttpAdapter` for the parameters."""
 
+    def __init__(self, url: str, timeout_s: float, session: aiohttp.ClientSession):
+        super().__init__(url, timeout_s, session)
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The latest era that an answer has named."""
+        return self._era
+
     async def get(self, keys: Sequence[str]) -> Result[list[Row | None], TableError]:
         """Return the row under each key, None where there is none."""
 
-        def read(answer: Any) -> list[Row | None]:
-            return [None if row is None else _read_row(row) for row in _list(answer, "rows", keys)]
+        def read(answer: Any, era: int) -> list[Row | None]:
+            rows = _list(answer, "rows", keys)
+            return [None if row is None else _read_row(row, era) for row in rows]
 
-        return await self._client.ask(
-            "/table/get", {"keys": list(keys)}, TableErrorKind.UNAVAILABLE, read
-        )
+        return await self._ask("/table/get", {"keys": list(keys)}, TableErrorKind.UNAVAILABLE, read)
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[Row], TableError]:
         """Return up to ``limit`` rows under ``prefix`` whose keys sort behind ``after``."""
         question = {"prefix": prefix, "after": after, "limit": limit}
-        return await self._client.ask(
+        return await self._ask(
             "/table/scan",
             question,
             TableErrorKind.UNAVAILABLE,
-            lambda answer: [_read_row(row) for row in _list(answer, "rows")],
+            lambda answer, era: [_read_row(row, era) for row in _list(answer, "rows")],
         )
 
     async def transact(
@@ -195,12 +205,28 @@
     ) -> Result[list[int | None], TableError]:
         """Carry out all operations or none; ``UNCERTAIN`` if no reply came."""
 
-        def read(answer: Any) -> list[int | None]:
+        def read(answer: Any, era: int) -> list[int | None]:
             versions = _list(answer, "versions", operations)
-            return [None if version is None else _int(version) for version in versions]
+            return [None if number is None else _read_version(number, era) for number in versions]
 
         question = {"operations": [_write_operation(operation) for operation in operations]}
-        return await self._client.ask("/table/transact", question, TableErrorKind.UNCERTAIN, read)
+        return await self._ask("/table/transact", question, TableErrorKind.UNCERTAIN, read)
+
+    async def _ask(
+        self,
+        path: str,
+        question: dict[str, Any],
+        lost: TableErrorKind,
+        read: Callable[[Any, int], T],
+    ) -> Result[T, TableError]:
+        """Post a question in JSON and return the answer as ``read`` understands it in its era."""
+        asked = await self._client.call("POST", path, json.dumps(question).encode(), lost)
+        if asked.is_err():
+            return asked
+        reply = asked.ok()
+        # An answer of an earlier era may arrive behind one of a later.
+        self._era = max(self._era, reply.era)
+        return _interpret(reply, lost, lambda answer: read(answer, reply.era))
 
 
 @object_stores.register("http")
@@ -338,18 +364,32 @@
     return value
 
 
-def _read_row(row: Any) -> Row:
+def _read_era(response: aiohttp.ClientResponse) -> int:
+    text = response.headers.get(ERA_HEADER, "0")
+    if not (text.isascii() and text.isdecimal()):
+        raise _MalformedError(f"expected a number in {ERA_HEADER}, got {text[:100]!r}")
+    return int(text)
+
+
+def _read_version(number: Any, era: int) -> int:
+    return make_version(era, _int(number))
+
+
+def _read_row(row: Any, era: int) -> Row:
     try:
-        return Row(str(row["key"]), base64.b64decode(row["value"]), _int(row["version"]))
+        version = _read_version(row["version"], era)
+        return Row(str(row["key"]), base64.b64decode(row["value"]), version)
     except (TypeError, KeyError, binascii.Error, ValueError) as error:
         raise _MalformedError(f"expected a row, got {str(row)[:100]}: {error}") from error
 
 
 def _write_operation(operation: Operation) -> dict[str, Any]:
+    version = operation.expected_version
     fields = {
         "op": _OPERATION_NAMES[type(operation)],
         "key": operation.key,
-        "expected_version": operation.expected_version,
+        "expected_version": None if version is None else number_of(version),
+        "era": 0 if version is None else era_of(version),
     }
     if isinstance(operation, Put):
         fields["value"] = base64.b64encode(operation.value).decode()
