Write claims again after the table returned from a copy, and make none before

What callers would have seen: after the table came back from a copy some seconds old, a repeat of a request found no claim and ran a second time; an entry that lost its slot found a missing row or an old cancellation and said "not run" of a request that ran; an outcome recorded after the return was dropped, so that its key stayed unknown for ever.

Cause: a claim was written once and only the table knew it.

Why it works: a slot remembers its claims for a minute, asks for the era while it does, and writes again what a new era lacks; it replaces nothing but an earlier state of the same attempt, a cancellation or nothing. No slot claims for 3.5 s after its first answer of the era, unless a row written in that era says that somebody has waited; the holder of a lost claim has two of them. An attempt's expected version holds in one era, so a lost cancellation lets nothing run. An entry that settles in a later era believes only a row of this request.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -30,6 +30,11 @@
         "Settled",
         "SettledState",
     ),
+    "._once_era": (
+        "HOLD_S",
+        "OPEN_ERA_KEY",
+        "ClaimEra",
+    ),
     "._once_slot": ("OnceGuard",),
     "._orders": (
         "EngineOrder",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_once_entry.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_once_entry.py
@@ -19,6 +19,7 @@
     StoredAnswer,
     TableError,
     TableErrorKind,
+    era_of,
 )
 
 ROW_AGE_LIMIT_S = START_LIMIT_S / 2
@@ -107,6 +108,12 @@
     def __init__(self, claims: ClaimStore):
         self.claims = claims
 
+    def open_ticket(
+        self, organisation: str, key: str, digest: str, started_at: float
+    ) -> OnceTicket:
+        """Return the ticket of a request that has just arrived."""
+        return OnceTicket(organisation, key, digest, started_at, self.claims.table.absent)
+
     async def settle(
         self, ticket: OnceTicket, clock: Callable[[], float], claim_lost: bool = False
     ) -> Settled:
@@ -124,12 +131,17 @@
         """
         found = await self._find(ticket, clock(), claim_lost)
         if found.is_err():
+            if claim_lost and self._has_returned_since(ticket.expected_version):
+                # The slot refused for the return alone, and the table lacks the row.
+                return Settled(SettledState.NOT_RUN, self.claims.table.absent)
             return Settled(SettledState.UNKNOWN, detail=found.err().detail)
         if clock() - ticket.started_at >= START_LIMIT_S:
             # After a long pause the row may have expired, and a row that is missing then does
             # not show that nothing ran.
             return Settled(SettledState.UNKNOWN, detail="the entry was paused for too long")
         row = found.ok().row
+        if not claim_lost and era_of(row.version) > era_of(ticket.expected_version):
+            return await self._judge_after_return(ticket, row, clock())
         if not claim_lost and row.written_at < ticket.started_at - ROW_AGE_LIMIT_S:
             kept = await self._keep(ticket, row, clock())
             if kept.is_err():
@@ -150,9 +162,25 @@
             return Settled(SettledState.UNKNOWN, detail=read.err().detail)
         row = read.ok()
         if row is None:
-            return Settled(SettledState.NOT_RUN)
+            return Settled(SettledState.NOT_RUN, self.claims.table.absent)
         return await self._judge(ticket, row, clock())
 
+    def _has_returned_since(self, version: int) -> bool:
+        return self.claims.table.era > era_of(version)
+
+    async def _judge_after_return(self, ticket: OnceTicket, row: ClaimRow, now: float) -> Settled:
+        """Judge an attempt by a row of a later era, which may lack the claim of the attempt.
+
+        Notes
+        -----
+        Only what the row says of this request counts. A cancellation, or another request under the
+        key, says nothing of a claim that the table has lost.
+        """
+        if row.digest == ticket.digest and row.state is not ClaimState.CANCELLED:
+            return await self._judge(ticket, row, now)
+        detail = "the table returned from a copy after the attempt was made"
+        return Settled(SettledState.UNKNOWN, detail=detail)
+
     async def _find(
         self, ticket: OnceTicket, now: float, claim_lost: bool
     ) -> Result[CancelOutcome, TableError]:
@@ -163,6 +191,9 @@
             row = read.ok()
             if row is not None and row.version > ticket.expected_version:
                 return Ok(CancelOutcome(False, row))
+            if self._has_returned_since(ticket.expected_version):
+                detail = "no attempt of an earlier era can claim any more"
+                return Err(TableError(TableErrorKind.CONFLICT, detail))
         return await self.claims.cancel(
             ticket.organisation, ticket.key, ticket.expected_version, ticket.digest, now
         )
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_once_slot.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_once_slot.py
@@ -17,8 +17,10 @@
     RefusalReason,
     StoredAnswer,
     TableError,
+    era_of,
 )
 
+from ._once_era import ClaimEra
 from ._outcomes import OutcomeWriter
 
 _KINDS = {
@@ -36,6 +38,7 @@
     ----------
     claims : ClaimStore
     outcomes : OutcomeWriter
+    eras : ClaimEra
     incarnation : str
         Incarnation of the slot's process.
 
@@ -57,9 +60,12 @@
         await guard.finish(claim, answer)
     """
 
-    def __init__(self, claims: ClaimStore, outcomes: OutcomeWriter, incarnation: str):
+    def __init__(
+        self, claims: ClaimStore, outcomes: OutcomeWriter, eras: ClaimEra, incarnation: str
+    ):
         self.claims = claims
         self.outcomes = outcomes
+        self.eras = eras
         self.incarnation = incarnation
         self._attempts = 0
 
@@ -82,7 +88,11 @@
         if not self.outcomes.has_room:
             detail = "too many outcomes wait for the table service"
             return _refuse(run, ErrorKind.TABLE_UNAVAILABLE, detail)
+        era = era_of(run.expected_version)
+        if not await self.eras.admits(era):
+            return self._refuse_era(run, era)
         now = clock()
+        begun_at = self.eras.clock()
         request = self._make_request(run, now)
         if now >= request.not_after:
             return _refuse(run, ErrorKind.DEADLINE_EXCEEDED, "the attempt arrived too late")
@@ -92,7 +102,7 @@
         claim = claimed.ok()
         # A process that was paused during the claim could send after the caller was told that the
         # outcome is unknown, or after the row expired. Late attempts are given up instead.
-        if clock() >= claim.row.not_after:
+        if clock() >= claim.row.not_after or self.eras.has_waited(begun_at):
             await self.outcomes.abandon(claim)
             return _refuse(run, ErrorKind.DEADLINE_EXCEEDED, "the claim was confirmed too late")
         return Ok(claim)
@@ -134,6 +144,13 @@
             self.outcomes.withdraw(request)
             raise
 
+    def _refuse_era(self, run: Run, era: int) -> Result[Claim, NotRun]:
+        if era < self.eras.era:
+            detail = "the table returned from a copy since the attempt was made"
+            return _refuse(run, ErrorKind.CLAIM_LOST, detail)
+        detail = "claims that the table lost may still be written again"
+        return _refuse(run, ErrorKind.TABLE_UNAVAILABLE, detail)
+
     def _refuse_claim(
         self, run: Run, request: ClaimRequest, refusal: ClaimRefusal
     ) -> Result[Claim, NotRun]:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
@@ -28,6 +28,7 @@
 )
 
 from ._load_turns import LoadTurns
+from ._once_era import ClaimEra
 from ._outcomes import OutcomeWriter
 
 LOAD_PREFIX = "load_"
@@ -120,6 +121,7 @@
     claims : ClaimStore
     leases : LeaseStore
     outcomes : OutcomeWriter
+    eras : ClaimEra
     turns : LoadTurns
     target : OrderTarget
     engine : str
@@ -142,6 +144,7 @@
         claims: ClaimStore,
         leases: LeaseStore,
         outcomes: OutcomeWriter,
+        eras: ClaimEra,
         turns: LoadTurns,
         target: OrderTarget,
         engine: str,
@@ -151,6 +154,7 @@
         self.claims = claims
         self.leases = leases
         self.outcomes = outcomes
+        self.eras = eras
         self.turns = turns
         self.target = target
         self.engine = engine
@@ -188,6 +192,8 @@
         row = found.ok()
         if row is not None and row.state is not ClaimState.CANCELLED:
             return self._settle(name, row)
+        if not await self.eras.admits(self.claims.table.era):
+            return OrderState.WAITING
         return await self._act_in_turn(record, name, row, wall, clock)
 
     def _settle(self, name: str, row: ClaimRow) -> OrderState:
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -9,6 +9,11 @@
         "ClaimState",
         "StoredAnswer",
     ),
+    "._claim_memory": ("ClaimMemory",),
+    "._claim_restore": (
+        "ClaimRestorer",
+        "RestoreReport",
+    ),
     "._claim_sweep": (
         "MIN_RETENTION_S",
         "START_LIMIT_S",
@@ -22,6 +27,7 @@
         "ClaimRequest",
         "ClaimStore",
         "RefusalReason",
+        "Rewrite",
     ),
     "._faulty": ("FaultyTable",),
     "._group_commit": ("GroupCommitter",),
--- a/packages/burdockquay-state/src/burdockquay_state/_claim_rows.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_claim_rows.py
@@ -98,11 +98,11 @@
 
     def is_same_write(self, other: ClaimRow) -> bool:
         """Return whether both rows come from one writer's wish to write this state."""
-        return (
-            self.state is other.state
-            and self.attempt_id == other.attempt_id
-            and self.incarnation == other.incarnation
-        )
+        return self.state is other.state and self.is_of_attempt(other)
+
+    def is_of_attempt(self, other: ClaimRow) -> bool:
+        """Return whether both rows tell of the same attempt, in whichever states."""
+        return self.attempt_id == other.attempt_id and self.incarnation == other.incarnation
 
 
 def claim_row_key(organisation: str, key: str) -> str:
--- a/packages/burdockquay-state/src/burdockquay_state/_claims.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_claims.py
@@ -7,6 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from ._claim_memory import ClaimMemory
 from ._claim_rows import (
     ClaimRow,
     ClaimState,
@@ -20,6 +21,7 @@
 )
 from ._group_commit import GroupCommitter
 from ._table import ABSENT, ObjectStore, Put, TableError, TableErrorKind, TableService
+from ._versions import era_of
 
 WRITE_TRIES = 3
 """How often one conditional write goes out while its confirmations are lost."""
@@ -37,7 +39,7 @@
     organisation, key : str
         Whose idempotency key it is, and the key.
     expected_version : int
-        Version of the row that the attempt may replace, ``ABSENT`` for none.
+        Version of the row that the attempt may replace, that of a missing row for none.
     attempt : int
         Number of the attempt within its request.
     attempt_id : str
@@ -111,6 +113,20 @@
 }
 
 
+class Rewrite(enum.Enum):
+    """What became of a row that was to be written again."""
+
+    STANDING = "standing"
+    """The table still has it, or nothing that it would have to replace."""
+    WRITTEN = "written"
+    TAKEN = "taken"
+    """Another attempt holds the key."""
+
+
+_WORTH_READING = {TableErrorKind.CONFLICT, TableErrorKind.UNCERTAIN}
+"""Errors of a write after which the row may have changed."""
+
+
 @attrs.frozen
 class CancelOutcome:
     """What a cancellation found.
@@ -139,6 +155,8 @@
         Shares transactions between the writes of this process; one of its own by default.
     inline_bytes : int
         Largest encoded answer that a row keeps itself, bytes.
+    memory : ClaimMemory, optional
+        Remembers the claims of this process; one of its own by default.
 
     Attributes
     ----------
@@ -173,11 +191,13 @@
         objects: ObjectStore,
         committer: GroupCommitter | None = None,
         inline_bytes: int = INLINE_BYTES,
+        memory: ClaimMemory | None = None,
     ):
         self.table = table
         self.objects = objects
         self.committer = committer or GroupCommitter(table)
         self.inline_bytes = inline_bytes
+        self.memory = memory or ClaimMemory()
         self.reads = 0
 
     async def claim(self, request: ClaimRequest, now: float) -> Result[Claim, ClaimRefusal]:
@@ -208,7 +228,16 @@
         if written.is_err():
             error = written.err()
             return Err(ClaimRefusal(_REASONS[error.kind], error.detail))
-        return Ok(Claim(request.organisation, request.key, attrs.evolve(row, version=written.ok())))
+        row = attrs.evolve(row, version=written.ok())
+        era = era_of(row.version)
+        if era < self.table.era:
+            # Confirmed by a state of the table that is gone, and too late to be restored with the
+            # others. Nothing was sent yet, so it is withdrawn.
+            detail = "the table returned from a copy meanwhile"
+            return Err(ClaimRefusal(RefusalReason.UNCERTAIN, detail))
+        self._remember(row_key, row)
+        self.memory.prune(era, now)
+        return Ok(Claim(request.organisation, request.key, row))
 
     async def cancel(
         self, organisation: str, key: str, expected_version: int, digest: str, now: float
@@ -277,6 +306,10 @@
             request.organisation, request.key, request.expected_version, request.digest, now
         )
         if cancelled.is_err():
+            is_final = cancelled.err().kind is TableErrorKind.CONFLICT
+            if is_final and self.table.era > era_of(request.expected_version):
+                # The row is missing, and the claim holds in an earlier era only.
+                return Ok(None)
             return cancelled
         row = cancelled.ok().row
         is_own = row.attempt_id == request.attempt_id and row.incarnation == request.incarnation
@@ -310,10 +343,56 @@
             return Err(TableError(TableErrorKind.INVALID, detail))
         return decode_answer(content.ok())
 
+    async def read_and_write_again(
+        self, row_key: str, row: ClaimRow
+    ) -> Result[Rewrite, TableError]:
+        """Write a row of this process again if the table has lost it."""
+        found = await self._read_row(row_key)
+        return found if found.is_err() else await self.write_again(row_key, row, found.ok())
+
+    async def write_again(
+        self, row_key: str, row: ClaimRow, current: ClaimRow | None
+    ) -> Result[Rewrite, TableError]:
+        """Write a row of this process in place of ``current`` if the table has lost it.
+
+        Notes
+        -----
+        Only an earlier state of the same attempt, a cancellation and nothing at all are replaced.
+        A row of another attempt may be a claim of the present era, under which a request runs.
+        """
+        for _ in range(WRITE_TRIES):
+            known = _judge_current(row, current)
+            if known is not None:
+                return Ok(known)
+            version = current.version if current else self.table.absent
+            written = await self.committer.write(Put(row_key, encode_row(row), version))
+            if written.is_ok():
+                return Ok(Rewrite.WRITTEN)
+            if written.err().kind not in _WORTH_READING:
+                return Err(written.err())
+            found = await self._read_row(row_key)
+            if found.is_err():
+                return found
+            current = found.ok()
+        return Err(TableError(TableErrorKind.UNCERTAIN, f"{row_key}: not written again"))
+
+    def _remember(self, row_key: str, row: ClaimRow) -> None:
+        if self.table.era:
+            self.memory.remember(row_key, row)
+
     async def _replace(self, claim: Claim, row: ClaimRow) -> Result[None, TableError]:
         row_key = claim_row_key(claim.organisation, claim.key)
+        self._remember(row_key, row)
         written = await self._write(row_key, row, claim.row.version)
-        return written if written.is_err() else Ok(None)
+        if written.is_ok():
+            return Ok(None)
+        is_conflict = written.err().kind is TableErrorKind.CONFLICT
+        if not is_conflict or self.table.era == era_of(claim.row.version):
+            return Err(written.err())
+        again = await self.read_and_write_again(row_key, row)
+        if again.is_ok() and again.ok() is Rewrite.TAKEN:
+            return Err(TableError(TableErrorKind.CONFLICT, f"{row_key}: another attempt holds it"))
+        return again.map(lambda _: None)
 
     async def _write(
         self, row_key: str, row: ClaimRow, expected_version: int
@@ -354,7 +433,9 @@
         if version <= expected_version:
             # Unchanged, or a read from before the version that the write expects.
             return None
-        if current is not None and current.is_same_write(row):
+        # A cancellation bears no name of its writer: after a return it may be an earlier one.
+        is_named = bool(row.attempt_id) or era_of(version) == era_of(expected_version)
+        if current is not None and is_named and current.is_same_write(row):
             return Ok(version)
         return Err(TableError(TableErrorKind.CONFLICT, f"{row_key} changed meanwhile"))
 
@@ -365,3 +446,15 @@
             return rows
         (row,) = rows.ok()
         return Ok(None) if row is None else decode_row(row)
+
+
+def _judge_current(row: ClaimRow, current: ClaimRow | None) -> Rewrite | None:
+    """Return what a row in the table means for one to be written again, None to write it."""
+    if current is not None and current.is_same_write(row):
+        return Rewrite.STANDING
+    is_own = current is not None and current.is_of_attempt(row)
+    if row.state is (ClaimState.RUNNING if is_own else ClaimState.CANCELLED):
+        return Rewrite.STANDING
+    if is_own or current is None or current.state is ClaimState.CANCELLED:
+        return None
+    return Rewrite.TAKEN
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from result import Err
 
-from burdockquay_coordination import OnceTicket, authenticate
+from burdockquay_coordination import authenticate
 from burdockquay_protocol import (
     AnswerEnd,
     AnswerHead,
@@ -288,7 +288,9 @@
         if isinstance(admitted, Err):
             entry.ledger.add_refusal(*names, admitted.err().kind)
             raise CallError(admitted.err())
-        ticket = OnceTicket(asked.organisation.name, asked.key, asked.digest, entry.wall())
+        ticket = entry.runner.resolver.open_ticket(
+            asked.organisation.name, asked.key, asked.digest, entry.wall()
+        )
         return self._run_admitted(Call(asked, now, ticket), dispatcher)
 
     async def _run_admitted(self, call: Call, dispatcher: Any):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -114,6 +114,11 @@
     VM_LIST_UNREADABLE = (1203, "WARNING", "The VM list cannot be read; the last one is used.")
     VM_LIST_RECOVERED = (1204, "INFO", "The VM list can be read again.")
     VM_ENTRY_FAULT = (1205, "WARNING", "An entry of the VM list is malformed and left out.")
+    TABLE_ERA_CHANGED = (
+        1226,
+        "NOTICE",
+        "The table service returned from a copy: its writes since the copy are gone.",
+    )
 
     PEER_CONNECTED = (1301, "INFO", "A connection to another process is up.")
     PEER_DISCONNECTED = (1302, "INFO", "A connection to another process ended.")
@@ -143,6 +148,15 @@
 
     CLAIM_REFUSED = (1701, "INFO", "A claim was refused: another attempt holds it.")
     CLAIM_OUTCOME_UNKNOWN = (1702, "WARNING", "A request at most once may or may not have run.")
+    CLAIMS_RESTORED = (1723, "NOTICE", "The claims of this slot stand in the returned table again.")
+    CLAIM_TAKEN_MEANWHILE = (
+        1724,
+        "ERROR",
+        "A lost claim could not be written again, as another attempt holds its key: the request "
+        "may run twice.",
+    )
+    CLAIMS_HELD = (1725, "WARNING", "No new claims: lost ones may still be written again.")
+    CLAIMS_OPEN = (1726, "INFO", "New claims are made in this era of the table.")
 
     CALL_REFUSED = (1901, "INFO", "A forwarder answered a request itself, for this reason.")
     CALL_ENDED = (1902, "INFO", "A forwarded request ended with this status after so many sends.")
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from burdockquay_coordination import (
+    ClaimEra,
     LoadTurns,
     OnceGuard,
     OrderRunner,
@@ -36,6 +37,7 @@
 from ._addresses import bind_socket
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
+from ._once_era import EraFollower
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, SILENCE_S, PeerConnection
 from ._peer_server import PeerServer
@@ -100,6 +102,7 @@
             self._status.run(),
             self._measure_when_idle(),
             self._expiry.run(),
+            self._eras.run(),
             self._orders.run(),
         )
 
@@ -134,11 +137,13 @@
         self._claims = claims
         self._outcomes = OutcomeWriter(claims, self._clock.wall)
         holder = claim_incarnation(settings.vm, self.identity.incarnation)
-        self._guard = OnceGuard(claims, self._outcomes, holder)
+        eras = ClaimEra(claims, self._clock.now)
+        self._eras = EraFollower(eras, self._clock)
+        self._guard = OnceGuard(claims, self._outcomes, eras, holder)
         self._expiry = ClaimExpiry(
             self._platform, holder, settings.claim_retention_s, self._clock, self._rng
         )
-        self._orders = self._make_follower(claims, holder)
+        self._orders = self._make_follower(claims, eras, holder)
         kind = "engine"
         self._client = upstream_clients.get(kind)(settings.upstream_url, self._sessions)
         self._scheduler = SlotScheduler(
@@ -162,13 +167,14 @@
         )
         self._runner.health = self._health
 
-    def _make_follower(self, claims: ClaimStore, holder: str) -> OrderFollower:
+    def _make_follower(self, claims: ClaimStore, eras: ClaimEra, holder: str) -> OrderFollower:
         settings = self.settings
         leases = LeaseStore(self._platform.table)
         runner = OrderRunner(
             claims,
             leases,
             self._outcomes,
+            eras,
             LoadTurns(leases, holder, self._rng, settings.load_turns, settings.load_turn_s),
             HttpOrderTarget(settings.upstream_url, self._sessions),
             settings.vm,
@@ -372,6 +378,8 @@
                 "outcomes_pending": self._outcomes.pending,
                 "outcomes_retried": self._outcomes.retries,
                 "outcomes_lost": self._outcomes.lost,
+                "remembered": len(self._claims.memory),
+                "era": self._claims.table.era,
                 "table_transactions": self._committer.writes,
                 "table_writes": self._committer.operations,
                 "table_reads": self._claims.reads,
