Give fencing numbers the era as their upper part, and void leases of an earlier one

What an engine would have seen: after the table returned from a copy, a slot took a lease whose last change of holder was lost and got the number that the lost holder had, so that an engine that checks numbers took the orders of both. The lost holder went on under a lease that the table did not know.

Cause: numbers were counted from the row alone, and a lease was good until its time was over.

Why it works: a number holds the era of the write that gave it out, and writes are conditional on a version of that era, so no later era gives it out again, and its numbers are greater. A lease is void once a later era is known; a holder whose own time is not over takes it again when it renews. Others leave a row of an earlier era alone for a whole duration, also one that looks free.

Existing tests are unchanged; with era 0 numbers are those of before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
@@ -256,7 +256,8 @@
                 self.outcomes.withdraw(request)
             return OrderState.WAITING
         claim = claimed.ok()
-        if not lease.is_usable(clock()) or wall() >= claim.row.not_after:
+        is_usable = lease.is_usable(clock()) and self.leases.is_current(lease)
+        if not is_usable or wall() >= claim.row.not_after:
             await self.outcomes.abandon(claim)
             return OrderState.WAITING
         order = EngineOrder(name, record.order, record.argument, lease.fencing)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_orders.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_orders.py
@@ -4,12 +4,14 @@
 import random
 from collections import Counter
 
+import cbor2
 import hypothesis.strategies as st
 import pytest
 from hypothesis import given
 from result import Err, Ok
 
 from burdockquay_coordination import (
+    OPEN_ERA_KEY,
     ClaimEra,
     LoadTurns,
     OrderFailure,
@@ -24,6 +26,7 @@
     MemoryObjectStore,
     MemoryTable,
     PlacementRecord,
+    Put,
 )
 
 ROLE = PlacementRecord("p1", "advisor", "change_role", "prefill")
@@ -158,3 +161,43 @@
     assert max(effects) <= 1
     if sum(pauses) * 3 > 30.0 * slots:
         assert effects == [1] * slots
+
+
+@pytest.fixture
+def returning():
+    """A shared table that names its era, in which claims may be made."""
+    shared = Shared()
+    shared.table = MemoryTable(era=1)
+    asyncio.run(shared.table.transact([Put(OPEN_ERA_KEY, cbor2.dumps(1))]))
+    return shared
+
+
+async def test_order_whose_claim_was_lost_is_not_given_again(returning):
+    """The table loses the claim of an order, and another slot reads the record."""
+    engine = Engine(checks_fencing=True)
+    slots = [returning.slot(f"slot-{number}", engine) for number in range(2)]
+    copy = returning.table.copy()
+    assert await returning.act(slots[0], ROLE) is OrderState.DONE
+    returning.table.return_to(copy)
+    assert await returning.act(slots[1], ROLE) is OrderState.WAITING
+    await slots[0].eras.look()
+    returning.now += 60.0
+    await slots[0].eras.look()
+    assert await returning.act(slots[1], ROLE) is OrderState.DONE
+    assert engine.effects.total() == 1
+
+
+async def test_order_is_not_sent_under_a_lease_of_an_earlier_era(returning):
+    """The table returns while the claim of an order is written, and has lost the lease."""
+    engine = Engine(checks_fencing=True)
+    slot = returning.slot("slot-0", engine)
+    claim = slot.claims.claim
+
+    async def claim_and_return(request, now):
+        claimed = await claim(request, now)
+        returning.table.return_to(returning.table.copy())
+        return claimed
+
+    slot.claims.claim = claim_and_return
+    assert await returning.act(slot, ROLE) is OrderState.WAITING
+    assert engine.effects.total() == 0
--- a/packages/burdockquay-state/src/burdockquay_state/_leases.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_leases.py
@@ -10,6 +10,7 @@
 
 from ._table import ABSENT, Put, Row, TableError, TableErrorKind, TableService
 from ._validation import Constraint, Interval, check_parameters
+from ._versions import era_of
 
 LEASE_PREFIX = "lease/"
 """Prefix of the table keys of all leases."""
@@ -17,6 +18,9 @@
 HOLDER_PART = 0.8
 """Part of a lease's duration for which its holder uses it."""
 
+FENCING_ERA_SHIFT = 32
+"""Bits of a fencing number below its era; the whole stays exact as a JSON number."""
+
 
 @attrs.frozen
 class Lease:
@@ -26,7 +30,8 @@
     ----------
     name, holder : str
     fencing : int
-        Grows with each change of the holder; goes with every order given under the lease.
+        Grows with each change of the holder; goes with every order given under the lease. The era
+        of the table is its upper part, so that a row lost by the table gives no number out twice.
     renewal : int
         Counts the writes of the row.
     duration_s : float
@@ -74,6 +79,11 @@
     duration_s: float
     version: int = ABSENT
 
+    @property
+    def is_of_present_era(self) -> bool:
+        """Whether the row was written in the era in which it was read."""
+        return self.fencing >> FENCING_ERA_SHIFT == era_of(self.version)
+
     def encode(self) -> bytes:
         return cbor2.dumps([self.holder, self.fencing, self.renewal, self.duration_s])
 
@@ -105,6 +115,10 @@
     who tries: each order carries the fencing number, by which an upstream that checks it refuses
     the earlier holder, and where upstreams do not check it a claim row per order decides.
 
+    A table that returned from a copy may have lost a change of the holder. A row of an earlier era
+    is therefore left alone for a whole duration, whoever it names, and so is a missing row by a
+    process that saw the return; a present holder takes its lease again at once.
+
     Examples
     --------
     >>> import asyncio
@@ -125,6 +139,12 @@
         self.margin = margin
         check_parameters(self)
         self._sightings: dict[str, _Sighting] = {}
+        self._era = table.era
+        self._returned_at = -float("inf")
+
+    def is_current(self, lease: Lease) -> bool:
+        """Return whether a lease is of the present era, as far as is known; others are void."""
+        return era_of(lease.version) == self.table.era
 
     async def acquire(
         self, name: str, holder: str, duration_s: float, now: float
@@ -144,19 +164,35 @@
         if found.is_err():
             return Err(LeaseHeld(name, "", f"table: {found.err().kind.value}"))
         row = found.ok()
+        self._note_era(now)
         if row is None:
-            wanted = _LeaseRow(holder, fencing=1, renewal=1, duration_s=duration_s)
-            return await self._write(name, wanted, self.table.absent, now)
-        if row.holder not in ("", holder) and not self._has_lapsed(name, row, now):
+            if now - self._returned_at < duration_s * (1.0 + self.margin):
+                return Err(LeaseHeld(name, "", "the table may have lost its holder"))
+            return await self._take(name, row, holder, duration_s, now)
+        is_free = row.holder in ("", holder) and row.is_of_present_era
+        if not is_free and not self._has_lapsed(name, row, now):
             return Err(LeaseHeld(name, row.holder, "held"))
-        fencing = row.fencing if row.holder == holder else row.fencing + 1
-        wanted = _LeaseRow(holder, fencing, row.renewal + 1, duration_s)
-        return await self._write(name, wanted, row.version, now)
+        return await self._take(name, row, holder, duration_s, now)
 
     async def renew(self, lease: Lease, now: float) -> Result[Lease, LeaseHeld]:
-        """Prolong a lease; refused if anyone wrote the row since."""
+        """Prolong a lease; refused if anyone wrote the row since.
+
+        Notes
+        -----
+        After a return of the table the holder takes the lease again, under a new number. Nobody
+        else can have it before the duration that the holder counts is over.
+        """
         wanted = _LeaseRow(lease.holder, lease.fencing, lease.renewal + 1, lease.duration_s)
-        return await self._write(lease.name, wanted, lease.version, now)
+        written = await self._write(lease.name, wanted, lease.version, now)
+        if written.is_ok() or self.is_current(lease) or not lease.is_usable(now):
+            return written
+        found = await self._read(lease.name)
+        if found.is_err():
+            return Err(LeaseHeld(lease.name, "", f"table: {found.err().kind.value}"))
+        row = found.ok()
+        if row is not None and row.is_of_present_era:
+            return Err(LeaseHeld(lease.name, row.holder, "held"))
+        return await self._take(lease.name, row, lease.holder, lease.duration_s, now)
 
     async def release(self, lease: Lease) -> Result[None, LeaseHeld]:
         """Give a lease up, so that the next holder need not wait for its expiry.
@@ -170,6 +206,23 @@
         written = await self._write(lease.name, wanted, lease.version, now=0.0)
         return Ok(None) if written.is_ok() else Err(written.err())
 
+    def _note_era(self, now: float) -> None:
+        if self.table.era > self._era:
+            self._returned_at = now if self._era else self._returned_at
+            self._era = self.table.era
+
+    async def _take(
+        self, name: str, row: _LeaseRow | None, holder: str, duration_s: float, now: float
+    ) -> Result[Lease, LeaseHeld]:
+        version = row.version if row else self.table.absent
+        first = (era_of(version) << FENCING_ERA_SHIFT) + 1
+        if row is None:
+            return await self._write(name, _LeaseRow(holder, first, 1, duration_s), version, now)
+        keeps_number = row.holder == holder and row.is_of_present_era
+        fencing = row.fencing if keeps_number else max(row.fencing + 1, first)
+        wanted = _LeaseRow(holder, fencing, row.renewal + 1, duration_s)
+        return await self._write(name, wanted, version, now)
+
     def _has_lapsed(self, name: str, row: _LeaseRow, now: float) -> bool:
         seen = self._sightings.get(name)
         if seen is None or seen.version != row.version:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_claim_expiry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_claim_expiry.py
@@ -96,7 +96,7 @@
     async def _sweep_all(self, lease: Lease, may_act: Callable[[str], bool]) -> int:
         deleted = 0
         after = ""
-        while lease.is_usable(self.clock.now()):
+        while lease.is_usable(self.clock.now()) and self._leases.is_current(lease):
             page = await self._sweep.sweep_page(after, may_act, self.clock.wall())
             if page.is_err():
                 break
