--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -9,6 +9,11 @@
         "ClaimState",
         "StoredAnswer",
     ),
+    "._claim_memory": ("ClaimMemory",),
+    "._claim_restore": (
+        "ClaimRestorer",
+        "RestoreReport",
+    ),
     "._claim_sweep": (
         "MIN_RETENTION_S",
         "START_LIMIT_S",
@@ -22,6 +27,7 @@
         "ClaimRequest",
         "ClaimStore",
         "RefusalReason",
+        "Rewrite",
     ),
     "._faulty": ("FaultyTable",),
     "._group_commit": ("GroupCommitter",),
@@ -37,6 +43,7 @@
     "._memory": (
         "MemoryObjectStore",
         "MemoryTable",
+        "TableCopy",
     ),
     "._position": ("Position",),
     "._record_change": (
@@ -117,6 +124,11 @@
         "table_services",
         "vm_lists",
     ),
+    "._versions": (
+        "era_of",
+        "make_version",
+        "number_of",
+    ),
     "._validation": (
         "NAME",
         "Constraint",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from result import Err
 
-from burdockquay_coordination import OnceTicket, authenticate
+from burdockquay_coordination import authenticate
 from burdockquay_protocol import (
     AnswerEnd,
     AnswerHead,
@@ -414,7 +414,9 @@
     def begin_call(self, asked: CallRequest) -> Call:
         """Return the call that a request stands for."""
         entry = self.server.entry
-        ticket = OnceTicket(asked.organisation.name, asked.key, asked.digest, entry.wall())
+        ticket = entry.runner.resolver.open_ticket(
+            asked.organisation.name, asked.key, asked.digest, entry.wall()
+        )
         self.call = Call(asked, entry.now(), ticket)
         return self.call
 
