--- a/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
@@ -32,8 +32,8 @@
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset the connection of a writer; what was written may still arrive before."""
     sock = writer.get_extra_info("socket")
-    # One that is closed already has no socket any more.
-    if sock is not None:
+    # One that is closed already has no socket any more, or one without a descriptor.
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
