Cut connections to peers that do not answer when a process closes

Cause: a stop ends 0.8 s before its limit and then closes the connections to all other forwarders with a closing handshake, for which a peer has a second, twice over, and which a paused or busy peer does not answer. Goodbyes were also sent one peer after the other, each with a limit of a second.

Now connections have 0.3 s to close; then those that are still open are cut, with a log line for each.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -168,7 +168,7 @@
         # A peer that reads too slowly would fill the memory of this process, and every other
         # caller would notice. Giving up its connection ends only its own requests.
         if self._pending_bytes > MAX_PENDING_BYTES:
-            self._give_up()
+            self.abort()
         if frame.part == PART_END:
             self._urgent.set()
         self._wake.set()
@@ -203,7 +203,7 @@
                 received = self.traffic_mark_received
                 last_received = loop.time()
             elif loop.time() - last_received > timeout_s:
-                self._give_up()
+                self.abort()
                 return
             if self.traffic_mark_sent == sent:
                 self.post(make_heartbeat())
@@ -212,7 +212,8 @@
 
         loop.call_later(interval_s, tick)
 
-    def _give_up(self) -> None:
+    def abort(self) -> None:
+        """Cut the connection, without waiting for the peer."""
         # A peer that does not read keeps the writer waiting and would never answer a close, so
         # the transport is cut; the reader then sees the connection closed.
         self._closing = True
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -91,9 +92,10 @@
 
     async def close(self) -> None:
         """Say goodbye and close all connections."""
-        for peer in self.all():
+        peers = self.all()
+        for peer in peers:
             peer.post(Goodbye("shutdown"))
-            await peer.drain()
+        await asyncio.gather(*(peer.drain() for peer in peers))
         if self._server is None:
             # A process may be stopped while it starts, before it listens.
             return
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -10,6 +10,7 @@
 from result import Err
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.protocol import State
 
 from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_protocol import (
@@ -68,6 +69,10 @@
 RETRY_S = (0.2, 5.0)
 """First and longest pause between two tries to reach a peer, seconds."""
 
+CLOSE_S = 0.3
+"""Time for connections to close with the process, seconds: a paused peer does not answer, and the
+process would be killed while it waits."""
+
 FORGET_S = 120.0
 """Time after which an unreachable peer is taken out of the members, seconds: far longer than a
 restart or a partition that heals."""
@@ -142,7 +147,15 @@
             log_event(Event.MEMBER_NOT_REMOVED, vm=me.vm, detail=left.err().detail)
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, and cut those of peers that do not answer."""
+        peers = list(self._up.values())
+        closing = asyncio.create_task(self._close_all())
+        _, late = await asyncio.wait([closing], timeout=CLOSE_S)
+        if late:
+            _cut_open(peers)
+        await closing
+
+    async def _close_all(self) -> None:
         for task in self._links.values():
             task.cancel()
         await asyncio.gather(*self._links.values(), return_exceptions=True)
@@ -318,6 +331,13 @@
         peer.post(encoded)
 
 
+def _cut_open(peers: Iterable[PeerConnection]) -> None:
+    for peer in peers:
+        if peer.websocket.state is not State.CLOSED:
+            log_event(Event.PEER_UNREACHABLE, vm=peer.peer.vm, reason="does not close")
+            peer.abort()
+
+
 def _ignore(peer: PeerConnection, message: Any) -> None:
     """Take a message that only shows that the peer lives."""
 
