Refuse a peer that leaves within the handshake without a traceback

What was seen: soaks wrote tracebacks of the websocket library ('connection handler failed', ConnectionClosed out of accept_peer) to standard error whenever a process stopped while it connected to another one, beside the structured log and in no form that a reader of it knows.

Cause: accept_peer took a lost connection for an answer while it waited for a message, and not while it sent its welcome. It now refuses the handshake in both cases, which is logged as one line. The new test fails without this with ConnectionClosedOK.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -450,7 +450,10 @@
         proof,
         identity.group,
     )
-    await websocket.send(encode(welcome))
+    try:
+        await websocket.send(encode(welcome))
+    except ConnectionClosed:
+        return Err("the peer closed the connection during the handshake")
     received = await _receive_one(websocket, Proof)
     if isinstance(received, Err):
         return received
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_peers.py
@@ -14,6 +14,7 @@
     Cancel,
     Frame,
     Heartbeat,
+    Hello,
     Run,
     SlotStatus,
     encode,
@@ -21,7 +22,7 @@
 from burdockquay_standins import expected_answer
 from burdockquay_transport import _peer, _peer_server
 from burdockquay_transport._addresses import bind_socket
-from burdockquay_transport._peer import Identity, TrafficCounts, greet_peer
+from burdockquay_transport._peer import Identity, TrafficCounts, accept_peer, greet_peer
 from burdockquay_transport._peer_server import PeerServer
 
 from ._deployment import PEER_KEY, chat_body, is_answering, until
@@ -183,6 +184,22 @@
             await connect(f"ws://127.0.0.1:{port}", proxy=None)
 
 
+class LeavingWebsocket:
+    """A peer that says hello and is gone."""
+
+    async def recv(self):
+        return encode(Hello([1], "rogue", "north", "rogue-1", bytes(16)))
+
+    async def send(self, data):
+        await raise_closed(data)
+
+
+async def test_peer_that_leaves_within_the_handshake_is_refused():
+    """Guards against a traceback in the log for each process that stops while it connects."""
+    accepted = await accept_peer(LeavingWebsocket(), ROGUE, b"key", 0.0, TrafficCounts())
+    assert "closed the connection" in accepted.err()
+
+
 async def test_peer_that_does_not_read_is_cut_off(deployment, monkeypatch):
     """An entry hangs and reads nothing more, while a slot has answers for it.
 
