Let ranked pollers read and tell first after a return of the store

Pollers that got no answer while the store was away had left the asking to others for three seconds. After the return nobody counted as a poller, so that no whole table was told, every process read for itself, and one that the store turned away knew nothing of the new era until it reached it.

The ranked pollers now read at once and tell, whatever they left to others.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -117,9 +117,17 @@
         """
         return self.polls(now) or now >= self._overdue_at(wait_s)
 
+    def reads_first(self, now: float) -> bool:
+        """Return whether the process reads a table at once after its store came back.
+
+        Such a process tells the others. One that left the asking to others while the store was away
+        does so too: all pollers may have, and then nobody would tell.
+        """
+        return self.is_poller or self.polls(now)
+
     def reread_delay_s(self, now: float) -> float:
         """Return how long to wait before a table is read again after its store came back."""
-        return 0.0 if self.polls(now) else self.rng.uniform(*REREAD_DELAYS_S)
+        return 0.0 if self.reads_first(now) else self.rng.uniform(*REREAD_DELAYS_S)
 
     def judge(self, known: int, after: int, upto: int) -> Fit:
         """Return how changes that a peer tells of fit what is known.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -444,8 +444,8 @@
                 self._keys.add(row.key)
 
     def _tell_table(self, reading: TableReading) -> None:
-        """Tell the others the whole table, if this process is one of those that poll."""
-        if self.turn.polls(self.store.now()):
+        """Tell the others the whole table, if this process is one of the first to read it."""
+        if self.turn.reads_first(self.store.now()):
             self._tell(Position(reading.position.era, 0), reading, reading.rows)
 
     def _tell(self, after: Position, reading: TableReading, rows: Collection[ChangedRow]) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
@@ -193,6 +193,20 @@
     assert [row.value for row in message.rows] == [b"older"]
 
 
+async def test_poller_that_left_the_asking_to_others_tells_after_the_return(feed, store, exchange):
+    """All pollers got no answer while the store was away and left the asking to others.
+
+    Nobody told what the store holds, and a process that it turned away knew nothing of it.
+    """
+    feed.turn.confirm_by_peer(store.time, store.time)
+    feed.turn.fail(store.time)
+    assert not feed.turn.polls(store.time)
+    store.come_back(20, b"older")
+    exchange.note_era(2, store.time)
+    await next_news(feed)
+    assert [(item.era, item.after) for item in exchange.told] == [(2, 0)]
+
+
 async def test_process_that_does_not_poll_tells_nothing_after_the_return(feed, store, exchange):
     """With a hundred processes each would tell all others what they read themselves."""
     feed.turn.is_poller = False
