--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
@@ -11,6 +11,8 @@
 import cbor2
 from result import Err, Ok, Result
 
+from burdockquay_state import LogEntry
+
 from . import _forwarder_messages, _messages
 from ._errors import ErrorKind
 from ._messages import Frame, Frames, message_types
@@ -44,7 +46,7 @@
 )
 
 
-for _cls in (*vars(_messages).values(), *vars(_forwarder_messages).values()):
+for _cls in (LogEntry, *vars(_messages).values(), *vars(_forwarder_messages).values()):
     if isinstance(_cls, type) and attrs.has(_cls):
         attrs.resolve_types(_cls)
 
