Tell a process that connects the newest configuration first

A process that started while the store showed an older configuration heard of the newest one with the next round of news, from some of its peers, and then went on for a second that is meant for processes in the middle of a change. Each peer tells it the version as the first message now, and a process in its first three seconds gets no such second: what it has just read may be known to be old for long.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config_standing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config_standing.py
@@ -7,6 +7,11 @@
 it honours no keys: on a calm day the news comes within some hundredths."""
 
 
+START_S = 3.0
+"""Time after its first configuration in which a process gets no such time, seconds: the others may
+have known for long that what it has just read is old."""
+
+
 class ConfigStanding:
     """Compares what the platform shows with what is in force at this process and at others.
 
@@ -24,8 +29,9 @@
     >>> standing.note_shown(9, now=6.0)
     >>> standing.is_behind, standing.behind_s(7.0)
     (False, 0.0)
-    >>> standing.note_held(7, now=2.0)
-    >>> standing.is_outdated(2.5), standing.is_outdated(3.1)
+    >>> standing.note_held(9, now=1.0)
+    >>> standing.note_in_force(11, now=9.0)
+    >>> standing.is_outdated(9.5), standing.is_outdated(10.0)
     (False, True)
     """
 
@@ -33,6 +39,7 @@
         self._shown = 0
         self._newest = 0
         self._held = 0
+        self._first_held_at: float | None = None
         self._outdated_since: float | None = None
         self._behind_since: float | None = None
 
@@ -61,11 +68,16 @@
         A process that starts while the store shows an older configuration has no newer one to keep.
         It learns from the others that there is one, and must not wait until its lease runs out.
         """
-        return self._outdated_since is not None and now - self._outdated_since >= CATCH_UP_S
+        if self._outdated_since is None:
+            return False
+        has_started = self._outdated_since - self._first_held_at >= START_S
+        return now - self._outdated_since >= (CATCH_UP_S if has_started else 0.0)
 
     def note_held(self, version: int, now: float) -> None:
         """Note the version that is in force at this process."""
         self._held = version
+        if self._first_held_at is None:
+            self._first_held_at = now
         self.note_in_force(version, now)
 
     def note_shown(self, version: int, now: float) -> None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_store_eras.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_store_eras.py
@@ -152,8 +152,23 @@
     standing = ConfigStanding()
     standing.note_shown(7, 1.0)
     standing.note_held(7, 1.0)
+    standing.note_in_force(8, 12.0)
+    assert standing.is_behind and not standing.is_outdated(12.9)
+    assert standing.is_outdated(13.0)
+    standing.note_held(8, 13.1)
+    assert not standing.is_outdated(19.0)
+
+
+@pytest.mark.parametrize("told_at", [0.5, 2.0])
+def test_process_that_starts_on_an_old_configuration_gets_no_such_moment(told_at):
+    """The store shows an older configuration than the others have in force, told before or after.
+
+    For a second the process would honour keys that were withdrawn long before it started.
+    """
+    standing = ConfigStanding()
+    standing.note_shown(7, 1.0)
+    if told_at < 1.0:
+        standing.note_in_force(8, told_at)
+    standing.note_held(7, 1.0)
     standing.note_in_force(8, 2.0)
-    assert standing.is_behind and not standing.is_outdated(2.9)
-    assert standing.is_outdated(3.0)
-    standing.note_held(8, 3.1)
-    assert not standing.is_outdated(9.0)
+    assert standing.is_outdated(2.0)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -307,7 +307,10 @@
         peer.keep_alive(HEARTBEAT_S, SILENCE_S, lambda: Heartbeat(0))
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
         self._keys.forget()
-        self._newest_configuration.forget()
+        newest = self.state.standing.newest
+        if newest:
+            # It may have started on an older configuration, as a store shows that has come back.
+            peer.post(EncodedMessage(NewestConfiguration(newest)))
         self._note_peers()
 
     def _go_down(self, peer: PeerConnection) -> None:
