--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_orders.py
@@ -13,7 +13,6 @@
 from result import Result
 
 from burdockquay_state import (
-    ABSENT,
     ORDER_ORGANISATION,
     START_LIMIT_S,
     Claim,
@@ -29,6 +28,7 @@
 )
 
 from ._load_turns import LoadTurns
+from ._once_era import ClaimEra
 from ._outcomes import OutcomeWriter
 
 LOAD_PREFIX = "load_"
@@ -121,6 +121,7 @@
     claims : ClaimStore
     leases : LeaseStore
     outcomes : OutcomeWriter
+    eras : ClaimEra
     turns : LoadTurns
     target : OrderTarget
     engine : str
@@ -143,6 +144,7 @@
         claims: ClaimStore,
         leases: LeaseStore,
         outcomes: OutcomeWriter,
+        eras: ClaimEra,
         turns: LoadTurns,
         target: OrderTarget,
         engine: str,
@@ -152,6 +154,7 @@
         self.claims = claims
         self.leases = leases
         self.outcomes = outcomes
+        self.eras = eras
         self.turns = turns
         self.target = target
         self.engine = engine
@@ -189,6 +192,8 @@
         row = found.ok()
         if row is not None and row.state is not ClaimState.CANCELLED:
             return self._settle(name, row)
+        if not await self.eras.admits(self.claims.table.era):
+            return OrderState.WAITING
         return await self._act_in_turn(record, name, row, wall, clock)
 
     def _settle(self, name: str, row: ClaimRow) -> OrderState:
@@ -251,7 +256,8 @@
                 self.outcomes.withdraw(request)
             return OrderState.WAITING
         claim = claimed.ok()
-        if not lease.is_usable(clock()) or wall() >= claim.row.not_after:
+        is_usable = lease.is_usable(clock()) and self.leases.is_current(lease)
+        if not is_usable or wall() >= claim.row.not_after:
             await self.outcomes.abandon(claim)
             return OrderState.WAITING
         order = EngineOrder(name, record.order, record.argument, lease.fencing)
@@ -276,7 +282,7 @@
         return ClaimRequest(
             organisation=ORDER_ORGANISATION,
             key=name,
-            expected_version=row.version if row else ABSENT,
+            expected_version=row.version if row else self.claims.table.absent,
             attempt=self._tries,
             attempt_id=f"{name}/{self._tries}",
             incarnation=self.incarnation,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -19,8 +19,10 @@
 from .._call_error import CallError
 from .._early_listener import BACKLOG, EarlyListener
 from .._events import Event, describe_fault, log_event
+from .._take_in import accept_waiting, read_what_came
 from ._arrival import BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
+from ._caller_connection import CallerConnection, CallerServer
 from ._platform import CallerRequest
 from ._refusals import Refusals
 from ._relay import Relay
@@ -43,9 +45,14 @@
 """Time for the writing of an answer that is ready, seconds; the rest of a slow reader is in the
 buffer of the connection by then."""
 
-READ_ROUNDS = 3
-"""Rounds of the event loop in which all that lies in the sockets is read, and its handling begins:
-one to read, one to wake the task of the connection, one for that task."""
+LOOK_S = 0.02
+"""Time between two looks at connections whose answers are out, seconds."""
+
+PART_WAIT_S = 2.0
+"""Longest wait for more of a head that is half read, seconds."""
+
+ANSWER_S = 0.5
+"""Longest wait until the answers of a process that ends are written, seconds."""
 
 CLOSE_S = 0.3
 """Longest wait for connections that close with the process, seconds; their answers are out."""
@@ -67,11 +74,10 @@
         self._relay = Relay(state)
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
-        self._busy: set[web.RequestHandler] = set()
+        # With those whose answers are being written.
+        self._answering: set[asyncio.Task] = set()
         self._refuses_new = False
-        # Those that had a request since this process began to refuse new connections.
-        self._served_late: set[web.RequestHandler] = set()
-        self._answers_cut = False
+        self._has_ended = False
 
     @property
     def held(self) -> int:
@@ -85,11 +91,9 @@
 
     async def start(self, early: EarlyListener) -> None:
         """Serve the callers that connect to a listening socket."""
-        # handler_cancellation: a caller that leaves must end its request at once, or an upstream
-        # would go on with work that nobody waits for.
-        self._server = web.Server(
+        self._server = CallerServer(
             self._handle,
-            handler_cancellation=True,
+            self.state.clock.now,
             keepalive_timeout=IDLE_CONNECTION_S,
             access_log=None,
             max_line_size=MAX_HEAD_BYTES,
@@ -98,6 +102,7 @@
         )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=CLOSE_S)
         await self._runner.setup()
+        self._listening = early.listening
         self._site = web.SockSite(self._runner, early.listening, backlog=BACKLOG)
         now = self.state.clock.now()
         self._arrivals = ArrivalClock(now - early.age(), now + BACKLOG_S)
@@ -109,41 +114,62 @@
 
         A request that came on a kept connection much later would be cut by the end of the process.
         """
-        # Connections that wait to be accepted would be reset with the listening socket, also those
-        # whose request is there.
-        await _read_what_came()
-        self._refuses_new = True
-        await self._site.stop()
-        idle = {item for item in self._server.connections if item not in self._busy}
+        await self._stop_listening()
         # An answer that was ready a moment ago may still be on its way to the socket.
         await asyncio.sleep(WRITE_S)
         # What came while this process was busy is read before anything is closed: its caller would
         # get neither an answer nor a refusal.
-        await _read_what_came()
-        for connection in idle - self._served_late:
-            if connection.transport is not None:
+        await read_what_came()
+        for connection in self._server.connections:
+            if connection.is_idle and connection.transport is not None:
                 connection.transport.close()
 
     async def finish_all(self) -> None:
-        """Wait until every caller has its answer."""
-        while self._handling:
-            await asyncio.wait(set(self._handling))
+        """Wait until every caller has its answer, as far as this process can tell."""
+        while self._answering or self._has_unfinished():
+            if self._answering:
+                await asyncio.wait(set(self._answering))
+            else:
+                await asyncio.sleep(LOOK_S)
 
     async def answer_all(self) -> None:
         """End what still runs, with an error for each request whose answer has not begun.
 
         A caller whose connection is closed instead cannot tell whether its request has run.
         """
-        self._answers_cut = True
-        await self.cut_all()
-
-    async def cut_all(self) -> None:
-        """End what still runs."""
-        tasks = set(self._handling)
-        for task in tasks:
+        # From here on each request is refused as soon as it is read.
+        self._has_ended = True
+        await self._stop_listening()
+        await read_what_came()
+        for task in self._handling:
             task.cancel()
-        if tasks:
-            await asyncio.wait(tasks, timeout=0.5)
+        if self._answering:
+            await asyncio.wait(set(self._answering), timeout=ANSWER_S)
+        parts = self._parts()
+        for connection in parts:
+            leaving = RequestError(ErrorKind.LEAVING)
+            connection.refuse_part(self._refusals.answer(None, self.state.clock.now(), leaving))
+        if parts:
+            await asyncio.sleep(WRITE_S)
+
+    async def _stop_listening(self) -> None:
+        if self._refuses_new:
+            return
+        await accept_waiting(self._listening)
+        self._refuses_new = True
+        await self._site.stop()
+
+    def _has_unfinished(self) -> bool:
+        """Return whether more of a head may come, or a part of an answer is still to be sent."""
+        now = self.state.clock.now()
+        return any(
+            connection.unsent_bytes or connection.awaits_rest(now, PART_WAIT_S)
+            for connection in self._server.connections
+        )
+
+    def _parts(self) -> list[CallerConnection]:
+        """Return the connections on which a head is half read."""
+        return [connection for connection in self._server.connections if connection.has_part]
 
     async def close(self) -> None:
         """Stop listening."""
@@ -152,18 +178,14 @@
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         task = asyncio.current_task()
         self._handling.add(task)
-        self._busy.add(incoming.protocol)
-        if self._refuses_new:
-            self._served_late.add(incoming.protocol)
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
+        incoming.protocol.begin_request(incoming.content)
         try:
             response = await self._serve(incoming)
         finally:
             self._handling.discard(task)
-            self._busy.discard(incoming.protocol)
-            if self._refuses_new:
-                # The library closes the connection behind the answer. Done to an idle connection,
-                # it would end the task that reads it and leave the connection open.
-                incoming.protocol.close()
+            incoming.protocol.end_request(closes=self._refuses_new)
         if self.state.leaving and not response.prepared:
             response.force_close()
         return response
@@ -184,6 +206,11 @@
             call = await self._admit(incoming, request, started)
         except CallError as failure:
             return self._refusals.answer(request, started, failure.error)
+        except asyncio.CancelledError:
+            if not self._has_ended:
+                raise
+            asyncio.current_task().uncancel()
+            return self._refusals.answer(request, started, RequestError(ErrorKind.LEAVING))
         return await self._run(call)
 
     async def _run(self, call: ForwardCall) -> web.StreamResponse:
@@ -198,7 +225,7 @@
             kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
             return self._fail(call, RequestError(kind))
         except asyncio.CancelledError:
-            if self._answers_cut:
+            if self._has_ended:
                 asyncio.current_task().uncancel()
                 kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.LEAVING
                 return self._fail(call, RequestError(kind))
@@ -261,6 +288,8 @@
         CallError
             If it is refused.
         """
+        if self._has_ended:
+            raise CallError(RequestError(ErrorKind.LEAVING))
         await self.state.wait_for_first_reads()
         directory = self.state.directory
         if directory is None:
@@ -333,9 +362,3 @@
             detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
             raise CallError(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
         return b"".join(pieces)
-
-
-async def _read_what_came() -> None:
-    """Let the event loop accept and read what lies in the sockets, and begin to handle it."""
-    for _ in range(READ_ROUNDS):
-        await asyncio.sleep(0)
--- a/packages/burdockquay/src/burdockquay/_run_process.py
+++ b/packages/burdockquay/src/burdockquay/_run_process.py
@@ -6,6 +6,8 @@
 import json
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +15,7 @@
 
 from burdockquay_transport import Event, log_event, setup_json_logging, setup_logging
 
+from ._early_signals import EarlySignals
 from ._settings_file import load_settings
 from ._settings_source import SettingsSource
 
@@ -24,7 +27,12 @@
 EXIT_ADDRESS = 3
 
 
-def run(role: str, source: SettingsSource | str | Path, early: EarlyListener | None = None) -> int:
+def run(
+    role: str,
+    source: SettingsSource | str | Path,
+    early: EarlyListener | None = None,
+    signals: EarlySignals | None = None,
+) -> int:
     """Run one process until it is stopped; return the exit code.
 
     Parameters
@@ -35,7 +43,12 @@
         The settings file, or a reading of it.
     early : EarlyListener or None
         Socket that already listens for callers; for a forwarder only.
+    signals : EarlySignals or None
+        Keeps the signals of a process that has been loading; None keeps them from now on.
     """
+    if signals is None:
+        signals = EarlySignals()
+        signals.keep()
     if not isinstance(source, SettingsSource):
         source = SettingsSource(str(source))
     loaded = load_settings(source, role)
@@ -44,32 +57,37 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok().settings
+    flush_log: Callable[[], None] = sys.stderr.flush
     if role == "forwarder":
-        setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+        handler = setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+        flush_log = handler.pipe.flush
     else:
         setup_logging(settings.log_level, sys.stderr)
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=source.path)
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
-    return uvloop.run(_serve(_make_process(role, settings, early), role, settings, source.path))
+    process = _make_process(role, settings, early)
+    try:
+        return uvloop.run(_serve(process, role, settings, source.path, signals))
+    finally:
+        flush_log()
 
 
-async def _serve(process: Any, role: str, settings: Any, path: str) -> int:
+async def _serve(process: Any, role: str, settings: Any, path: str, signals: EarlySignals) -> int:
     """Run a process until a signal stops it.
 
     The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends it at once. SIGHUP
     reads the settings again.
     """
-    stop_wanted = asyncio.Event()
+    stop_wanted: asyncio.Future[float] = asyncio.get_running_loop().create_future()
     kill_wanted = asyncio.Event()
 
-    def on_signal() -> None:
-        (kill_wanted if stop_wanted.is_set() else stop_wanted).set()
+    def on_signal(age_s: float) -> None:
+        if stop_wanted.done():
+            kill_wanted.set()
+        else:
+            stop_wanted.set_result(age_s)
 
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
-    loop.add_signal_handler(signal.SIGHUP, _reload_settings, role, process, path)
     try:
         await process.start()
     except OSError as error:
@@ -79,8 +97,10 @@
     if role != "forwarder":
         # A forwarder's standard output holds log lines alone; its event tells the port.
         print(json.dumps(ports), flush=True)
-    await stop_wanted.wait()
-    stopping = asyncio.create_task(process.stop())
+    reload = partial(_reload_settings, role, process, path)
+    handlers = {signal.SIGTERM: on_signal, signal.SIGINT: on_signal, signal.SIGHUP: reload}
+    signals.hand_over(asyncio.get_running_loop(), handlers)
+    stopping = asyncio.create_task(process.stop(await stop_wanted))
     killing = asyncio.create_task(kill_wanted.wait())
     await asyncio.wait((stopping, killing), return_when=asyncio.FIRST_COMPLETED)
     if not stopping.done():
@@ -92,7 +112,7 @@
     return EXIT_OK
 
 
-def _reload_settings(role: str, process: Any, path: str) -> None:
+def _reload_settings(role: str, process: Any, path: str, age_s: float) -> None:
     """Read the settings again, take over what a running process can, and tell what it cannot.
 
     Without a handler the signal would end the process, and every request with it.
