Count claims that run twice over a return of the table

The benchmark of returns left out the way through entries and slots. It now also plays callers that repeat 40 keys a second through two entries while the table goes away for 1 s and comes back from a copy 2 s older, and counts the keys that ran more than once. The time until all agree begins anew with the withdrawal after the return: where no look of the benchmark fell between it and its arrival everywhere, the time printed was zero.

--- /dev/null
+++ b/benchmarks/_era_claims.py
@@ -0,0 +1,128 @@
+"""Requests that run at most once, over a return of their platform's table from a copy."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import Counter, deque
+
+import aiohttp
+import attrs
+import cbor2
+import logbook
+import uvloop
+
+from burdockquay_coordination import OPEN_ERA_KEY
+from burdockquay_state import Put
+from burdockquay_transport.tests._deployment import Deployment
+
+HOLD = "/services/booking/holds"
+ENTRIES = 2
+SERVICES = 2
+
+KEYS_PER_S = 40.0
+REPEATS = 3
+REPEAT_S = (0.1, 2.0)
+"""Pause before a caller repeats a key through any entry, seconds."""
+
+COPY_S = 0.1
+COPY_AGE_S = 2.0
+AWAY_AT_S = 3.0
+AWAY_S = 1.0
+AFTER_S = 6.0
+"""Time from the return to the last new key, seconds."""
+
+SEED = 1
+
+
+@attrs.define
+class ClaimsOutcome:
+    """What a play shows.
+
+    Parameters
+    ----------
+    keys : int
+        Keys of callers, each of which was sent some times.
+    answered : int
+        Keys to which a caller got a whole answer.
+    claims_twice : int
+        Keys that ran more than once.
+    """
+
+    keys: int = 0
+    answered: int = 0
+    claims_twice: int = 0
+
+
+class ClaimsPlay:
+    """Callers that repeat their keys while the table goes away and comes back."""
+
+    def __init__(self):
+        self.rng = random.Random(SEED)
+        self._copies: deque = deque(maxlen=round(COPY_AGE_S / COPY_S))
+        self._answered: set[str] = set()
+        self._asked: set[str] = set()
+
+    async def run(self) -> ClaimsOutcome:
+        """Play and return what it showed."""
+        async with Deployment(engines=0, services=SERVICES, entries=ENTRIES, era=1) as running:
+            self.running = running
+            table = running.platform.table
+            await table.transact([Put(OPEN_ERA_KEY, cbor2.dumps(table.era))])
+            copying = asyncio.create_task(self._keep_copies())
+            async with asyncio.TaskGroup() as calls:
+                calls.create_task(self._lose_table(copying))
+                await self._call_often(calls)
+            effects = sum((service.effects for service in running.services), start=Counter())
+        twice = sum(count > 1 for count in effects.values())
+        return ClaimsOutcome(len(self._asked), len(self._answered), twice)
+
+    async def _keep_copies(self) -> None:
+        while True:
+            self._copies.append(self.running.platform.table.copy())
+            await asyncio.sleep(COPY_S)
+
+    async def _lose_table(self, copying: asyncio.Task) -> None:
+        await asyncio.sleep(AWAY_AT_S)
+        copying.cancel()
+        platform = self.running.platform
+        platform.faults.outage = True
+        await asyncio.sleep(AWAY_S)
+        platform.table.return_to(self._copies[0])
+        platform.faults.outage = False
+
+    async def _call_often(self, calls: asyncio.TaskGroup) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + AWAY_AT_S + AWAY_S + AFTER_S
+        for number in itertools.count():
+            if loop.time() >= until:
+                return
+            calls.create_task(self._repeat(f"k-{number}"))
+            await asyncio.sleep(1 / KEYS_PER_S)
+
+    async def _repeat(self, key: str) -> None:
+        """Send a key some times, whatever the answers are."""
+        self._asked.add(key)
+        for _ in range(1 + REPEATS):
+            if await self._call(key):
+                self._answered.add(key)
+            await asyncio.sleep(self.rng.uniform(*REPEAT_S))
+
+    async def _call(self, key: str) -> bool:
+        entry = self.rng.randrange(ENTRIES)
+        try:
+            async with self.running.post(HOLD, {"key": key}, entry, Idempotency_Key=key) as answer:
+                await answer.read()
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+def play_claims() -> ClaimsOutcome:
+    """Play in a new event loop and return what it showed."""
+    with (
+        logbook.NullHandler().applicationbound(),
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
+        return runner.run(ClaimsPlay().run())
--- a/benchmarks/_era_play.py
+++ b/benchmarks/_era_play.py
@@ -66,7 +66,8 @@
     Parameters
     ----------
     agree_s : float or None
-        Time from the return until all processes hold what is there, seconds; None for never.
+        Time from the return until all processes hold what is there, the withdrawal that follows the
+        return included, seconds; None for never.
     calls : int
         Calls at the store from its loss to the end of the play.
     kib_read, kib_told : float
@@ -228,6 +229,7 @@
         await asyncio.sleep(WITHDRAW_AFTER_S)
         self.world.publish(tenants=[{"name": "one", "apiKeys": [KEY]}])
         self._withdrawn_at = self._now()
+        self._agreed_at = None
         await self._sleep_until(self._returned_at + DURING_S)
         self._phase = "after"
         await self._sleep_until(self._returned_at + CUT_OFF_S)
--- a/benchmarks/bench_era.py
+++ b/benchmarks/bench_era.py
@@ -4,8 +4,11 @@
 seconds old. The copy lacks a configuration and the word of an upstream that it leaves; a key is
 withdrawn after the return. In one course a quarter of the processes reach the store later than the
 others. They tell each other of the store's tables in memory: no connections between them and no
-list of members are part of the figures. Callers do not repeat. The last line is one JSON object,
-with the figures of the drill with the most forwarders and the faults of all.
+list of members are part of the figures. Callers do not repeat.
+
+Beside that, callers repeat requests that run at most once, through entries and slots, over the same
+return of their table. The last line is one JSON object, with the figures of the drill with the most
+forwarders and the faults of all.
 """
 
 from __future__ import annotations
@@ -15,6 +18,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import attrs
+from _era_claims import ClaimsOutcome, play_claims
 from _era_play import Course, EraOutcome, play_era
 from _report import print_load_average, print_result, print_table
 
@@ -35,17 +39,22 @@
     plays = list(itertools.product(reversed(FEEDS), COURSES))
     spawn = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(AT_ONCE, spawn) as pool:
+        claims_played = pool.submit(play_claims)
         outcomes: list[EraOutcome] = list(pool.map(play_era, *zip(*plays, strict=True)))
+        claims: ClaimsOutcome = claims_played.result()
     found = {play: attrs.asdict(outcome) for play, outcome in zip(plays, outcomes, strict=True)}
     for course in COURSES:
         rows = [(feeds, *found[feeds, course].values()) for feeds in FEEDS]
         print_table(course.title, ["feeds", *attrs.fields_dict(EraOutcome)], rows)
+    claimed = attrs.asdict(claims)
+    print_table("Requests that run at most once", [*claimed], [[*claimed.values()]])
     print_load_average()
     most = FEEDS[-1]
     result = found[most, RETURN]
     result |= {name: sum(figures[name] for figures in found.values()) for name in FAULTS}
     result |= {f"cut_off_{name}": found[most, CUT_OFF][name] for name in BESIDE}
     result |= {f"outage_{name}": found[most, OUTAGE][name] for name in BESIDE}
+    result["claims_twice"] = claims.claims_twice
     print_result(result)
 
 
