Enter a process again whose entry was lost before it read the members

The store may come back from a copy between the joining of a process and its first reading of the members. It now looks for its entry in the first reading as well. A leaving process stops entering itself before it takes out its entry.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -149,6 +149,7 @@
 
     async def leave(self) -> None:
         """Take this process out of the members."""
+        self._stop_rejoining()
         me = self._members.get(self.identity.vm)
         if me is None or me.incarnation != self.identity.incarnation:
             return
@@ -192,6 +193,7 @@
         await self._server.listen(bound)
 
     async def _follow_members(self) -> None:
+        has_read = False
         while True:
             self._returned.clear()
             read = await self._registry.next(MEMBERS_WAIT_S)
@@ -200,8 +202,10 @@
                 await self._pause(self.state.rng.uniform(*RETRY_S))
                 continue
             self._take_members(read.ok())
-            if read.ok().after_return:
+            # Between the joining and the first reading the store may have come back, too.
+            if read.ok().after_return or not has_read:
                 self._start_rejoining(read.ok())
+            has_read = True
             await self._pause(GATHER_S)
 
     async def _pause(self, limit_s: float) -> None:
@@ -218,6 +222,9 @@
 
     def _start_rejoining(self, changes: MemberChanges) -> None:
         shown = next((member for member in changes.listed if member.vm == self._me.vm), None)
+        is_entered = shown is not None and shown.incarnation == self._me.incarnation
+        if is_entered and not changes.after_return:
+            return
         self._stop_rejoining()
         self._rejoining = asyncio.create_task(self._rejoin(self._me, shown))
 
