Keep what is in force when the record log comes back from a copy

What operators would have seen: after the table returned from a copy, the log gave the lost revisions to other changes, which processes at those revisions skipped as known; once it had passed them, they took the next change alone, or a whole in which a withdrawn record was back. A put on a lost revision was refused as a faulty one.

Cause: a revision said nothing of the state of the table it belongs to.

Why it works: the first change of an era takes a revision above every lost one, the head names where the log went on, and a whole over such a fork replaces only what it has a newer word on. Reading the log took a part with a gap in its middle for one without (found by a test of this change); a gap anywhere leads to the whole now. A put on a lost revision is a conflict that says so and names who put the record. E1124 and E1125 tell operators what was lost and what was kept.

Existing tests are unchanged; heads and log parts gain a field at the end, which older releases leave out.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_configuration.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_configuration.py
@@ -13,6 +13,7 @@
 
 from burdockquay_state import (
     FIELD_BY_KIND,
+    Fork,
     LogEntry,
     LogPart,
     RecordFault,
@@ -20,6 +21,7 @@
     Snapshot,
     TableError,
     decode_record,
+    find_fork,
     known_schemas,
 )
 
@@ -61,12 +63,16 @@
         Entries that were applied.
     faults : tuple of RecordFault
         Records that this process cannot read; their last readable form stays in force.
+    kept : tuple of str
+        Records that stay as they were in force although the log has lost that; see
+        :meth:`ConfigurationHolder.apply`.
     """
 
     status: ApplyStatus
     revision: int
     applied: int = 0
     faults: tuple[RecordFault, ...] = ()
+    kept: tuple[str, ...] = ()
 
 
 class ConfigurationHolder:
@@ -89,6 +95,8 @@
         self.known = known_schemas() if known is None else frozenset(known)
         self._snapshot = Snapshot()
         self._entries: dict[tuple[str, str], LogEntry] = {}
+        self._forks: list[Fork] = []
+        self._withdrawn: dict[tuple[str, str], LogEntry] = {}
         self._faults: dict[tuple[str, str], tuple[RecordFault, ...]] = {}
         self._recent: deque[LogEntry] = deque(maxlen=RECENT_ENTRIES)
         self._applied_at = 0.0
@@ -120,7 +128,14 @@
         return [fault for faults in self._faults.values() for fault in faults]
 
     def apply(self, part: LogPart, now: float) -> ApplyOutcome:
-        """Take in a part of the log as far as it is newer than what is in force."""
+        """Take in a part of the log as far as it is newer than what is in force.
+
+        Notes
+        -----
+        The table may return from a copy and lose changes that are in force here, and the log goes
+        on from the copy. What was in force stays so until the log has a newer word on the record:
+        a lost change is not undone, and a record that was withdrawn does not come back.
+        """
         self._fetch_after = -float("inf")
         if part.whole:
             return self._apply_whole(part, now)
@@ -143,11 +158,12 @@
         if self._recent and self._recent[0].revision <= revision + 1:
             behind = (entry for entry in self._recent if entry.revision > revision)
             return LogPart(revision, _cut(behind, PART_BYTES), False, self.revision)
-        entries = sorted(self._entries.values(), key=lambda entry: entry.revision)
+        known = [*self._entries.values(), *self._withdrawn.values()]
+        entries = sorted(known, key=lambda entry: entry.revision)
         if sum(map(_size, entries)) > WHOLE_BYTES:
             # Too large for a message: the peer sees the head without entries, reads the table.
             return LogPart(revision, [], False, self.revision)
-        return LogPart(0, entries, True, self.revision)
+        return LogPart(0, entries, True, self.revision, list(self._forks))
 
     def should_fetch(self, revision: int, now: float) -> bool:
         """Return whether to ask a peer that has ``revision`` in force for its log.
@@ -166,20 +182,42 @@
     def _apply_whole(self, part: LogPart, now: float) -> ApplyOutcome:
         if part.head <= self.revision:
             return self._outcome(ApplyStatus.NOT_NEWER)
-        if any(entry.revision > part.head or not entry.bodies for entry in part.entries):
+        if any(
+            entry.revision > part.head or not (entry.bodies or part.forks) for entry in part.entries
+        ):
             return self._outcome(ApplyStatus.MALFORMED)
-        present = {(entry.kind, entry.name) for entry in part.entries}
+        fork = find_fork(part.forks, self.revision)
+        floor = fork.kept if fork is not None else 0
+        entries = {(entry.kind, entry.name): entry for entry in part.entries}
+        kept = self._find_kept(entries, floor) if fork is not None else set()
         gone = [
             attrs.evolve(entry, revision=part.head, bodies={})
             for key, entry in self._entries.items()
-            if key not in present
+            if key not in entries and key not in kept
         ]
         changed = [
-            entry for entry in part.entries if self._entries.get((entry.kind, entry.name)) != entry
+            entry
+            for key, entry in entries.items()
+            if key not in kept and self._entries.get(key) != entry
         ]
+        self._forks = list(part.forks)
         faults = self._put_in_force(gone + changed, part.head, now)
         self._recent.clear()
-        return self._outcome(ApplyStatus.APPLIED, len(changed), faults)
+        names = tuple(sorted(f"{kind}/{name}" for kind, name in kept))
+        return attrs.evolve(self._outcome(ApplyStatus.APPLIED, len(changed), faults), kept=names)
+
+    def _find_kept(
+        self, entries: dict[tuple[str, str], LogEntry], floor: int
+    ) -> set[tuple[str, str]]:
+        """Return the records on which the log has no word behind ``floor``, and lost one."""
+        lost = {key for key, entry in self._entries.items() if entry.revision > floor}
+        come_back = {
+            key
+            for key, entry in entries.items()
+            if entry.bodies and entry.revision <= floor and self._entries.get(key) != entry
+        }
+        newer = {key for key, entry in entries.items() if entry.revision > floor}
+        return (lost | come_back) - newer
 
     def _put_in_force(
         self, entries: Collection[LogEntry], revision: int, now: float
@@ -195,8 +233,11 @@
         """Take one entry into ``records``; return its faults."""
         key = (entry.kind, entry.name)
         self._faults.pop(key, None)
+        self._withdrawn.pop(key, None)
         if not entry.bodies:
             self._entries.pop(key, None)
+            if self._forks:
+                self._note_withdrawn(key, entry)
             records.get(FIELD_BY_KIND.get(entry.kind, ""), {}).pop(entry.name, None)
             return ()
         self._entries[key] = entry
@@ -209,6 +250,12 @@
         self._faults[key] = tuple(decoded.err_value)
         return self._faults[key]
 
+    def _note_withdrawn(self, key: tuple[str, str], entry: LogEntry) -> None:
+        """Remember a withdrawal for peers that kept the record over a return of the table."""
+        self._withdrawn[key] = entry
+        if len(self._withdrawn) > RECENT_ENTRIES:
+            self._withdrawn.pop(next(iter(self._withdrawn)))
+
     def _outcome(
         self, status: ApplyStatus, applied: int = 0, faults: tuple[RecordFault, ...] = ()
     ) -> ApplyOutcome:
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -37,8 +37,10 @@
         "LeaseStore",
     ),
     "._log_entry": (
+        "Fork",
         "LogEntry",
         "LogPart",
+        "find_fork",
     ),
     "._memory": (
         "MemoryObjectStore",
--- a/packages/burdockquay-state/src/burdockquay_state/_record_log.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_log.py
@@ -82,12 +82,15 @@
         state = await self.read_state()
         if isinstance(state, Err):
             return state
+        head = state.ok_value.head
         entries = [row.entry for row in state.ok_value.in_force()]
+        if head.forks:
+            entries += state.ok_value.withdrawn_after(head.forks[0].kept)
         entries.sort(key=lambda entry: entry.revision)
-        return Ok(LogPart(0, entries, True, state.ok_value.head.revision))
+        return Ok(LogPart(0, entries, True, head.revision, list(head.forks)))
 
     async def read_after(self, revision: int, limit: int = 1000) -> Result[LogPart, TableError]:
-        """Return the changes behind ``revision``, or all if the log does not reach back so far.
+        """Return the changes behind ``revision``, or all if the log has a gap there.
 
         Parameters
         ----------
@@ -99,7 +102,7 @@
         if isinstance(scanned, Err):
             return scanned
         entries = [row.entry for _, row in scanned.ok_value]
-        if entries and entries[0].revision != revision + 1:
+        if entries and entries[-1].revision != revision + len(entries):
             return await self.read_all()
         head = await self.head()
         if isinstance(head, Err):
--- a/packages/burdockquay-state/src/burdockquay_state/_record_rows.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_rows.py
@@ -17,7 +17,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from ._log_entry import LogEntry
+from ._log_entry import Fork, LogEntry
 from ._table import Row, TableError, TableErrorKind
 
 HEAD_KEY = "configuration/head"
@@ -39,10 +39,13 @@
     revision : int
     fingerprint : int
         See :func:`fingerprint`.
+    forks : tuple of Fork
+        Where the log went on after returns of the table, in order.
     """
 
     revision: int = 0
     fingerprint: int = 0
+    forks: tuple[Fork, ...] = ()
 
 
 @attrs.frozen
@@ -73,6 +76,7 @@
         return self.entry.kind, self.entry.name
 
 
+attrs.resolve_types(Fork)
 attrs.resolve_types(LogEntry)
 attrs.resolve_types(LogRow)
 attrs.resolve_types(HeadRow)
--- a/packages/burdockquay-state/src/burdockquay_state/_record_state.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_state.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from ._log_entry import LogEntry
+from ._log_entry import Fork, LogEntry, find_fork, lowest_revision
 from ._record_checks import CheckedState
 from ._record_rows import HeadRow, LogRow, decode_log_row
 from ._snapshot import build_snapshot
@@ -73,12 +73,47 @@
     @property
     def absent(self) -> int:
         """The version of a missing row in the era of the reading."""
-        return make_version(era_of(self.head_version), 0)
+        return make_version(self.era, 0)
+
+    @property
+    def era(self) -> int:
+        """The era of the reading."""
+        return era_of(self.head_version)
+
+    @property
+    def last_revision(self) -> int:
+        """The revision behind which the next change is numbered; above any that was lost."""
+        return max(self.head.revision, lowest_revision(self.era))
+
+    @property
+    def next_forks(self) -> tuple[Fork, ...]:
+        """The forks of the log once another change is accepted."""
+        if self.last_revision == self.head.revision:
+            return self.head.forks
+        return (*self.head.forks, Fork(self.head.revision, self.last_revision + 1))
+
+    def find_loss(self, revision: int) -> Fork | None:
+        """Return the fork behind which a revision was lost, None if it was not.
+
+        Notes
+        -----
+        Before the first change after a return the log shows no fork yet, and a revision above its
+        head is a lost one unless the reading is old.
+        """
+        return find_fork(self.next_forks, revision)
 
     def in_force(self) -> list[LogRow]:
         """Return the changes of the records that are not withdrawn."""
         return [row for row in self.rows.values() if not row.withdrawn]
 
+    def withdrawn_after(self, revision: int) -> list[LogEntry]:
+        """Return the withdrawals behind a revision."""
+        return [
+            row.entry
+            for row in self.rows.values()
+            if row.withdrawn and row.entry.revision > revision
+        ]
+
     def revision_of(self, key: tuple[str, str]) -> int:
         """Return the revision of a record, 0 if there is none or it is withdrawn."""
         row = self.rows.get(key)
--- a/packages/burdockquay-state/src/burdockquay_state/_record_writer.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_record_writer.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ._log_entry import LogEntry
+from ._log_entry import Fork, LogEntry, step_back
 from ._record_change import (
     Accepted,
     PutRefusal,
@@ -113,7 +113,7 @@
         faults = self._find_state_faults(state)
         if faults:
             return None if self._uncertain else _refuse_faults(faults)
-        last = state.head.revision + len(self.changes)
+        last = state.last_revision + len(self.changes)
         if dry_run:
             return self._accepted(state, last, dry_run=True)
         written = await self.log.table.transact(self._operations(state, now))
@@ -162,7 +162,7 @@
     def _entries(self, state: StoredState, now: float) -> list[LogEntry]:
         return [
             LogEntry(revision, change.kind, change.name, change.bodies, self.author, now)
-            for revision, change in enumerate(self.changes, state.head.revision + 1)
+            for revision, change in enumerate(self.changes, state.last_revision + 1)
         ]
 
     def _operations(self, state: StoredState, now: float) -> list[Operation]:
@@ -178,13 +178,13 @@
             operations.append(Put(record_key(*key), value, version))
             digest ^= row_fingerprint(old) if old and not old.withdrawn else 0
             digest ^= 0 if row.withdrawn else row_fingerprint(row)
-        head = HeadRow(state.head.revision + len(self.changes), digest)
+        head = HeadRow(state.last_revision + len(self.changes), digest, state.next_forks)
         operations.append(Put(HEAD_KEY, encode_row(head), state.head_version))
-        return operations + self._removals(state, head.revision)
+        return operations + self._removals(state, head)
 
-    def _removals(self, state: StoredState, head: int) -> list[Operation]:
+    def _removals(self, state: StoredState, head: HeadRow) -> list[Operation]:
         """Return deletions of what fell behind the kept part of the log."""
-        horizon = head - self.log.kept
+        horizon = step_back(head.revision, self.log.kept, head.forks)
         first = max(1, horizon - len(self.changes) + 1)
         removals: list[Operation] = [
             Delete(log_key(revision)) for revision in range(first, horizon + 1)
@@ -205,7 +205,7 @@
         if error.kind is TableErrorKind.CONFLICT:
             return None
         if error.kind is TableErrorKind.UNCERTAIN:
-            self._uncertain.add(state.head.revision + 1)
+            self._uncertain.add(state.last_revision + 1)
             return None
         return self._refuse_table(error)
 
@@ -230,20 +230,15 @@
         if self._uncertain:
             # The record may have gone through our own change; only the log rows tell.
             return None
+        loss = state.find_loss(change.expected_revision)
+        if loss is not None:
+            return _refuse_lost(state, change, loss)
         current = state.rows.get(change.key)
         if current is None or current.entry.revision < change.expected_revision:
             return self._handle_old_read(state, change)
         read = await self.log.read_row(change.expected_revision)
         base = read.ok_value.entry.bodies if isinstance(read, Ok) and read.ok_value else {}
-        entry = current.entry
-        winner = Winner(
-            change.path,
-            0 if current.withdrawn else entry.revision,
-            entry.author,
-            entry.at,
-            current.withdrawn,
-            tuple(diff_bodies(base, entry.bodies)),
-        )
+        winner = _winner(change, current, tuple(diff_bodies(base, current.entry.bodies)))
         detail = f"{change.path} is no longer at revision {change.expected_revision}"
         return Err(PutRefusal(RefusalKind.CHANGED, f"{detail}; nothing was written", (), winner))
 
@@ -286,3 +281,21 @@
 
 def _refuse_faults(faults: Sequence[RecordFault]) -> Err[PutRefusal]:
     return Err(PutRefusal(RefusalKind.INVALID, f"{len(faults)} fault(s)", tuple(faults)))
+
+
+def _refuse_lost(state: StoredState, change: RecordChange, loss: Fork) -> Err[PutRefusal]:
+    current = state.rows.get(change.key)
+    found = state.revision_of(change.key)
+    now = f"at revision {found}" if found else "not in force"
+    detail = (
+        f"revision {change.expected_revision} of {change.path} was lost: the table returned from "
+        f"a copy that ends at revision {loss.kept}, where the record is {now}; nothing was written"
+    )
+    winner = None if current is None else _winner(change, current, ())
+    return Err(PutRefusal(RefusalKind.CHANGED, detail, (), winner))
+
+
+def _winner(change: RecordChange, row: LogRow, changes: tuple[FieldChange, ...]) -> Winner:
+    entry = row.entry
+    revision = 0 if row.withdrawn else entry.revision
+    return Winner(change.path, revision, entry.author, entry.at, row.withdrawn, changes)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_config_sync.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_config_sync.py
@@ -65,6 +65,7 @@
         self.count_processes = count_processes
         self.on_change = on_change
         self.table_healthy = True
+        self._era = log.table.era
         self._peers: set[PeerConnection] = set()
         self._reader = ConfigurationReader(log, holder)
 
@@ -82,6 +83,8 @@
         before = self.holder.revision
         outcome = await self._reader.read(self.clock.wall())
         self._note_table(not isinstance(outcome, Err))
+        if isinstance(outcome, Ok):
+            await self._note_era()
         if isinstance(outcome, Ok):
             self._tell(outcome.ok(), before)
 
@@ -123,11 +126,30 @@
             log_event(event, fault=str(fault))
         if self.holder.revision == before:
             return
+        if outcome.kept:
+            log_event(Event.CONFIGURATION_KEPT, records=outcome.kept)
         log_event(Event.CONFIGURATION_APPLIED, revision=self.holder.revision)
         self.on_change()
         for peer in self._peers:
             peer.post(self.heartbeat())
 
+    async def _note_era(self) -> None:
+        """Tell the operators, once for each era, if the log has lost what is in force here."""
+        era = self.log.table.era
+        if era == self._era:
+            return
+        head = await self.log.head()
+        if isinstance(head, Err):
+            return
+        if self._era and head.ok_value < self.holder.revision:
+            log_event(
+                Event.CONFIGURATION_LOST,
+                era=era,
+                head=head.ok_value,
+                in_force=self.holder.revision,
+            )
+        self._era = era
+
     def _note_table(self, healthy: bool) -> None:
         if healthy == self.table_healthy:
             return
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -109,6 +109,19 @@
         "A record has only schemas this release does not know; its last known version stays.",
     )
 
+    CONFIGURATION_LOST = (
+        1124,
+        "WARNING",
+        "The table returned from a copy and has lost changes of the configuration; they stay in "
+        "force here. Put them again.",
+    )
+    CONFIGURATION_KEPT = (
+        1125,
+        "WARNING",
+        "These records stay as they were in force: the log lost their last change and went on. Put "
+        "or withdraw each of them again.",
+    )
+
     TABLE_UNAVAILABLE = (1201, "ERROR", "The table service does not answer.")
     TABLE_RECOVERED = (1202, "INFO", "The table service answers again.")
     VM_LIST_UNREADABLE = (1203, "WARNING", "The VM list cannot be read; the last one is used.")
