Log lost and restored claims by event, and fuzz returns of the table

Evidence: test_table_return reads the lines E1124, E1125, E1226 and E1723 to E1726; the first form of the line of E1125 failed it. make fuzz runs the machine with returns beside the one without.

--- a/benchmarks/fuzz_once.py
+++ b/benchmarks/fuzz_once.py
@@ -1,4 +1,4 @@
-"""Longer runs of the state machine of requests that run at most once.
+"""Longer runs of the state machines of requests that run at most once.
 
 ``make fuzz SECONDS=n SEED=s`` runs the seeds from s on until the time is up. A seed that fails is
 printed as one command, with the shortest history that shows the fault.
@@ -10,6 +10,7 @@
 
 from hypothesis import Phase
 
+from burdockquay_coordination.tests.test_once_era_machine import run_era_machine
 from burdockquay_coordination.tests.test_once_machine import run_machine
 from burdockquay_state import ClaimStore
 
@@ -21,6 +22,7 @@
     """Return the error that the histories of a seed end in, None if there is none."""
     try:
         run_machine(ClaimStore, seed, EXAMPLES, STEPS, (Phase.generate, Phase.shrink))
+        run_era_machine(seed, EXAMPLES, STEPS, (Phase.generate, Phase.shrink))
     except BaseExceptionGroup as group:
         return group.exceptions[0]
     except AssertionError as error:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_table_return.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_table_return.py
@@ -1,13 +1,26 @@
 """Entries and slots over a return of the table from a copy."""
 
 import asyncio
+import io
+import random
 
+import attrs
 import cbor2
 import pytest
 
-from burdockquay_coordination import OPEN_ERA_KEY, ClaimEra
-from burdockquay_state import ClaimRequest, ClaimStore, MemoryObjectStore, MemoryTable, Put
+from burdockquay_coordination import HOLD_S, OPEN_ERA_KEY, ClaimEra, ConfigurationHolder
+from burdockquay_state import (
+    ClaimRequest,
+    ClaimStore,
+    GroupRecord,
+    MemoryObjectStore,
+    MemoryTable,
+    Put,
+    RecordLog,
+)
+from burdockquay_transport import setup_logging
 from burdockquay_transport._clock import Clock
+from burdockquay_transport._config_sync import ConfigurationSync
 from burdockquay_transport._once_era import EraFollower
 
 HOLD = "/services/booking/holds"
@@ -72,3 +85,59 @@
         await follower.follow()
     assert table.reads == reads
     assert len(claims.memory) == 0
+
+
+@pytest.fixture
+def log():
+    text = io.StringIO()
+    handler = setup_logging("INFO", text)
+    yield text
+    handler.pop_application()
+
+
+async def test_log_tells_of_a_return_and_of_restored_claims(log):
+    """An operator looks for what became of the claims that the table had lost."""
+    table = MemoryTable(era=1)
+    claims = ClaimStore(table, MemoryObjectStore())
+    clock = ManualClock()
+    await table.transact([Put(OPEN_ERA_KEY, cbor2.dumps(1))])
+    follower = EraFollower(ClaimEra(claims, clock.now), clock)
+    await follower.follow()
+    copy = table.copy()
+    requests = [
+        ClaimRequest("parish", key, table.absent, 1, key, "slot-1", "d", 60.0)
+        for key in ("h-1", "h-2")
+    ]
+    for request in requests:
+        assert (await claims.claim(request, now=0.0)).is_ok()
+    table.return_to(copy)
+    other = attrs.evolve(requests[1], incarnation="slot-2", expected_version=table.absent)
+    assert (await ClaimStore(table, MemoryObjectStore()).claim(other, now=0.0)).is_ok()
+    await follower.follow()
+    clock.time = HOLD_S
+    await follower.follow()
+    text = log.getvalue()
+    assert "E1226 table_era_changed era=2 before=1 claims=2" in text
+    assert "E1723 claims_restored era=2 written=1 standing=0 forgotten=0" in text
+    assert text.count("E1724 claim_taken_meanwhile row=claim/parish/") == 1
+    assert text.index("E1725 claims_held era=2") < text.index("E1726 claims_open era=2")
+
+
+async def test_log_tells_once_that_configuration_was_lost(log):
+    """An operator has to learn that a change which is in force is no longer in the log."""
+    table = MemoryTable(era=1)
+    records = RecordLog(table)
+    holder = ConfigurationHolder()
+    sync = ConfigurationSync(
+        holder, records, ManualClock(), random.Random(1), 1.0, 1.0, lambda: 1, lambda: None
+    )
+    copy = table.copy()
+    await records.put([GroupRecord("desk", places=1)], "anna", 0, 0.0)
+    await sync.read_table()
+    table.return_to(copy)
+    for _ in range(2):
+        await sync.read_table()
+    assert log.getvalue().count("E1124 configuration_lost era=2 head=0 in_force=1") == 1
+    await records.put([GroupRecord("hall", places=1)], "anna", 0, 0.0)
+    await sync.read_table()
+    assert "E1125 configuration_kept records=group/desk" in log.getvalue()
