Share one look at the era among the requests that wait for it

What callers would have seen: while the table was slow after a return, the attempts of a slot queued up for looks of their own, each as long as the table's timeout, and every attempt refused meanwhile cost the table a read.

Cause: looks were only kept from overlapping. Now who comes during a look shares it, and a table whose era is known but not open is asked twice a second at most.

Evidence: test_requests_of_an_unknown_era_share_one_look.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_once_era.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_once_era.py
@@ -33,6 +33,9 @@
 HOLD_MARGIN_S = 0.5
 """Allowance for clocks of different rates and for writes under way, seconds."""
 
+LOOK_PAUSE_S = 0.5
+"""Time between two looks at a table whose era is known and not open, seconds."""
+
 HOLD_S = NOTICE_LIMIT_S + RESTORE_LIMIT_S + HOLD_MARGIN_S
 """Time for which no claim is made after a new era was first seen, seconds."""
 
@@ -65,7 +68,8 @@
         self.hold_s = hold_s
         check_parameters(self)
         self._restorer = ClaimRestorer(claims)
-        self._looking = asyncio.Lock()
+        self._looking: asyncio.Task | None = None
+        self._looked_at = -float("inf")
         self._seen_era = 0
         self._seen_at = clock()
         self._open_era = 0
@@ -102,14 +106,23 @@
 
     async def admits(self, era: int) -> bool:
         """Return whether a claim may be made in an era; asks the table if that is not known."""
-        if not self.may_claim(era):
+        is_due = era > self._seen_era or self.clock() - self._looked_at >= LOOK_PAUSE_S
+        if not self.may_claim(era) and is_due:
             await self.look()
         return self.may_claim(era)
 
     async def look(self) -> Result[None, TableError]:
-        """Ask the table for its era, and do what a new one demands; at most one at a time."""
-        async with self._looking:
-            return await self._look()
+        """Ask the table for its era, and do what a new one demands.
+
+        Notes
+        -----
+        Who comes while a look is under way shares it: requests would otherwise queue up, each for
+        the timeout of a table that does not answer.
+        """
+        if self._looking is None or self._looking.done():
+            self._looked_at = self.clock()
+            self._looking = asyncio.create_task(self._look())
+        return await asyncio.shield(self._looking)
 
     async def _look(self) -> Result[None, TableError]:
         asked = await self.claims.table.get([OPEN_ERA_KEY])
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_once_era.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_once_era.py
@@ -3,6 +3,7 @@
 import pytest
 
 from burdockquay_coordination import HOLD_S
+from burdockquay_coordination._once_era import LOOK_PAUSE_S
 from burdockquay_state import ClaimState
 
 from .once_world import World
@@ -54,6 +55,7 @@
     world.pass_time(HOLD_S)
     world.look(0)
     world.heal()
+    world.pass_time(LOOK_PAUSE_S)
     again = repeat(world, slot=1, paused=None)
     assert first.told == again.told == "answer"
     assert first.answer == again.answer
@@ -155,3 +157,16 @@
     world.look(1)
     go_on(world, None)
     assert not world.slots[1].eras.is_open
+
+
+def test_requests_of_an_unknown_era_share_one_look(world):
+    """The table is slow after its return, and each attempt would wait for a look of its own."""
+    world.return_to_copy()
+    world.poll(0)
+    for key in ("k0", "k1", "k2"):
+        world.call(0, key, "d0", [1])
+    for _ in range(3):
+        world.open_first(None)
+    assert [gate.kind for gate in world.gates] == ["table"]
+    go_on(world, None)
+    assert {call.told for call in world.oracle.calls} == {"not_run"}
