Honour no keys at a process that starts on a copy until another one vouches

Cause: the process read the configuration in the moment between the store's return from a copy and the operator's next write. It had no newer one to keep and no peers yet to tell it of one.

A process whose first reading is of a store that has come back from a copy now honours no keys until another process, which can tell, vouches for the configuration that it holds, or two seconds have passed; it refers callers to the others meanwhile. Processes that are in doubt themselves vouch for nothing. Before the first return of a store nothing changes.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config_standing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config_standing.py
@@ -6,6 +6,10 @@
 """Time that a process has to read a configuration that is in force at another one, seconds, before
 it honours no keys: on a calm day the news comes within some hundredths."""
 
+PROOF_WAIT_S = 2.0
+"""Time for which a process that starts honours no keys unless another one vouches for its
+configuration, seconds: the operator writes a lost configuration again within that."""
+
 
 class ConfigStanding:
     """Compares what the platform shows with what is in force at this process and at others.
@@ -27,6 +31,17 @@
     >>> standing.note_held(7, now=2.0)
     >>> standing.is_outdated(2.5), standing.is_outdated(3.1)
     (False, True)
+
+    A process that has just started, before and after another one vouches for what it holds:
+
+    >>> standing = ConfigStanding()
+    >>> standing.note_held(7, now=1.0)
+    >>> standing.note_unproven(now=1.0)
+    >>> standing.is_unproven(2.9), standing.is_unproven(3.0)
+    (True, False)
+    >>> standing.note_vouched(7, now=1.1)
+    >>> standing.is_unproven(1.2)
+    False
     """
 
     def __init__(self):
@@ -35,6 +50,8 @@
         self._held = 0
         self._outdated_since: float | None = None
         self._behind_since: float | None = None
+        self._unproven_until = float("-inf")
+        self._is_vouched_for = False
 
     @property
     def shown(self) -> int:
@@ -63,6 +80,25 @@
         """
         return self._outdated_since is not None and now - self._outdated_since >= CATCH_UP_S
 
+    def is_unproven(self, now: float) -> bool:
+        """Return whether the configuration may be an older one that nobody here knows better.
+
+        A process that starts just after the store came back from a copy may read a configuration
+        of before a key was withdrawn, and has neither a newer one nor peers yet.
+        """
+        if self._is_vouched_for and self._held >= self._newest:
+            return False
+        return now < self._unproven_until
+
+    def note_unproven(self, now: float) -> None:
+        """Note that the first configuration was read from a store that came back from a copy."""
+        self._unproven_until = now + PROOF_WAIT_S
+
+    def note_vouched(self, version: int, now: float) -> None:
+        """Note the newest version that another process, which can tell, knows to be in force."""
+        self._is_vouched_for = True
+        self.note_in_force(version, now)
+
     def note_held(self, version: int, now: float) -> None:
         """Note the version that is in force at this process."""
         self._held = version
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -16,6 +16,9 @@
 """How long the platform holds a question for news, seconds. Each answer confirms what is known, so
 this is also the age that the configuration reaches on a calm day."""
 
+FIRST_ERA = 1
+"""Era of a store that has never come back from a copy."""
+
 LIST_WAIT_S = 2.5
 """The same for the list of upstreams, seconds. Nothing lapses here; the end of the wait only shows
 that the connection still lives."""
@@ -80,6 +83,8 @@
 def _take_configuration(state: ForwarderState, config: ForwardConfig, as_of: float) -> None:
     now = state.clock.now()
     state.standing.note_shown(config.version, now)
+    if state.directory is None and state.platform.exchange.era.newest > FIRST_ERA:
+        state.standing.note_unproven(now)
     if state.apply(config):
         log_event(
             Event.CONFIGURATION_APPLIED,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -354,7 +354,8 @@
         honoured = self.state.keys_trusted(now)
         if self._keys.is_due(honoured, now):
             post_all(self._told_of_keys, KeysHonoured(honoured))
-        newest = self.state.standing.newest
+        standing = self.state.standing
+        newest = 0 if standing.is_unproven(now) else standing.newest
         if newest and self._newest_configuration.is_due(newest, now):
             post_all(self._told_of_keys, NewestConfiguration(newest))
 
@@ -383,7 +384,7 @@
         self._hear_changes(peer, message.in_first_era())
 
     def _hear_configuration(self, peer: PeerConnection, message: NewestConfiguration) -> None:
-        self.state.standing.note_in_force(message.version, self.state.clock.now())
+        self.state.standing.note_vouched(message.version, self.state.clock.now())
 
     def _hear_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
         for digest in message.digests:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -180,7 +180,9 @@
         """Return whether API keys may be honoured."""
         if not self.settings.keys_fail_closed:
             return True
-        return self.lease.is_fresh(now) and not self.standing.is_outdated(now)
+        if self.standing.is_outdated(now) or self.standing.is_unproven(now):
+            return False
+        return self.lease.is_fresh(now)
 
     def refers_callers(self, now: float) -> bool:
         """Return whether callers are better served by another process."""
