Write the last log lines of a forwarder before its process ends

What was seen: none of 161 processes that soaks had told to stop had logged process_stopped, nor what else it logged in its last 50 ms, such as the errors that end requests at the limit of a stop. explain could not tell them.

Cause: lines wait up to 50 ms to be written together, by a timer of the event loop, which is gone by then. The daemon now writes what waits when its loop has ended.

--- a/packages/burdockquay/src/burdockquay/_run_process.py
+++ b/packages/burdockquay/src/burdockquay/_run_process.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -44,14 +45,23 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok().settings
-    if role == "forwarder":
-        setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
-    else:
-        setup_logging(settings.log_level, sys.stderr)
+    flush_log = _set_up_logging(role, settings)
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=source.path)
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
-    return uvloop.run(_serve(_make_process(role, settings, early), role, settings, source.path))
+    try:
+        return uvloop.run(_serve(_make_process(role, settings, early), role, settings, source.path))
+    finally:
+        # The last lines wait for others to be written with, and no loop comes back for them.
+        flush_log()
+
+
+def _set_up_logging(role: str, settings: Any) -> Callable[[], None]:
+    """Begin to log, and return what writes the lines that wait."""
+    if role == "forwarder":
+        handler = setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+        return handler.pipe.flush_once
+    return setup_logging(settings.log_level, sys.stderr).flush
 
 
 async def _serve(process: Any, role: str, settings: Any, path: str) -> int:
