--- a/packages/burdockquay/src/burdockquay/_run_process.py
+++ b/packages/burdockquay/src/burdockquay/_run_process.py
@@ -57,12 +57,7 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok().settings
-    flush_log: Callable[[], None] = sys.stderr.flush
-    if role == "forwarder":
-        handler = setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
-        flush_log = handler.pipe.flush
-    else:
-        setup_logging(settings.log_level, sys.stderr)
+    flush_log = _set_up_logging(role, settings)
     log_event(Event.PROCESS_STARTED, role=role, vm=settings.vm, settings=source.path)
     for fault in loaded.ok().renamed:
         log_event(Event.SETTING_RENAMED, fault=str(fault))
@@ -70,9 +65,18 @@
     try:
         return uvloop.run(_serve(process, role, settings, source.path, signals))
     finally:
+        # The last lines wait for others to be written with, and no loop comes back for them.
         flush_log()
 
 
+def _set_up_logging(role: str, settings: Any) -> Callable[[], None]:
+    """Begin to log, and return what writes the lines that wait."""
+    if role == "forwarder":
+        handler = setup_json_logging(settings.log_level, sys.stdout.fileno(), vm=settings.vm)
+        return handler.pipe.flush_once
+    return setup_logging(settings.log_level, sys.stderr).flush
+
+
 async def _serve(process: Any, role: str, settings: Any, path: str, signals: EarlySignals) -> int:
     """Run a process until a signal stops it.
 
