--- a/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
@@ -109,6 +109,7 @@
         self.received: list[RawRequest] = []
         self.connections = 0
         self._tasks: set[asyncio.Task] = set()
+        self._held: socket.socket | None = None
 
     async def __aenter__(self) -> Self:
         self._server = await asyncio.start_server(self._connect, "127.0.0.1", 0)
@@ -117,10 +118,19 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.go_down()
+        self._held.close()
+
+    def refuse_connections(self) -> None:
+        """Listen no more, and keep the port from other servers, which would answer in its place."""
+        self._server.close()
+        if self._held is None:
+            self._held = socket.socket()
+            self._held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._held.bind(("127.0.0.1", self.port))
 
     async def go_down(self) -> None:
         """Refuse connections and break off all that run, as a crash does."""
-        self._server.close()
+        self.refuse_connections()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_config_sync.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_config_sync.py
@@ -127,7 +127,7 @@
         if self.holder.revision == before:
             return
         if outcome.kept:
-            log_event(Event.CONFIGURATION_KEPT, records=",".join(outcome.kept))
+            log_event(Event.RECORDS_KEPT, records=",".join(outcome.kept))
         log_event(Event.CONFIGURATION_APPLIED, revision=self.holder.revision)
         self.on_change()
         for peer in self._peers:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -121,7 +121,7 @@
         "The table returned from a copy and has lost changes of the configuration; they stay in "
         "force here. Put them again.",
     )
-    CONFIGURATION_KEPT = (
+    RECORDS_KEPT = (
         1125,
         "WARNING",
         "These records stay as they were in force: the log lost their last change and went on. Put "
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_table_return.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_table_return.py
@@ -140,4 +140,4 @@
     assert log.getvalue().count("E1124 configuration_lost era=2 head=0 in_force=1") == 1
     await records.put([GroupRecord("hall", places=1)], "anna", 0, 0.0)
     await sync.read_table()
-    assert "E1125 configuration_kept records=group/desk" in log.getvalue()
+    assert "E1125 records_kept records=group/desk" in log.getvalue()
