Count the trouble of a table until the first answer after it

What callers saw: after an outage of the store in which the entries of live upstreams had lapsed, some processes dropped all upstreams at once.

Cause: entries that vanish are kept until 2.2 s after the trouble, which was counted from the last question that failed. A poller that got no answer asks nothing for three seconds; its first answer then told of trouble three seconds ago, though the store may have been away until that moment. The trouble now lasts until the first answer after it, at the process that asks and at those that it tells.

New unit test test_trouble_lasts_until_the_first_answer_after_it; 62 tests of feeds, shared tables, following and polling passed. The whole suite was not run after this commit.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -73,7 +73,8 @@
         self._overdue_share = rng.uniform(*OVERDUE_SHARES)
         self._missed = False
         self._told_at = float("-inf")
-        self._failed_at = float("-inf")
+        self._troubled_at = float("-inf")
+        self._is_failing = False
         self._steps_down_until = float("-inf")
         self._stands_in_until = float("-inf")
 
@@ -164,6 +165,10 @@
         if not self._missed and not self.polls(now) and now >= self._overdue_at(wait_s):
             self._stands_in_until = now + STAND_IN_S
         self._missed = False
+        if self._is_failing:
+            # The trouble may have lasted until now: nothing was asked since it was noticed.
+            self._troubled_at = now
+            self._is_failing = False
         self.confirm(as_of)
 
     def fail(self, now: float) -> None:
@@ -171,7 +176,8 @@
 
         While others tell what they hear, asking again and again gains nothing.
         """
-        self._failed_at = now
+        self._troubled_at = now
+        self._is_failing = True
         if now - self._told_at < STEP_DOWN_S:
             self._steps_down_until = now + STEP_DOWN_S
 
@@ -180,8 +186,8 @@
         return min(now - self._as_of, FOREVER_S)
 
     def steady_s(self, now: float) -> float:
-        """Return the time since the last question that failed, seconds."""
-        return min(now - self._failed_at, FOREVER_S)
+        """Return the time since the platform may last have been in trouble, seconds."""
+        return min(now - self._troubled_at, FOREVER_S)
 
     def _overdue_at(self, wait_s: float) -> float:
         return self._as_of + self._overdue_share * wait_s
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -400,8 +400,8 @@
             self._tell(question.after, reading, reading.rows)
         rows = reading.rows if reading.position > self._position else ()
         self._note_rows(rows, reading.position.revision)
-        returned_at = self.exchange.era.returned_at
-        return Ok(TableNews(False, rows, reading.as_of, returned_at, reading.position.era))
+        troubled_at = max(now - self.turn.steady_s(now), self.exchange.era.returned_at)
+        return Ok(TableNews(False, rows, reading.as_of, troubled_at, reading.position.era))
 
     async def _read(self) -> Result[TableNews, TableError]:
         """Read the whole table; the others are told what changed since it was known here."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
@@ -261,6 +261,19 @@
     assert (store.reads, store.waits) == (1, 4)
 
 
+async def test_trouble_lasts_until_the_first_answer_after_it(feed, store):
+    """A process asks again seconds after the store failed, and entries may just have lapsed."""
+    asking = asyncio.create_task(feed.next(1.0))
+    await asyncio.sleep(0.01)
+    store.answer(AWAY)
+    await asking
+    store.time += 3.0
+    asking = asyncio.create_task(next_news(feed))
+    await asyncio.sleep(0.01)
+    store.answer(Ok(store.reading()))
+    assert (await asking).troubled_at == store.time
+
+
 async def test_first_era_that_a_process_hears_of_is_no_return(store, exchange):
     store.position = Position(7, 50)
     feed = TableFeed(store, "t", exchange)
