Let the answer of a test be long enough to be cut off

Cause: its answer has 13 tokens of 5 ms, so that a standstill of 65 ms between the first of them and the crash of the engine lets it end; with 0.1 s there the test failed in the one run made. It has 2,000 tokens and more now.

--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_whole_path.py
@@ -95,7 +95,8 @@
     ended like any other.
     """
     async with deployment(engines=1, base_step_s=0.005, restart_s=60.0) as running:
-        body = chat_body("ceremony", stream=True, max_tokens=400)
+        # Long enough to be under way still when a busy process comes to read its beginning.
+        body = {**chat_body("ceremony", stream=True, max_tokens=4000), "min_tokens": 2000}
         async with running.post("/v1/chat/completions", body) as response:
             # An answer of which the caller has nothing may still be refused for its wait.
             begin = json.loads((await response.content.readline()).removeprefix(b"data: "))
