--- a/benchmarks/bench_era.py
+++ b/benchmarks/bench_era.py
@@ -19,9 +19,10 @@
 
 import attrs
 from _era_claims import ClaimsOutcome, play_claims
-from _era_play import Course, EraOutcome, play_era
 from _report import print_load_average, print_result, print_table
 
+from burdockquay_platform.tests.era_play import Course, EraOutcome, play_era
+
 FEEDS = (4, 30, 100)
 AT_ONCE = 5
 """Plays at once, each in a process of its own."""
