Do not end a stop between the reading of a request and its handling

Seen once in a run of all platform tests, and in one of six plays of test_stop_waits_for_a_head_that_is_half_read on uvloop alone: a request whose head had just become whole was refused, though the process had time to serve it. Cause: its handling begins a few rounds of the event loop after it is read, and in them the stop saw neither half a head nor a request.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
@@ -41,6 +41,11 @@
         """
         return self._is_used and not (self._is_handling or self._is_last or self.has_part)
 
+    @property
+    def is_handling(self) -> bool:
+        """Whether a request is there as a whole and has no answer yet."""
+        return self._is_handling and self.transport is not None
+
     @property
     def has_part(self) -> bool:
         """Whether a part of a request's head has come, and not yet the rest."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -51,7 +51,7 @@
 PART_WAIT_S = 2.0
 """Longest wait for more of a head that is half read, seconds."""
 
-ANSWER_S = 0.5
+ANSWER_S = 0.3
 """Longest wait until the answers of a process that ends are written, seconds."""
 
 CLOSE_S = 0.3
@@ -160,10 +160,12 @@
         await self._site.stop()
 
     def _has_unfinished(self) -> bool:
-        """Return whether more of a head may come, or a part of an answer is still to be sent."""
+        """Return whether a request is there or may come, or a part of an answer is unsent."""
         now = self.state.clock.now()
         return any(
-            connection.unsent_bytes or connection.awaits_rest(now, PART_WAIT_S)
+            connection.is_handling
+            or connection.unsent_bytes
+            or connection.awaits_rest(now, PART_WAIT_S)
             for connection in self._server.connections
         )
 
