--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -207,10 +207,12 @@
 
     async def close(self) -> None:
         """Close all at once."""
-        await self._ingress.close()
-        await self._status.close()
         await self._tasks.close()
+        # Each may wait for others that do not answer; one after the other they would take longer
+        # than the time that a stop leaves for them.
+        closing = [self._ingress.close(), self._status.close()]
         if self._mesh is not None:
-            await self._mesh.close()
+            closing.append(self._mesh.close())
+        await asyncio.gather(*closing)
         await self._state.connections.close()
         await self._state.platform.close()
--- a/packages/burdockquay/src/burdockquay/_run_process.py
+++ b/packages/burdockquay/src/burdockquay/_run_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import signal
 import sys
@@ -67,6 +68,8 @@
     finally:
         # The last lines wait for others to be written with, and no loop comes back for them.
         flush_log()
+        # The interpreter would look through all objects for garbage before it ends.
+        gc.freeze()
 
 
 def _set_up_logging(role: str, settings: Any) -> Callable[[], None]:
