Let trouble of one process end with what the others tell

Cause: the store turned one process away (429) from 8.57 s; since trouble lasts until that process's own next answer, three seconds later, and it told all others so, which then kept the vanished upstream for 2.2 s as in an outage. Others had told it all the while what the store answered them.

Trouble now ends with the first news as of a later moment, whoever tells them. The new test fails without it (0.0 in place of 2.9 s); in an outage nobody tells newer news, so that entries which lapsed are kept as before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -159,6 +159,9 @@
     def confirm_by_peer(self, as_of: float, now: float) -> None:
         """Note such a moment that a peer told of."""
         self._told_at = now
+        if as_of > self._troubled_at:
+            # The platform has turned away this process alone, or answers again.
+            self._end_trouble(as_of)
         self.confirm(as_of)
 
     def succeed(self, as_of: float, now: float, wait_s: float) -> None:
@@ -166,11 +169,15 @@
         if not self._missed and not self.polls(now) and now >= self._overdue_at(wait_s):
             self._stands_in_until = now + STAND_IN_S
         self._missed = False
+        self._end_trouble(now)
+        self.confirm(as_of)
+
+    def _end_trouble(self, now: float) -> None:
+        """Note that the platform answers, if it did not before."""
         if self._is_failing:
-            # The trouble may have lasted until now: nothing was asked since it was noticed.
+            # The trouble may have lasted until now: nothing was heard since it was noticed.
             self._troubled_at = now
             self._is_failing = False
-        self.confirm(as_of)
 
     def fail(self, now: float) -> None:
         """Note that the platform did not answer a question.
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_polling.py
@@ -112,3 +112,19 @@
     turn.switches = Switches(["shared_polls"])
     assert turn.is_due(10.0, WAIT_S)
     assert turn.hold_s(10.0, WAIT_S) == WAIT_S
+
+
+def test_trouble_of_one_process_ends_with_what_others_tell(turn):
+    """Guards against work for upstreams that left while one process alone was turned away."""
+    turn.fail(11.0)
+    turn.confirm_by_peer(11.1, 11.2)
+    turn.succeed(14.0, 14.0, WAIT_S)
+    assert turn.steady_s(14.0) == pytest.approx(2.9)
+
+
+def test_old_news_does_not_end_trouble(turn):
+    """Guards against a loss of all upstreams whose entries lapsed in an outage."""
+    turn.fail(11.0)
+    turn.confirm_by_peer(10.9, 11.2)
+    turn.succeed(14.0, 14.0, WAIT_S)
+    assert turn.steady_s(14.0) == 0.0
