Count the usage of a forwarder and share it with the reporting process

Counts must survive the death of the process that reports.

Without duty_address nothing is imported, counted or sent.

--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -27,6 +27,7 @@
     ),
     "._forwarder_messages": (
         "ChangedRow",
+        "ClockReading",
         "EralessTableChanges",
         "KeysHonoured",
         "LoadsElsewhere",
@@ -39,6 +40,8 @@
         "UpstreamLoads",
         "UpstreamOutcome",
         "UpstreamOutcomes",
+        "UsageCounts",
+        "WindowUsage",
     ),
     "._handshake": (
         "NONCE_BYTES",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -1,4 +1,4 @@
-"""Messages between forwarders: loads and outcomes at upstreams, crashes, platform tables."""
+"""Messages between forwarders: loads and outcomes at upstreams, crashes, platform tables, usage."""
 
 from __future__ import annotations
 
@@ -224,3 +224,43 @@
     """The highest configuration version known to be active at any process."""
 
     version: int
+
+
+@attrs.frozen
+class WindowUsage:
+    """Requests of one process that began to run in one window of the time of day.
+
+    Parameters
+    ----------
+    window : int
+    counts : dict of str to int
+        Number of requests by organisation.
+    """
+
+    window: int
+    counts: dict[str, int]
+
+
+@message(39, since=7)
+@attrs.frozen
+class UsageCounts:
+    """Cumulative usage of the sender.
+
+    Parameters
+    ----------
+    windows : list of WindowUsage
+        The latest windows; earlier ones do not change any more.
+    complete_until : float
+        Time of day until which the counts are complete, seconds since 1970.
+    """
+
+    windows: list[WindowUsage]
+    complete_until: float
+
+
+@message(40, since=7)
+@attrs.frozen
+class ClockReading:
+    """Time of day as estimated by the sender, seconds since 1970."""
+
+    time_of_day: float
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -294,6 +294,46 @@
         "Changed settings are invalid; the last valid ones stay in force.",
     )
 
+    DUTY_TAKEN = (
+        1920,
+        "NOTICE",
+        "This process reports usage from now on, with this fencing number.",
+    )
+    DUTY_LOST = (
+        1921,
+        "WARNING",
+        "This process does not report usage any more: its lease was not renewed in time.",
+    )
+    DUTY_RELEASED = (1922, "NOTICE", "This process released the lease of the usage reports.")
+    DUTY_FENCED = (
+        1923,
+        "WARNING",
+        "The platform refused a usage report, since it has seen a higher fencing number.",
+    )
+    USAGE_FIXED = (
+        1924,
+        "INFO",
+        "The counts of a window were fixed in the store; every delivery repeats them.",
+    )
+    USAGE_DELIVERED = (1925, "INFO", "The platform accepted the usage report of a window.")
+    USAGE_UNCONFIRMED = (
+        1926,
+        "WARNING",
+        "A usage report was not confirmed; it is delivered again with the same counts.",
+    )
+    USAGE_REJECTED = (
+        1927,
+        "ERROR",
+        "The platform rejected a usage report, or fixed counts cannot be read; the window is not "
+        "reported.",
+    )
+    USAGE_WITHDRAWN = (
+        1928,
+        "ERROR",
+        "The store holds other counts of a window than this process fixed before a restore; the "
+        "window is not delivered again.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -67,7 +67,9 @@
         body = await read_body(response)
         if facts.not_run and response.status != 400:
             return NotRun(upstream, f"status {response.status}")
-        call.maybe_run = call.maybe_run or not facts.not_run
+        if not facts.not_run:
+            call.maybe_run = True
+            self._count_plain(call)
         if call.answer is not None:
             return Broke(upstream, f"status {response.status} to the rest of a stream")
         ready = web.Response(
@@ -129,6 +131,7 @@
         self, call: ForwardCall, events: list[StreamEvent], response: aiohttp.ClientResponse
     ) -> None:
         if events:
+            count_usage(self.state, call, call.newest_event_at)
             self._record_first_token(call)
         fresh = [event for event in events if _is_new(event, call.last_event)]
         if not fresh:
@@ -153,12 +156,24 @@
         call.answer = answer
         await answer.prepare(call.incoming)
 
+    def _count_plain(self, call: ForwardCall) -> None:
+        """Count a request without a prompt; one with a prompt begins with its first token."""
+        if not call.by_prompt:
+            count_usage(self.state, call, call.sent_at)
+
     def _record_first_token(self, call: ForwardCall) -> None:
         if call.sent is not None:
             self.state.dispatcher(call.service).record_first_token(call.sent)
             call.sent = None
 
 
+def count_usage(state: ForwarderState, call: ForwardCall, begun_at: float) -> None:
+    """Count a request that began to run at an upstream, once."""
+    if not call.is_counted:
+        call.is_counted = True
+        state.count_usage(call.organisation, begun_at)
+
+
 def record_broken(
     state: ForwarderState, call: ForwardCall, upstream: Upstream, reason: str, crashed: bool = True
 ) -> Broke:
@@ -170,6 +185,9 @@
         Whether the connection broke, as it does when an upstream goes down.
     """
     call.maybe_run = True
+    if crashed and not call.by_prompt:
+        # Most upstreams that break off have begun to run the request.
+        count_usage(state, call, call.sent_at)
     if crashed:
         state.suspects.record_interruption(call.digest, upstream.incarnation, state.clock.now())
     return Broke(upstream, reason, crashed=crashed)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -58,6 +58,10 @@
         Longest time between two of its events, seconds.
     sent : SentPrompt or None
         The prompt sent to its upstream, until the first token.
+    sent_at : float
+        When it was last sent.
+    is_counted : bool
+        Whether it is counted as usage.
     """
 
     incoming: web.BaseRequest
@@ -83,6 +87,8 @@
     newest_event_at: float | None = None
     longest_pause_s: float = 0.0
     sent: SentPrompt | None = None
+    sent_at: float = 0.0
+    is_counted: bool = False
 
     def record_events(self, now: float) -> None:
         """Record that events were received."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -63,6 +63,13 @@
         self.loads_age = self._gauge(
             "loads_age_seconds", "Time since it heard of the requests of other forwarders."
         )
+        self.duty_held = self._gauge("duty_held", "1 while this process reports usage.")
+        self.usage_delivered_window = self._gauge(
+            "usage_delivered_window", "Window up to which all known usage reports are delivered."
+        )
+        self.clock_deviation = self._gauge(
+            "clock_deviation_seconds", "Local time of day minus the median of the peers."
+        )
         self.waiting = Gauge(
             "forwarder_waiting_calls",
             "Requests that wait for an upstream.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from result import Err
@@ -15,6 +15,7 @@
 
 from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_protocol import (
+    ClockReading,
     EralessTableChanges,
     Goodbye,
     Heartbeat,
@@ -26,6 +27,7 @@
     UpstreamCrash,
     UpstreamLoads,
     UpstreamOutcomes,
+    UsageCounts,
 )
 
 from .._addresses import bind_socket, bound_address, split_address
@@ -129,6 +131,8 @@
             NewestConfiguration: self._receive_configuration,
             TableChanges: self._receive_changes,
             EralessTableChanges: self._receive_eraless_changes,
+            UsageCounts: _ignore,
+            ClockReading: _ignore,
             Heartbeat: _ignore,
             Goodbye: _ignore,
         }
@@ -138,6 +142,15 @@
         """Number of other forwarders that are connected."""
         return len(self._peer_connections)
 
+    @property
+    def peer_connections(self) -> Mapping[str, PeerConnection]:
+        """Connections to the other forwarders, by incarnation."""
+        return self._peer_connections
+
+    def add_handler(self, kind: type, handler: Callable[[PeerConnection, Any], None]) -> None:
+        """Call a handler for the messages of a type, on present and future connections."""
+        self._handlers[kind] = handler
+
     def loads_age(self, now: float) -> float:
         """Return the time since this process last received the loads of others, seconds."""
         return self._loads.age(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -9,17 +9,21 @@
 
 import importlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import TYPE_CHECKING
 
 import attrs
 from multidict import CIMultiDict
 from result import Result
 
 from burdockquay_coordination.forwarding import ForwardConfig, Prompt, UpstreamChanges
-from burdockquay_state import Registry, TableError
+from burdockquay_state import Registry, TableError, TableService
 
 from ._table_feed import FeedExchange
 
+if TYPE_CHECKING:
+    from burdockquay_coordination.usage import UsageSink
+
 
 @attrs.frozen
 class CallerRequest:
@@ -296,6 +300,25 @@
     def members(self) -> MemberRegistry:
         """Return a new reader of the members."""
 
+    def duty_table(self) -> TableService:
+        """Return the table that holds the lease and the state of a duty.
+
+        Only called on a platform with a :meth:`usage_sink`.
+        """
+        raise NotImplementedError
+
+    def usage_sink(self, address: str, duties: Collection[str]) -> UsageSink | None:
+        """Return where usage is reported, None if the platform does not ask for it.
+
+        Parameters
+        ----------
+        address : str
+            Host and port.
+        duties : collection of str
+            The duties that the platform asks for, by its own names.
+        """
+        return None
+
     @abstractmethod
     def read_request(
         self, method: str, target: str, headers: Mapping[str, str]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -196,6 +196,7 @@
         send = self._compose(call, upstream)
         self._log_send(call, upstream)
         call.tried.add(upstream.id)
+        call.sent_at = self.state.clock.now()
         upstream.outstanding += 1
         response: aiohttp.ClientResponse | None = None
         try:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -70,6 +70,16 @@
     retry_ratio, retry_burst, retry_window_s : float
         Retry budget of a service in a window of time, for all processes together: a ratio of the
         requests, plus a constant number.
+    duty_address : str or None
+        Host and port where the platform accepts the calls of its duties, which one process at a
+        time carries out; None if it asks for none.
+    duty_names : list of str
+        The duties that the platform asks for, by its own names.
+    duty_lease_ms : float
+        Duration of the lease of the process that carries out a duty, milliseconds.
+    usage_window_s, usage_due_s : float
+        Length of a window of reported usage, and time after its end at which its report is due,
+        seconds.
     mechanisms_off : list of str
         Disabled mechanisms, see :class:`Mechanism`; can be changed while the process runs.
     """
@@ -81,6 +91,11 @@
         "status_listen": [_ADDRESS],
         "peer_listen": [_ADDRESS, InstanceOf(type(None))],
         "platform": [InstanceOf(ForwarderPlatformSettings)],
+        "duty_address": [_ADDRESS, InstanceOf(type(None))],
+        "duty_names": [ListOf(NAME)],
+        "duty_lease_ms": [Interval(float, 100.0, 3_600_000.0)],
+        "usage_window_s": [Interval(float, 0.1, 86_400.0)],
+        "usage_due_s": [Interval(float, 0.1, 86_400.0)],
         "adapters": [ListOf(_PACKAGE)],
         "log_level": [OneOf(("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"))],
         "withdrawal_ms": _MS,
@@ -108,4 +123,9 @@
     retry_ratio: float = 0.2
     retry_burst: float = 20.0
     retry_window_s: float = 10.0
+    duty_address: str | None = None
+    duty_names: list[str] = attrs.field(factory=list)
+    duty_lease_ms: float = 3000.0
+    usage_window_s: float = 5.0
+    usage_due_s: float = 10.0
     mechanisms_off: list[str] = attrs.field(factory=list)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -76,6 +76,7 @@
         self.leaving = False
         self.metrics = ForwarderMetrics()
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
+        self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         self._unread = set(REQUIRED_READS)
         self._required_reads_done = asyncio.Event()
         self._dispatchers: dict[str, PromptDispatcher] = {}
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -25,7 +25,9 @@
 from ._table_feed import FeedExchange
 
 if TYPE_CHECKING:
+    from .._peer import Identity
     from ._peers import PeerMesh
+    from ._usage import UsageDuty
 
 STOP_MARGIN_S = 0.8
 """Time between the end of a graceful shutdown and the time at which the platform kills the process,
@@ -111,7 +113,9 @@
             self.describe,
             self._expose,
         )
+        self._incarnation = secrets.token_hex(8)
         self._mesh = self._open_mesh()
+        self._usage = self._open_usage()
         for work in (follow_configuration, follow_upstreams, remove_vanished_upstreams):
             self._tasks.spawn(work(self._state))
         log_event(
@@ -130,15 +134,51 @@
             return None
         # The modules for peers are imported after callers are served: the import takes a tenth of
         # the startup time.
-        from .._peer import Identity
         from ._peers import PeerMesh
 
-        identity = Identity(settings.vm, settings.failure_domain, secrets.token_hex(8))
-        mesh = PeerMesh(self._state, identity, settings.peer_listen)
+        mesh = PeerMesh(self._state, self._identity(), settings.peer_listen)
         self._state.broadcast_crash = mesh.broadcast_crash
         self._tasks.spawn(mesh.run())
         return mesh
 
+    def _identity(self) -> Identity:
+        from .._peer import Identity
+
+        return Identity(self.settings.vm, self.settings.failure_domain, self._incarnation)
+
+    def _open_usage(self) -> UsageDuty | None:
+        """Start counting and reporting usage; None if the platform does not ask for it."""
+        settings = self.settings
+        if settings.duty_address is None:
+            return None
+        sink = self._state.platform.usage_sink(settings.duty_address, settings.duty_names)
+        if sink is None:
+            return None
+        from burdockquay_coordination.usage import ReportTerms
+        from burdockquay_protocol import ClockReading, UsageCounts
+
+        from ._peers import post_all
+        from ._usage import UsageDuty, exchange_usage
+
+        mesh = self._mesh
+        usage = UsageDuty(
+            self._state,
+            self._identity(),
+            lambda: exchange_usage(mesh.peer_connections.values()) if mesh else {},
+            post_all,
+            self._state.platform.duty_table(),
+            sink,
+            ReportTerms(
+                settings.usage_window_s, settings.usage_due_s, settings.duty_lease_ms / 1000
+            ),
+        )
+        self._state.count_usage = usage.count
+        if mesh is not None:
+            mesh.add_handler(UsageCounts, usage.receive_counts)
+            mesh.add_handler(ClockReading, usage.receive_clock)
+        self._tasks.spawn(usage.run())
+        return usage
+
     def reload(self, settings: ForwarderSettings) -> ForwarderSettings:
         """Apply the settings that can change while the process runs; return those in force."""
         off = settings.mechanisms_off
@@ -165,6 +205,8 @@
 
     def _expose(self) -> bytes:
         self._state.refresh_gauges()
+        if self._usage is not None:
+            self._usage.refresh_gauges()
         self._state.metrics.held.set(self._ingress.held)
         self._state.metrics.peers.set(self._mesh.connected if self._mesh else 0)
         if self._mesh is not None and self._mesh.connected:
@@ -189,6 +231,8 @@
         self._state.leaving = True
         if self._mesh is not None:
             self._tasks.spawn(self._mesh.leave())
+        if self._usage is not None:
+            self._tasks.spawn(self._usage.leave())
         try:
             limit_s = settings.stop_limit_s - STOP_MARGIN_S - late_s
             async with asyncio.timeout(max(0.0, limit_s)):
@@ -198,6 +242,8 @@
         except TimeoutError:
             log_event(Event.STOP_LIMIT_REACHED, held=self._ingress.held)
         await self._ingress.answer_unfinished()
+        if self._usage is not None:
+            self._usage.share_last()
         await self.close()
         log_event(Event.PROCESS_STOPPED, role=self.role)
 
