Start requests that are in time at a longer backlog in large fleets

Requests waited at all processes for the window, saw it reached at the same moment and started there together: eight within 125 ms at one upstream, each with no backlog in its figures.

Change: with 16 processes and more a request that is predicted in time starts at a backlog of up to 0.2 s beyond the window.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -11,8 +11,8 @@
 
 from ._config import ServiceTargets
 from ._engine_model import EngineModel
-from ._mechanisms import Mechanism, Switches
-from ._placing import Demand, Placement, PlacementRound
+from ._mechanisms import Mechanism
+from ._placing import LARGE_FLEET_PROCESSES, Demand, Placement, PlacementRound
 from ._upstreams import Upstream
 
 BACKLOG_WINDOW_SHARE = 0.6
@@ -20,6 +20,13 @@
 less urgent requests wait here. An urgent request that arrives next still meets its target, and a
 waiting request can go to whichever upstream is free first."""
 
+OUTDATED_LOADS_S = 0.1
+"""Age of the loads of other processes where at least ``LARGE_FLEET_PROCESSES`` decide, seconds: an
+upstream has as much more to read as it reads in this time. A request that is in time nevertheless
+starts at a backlog of up to twice this time beyond the window. If it waited for the window, all
+processes would see it reached at the same moment and start their requests there together, while
+other upstreams run out of prompts before any process has noticed."""
+
 URGENT_BACKLOG_SHARE = 0.8
 """The same share for the most urgent requests, of the time left to their own target."""
 
@@ -169,7 +176,7 @@
         considered = heapq.nsmallest(MAX_CANDIDATES_PER_ROUND, self._waiting, key=_queue_order)
         candidates = _Candidates(PlacementRound(upstreams, model, now), considered)
         while (start := candidates.pop()) is not None:
-            if _may_start(start, model.switches, targets, now):
+            if _may_start(start, model, targets, now):
                 candidates.record_started(start)
                 self._waiting.remove(start.waiting)
                 yield start
@@ -241,25 +248,30 @@
     return (item.rank, item.target_at)
 
 
-def _may_start(start: Start, switches: Switches, targets: ServiceTargets, now: float) -> bool:
+def _may_start(start: Start, model: EngineModel, targets: ServiceTargets, now: float) -> bool:
     """Return whether a request starts now at its placement.
 
     A short prompt overtakes the long ones at the upstream, so it waits here only for a free place.
     """
-    if not switches.uses(Mechanism.WINDOW):
+    if not model.switches.uses(Mechanism.WINDOW):
         return True
     placement = start.placement
     if placement.is_short and placement.upstream.has_place(now):
         return True
-    return placement.backlog_s <= _backlog_limit_s(start, targets, now)
+    return placement.backlog_s <= _backlog_limit_s(start, model, targets, now)
 
 
-def _backlog_limit_s(start: Start, targets: ServiceTargets, now: float) -> float:
+def _backlog_limit_s(
+    start: Start, model: EngineModel, targets: ServiceTargets, now: float
+) -> float:
     """Return the longest backlog of an upstream at which a request starts there, seconds."""
     waiting = start.waiting
     window_s = BACKLOG_WINDOW_SHARE * targets.tightest_s
     if start.late:
         return LATE_BACKLOG_SHARE * window_s
+    is_in_time = now + start.placement.first_token_s <= waiting.target_at
+    if model.processes >= LARGE_FLEET_PROCESSES and is_in_time:
+        window_s += 2 * OUTDATED_LOADS_S
     if waiting.urgency <= targets.most_urgent:
         return max(URGENT_BACKLOG_SHARE * (waiting.target_at - now), window_s)
     return window_s
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_delayed_knowledge.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_delayed_knowledge.py
@@ -17,6 +17,7 @@
     UpstreamChanges,
     UpstreamRegistry,
     WaitingPrompt,
+    _waiting,
 )
 
 TOKENS_PER_S = 50_000
@@ -50,13 +51,25 @@
     burst_s : float
     parts : int
         Number of shared parts, of which each prompt has one.
+    tightest_s : float
+        Tightest target of the service, seconds; the prompts here may have a later one.
     """
 
-    def __init__(self, delay_s, seed, size=12, arrivals_per_s=200, burst_s=3.0, parts=60):
+    def __init__(
+        self,
+        delay_s,
+        seed,
+        size=12,
+        arrivals_per_s=200,
+        burst_s=3.0,
+        parts=60,
+        tightest_s=TARGET_S,
+    ):
         self.size = size
         self.arrivals_per_s = arrivals_per_s
         self.burst_s = burst_s
         self.parts = parts
+        self.tightest_s = tightest_s
         self.rng = random.Random(seed)
         self.delay_ticks = round(delay_s / TICK_S)
         self.now = 0.0
@@ -120,7 +133,7 @@
     def _start(self, process):
         queue = self.queues[process]
         upstreams = self.registries[process].of_service("s")
-        targets = ServiceTargets(TARGET_S, 1)
+        targets = ServiceTargets(self.tightest_s, 0)
         for start in queue.take_starts(upstreams, self.model, targets, self.now):
             upstream, waiting = start.placement.upstream, start.waiting
             prompt = waiting.demand.prompt
@@ -181,3 +194,25 @@
         more > less for more, less in zip(with_fewer_candidates, with_more_candidates, strict=True)
     )
     assert sum(with_fewer_candidates) > 1.05 * sum(with_more_candidates)
+
+
+def test_large_fleet_starts_requests_before_an_upstream_has_nothing_to_read(monkeypatch):
+    """Twenty processes send as many long prompts as the engines can read.
+
+    Guards against requests that wait at all processes until the loads show an upstream below the
+    window, and then start there together. The service also has more urgent requests with half the
+    target, for which the window is made.
+    """
+
+    def run(seed):
+        fleet = Fleet(
+            0.08, seed, size=20, arrivals_per_s=200, burst_s=1.5, parts=300, tightest_s=TARGET_S / 2
+        )
+        fleet.model.processes = 20
+        return fleet.run()
+
+    seeds = [1, 2, 3]
+    beyond_the_window = [run(seed) for seed in seeds]
+    monkeypatch.setattr(_waiting, "OUTDATED_LOADS_S", 0.0)
+    within_the_window = [run(seed) for seed in seeds]
+    assert all(more > less for more, less in zip(beyond_the_window, within_the_window, strict=True))
