Decide by the common backlog whether upstreams are reserved in large fleets

Cause: each process decided by the pauses of its own streams whether upstreams are reserved for steady streams. One of 31 sees few of them.

Change: with 16 processes and more the mean backlog of the upstreams decides, which all know from the loads that they exchange; switched on above 0.45 and off below 0.22 of the tightest target.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -27,7 +27,7 @@
 from ._mechanisms import Mechanism, Switches
 from ._outcome_relay import OutcomeRelay, Outcomes, OutcomesByUpstream, add_outcomes
 from ._pending import NO_LOAD, LoadShare, PendingPrompts
-from ._placing import Demand, Placement, place_prompt
+from ._placing import LARGE_FLEET_PROCESSES, Demand, Placement, place_prompt
 from ._polling import ChangeContinuity, PollSchedule, is_poller
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
@@ -70,6 +70,7 @@
     "add_outcomes",
     "PendingPrompts",
     "LossRate",
+    "LARGE_FLEET_PROCESSES",
     "Mechanism",
     "NO_LOAD",
     "PeerAvailability",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_steady_reservation.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_steady_reservation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Sequence
 from hashlib import blake2b
 
@@ -28,6 +29,14 @@
 """Share of the steady streams with pauses longer than their limit, above which upstreams are
 reserved too, and below which this is no reason any more."""
 
+BACKLOG_TIME_CONSTANT_S = 0.5
+"""Time over which the backlog of all upstreams is averaged, seconds."""
+
+BACKLOG_RESERVE_ABOVE_SHARE = 0.45
+BACKLOG_RELEASE_BELOW_SHARE = 0.22
+"""Mean backlog of the upstreams, as a share of the tightest target, above which upstreams are
+reserved, and below which none are."""
+
 MIN_UPSTREAMS = 4
 """Upstreams of a service from which on some are reserved; with fewer, even one would be too many.
 """
@@ -50,6 +59,10 @@
     times more slowly. In a burst of long prompts nearly every upstream reads all the time, and
     streams whose callers tolerate only short pauses are late at every upstream. Some upstreams, the
     same at every process, then serve these streams and no long prompts.
+
+    A process that runs all streams itself sees by their pauses when that is needed. One of many
+    sees few of them, and if each decided by its own, some would reserve upstreams that the others
+    use for long prompts. They decide by the mean backlog of the upstreams instead, which all know.
     """
 
     def __init__(self):
@@ -57,14 +70,30 @@
         self._steady_streams = _LongPauseRate(
             STEADY_PAUSE_WEIGHT, STEADY_RESERVE_ABOVE_SHARE, STEADY_RELEASE_BELOW_SHARE
         )
+        self._mean_backlog: _MeanBacklog | None = None
         self._steady_work = 0.0
         self._all_work = 0.0
 
     @property
     def active(self) -> bool:
         """Whether upstreams are reserved."""
+        if self._mean_backlog is not None:
+            return self._mean_backlog.active
         return self._other_streams.active or self._steady_streams.active
 
+    def record_backlog(self, share: float, now: float) -> None:
+        """Record the mean backlog of the upstreams; from then on it decides instead of the pauses.
+
+        Parameters
+        ----------
+        share : float
+            Share of the tightest target of the service.
+        now : float
+        """
+        if self._mean_backlog is None:
+            self._mean_backlog = _MeanBacklog()
+        self._mean_backlog.record(share, now)
+
     def record_demand(self, is_steady: bool, prompt_tokens: int, answer_tokens: int) -> None:
         """Record the work of a request.
 
@@ -121,6 +150,22 @@
         self.active = self._share > (self._release_below if self.active else self._reserve_above)
 
 
+class _MeanBacklog:
+    """Average of the mean backlog over time, and whether it is too large, with hysteresis."""
+
+    def __init__(self):
+        self._share = 0.0
+        self._recorded_at = float("-inf")
+        self.active = False
+
+    def record(self, share: float, now: float) -> None:
+        elapsed = max(0.0, now - self._recorded_at)
+        self._recorded_at = now
+        self._share += (1.0 - math.exp(-elapsed / BACKLOG_TIME_CONSTANT_S)) * (share - self._share)
+        limit = BACKLOG_RELEASE_BELOW_SHARE if self.active else BACKLOG_RESERVE_ABOVE_SHARE
+        self.active = self._share > limit
+
+
 @functools.lru_cache(maxsize=4096)
 def _rank(id_: str) -> bytes:
     """Return the sort key of an upstream, which is the same at every process."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_steady_reservation.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_steady_reservation.py
@@ -134,3 +134,33 @@
     reservation = SteadyReservation()
     reservation.record_pause(2 * LIMIT_S, LIMIT_S, True)
     assert not reservation.active
+
+
+def record_backlogs(reservation, share, since, until):
+    now = since
+    while now < until:
+        reservation.record_backlog(share, now)
+        now += 0.02
+
+
+def test_processes_that_know_the_same_backlog_reserve_at_the_same_time(upstreams):
+    """Each of many processes sees the pauses of a few streams only.
+
+    Guards against some processes that keep long prompts away from upstreams to which the others
+    send theirs.
+    """
+    saw_pauses, saw_none = SteadyReservation(), SteadyReservation()
+    record_burst(saw_pauses)
+    record_burst(saw_none, longest_s=SHORT_PAUSE_S)
+    for share, expected in ((1.0, 2), (0.3, 2), (0.1, 0)):
+        for reservation in (saw_pauses, saw_none):
+            record_backlogs(reservation, share, 10.0, 13.0)
+            assert len(reservation.choose(upstreams)) == expected
+
+
+def test_short_backlog_reserves_nothing(upstreams):
+    reservation = SteadyReservation()
+    record_burst(reservation)
+    record_backlogs(reservation, 0.1, 0.0, 2.0)
+    reservation.record_backlog(2.0, 2.02)
+    assert not reservation.choose(upstreams)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from burdockquay_coordination.forwarding import (
+    LARGE_FLEET_PROCESSES,
     SHORT_READING_SHARE,
     Demand,
     EngineModel,
@@ -186,12 +187,25 @@
         self.model.processes = self.upstream_registry.processes
         if not upstreams:
             self._resolve_all(None)
+        if self.model.processes >= LARGE_FLEET_PROCESSES:
+            self._record_backlog(upstreams, now)
         for start in self.queue.take_starts(upstreams, self.model, self.targets(), now):
             owner: _WaitingCall = start.waiting.owner
             owner.resolve(self._record_sent(owner.call, start.placement, now))
         for waiting in self.queue.take_expired(now):
             waiting.owner.refuse(RequestError(ErrorKind.OVERLOADED, self._describe_backlog(now)))
 
+    def _record_backlog(self, upstreams: Sequence[Upstream], now: float) -> None:
+        """Update the decision whether upstreams are reserved for steady streams."""
+        backlogs = [
+            self.model.reading_s(item, item.pending.tokens(now), now)
+            for item in upstreams
+            if item.accepts_work()
+        ]
+        if backlogs:
+            mean_s = sum(backlogs) / len(backlogs)
+            self.model.steady_reservation.record_backlog(mean_s / self.targets().tightest_s, now)
+
     def _schedule_evaluation(self, delay_s: float) -> None:
         """Schedule the next evaluation after a delay, unless an earlier one is scheduled."""
         loop = asyncio.get_running_loop()
