Send loads every 10 ms where a failure domain is small

Cause: loads were 80 ms old on the mean with 31 processes, in which an upstream gets a second of reading at the worst moments.

Change: messages about loads every 10 ms at the shortest (40 ms before), and at most 500 a second to and from a relay, so that with 300 processes in four domains the interval is 0.15 s as before; the processes keep to it too, not only the relay.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -148,6 +148,11 @@
         """Return the time since this process last received the loads of others, seconds."""
         return now - self._received_at
 
+    @property
+    def domain_size(self) -> int:
+        """Number of connected processes of the failure domain, with this one."""
+        return len(self._ranked)
+
     @property
     def follower_count(self) -> int:
         """Number of processes that use this one as their relay."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -50,16 +50,17 @@
 from ._platform import Member, MemberChanges, MemberRegistry
 from ._state import ForwarderState
 
-LOADS_INTERVAL_S = 0.04
-"""Time between two messages about loads, seconds. A prompt waits some tenths of a second before an
-upstream reads it: peers that receive its load later than that send theirs to the same upstream."""
+LOADS_INTERVAL_S = 0.01
+"""Shortest time between two messages about loads, seconds. A prompt waits some tenths of a second
+before an upstream reads it: peers that receive its load later than that send theirs to the same
+upstream."""
 
 IDLE_LOADS_INTERVAL_S = 0.1
 """The same for a process that has no requests at the upstreams, seconds: it wakes less often."""
 
 MAX_MESSAGES_PER_S = 500
-"""Total rate of messages about loads from a relay to the processes of its failure domain; the more
-processes there are, the less often each of them receives one."""
+"""Total rate of messages about loads between a relay and the processes of its failure domain, in
+each direction; the more processes there are, the less often each of them sends or receives one."""
 
 KEY_STATUS_RECIPIENTS = 8
 """Number of peers to which a process sends whether it honours API keys: enough that each process
@@ -377,8 +378,7 @@
     async def _keep_sending(self) -> None:
         while True:
             is_busy = self.state.upstream_registry.in_use() or self._loads.is_relay
-            shortest_s = LOADS_INTERVAL_S if is_busy else IDLE_LOADS_INTERVAL_S
-            await asyncio.sleep(max(shortest_s, self._loads.follower_count / MAX_MESSAGES_PER_S))
+            await asyncio.sleep(loads_interval_s(self._loads.domain_size, is_busy))
             self._loads.send_loads()
             self._outcomes.send(self._loads.targets)
             self._send_key_status()
@@ -433,6 +433,20 @@
             self.state.suspects.record_crash(digest, message.upstream, self.state.clock.now())
 
 
+def loads_interval_s(domain_size: int, is_busy: bool) -> float:
+    """Return the time until the next message about loads, seconds.
+
+    Parameters
+    ----------
+    domain_size : int
+        Number of processes of the failure domain.
+    is_busy : bool
+        Whether the process has requests at upstreams or is a relay.
+    """
+    shortest_s = LOADS_INTERVAL_S if is_busy else IDLE_LOADS_INTERVAL_S
+    return max(shortest_s, domain_size / MAX_MESSAGES_PER_S)
+
+
 def post_all(peers: Iterable[PeerConnection], message: Any) -> None:
     """Queue a message on some connections; it is encoded only once."""
     encoded = EncodedMessage(message)
