Resolve the types of a fork of the log in the codec

Cause: the annotations of Fork were resolved only where the module of the record rows had been imported; elsewhere a part of the log with forks could not be decoded.

Change: the codec resolves them like those of the entries.

--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
@@ -11,7 +11,7 @@
 import cbor2
 from result import Err, Ok, Result
 
-from burdockquay_state import LogEntry
+from burdockquay_state import Fork, LogEntry
 
 from . import _forwarder_messages, _messages
 from ._errors import ErrorKind
@@ -46,7 +46,7 @@
 )
 
 
-for _cls in (LogEntry, *vars(_messages).values(), *vars(_forwarder_messages).values()):
+for _cls in (Fork, LogEntry, *vars(_messages).values(), *vars(_forwarder_messages).values()):
     if isinstance(_cls, type) and attrs.has(_cls):
         attrs.resolve_types(_cls)
 
