--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_steady_reservation.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_steady_reservation.py
@@ -152,9 +152,9 @@
     saw_pauses, saw_none = SteadyReservation(), SteadyReservation()
     record_burst(saw_pauses)
     record_burst(saw_none, longest_s=SHORT_PAUSE_S)
-    for share, expected in ((1.0, 2), (0.3, 2), (0.1, 0)):
+    for since, share, expected in ((10.0, 1.0, 2), (13.0, 0.3, 2), (16.0, 0.1, 0)):
         for reservation in (saw_pauses, saw_none):
-            record_backlogs(reservation, share, 10.0, 13.0)
+            record_backlogs(reservation, share, since, since + 3.0)
             assert len(reservation.choose(upstreams)) == expected
 
 
