Leave out a window whose fixed counts cannot be read

Cause: found by reading. A row with unreadable counts made the holder ask the store for it again without any pause; a handover that ran beside a delivery cleared the lease that the delivery read afterwards, which ended the loop of the reports.

Change: such a window is closed; the loop itself releases the lease of a process that stops.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_plan.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_plan.py
@@ -4,7 +4,7 @@
 
 import enum
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 
 import attrs
 
@@ -186,14 +186,14 @@
         newest = int(moment // self.terms.window_s) - 1
         oldest = newest - KEPT_WINDOWS + 1
         self._forget_before(oldest)
-        known = [*self._fixed] if self.ledger.first_window is None else [self.ledger.first_window]
+        first_counted = self.ledger.first_window
+        known = [*self._fixed] if first_counted is None else [*self._fixed, first_counted]
         if not known:
             return []
-        first = max(min(*known, *self._fixed, newest + 1), oldest)
-        # There is nothing to deliver for earlier windows.
-        self._delivered_upto = max(self._delivered_upto, first - 1)
-        first = max(first, self._delivered_upto + 1)
-        return [window for window in range(first, newest + 1) if window not in self._closed]
+        # There is nothing to deliver for windows before the first known one.
+        self._delivered_upto = max(self._delivered_upto, oldest - 1, min(known) - 1)
+        windows = range(self._delivered_upto + 1, newest + 1)
+        return [window for window in windows if window not in self._closed]
 
     def next_task(self, moment: float, sources: Collection[str]) -> ReportTask | None:
         """Return the next step, None if nothing can be done now.
@@ -244,8 +244,3 @@
         self.ledger.forget_before(window)
         self._fixed = {number: item for number, item in self._fixed.items() if number >= window}
         self._closed = {number for number in self._closed if number >= window}
-
-
-def copy_counts(counts: Mapping[str, int]) -> dict[str, int]:
-    """Return counts with sorted keys, so that equal counts are encoded alike."""
-    return dict(sorted(counts.items()))
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_reporter.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_reporter.py
@@ -21,7 +21,7 @@
 )
 
 from ._counts import KEPT_WINDOWS, UsageLedger
-from ._plan import Delivery, ReportPlan, ReportTerms, UsageReport, UsageSink, copy_counts
+from ._plan import Delivery, ReportPlan, ReportTerms, UsageReport, UsageSink
 
 LEASE_NAME = "usage-reports"
 ROW_PREFIX = "usage/"
@@ -208,23 +208,30 @@
         return True
 
     def _record_row(self, row: Row) -> None:
+        """Record the counts in a row; a window whose counts cannot be read is never delivered."""
+        name = row.key.removeprefix(ROW_PREFIX)
+        if not name.isdecimal():
+            self.notify(DutyChange.REJECTED, {"reason": f"row {row.key[:64]}: no window"})
+            return
+        window = int(name)
+        self._old_rows.add(row.key)
         try:
-            window = int(row.key.removeprefix(ROW_PREFIX))
             counts, delivered_upto = cbor2.loads(row.value)
-            report = UsageReport(window, {str(name): int(n) for name, n in counts.items()})
+            report = UsageReport(window, {str(key): int(count) for key, count in counts.items()})
+            self.plan.record_delivered_upto(int(delivered_upto))
         except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
-            detail = f"row {row.key[:64]}: {type(error).__name__}"
-            self.notify(DutyChange.REJECTED, {"reason": detail})
+            self.plan.close(window)
+            self.notify(
+                DutyChange.REJECTED, {"window": window, "reason": f"row: {type(error).__name__}"}
+            )
             return
-        self._old_rows.add(row.key)
-        self.plan.record_delivered_upto(int(delivered_upto))
         if not self.plan.record_fixed(report, era_of(row.version)):
             self.notify(DutyChange.WITHDRAWN, {"window": window})
 
     async def _fix(self, report: UsageReport, now: float) -> bool:
         """Fix the counts of a window in the store, or learn the fixed ones."""
         key = f"{ROW_PREFIX}{report.window}"
-        counts = copy_counts(report.counts)
+        counts = dict(report.counts)
         value = cbor2.dumps([counts, self.plan.delivered_upto])
         outdated = self._outdated_rows(report.window)
         operations: list[Operation] = [Put(key, value, self.table.absent)]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/usage/tests/test_reporter.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/usage/tests/test_reporter.py
@@ -161,6 +161,13 @@
     assert office.now - released_at > TERMS.lease_s
 
 
+def test_process_that_is_no_candidate_any_more_releases_the_lease(office):
+    office.run(1.0, "a")
+    asyncio.run(office.reporters["a"].step(office.now, office.now, [], False))
+    office.run(1.5, "b")
+    assert office.reporters["b"].holds(office.now)
+
+
 def test_process_releases_the_lease_if_the_platform_does_not_answer_it(office):
     office.count({"one": 3}, "a", "b")
     office.sink.answer = Delivery.UNCONFIRMED
@@ -179,9 +186,20 @@
     assert [counts for _, counts, _, _ in office.sink.first_window] == [{"one": 3}]
 
 
-def test_unreadable_row_does_not_stop_the_reports(office):
-    asyncio.run(office.table.transact([Put("usage/199", b"no counts")]))
+@pytest.mark.parametrize("key", ["usage/199", "usage/some"])
+def test_unreadable_row_does_not_stop_the_reports(office, key):
+    asyncio.run(office.table.transact([Put(key, b"no counts")]))
     office.count({"one": 3}, "a")
     office.run(8.0, "a")
     assert len(office.sink.first_window) == 1
     assert ("a", DutyChange.REJECTED) in office.changes
+
+
+def test_window_whose_fixed_counts_cannot_be_read_is_left_out(office):
+    """Guards against a holder that asks the store for the same row without end."""
+    office.count({"one": 3}, "a")
+    office.run(5.5, "a")
+    asyncio.run(office.table.transact([Put("usage/200", b"no counts")]))
+    office.run(8.0, "a")
+    assert not office.sink.first_window
+    assert 201 in {call[0] for call in office.sink.calls}
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_usage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_usage.py
@@ -127,10 +127,6 @@
         finally:
             sharing.cancel()
 
-    async def leave(self) -> None:
-        """Hand the lease over; the process is about to stop."""
-        await self.reporter.release(self.state.clock.now())
-
     def share_last(self) -> None:
         """Send the final counts; nobody waits for further ones of this process."""
         moment = self.time_of_day.at(self.state.clock.now())
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -231,8 +231,6 @@
         self._state.leaving = True
         if self._mesh is not None:
             self._tasks.spawn(self._mesh.leave())
-        if self._usage is not None:
-            self._tasks.spawn(self._usage.leave())
         try:
             limit_s = settings.stop_limit_s - STOP_MARGIN_S - late_s
             async with asyncio.timeout(max(0.0, limit_s)):
