Forget the usage of past windows at every process

Cause: found by reading. Counts were pruned only at the process that reports; at all others each window added some kilobytes for good.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_usage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_usage.py
@@ -9,6 +9,7 @@
 
 from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_coordination.usage import (
+    KEPT_WINDOWS,
     DutyChange,
     ReportTerms,
     TimeOfDay,
@@ -43,6 +44,12 @@
 """Time after the start before a process can become a candidate, seconds: it connects to its peers
 and receives their counts meanwhile."""
 
+CLOCK_RECIPIENTS = 8
+"""Number of peers to which a process sends its time of day: enough that each receives some."""
+
+LEAVE_DUE_TIMES = 10
+"""Multiple of the due time for which the final counts of a stopping process count as complete."""
+
 ISOLATED_SHARE = 1 / 3
 """Share of the peers that were connected recently below which a process is not a candidate: it
 would report without the counts of the others."""
@@ -130,7 +137,7 @@
     def share_last(self) -> None:
         """Send the final counts; nobody waits for further ones of this process."""
         moment = self.time_of_day.at(self.state.clock.now())
-        self._share(moment, moment + 10 * self.terms.due_s)
+        self._share(moment, moment + LEAVE_DUE_TIMES * self.terms.due_s)
 
     def receive_counts(self, peer: PeerConnection, message: UsageCounts) -> None:
         """Apply the counts of another process."""
@@ -160,11 +167,13 @@
             peers = self.peers()
             if self._clock_repeater.is_due(len(peers), now):
                 recipients = rank_processes(self.identity.incarnation, peers)
-                self.post([peers[name] for name in recipients[:8]], ClockReading(moment))
+                nearest = [peers[name] for name in recipients[:CLOCK_RECIPIENTS]]
+                self.post(nearest, ClockReading(moment))
             await asyncio.sleep(max(SHARE_INTERVAL_S, len(peers) / MAX_MESSAGES_PER_S))
 
     def _share(self, moment: float, complete_until: float) -> None:
         windows = self.counter.windows(moment)
+        self.ledger.forget_before(self.counter.window_at(moment) - KEPT_WINDOWS)
         self.ledger.record(self.identity.incarnation, windows, complete_until)
         peers = self.peers()
         recipients = {name: peers[name] for name in self._candidates(peers) if name in peers}
