--- a/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_plan.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_plan.py
@@ -139,7 +139,7 @@
         self._closed: set[int] = set()
         self._delivered_upto = -1
         self._era = 0
-        self._fixed_known_from = float("-inf")
+        self._restored_at = float("-inf")
 
     @property
     def delivered_upto(self) -> int:
@@ -152,7 +152,7 @@
         An era above 1 follows a restore, also if this process has not seen the one before.
         """
         if era > max(self._era, 1):
-            self._fixed_known_from = moment
+            self._restored_at = moment
         self._era = max(era, self._era)
 
     def record_fixed(self, report: UsageReport, era: int) -> bool:
@@ -220,7 +220,7 @@
 
     def is_lost(self, window: int) -> bool:
         """Return whether fixed counts of a window may have been lost with a restore."""
-        return window not in self._fixed and self.terms.end_of(window) <= self._fixed_known_from
+        return window not in self._fixed and self.terms.end_of(window) <= self._restored_at
 
     def _task_for(self, window: int, moment: float, sources: Collection[str]) -> ReportTask | None:
         known = self._fixed.get(window)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/usage/tests/test_reporter.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/usage/tests/test_reporter.py
@@ -36,7 +36,7 @@
         return self.answer
 
 
-class Office:
+class Candidates:
     """Candidates that share a store, a platform and a clock."""
 
     def __init__(self):
@@ -81,125 +81,125 @@
 
 
 @pytest.fixture
-def office():
-    return Office()
+def candidates():
+    return Candidates()
 
 
-def test_one_candidate_reports(office):
-    office.count({"one": 3}, "a", "b")
-    office.run(10.0, "a", "b")
-    assert office.sink.first_window == [(200, {"one": 3}, "a", (1 << 32) + 1)]
+def test_one_candidate_reports(candidates):
+    candidates.count({"one": 3}, "a", "b")
+    candidates.run(10.0, "a", "b")
+    assert candidates.sink.first_window == [(200, {"one": 3}, "a", (1 << 32) + 1)]
 
 
-def test_next_holder_repeats_the_counts_of_the_former_one(office):
+def test_next_holder_repeats_the_counts_of_the_former_one(candidates):
     """The first delivery was not confirmed and may be carried out later."""
-    office.count({"one": 3}, "a")
-    office.sink.answer = Delivery.UNCONFIRMED
-    office.run(7.0, "a")
-    office.sink.answer = Delivery.ACCEPTED
-    office.count({"one": 5}, "b")
-    office.run(10.0, "b")
-    assert {str(counts) for _, counts, _, _ in office.sink.first_window} == {"{'one': 3}"}
-    assert office.sink.first_window[-1][2:] == ("b", (1 << 32) + 2)
+    candidates.count({"one": 3}, "a")
+    candidates.sink.answer = Delivery.UNCONFIRMED
+    candidates.run(7.0, "a")
+    candidates.sink.answer = Delivery.ACCEPTED
+    candidates.count({"one": 5}, "b")
+    candidates.run(10.0, "b")
+    assert {str(counts) for _, counts, _, _ in candidates.sink.first_window} == {"{'one': 3}"}
+    assert candidates.sink.first_window[-1][2:] == ("b", (1 << 32) + 2)
 
 
-def test_fix_that_is_carried_out_late_does_not_replace_fixed_counts(office):
+def test_fix_that_is_carried_out_late_does_not_replace_fixed_counts(candidates):
     """Guards against a next holder that reads other counts than were delivered."""
-    office.count({"one": 3}, "a")
-    office.count({"one": 5}, "b")
+    candidates.count({"one": 3}, "a")
+    candidates.count({"one": 5}, "b")
     late = []
-    transact = office.table.transact
+    transact = candidates.table.transact
 
     async def hold_back(operations):
         if any(item.key == "usage/200" for item in operations):
             late.append(operations)
-            office.table.lost_confirmations.append(False)
+            candidates.table.lost_confirmations.append(False)
         return await transact(operations)
 
-    office.table.transact = hold_back
-    office.run(7.0, "a")
-    office.table.transact = transact
-    office.run(10.0, "b")
-    before = asyncio.run(office.table.get(["usage/200"])).ok()[0].value
+    candidates.table.transact = hold_back
+    candidates.run(7.0, "a")
+    candidates.table.transact = transact
+    candidates.run(10.0, "b")
+    before = asyncio.run(candidates.table.get(["usage/200"])).ok()[0].value
     for operations in late:
         asyncio.run(transact(operations))
     assert late
-    assert asyncio.run(office.table.get(["usage/200"])).ok()[0].value == before
+    assert asyncio.run(candidates.table.get(["usage/200"])).ok()[0].value == before
 
 
-def test_paused_holder_does_not_deliver_before_it_holds_the_lease_again(office):
-    office.count({"one": 3}, "a", "b")
-    office.run(3.0, "a")
-    assert office.reporters["a"].holds(office.now)
-    office.run(20.0, "b")
-    office.count({"one": 9}, "a")
-    office.run(1.0, "a")
-    assert [holder for _, _, holder, _ in office.sink.first_window] == ["b"]
-    assert ("a", DutyChange.LOST) in office.changes
+def test_paused_holder_does_not_deliver_before_it_holds_the_lease_again(candidates):
+    candidates.count({"one": 3}, "a", "b")
+    candidates.run(3.0, "a")
+    assert candidates.reporters["a"].holds(candidates.now)
+    candidates.run(20.0, "b")
+    candidates.count({"one": 9}, "a")
+    candidates.run(1.0, "a")
+    assert [holder for _, _, holder, _ in candidates.sink.first_window] == ["b"]
+    assert ("a", DutyChange.LOST) in candidates.changes
 
 
-def test_fenced_holder_does_not_use_its_number_again(office):
+def test_fenced_holder_does_not_use_its_number_again(candidates):
     """The platform knows a later holder than the store shows."""
-    office.count({"one": 3}, "a")
-    office.sink.answer = Delivery.FENCED
-    office.run(8.0, "a")
-    office.sink.answer = Delivery.ACCEPTED
-    office.run(12.0, "a")
-    fences = [fencing for _, _, _, fencing in office.sink.first_window]
+    candidates.count({"one": 3}, "a")
+    candidates.sink.answer = Delivery.FENCED
+    candidates.run(8.0, "a")
+    candidates.sink.answer = Delivery.ACCEPTED
+    candidates.run(12.0, "a")
+    fences = [fencing for _, _, _, fencing in candidates.sink.first_window]
     assert fences == [(1 << 32) + 1, (1 << 32) + 2]
 
 
-def test_process_that_lost_its_lease_rests_before_it_holds_it_again(office):
+def test_process_that_lost_its_lease_rests_before_it_holds_it_again(candidates):
     """Calls of two holders must not alternate within one duration of the lease."""
-    office.run(1.0, "a")
-    asyncio.run(office.reporters["a"].release(office.now))
-    released_at = office.now
-    office.run(1.0, "b")
-    asyncio.run(office.reporters["b"].release(office.now))
-    while not office.reporters["a"].holds(office.now):
-        office.run(0.25, "a")
-    assert office.now - released_at > TERMS.lease_s
+    candidates.run(1.0, "a")
+    asyncio.run(candidates.reporters["a"].release(candidates.now))
+    released_at = candidates.now
+    candidates.run(1.0, "b")
+    asyncio.run(candidates.reporters["b"].release(candidates.now))
+    while not candidates.reporters["a"].holds(candidates.now):
+        candidates.run(0.25, "a")
+    assert candidates.now - released_at > TERMS.lease_s
 
 
-def test_process_that_is_no_candidate_any_more_releases_the_lease(office):
-    office.run(1.0, "a")
-    asyncio.run(office.reporters["a"].step(office.now, office.now, [], False))
-    office.run(1.5, "b")
-    assert office.reporters["b"].holds(office.now)
+def test_process_that_is_no_candidate_any_more_releases_the_lease(candidates):
+    candidates.run(1.0, "a")
+    asyncio.run(candidates.reporters["a"].step(candidates.now, candidates.now, [], False))
+    candidates.run(1.5, "b")
+    assert candidates.reporters["b"].holds(candidates.now)
 
 
-def test_process_releases_the_lease_if_the_platform_does_not_answer_it(office):
-    office.count({"one": 3}, "a", "b")
-    office.sink.answer = Delivery.UNCONFIRMED
-    office.run(9.5, "a")
-    assert ("a", DutyChange.RELEASED) in office.changes
+def test_process_releases_the_lease_if_the_platform_does_not_answer_it(candidates):
+    candidates.count({"one": 3}, "a", "b")
+    candidates.sink.answer = Delivery.UNCONFIRMED
+    candidates.run(9.5, "a")
+    assert ("a", DutyChange.RELEASED) in candidates.changes
 
 
-def test_window_is_not_reported_with_new_counts_after_a_restore(office):
+def test_window_is_not_reported_with_new_counts_after_a_restore(candidates):
     """The store lost the fixed counts, and the process that delivered them has ended."""
-    copy = office.table.copy()
-    office.count({"one": 3}, "a")
-    office.run(7.0, "a")
-    office.table.restore_copy(copy)
-    office.count({"one": 5}, "b")
-    office.run(20.0, "b")
-    assert [counts for _, counts, _, _ in office.sink.first_window] == [{"one": 3}]
+    copy = candidates.table.copy()
+    candidates.count({"one": 3}, "a")
+    candidates.run(7.0, "a")
+    candidates.table.restore_copy(copy)
+    candidates.count({"one": 5}, "b")
+    candidates.run(20.0, "b")
+    assert [counts for _, counts, _, _ in candidates.sink.first_window] == [{"one": 3}]
 
 
 @pytest.mark.parametrize("key", ["usage/199", "usage/some"])
-def test_unreadable_row_does_not_stop_the_reports(office, key):
-    asyncio.run(office.table.transact([Put(key, b"no counts")]))
-    office.count({"one": 3}, "a")
-    office.run(8.0, "a")
-    assert len(office.sink.first_window) == 1
-    assert ("a", DutyChange.REJECTED) in office.changes
+def test_unreadable_row_does_not_stop_the_reports(candidates, key):
+    asyncio.run(candidates.table.transact([Put(key, b"no counts")]))
+    candidates.count({"one": 3}, "a")
+    candidates.run(8.0, "a")
+    assert len(candidates.sink.first_window) == 1
+    assert ("a", DutyChange.REJECTED) in candidates.changes
 
 
-def test_window_whose_fixed_counts_cannot_be_read_is_left_out(office):
+def test_window_whose_fixed_counts_cannot_be_read_is_left_out(candidates):
     """Guards against a holder that asks the store for the same row without end."""
-    office.count({"one": 3}, "a")
-    office.run(5.5, "a")
-    asyncio.run(office.table.transact([Put("usage/200", b"no counts")]))
-    office.run(8.0, "a")
-    assert not office.sink.first_window
-    assert 201 in {call[0] for call in office.sink.calls}
+    candidates.count({"one": 3}, "a")
+    candidates.run(5.5, "a")
+    asyncio.run(candidates.table.transact([Put("usage/200", b"no counts")]))
+    candidates.run(8.0, "a")
+    assert not candidates.sink.first_window
+    assert 201 in {call[0] for call in candidates.sink.calls}
