Use one piece of code for backlogs and for counting plain requests

The dispatcher computed the backlogs of the upstreams in two places, the rule that only requests without a prompt are counted at once stood twice, and a property of the reporter was used nowhere.

Change: one method, one function, the property removed. No change of behaviour.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_reporter.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/usage/_reporter.py
@@ -108,11 +108,6 @@
         self._has_read_rows = False
         self._old_rows: set[str] = set()
 
-    @property
-    def fencing(self) -> int | None:
-        """Fencing number of the lease, None without one."""
-        return self._lease.fencing if self._lease else None
-
     def holds(self, now: float) -> bool:
         """Return whether this process may report now."""
         return self._lease is not None and self._lease.is_usable(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -69,7 +69,7 @@
             return NotRun(upstream, f"status {response.status}")
         if not facts.not_run:
             call.maybe_run = True
-            self._count_plain(call)
+            count_plain(self.state, call)
         if call.answer is not None:
             return Broke(upstream, f"status {response.status} to the rest of a stream")
         ready = web.Response(
@@ -156,11 +156,6 @@
         call.answer = answer
         await answer.prepare(call.incoming)
 
-    def _count_plain(self, call: ForwardCall) -> None:
-        """Count a request without a prompt; one with a prompt begins with its first token."""
-        if not call.by_prompt:
-            count_usage(self.state, call, call.sent_at)
-
     def _record_first_token(self, call: ForwardCall) -> None:
         if call.sent is not None:
             self.state.dispatcher(call.service).record_first_token(call.sent)
@@ -174,6 +169,12 @@
         state.count_usage(call.organisation, begun_at)
 
 
+def count_plain(state: ForwarderState, call: ForwardCall) -> None:
+    """Count a request without a prompt; one with a prompt begins with its first token."""
+    if not call.by_prompt:
+        count_usage(state, call, call.sent_at)
+
+
 def record_broken(
     state: ForwarderState, call: ForwardCall, upstream: Upstream, reason: str, crashed: bool = True
 ) -> Broke:
@@ -185,10 +186,9 @@
         Whether the connection broke, as it does when an upstream goes down.
     """
     call.maybe_run = True
-    if crashed and not call.by_prompt:
-        # Most upstreams that break off have begun to run the request.
-        count_usage(state, call, call.sent_at)
     if crashed:
+        # Most upstreams that break off have begun to run the request.
+        count_plain(state, call)
         state.suspects.record_interruption(call.digest, upstream.incarnation, state.clock.now())
     return Broke(upstream, reason, crashed=crashed)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -197,11 +197,7 @@
 
     def _record_backlog(self, upstreams: Sequence[Upstream], now: float) -> None:
         """Update the decision whether upstreams are reserved for steady streams."""
-        backlogs = [
-            self.model.reading_s(item, item.pending.tokens(now), now)
-            for item in upstreams
-            if item.accepts_work()
-        ]
+        backlogs = self._backlogs_s(upstreams, now)
         if backlogs:
             mean_s = sum(backlogs) / len(backlogs)
             self.model.steady_reservation.record_backlog(mean_s / self.targets().tightest_s, now)
@@ -224,13 +220,16 @@
     def _upstreams(self) -> list[Upstream]:
         return self.upstream_registry.of_service(self.service)
 
-    def _describe_backlog(self, now: float) -> str:
-        backlogs = [
+    def _backlogs_s(self, upstreams: Sequence[Upstream], now: float) -> list[float]:
+        """Return the times to read the pending prompts of the upstreams that accept work."""
+        return [
             self.model.reading_s(item, item.pending.tokens(now), now)
-            for item in self._upstreams()
+            for item in upstreams
             if item.accepts_work()
         ]
-        least = min(backlogs, default=0.0)
+
+    def _describe_backlog(self, now: float) -> str:
+        least = min(self._backlogs_s(self._upstreams(), now), default=0.0)
         return f"{len(self.queue)} others wait; the least busy upstream has {least:.2f} s to read"
 
     def record_longest_pause(self, route: ForwardRoute, longest_s: float) -> None:
