Log and expose the request rate limits that upstreams name

An answer that names a limit left no trace: from the logs of the incident it cannot be told when a process received the first one, whether the limit changed, or how many sends an upstream got since. The limit is decoded in the adapter into a typed reading with defined faults, kept for each upstream, logged when it is learnt, changed or ended, shown by a gauge and in call_sent, and the sends to a limited upstream are counted. No decision uses it yet.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -62,6 +62,15 @@
         "QueuePolicy",
         "queue_policies",
     ),
+    "._rate_limit": (
+        "NO_RATE",
+        "RateChange",
+        "RateChangeKind",
+        "RateFault",
+        "RateLimit",
+        "RateReading",
+        "read_rate",
+    ),
     "._retries": (
         "RetryBudget",
         "RetryDecision",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -9,6 +9,7 @@
 
 from burdockquay_state import Position
 
+from .._rate_limit import RateLimit
 from ._linear import SpeedFactor
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
@@ -147,6 +148,7 @@
         self.ended = False
         self._run_cancellers: set[Callable[[], None]] = set()
         self.health = UpstreamHealth(spread)
+        self.rate_limit = RateLimit()
 
     @property
     def id(self) -> str:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -334,6 +334,22 @@
         "window is not delivered again.",
     )
 
+    RATE_LIMIT_LEARNT = (
+        1929,
+        "WARNING",
+        "An upstream limits the requests of all processes together; ``source`` is whether this "
+        "process saw it in an answer or another one reported it.",
+    )
+    RATE_LIMIT_CHANGED = (1930, "INFO", "An upstream names another limit than before.")
+    RATE_LIMIT_ENDED = (1931, "NOTICE", "An upstream does not limit the requests any more.")
+    RATE_LIMIT_FAULT = (
+        1932,
+        "WARNING",
+        "The limit that an upstream names was not taken as it is: an unreadable one changes "
+        "nothing, one that is too low becomes the lowest one, one that is too high is none. Logged "
+        "once for each run of an upstream and fault.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -49,6 +49,7 @@
         if facts.not_run and facts.answered_by not in (None, upstream.id):
             self.state.upstream_registry.drop(upstream)
             return NotRun(upstream, "another incarnation answered")
+        self.state.rate_limits.record_answer(upstream, facts.request_rate, call)
         if response.status < 300 and not facts.sealed:
             return record_broken(
                 self.state, call, upstream, "answer without proof of origin", crashed=False
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -77,6 +77,16 @@
             registry=self.registry,
         )
 
+        self.rate_limit = Gauge(
+            "forwarder_upstream_rate_limit",
+            "Requests per second that an upstream takes from all processes, if limited.",
+            ["upstream"],
+            registry=self.registry,
+        )
+        self.limited_sends = self._counter(
+            "limited_sends", "Sends to an upstream while it is limited.", "upstream"
+        )
+
     def expose(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -16,6 +16,7 @@
 from multidict import CIMultiDict
 from result import Result
 
+from burdockquay_coordination import NO_RATE, RateReading
 from burdockquay_coordination.forwarding import ForwardConfig, Prompt, UpstreamChanges
 from burdockquay_state import Registry, TableError, TableService
 
@@ -115,6 +116,8 @@
     request_id : str or None
         Id of the request that is answered.
     weights_version : str or None
+    request_rate : RateReading
+        Limit on the requests of all processes together that the answer names.
     """
 
     not_run: bool
@@ -122,6 +125,7 @@
     sealed: bool
     request_id: str | None
     weights_version: str | None = None
+    request_rate: RateReading = NO_RATE
 
 
 @attrs.frozen
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -232,6 +232,8 @@
         now = self.state.clock.now()
         placement = call.sent.placement if call.sent else None
         directory = self.state.directory
+        if upstream.rate_limit.per_s is not None:
+            self.state.metrics.limited_sends.labels(upstream.id).inc()
         if not call.sends:
             self.state.metrics.waited.labels(*call.class_labels).observe(now - call.started)
         log_event(
@@ -246,6 +248,7 @@
             urgency=call.urgency,
             sent_urgency=self._sent_urgency(call),
             running=upstream.running(now),
+            rate_limit=upstream.rate_limit.per_s,
             predicted_s=placement.first_token_s if placement else None,
             backlog_s=placement.backlog_s if placement else None,
             missing_tokens=placement.tokens if placement else None,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -25,6 +25,7 @@
 from ._dispatch import PromptDispatcher
 from ._forwarder_metrics import ForwarderMetrics
 from ._platform import ForwardingPlatform
+from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
 
 LEASE_SHARE = 0.72
@@ -75,6 +76,7 @@
         self.connections = UpstreamConnections()
         self.leaving = False
         self.metrics = ForwarderMetrics()
+        self.rate_limits = RateLimits(clock, self.metrics, self.upstream_registry)
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         self._unread = set(REQUIRED_READS)
@@ -151,6 +153,7 @@
         metrics.config_kept.set(self.config_versions.behind_s(now))
         metrics.keys_trusted.set(self.keys_trusted(now))
         metrics.revision.set(self.directory.config.version if self.directory else 0)
+        self.rate_limits.refresh_gauges()
         for service, dispatcher in self._dispatchers.items():
             metrics.waiting.labels(service).set(len(dispatcher.queue))
 
