--- a/packages/burdockquay-standins/src/burdockquay_standins/_server.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_server.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Self
 
 from aiohttp import web
 
 MAX_BODY_BYTES = 64 << 20
 
+REQUEST_RATE_HEADER = "X-Request-Rate-Limit"
+"""Header in which an upstream names its request rate limit."""
+
+CONTROL_PATHS = ("/requests/", "/faults", "/stats")
+"""Paths of calls about requests or the stand-in, which are no requests to the upstream."""
+
 
 class StandinServer:
     """HTTP server on a local port that can crash and restart.
@@ -20,6 +26,13 @@
     port : int
         0 selects a free port, which stays the same after a crash.
 
+    Attributes
+    ----------
+    named_rate : str or None
+        Request rate limit that every answer names, requests per second; None names none.
+    arrivals : list of float
+        When each request arrived, control calls left out, on the clock of the event loop.
+
     Notes
     -----
     A crash closes the listening socket and aborts each connection. Clients see the same as when a
@@ -30,6 +43,8 @@
         self.host = host
         self.port = port
         self.crashes = 0
+        self.named_rate: str | None = None
+        self.arrivals: list[float] = []
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -50,7 +65,10 @@
 
     async def start(self) -> None:
         """Start to listen; return when connections are accepted."""
-        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._record_arrival]
+        )
+        application.on_response_prepare.append(self._name_rate)
         application.add_routes(self.routes())
         self._runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
         await self._runner.setup()
@@ -89,6 +107,18 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @web.middleware
+    async def _record_arrival(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        if not request.path.startswith(CONTROL_PATHS):
+            self.arrivals.append(asyncio.get_running_loop().time())
+        return await handler(request)
+
+    async def _name_rate(self, request: web.Request, response: web.StreamResponse) -> None:
+        if self.named_rate is not None:
+            response.headers[REQUEST_RATE_HEADER] = self.named_rate
+
     async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
