--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
@@ -19,6 +19,10 @@
 MAX_RATE_PER_S = 1e6
 """Limit above which an upstream counts as not limited, requests per second."""
 
+LOOSEN_AFTER_S = 0.5
+"""Time after an answer that names a limit in which reports of others do not raise or end it,
+seconds: they may be older than the answer."""
+
 MAX_RATE_DIGITS = 40
 """Longest text that is read as a limit, characters."""
 
@@ -136,6 +140,7 @@
     def __init__(self):
         self._per_s: float | None = None
         self._learnt_at = float("-inf")
+        self._named_at = float("-inf")
         self._faults: set[RateFault] = set()
 
     @property
@@ -159,11 +164,13 @@
         if _is_looser(reading.per_s, self._per_s) and sent_at < self._learnt_at:
             return None
         if reading.per_s is not None:
-            self._learnt_at = now
+            self._learnt_at = self._named_at = now
         return self._set(reading.per_s)
 
     def apply_peer(self, per_s: float | None, now: float) -> RateChange | None:
-        """Apply the limit that another process has learnt."""
+        """Apply the limit that another process reports; return the change, None if none."""
+        if _is_looser(per_s, self._per_s) and now - self._named_at < LOOSEN_AFTER_S:
+            return None
         if per_s is not None and per_s != self._per_s:
             self._learnt_at = now
         return self._set(per_s)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -33,6 +33,8 @@
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
 from ._retry_after import PeerAvailability, retry_delay_s
+from ._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
+from ._start_pool import StartGrant, StartNeed
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._suspects import CrashSuspects
@@ -47,6 +49,13 @@
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
 __all__ = [
+    "StartNeed",
+    "StartGrant",
+    "SharedLimit",
+    "NeedMessage",
+    "LimitStep",
+    "GrantMessage",
+    "Fleet",
     "CallerLimits",
     "CallerOrganisation",
     "ConfigDirectory",
