Keep the request rate limit of an upstream at all forwarders together

What was seen: an upstream that had named a limit of 1.7 requests a second received 17 in four seconds, 15 being allowed; callers of its service compete with work that it had asked not to get. Class: a bound for all processes together, known late by some.

Change: each answer's limit is kept at the upstream. A process sends to a limited upstream only with a start that the owner of the limit has granted to it, out of shares that all lend to the owner; this holds for first sends, retries and continued runs, as all go through one choice. Requests that wait go elsewhere, or wait in order of urgency; a refusal says that the request has not run, and Retry-After when a start is likely. Health is not affected.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -89,6 +89,7 @@
         "ShareLedger",
     ),
     "._slots": ("SlotScheduler",),
+    "._start_gate": ("StartGate",),
     "._subsets": ("choose_subset",),
     "._suspicion_store": (
         "SuspicionStore",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from ._budget import RetryWindow
-from ._choice import choose_backup, choose_upstream, usable_upstreams
+from ._choice import choose_backup, choose_upstream, held_back_upstreams, usable_upstreams
 from ._config import (
     CallerLimits,
     CallerOrganisation,
@@ -32,7 +32,7 @@
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
-from ._retry_after import PeerAvailability, retry_delay_s
+from ._retry_after import PeerAvailability, limited_delay_s, retry_delay_s
 from ._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
 from ._start_pool import StartGrant, StartNeed
 from ._steady_reservation import SteadyReservation
@@ -49,6 +49,8 @@
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
 __all__ = [
+    "limited_delay_s",
+    "held_back_upstreams",
     "StartNeed",
     "StartGrant",
     "SharedLimit",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -50,9 +50,12 @@
     """Return the upstream that keeps a copy of another one's stream, None if there is none.
 
     It is in another failure domain if possible, since a whole domain can fail at once. Among those,
-    it has the fewest running requests, which share its memory with the copy.
+    it has the fewest running requests, which share its memory with the copy. One that limits its
+    requests is not used: the run could not continue there at once.
     """
-    others = usable_upstreams(upstreams, (serving.id,), now)
+    others = [
+        item for item in usable_upstreams(upstreams, (serving.id,), now) if item.limit.per_s is None
+    ]
 
     def cost(item: Upstream) -> tuple[bool, int, float]:
         same_domain = item.entry.failure_domain == serving.entry.failure_domain
@@ -69,13 +72,19 @@
 ) -> Sequence[Upstream]:
     """Return the upstreams that a request may be sent to, only the healthy ones if there are any.
 
+    Those whose request rate limit allows no request of this process now are left out in any case.
+
     Notes
     -----
     Upstreams that fail many requests or could not be reached are used only if no other is left:
     rejecting all work because every upstream looks unhealthy would turn a small fault into an
     outage.
     """
-    usable = [item for item in upstreams if item.accepts_work() and item.id not in tried]
+    usable = [
+        item
+        for item in upstreams
+        if item.accepts_work() and item.id not in tried and item.may_start(now)
+    ]
     reached = usable
     if switches.uses(Mechanism.SUSPENSION):
         reached = [item for item in usable if not item.health.suspended(now)]
@@ -85,6 +94,17 @@
     return healthy or reached or usable
 
 
+def held_back_upstreams(
+    upstreams: Sequence[Upstream], tried: Collection[str], now: float
+) -> Sequence[Upstream]:
+    """Return the upstreams that a request may not be sent to because of their limits alone."""
+    return [
+        item
+        for item in upstreams
+        if item.accepts_work() and item.id not in tried and not item.may_start(now)
+    ]
+
+
 def rank_preferred_upstreams(
     candidates: Sequence[Upstream], part: str, count: int
 ) -> list[Upstream]:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -137,6 +137,7 @@
         self.model = model
         self.now = now
         self._usable = usable_upstreams(upstreams, (), now, model.switches)
+        self._is_limited = any(item.limit.per_s is not None for item in upstreams)
         self._reserved: frozenset[str] = frozenset()
         if model.switches.uses(Mechanism.SET_APART):
             # Healthy or not, all that accept work: the choice must not change with each failure.
@@ -187,7 +188,8 @@
             else PREFERRED_CANDIDATES_LARGE_FLEET
         )
         usable = self._usable
-        if tried:
+        if tried or self._is_limited:
+            # A request that has started in this round may have used the last start that was held.
             usable = usable_upstreams(self.upstreams, tried, self.now, self.model.switches)
         if self._reserved:
             matching = [item for item in usable if self._is_reserved(item) == demand.is_steady]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_retry_after.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_retry_after.py
@@ -13,6 +13,12 @@
 failures are over by then, and a caller that has to wait longer would rather give up. A limit on the
 delay itself would let all patient callers retry at the same moment."""
 
+MAX_LIMITED_DELAY_S = 30.0
+"""Longest delay of a caller rejected because of limits, seconds: limits end."""
+
+LIMITED_SPREAD = (0.75, 1.25)
+"""Spread of that delay, so that callers do not retry at the same time."""
+
 REFERRAL_DELAY_S = (0.005, 0.05)
 """Shortest and longest delay before a caller retries at another process, seconds: only a spread, as
 the other process can serve at once."""
@@ -49,6 +55,22 @@
         )
 
 
+def limited_delay_s(waiting: int, processes: int, per_s: float, rng: random.Random) -> float:
+    """Return the time after which a caller rejected because of limits should retry, seconds.
+
+    Parameters
+    ----------
+    waiting : int
+        Requests that wait at this process; others are taken to have as many.
+    processes : int
+    per_s : float
+        Sum of the limits of the upstreams, requests per second.
+    rng : random.Random
+    """
+    until_start_s = (waiting + 1) * processes / per_s
+    return min(until_start_s, MAX_LIMITED_DELAY_S) * rng.uniform(*LIMITED_SPREAD)
+
+
 def retry_delay_s(patience_s: float | None, is_referred: bool, rng: random.Random) -> float:
     """Return the time after which a rejected caller should retry, seconds.
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
@@ -70,10 +70,10 @@
 
 @attrs.define
 class LimitStep:
-    """What one step produced: messages, and whether this process holds more starts."""
+    """What one step produced: messages, and the starts that this process granted to itself."""
 
     messages: list[NeedMessage | GrantMessage] = attrs.field(factory=list)
-    has_new_starts: bool = False
+    own_starts: int = 0
 
 
 class SharedLimit:
@@ -227,9 +227,8 @@
             return
         for name, grant in self._pool.grant(self.per_s, now).items():
             if name == fleet.me:
-                step.has_new_starts |= self._account.receive_grant(
-                    fleet.me, grant, fleet.processes or 1, now
-                )
+                self._account.receive_grant(fleet.me, grant, fleet.processes or 1, now)
+                step.own_starts += grant.starts
             else:
                 step.messages.append(GrantMessage(name, self.per_s, grant))
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_start_pool.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_start_pool.py
@@ -273,8 +273,8 @@
     --------
     >>> pool = StartPool(now=0.0)
     >>> pool.receive_need("a", StartNeed({0: 1}, 10.0, share=1.0, answers=0.0, processes=1), 0.0)
-    >>> pool.grant(2.0, now=0.1), pool.grant(2.0, now=0.6)
-    ({}, {'a': StartGrant(starts=1, need_sent_at=10.0, sent_at=0.6)})
+    >>> pool.grant(10.0, now=0.1), pool.grant(10.0, now=0.25)
+    ({}, {'a': StartGrant(starts=1, need_sent_at=10.0, sent_at=0.25)})
     """
 
     def __init__(self, now: float):
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -9,10 +9,10 @@
 
 from burdockquay_state import Position
 
-from .._rate_limit import RateLimit
 from ._linear import SpeedFactor
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
+from ._shared_limit import SharedLimit
 from ._upstream_health import UpstreamHealth
 
 RELIST_WAIT_S = 2.2
@@ -148,7 +148,7 @@
         self.ended = False
         self._run_cancellers: set[Callable[[], None]] = set()
         self.health = UpstreamHealth(spread)
-        self.rate_limit = RateLimit()
+        self.limit = SharedLimit()
 
     @property
     def id(self) -> str:
@@ -203,6 +203,10 @@
         """Return whether new requests may be sent according to the list."""
         return not (self.is_removed or self.entry.leaving)
 
+    def may_start(self, now: float) -> bool:
+        """Return whether its request rate limit allows this process to send a request now."""
+        return self.limit.may_start(now)
+
     def add_run(self, end: Callable[[], None]) -> None:
         """Record a running request, with a callback that ends it if the upstream restarts."""
         self._run_cancellers.add(end)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -124,6 +124,10 @@
         if waiting in self._waiting:
             self._waiting.remove(waiting)
 
+    def counts_by_rank(self) -> Counter[int]:
+        """Return the number of waiting requests of each rank."""
+        return Counter(item.rank for item in self._waiting)
+
     def take_all(self) -> list[WaitingPrompt]:
         """Remove and return all requests."""
         taken, self._waiting = self._waiting, []
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
@@ -37,6 +37,7 @@
     QUARANTINED = "quarantined"
     NO_UPSTREAM = "no_upstream"
     NO_PLACE = "no_place"
+    UPSTREAM_LIMITED = "upstream_limited"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
     TABLE_UNAVAILABLE = "table_unavailable"
@@ -106,6 +107,9 @@
     ),
     ErrorKind.NO_UPSTREAM: Answer(503, "No upstream can serve the request now.", _NOT_RUN, 1.0),
     ErrorKind.NO_PLACE: Answer(503, "The upstream has no free place.", _NOT_RUN, 1.0),
+    ErrorKind.UPSTREAM_LIMITED: Answer(
+        503, "The upstreams limit their requests, and none was left in time.", _NOT_RUN, 2.0
+    ),
     ErrorKind.LEAVING: Answer(503, "The process is shutting down.", _NOT_RUN, 0.5),
     ErrorKind.NOT_READY: Answer(503, "The process has no configuration yet.", _NOT_RUN, 1.0),
     ErrorKind.TABLE_UNAVAILABLE: Answer(
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -264,3 +264,78 @@
     """Time of day as estimated by the sender, seconds since 1970."""
 
     time_of_day: float
+
+
+@attrs.frozen
+class RateNeed:
+    """What a forwarder needs of the owner of an upstream's request rate limit.
+
+    Parameters
+    ----------
+    upstream : str
+        Incarnation of the upstream.
+    per_s : float or None
+        The limit as the sender knows it, requests per second; None if the upstream is not limited.
+    observed : bool
+        Whether an answer to the sender has just changed the limit.
+    wanted : dict of int to int
+        Number of requests that want a start, by rank; rank 0 is the most urgent.
+    sent_at : float
+        Time on the sender's clock, seconds; grants name it.
+    share : float
+        Part of the limit that the sender lends; 0 if it lends none.
+    answers : float
+        ``sent_at`` of the latest grant of the owner, seconds on the owner's clock.
+    processes : int
+        Number of forwarders that the sender knows.
+    """
+
+    upstream: str
+    per_s: float | None
+    observed: bool
+    wanted: dict[int, int]
+    sent_at: float
+    share: float
+    answers: float
+    processes: int
+
+
+@message(41, since=8)
+@attrs.frozen
+class RateNeeds:
+    """Needs of one forwarder, at upstreams whose limits the receiver owns."""
+
+    needs: list[RateNeed]
+
+
+@attrs.frozen
+class RateGrant:
+    """Starts that the owner of an upstream's request rate limit grants.
+
+    Parameters
+    ----------
+    upstream : str
+        Incarnation of the upstream.
+    per_s : float or None
+        The limit as the owner knows it, requests per second; None if the upstream is not limited.
+    starts : int
+        Number of requests that the receiver may send; 0 in a renewal.
+    need_sent_at : float
+        ``sent_at`` of the need that the starts are granted for.
+    sent_at : float
+        Time on the owner's clock, seconds.
+    """
+
+    upstream: str
+    per_s: float | None
+    starts: int
+    need_sent_at: float
+    sent_at: float
+
+
+@message(42, since=8)
+@attrs.frozen
+class RateGrants:
+    """Grants of one owner to one forwarder."""
+
+    grants: list[RateGrant]
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -350,6 +350,18 @@
         "once for each run of an upstream and fault.",
     )
 
+    SENDS_HELD_BACK = (
+        1933,
+        "INFO",
+        "Requests found an upstream whose limit allowed none of this process then; ``count`` since "
+        "the last such line, of which there is at most one a second for each upstream.",
+    )
+    RATE_LIMIT_OWNER = (
+        1934,
+        "INFO",
+        "Another process than before grants the starts at a limited upstream, as seen here.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -62,6 +62,8 @@
         When it was last sent.
     is_counted : bool
         Whether it is counted as usage.
+    was_woken : bool
+        Whether it has waited for a start at a limited upstream and it is its turn.
     """
 
     incoming: web.BaseRequest
@@ -89,6 +91,7 @@
     sent: SentPrompt | None = None
     sent_at: float = 0.0
     is_counted: bool = False
+    was_woken: bool = False
 
     def record_events(self, now: float) -> None:
         """Record that events were received."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -29,6 +29,7 @@
 from .._clock import Clock
 from .._events import Event, log_event
 from ._call import ForwardCall
+from ._rate_limits import RateLimits
 from ._sent_prompt import SentPrompt
 
 EVALUATION_INTERVAL_S = 0.02
@@ -63,6 +64,7 @@
     record_prediction_ratio : callable
         Called with the ratio of each time to first token to its prediction.
     switches : Switches
+    rate_limits : RateLimits
     """
 
     def __init__(
@@ -73,12 +75,14 @@
         targets: Callable[[], ServiceTargets],
         record_prediction_ratio: Callable[[float], None],
         switches: Switches,
+        rate_limits: RateLimits,
     ):
         self.service = service
         self.upstream_registry = upstream_registry
         self.clock = clock
         self.targets = targets
         self.record_prediction_ratio = record_prediction_ratio
+        self.rate_limits = rate_limits
         self.model = EngineModel(switches)
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
@@ -93,6 +97,7 @@
         CallError
             If it has waited too long.
         """
+        self.rate_limits.want(self.service, call.rank)
         if call.sends or call.unreachable:
             # A retry does not queue again: the call has waited before its first send.
             return self._send_immediately(call)
@@ -184,6 +189,7 @@
 
     def _start_and_refuse_due(self, now: float) -> None:
         upstreams = self._upstreams()
+        self.rate_limits.want_waiting(self.service, self.queue.counts_by_rank())
         self.model.processes = self.upstream_registry.processes
         if not upstreams:
             self._resolve_all(None)
@@ -193,7 +199,10 @@
             owner: _WaitingCall = start.waiting.owner
             owner.resolve(self._record_sent(owner.call, start.placement, now))
         for waiting in self.queue.take_expired(now):
-            waiting.owner.refuse(RequestError(ErrorKind.OVERLOADED, self._describe_backlog(now)))
+            refusal = self.rate_limits.refusal(waiting.owner.call, len(self.queue))
+            waiting.owner.refuse(
+                refusal or RequestError(ErrorKind.OVERLOADED, self._describe_backlog(now))
+            )
 
     def _record_backlog(self, upstreams: Sequence[Upstream], now: float) -> None:
         """Update the decision whether upstreams are reserved for steady streams."""
@@ -275,6 +284,7 @@
 
     def _record_sent(self, call: ForwardCall, placement: Placement, now: float) -> SentPrompt:
         upstream = placement.upstream
+        self.rate_limits.take(upstream, call.rank)
         ahead = 0 if placement.is_short else upstream.pending.tokens(now)
         prompt = call.request.prompt
         sent = SentPrompt(call.request.id, prompt, placement, ahead, now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -83,6 +83,15 @@
             ["upstream"],
             registry=self.registry,
         )
+        self.rate_part = Gauge(
+            "forwarder_upstream_rate_part",
+            "Part of the limit of an upstream that this process grants.",
+            ["upstream"],
+            registry=self.registry,
+        )
+        self.starts_granted = self._counter(
+            "starts_granted", "Starts at limited upstreams granted to this process.", "upstream"
+        )
         self.limited_sends = self._counter(
             "limited_sends", "Sends to an upstream while it is limited.", "upstream"
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -23,6 +23,8 @@
     LoadsElsewhere,
     LoadsOfDomain,
     NewestConfiguration,
+    RateGrants,
+    RateNeeds,
     TableChanges,
     UpstreamCrash,
     UpstreamLoads,
@@ -48,6 +50,7 @@
 from ._load_sharing import ChangeRepeater, LoadSharing
 from ._outcome_sharing import OutcomeSharing
 from ._platform import Member, MemberChanges, MemberRegistry
+from ._rate_sharing import RateSharing
 from ._state import ForwarderState
 
 LOADS_INTERVAL_S = 0.01
@@ -119,6 +122,7 @@
         state.platform.exchange.on_restored = self._on_store_restored
         self._loads = LoadSharing(state, identity, post_all)
         self._outcomes = OutcomeSharing(state, identity, post_all)
+        self._rates = RateSharing(state.rate_limits, identity.incarnation)
         self._key_repeater = ChangeRepeater()
         self._configuration_repeater = ChangeRepeater()
         self._key_status_recipients: list[PeerConnection] = []
@@ -132,6 +136,8 @@
             NewestConfiguration: self._receive_configuration,
             TableChanges: self._receive_changes,
             EralessTableChanges: self._receive_eraless_changes,
+            RateNeeds: self._rates.receive_needs,
+            RateGrants: self._rates.receive_grants,
             UsageCounts: _ignore,
             ClockReading: _ignore,
             Heartbeat: _ignore,
@@ -283,6 +289,7 @@
     def _apply_members(self, changes: MemberChanges) -> None:
         changed = self._members.apply(changes, self.state.clock.now())
         self.state.upstream_registry.processes = len(self._members)
+        self.state.rate_limits.set_processes(len(self._members))
         for vm in changed:
             self._update_link(vm)
 
@@ -370,6 +377,7 @@
         ]
         exchange.choose_pollers(self.identity.incarnation, others)
         self._loads.set_peers(self._peer_connections)
+        self._rates.set_peers(self._peer_connections)
         near = rank_processes(self.identity.incarnation, self._peer_connections)[
             :KEY_STATUS_RECIPIENTS
         ]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -1,59 +1,357 @@
-"""Request rate limits of upstreams, as the answers to this process name them."""
+"""Request rate limits of upstreams: learnt from answers, and kept together with peers."""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
 from burdockquay_coordination import RateChange, RateChangeKind, RateFault, RateReading
-from burdockquay_coordination.forwarding import Upstream, UpstreamRegistry
+from burdockquay_coordination.forwarding import (
+    Fleet,
+    GrantMessage,
+    NeedMessage,
+    Upstream,
+    UpstreamRegistry,
+    held_back_upstreams,
+    limited_delay_s,
+    rank_processes,
+)
+from burdockquay_protocol import ErrorKind, RequestError
 
 from .._clock import Clock
 from .._events import Event, log_event
+from .._rate_events import RATE_EVENTS
 from ._call import ForwardCall
 from ._forwarder_metrics import ForwarderMetrics
 
-_CHANGE_EVENTS = {
-    RateChangeKind.LEARNT: Event.RATE_LIMIT_LEARNT,
-    RateChangeKind.CHANGED: Event.RATE_LIMIT_CHANGED,
-    RateChangeKind.ENDED: Event.RATE_LIMIT_ENDED,
-}
+MIN_STEP_PAUSE_S = 0.005
+"""Shortest time between two scheduled steps, seconds."""
+
+HELD_BACK_INTERVAL_S = 1.0
+"""Shortest time between two log lines about requests that a limit held back, seconds."""
+
+MAX_WAIT_SLICE_S = 0.2
+"""Longest time until a plain request that waits for a start tries again, seconds."""
+
+MAX_WAIT_SHARE = 0.33
+"""Share of a caller's patience for which a plain request waits for a start."""
+
+
+LimitMessage = NeedMessage | GrantMessage
+
+
+@attrs.define
+class _HeldBack:
+    """Requests that an upstream's limit held back since the last line about them."""
+
+    count: int = 0
+    logged_at: float = float("-inf")
+
+
+@attrs.define(order=True)
+class _WaitingCall:
+    """A plain request that waits for a start, in the order of rank and arrival."""
+
+    key: tuple[int, float]
+    number: int
+    woken: asyncio.Future = attrs.field(order=False)
 
 
 class RateLimits:
-    """Keeps the limits of the upstreams that answers name.
+    """Limits of all upstreams at one process.
 
     Parameters
     ----------
     clock : Clock
     metrics : ForwarderMetrics
     upstream_registry : UpstreamRegistry
+    rng : random.Random
+    evaluate_waiting : callable
+        Called when prompts that wait may start.
     """
 
     def __init__(
-        self, clock: Clock, metrics: ForwarderMetrics, upstream_registry: UpstreamRegistry
+        self,
+        clock: Clock,
+        metrics: ForwarderMetrics,
+        upstream_registry: UpstreamRegistry,
+        rng: random.Random,
+        evaluate_waiting: Callable[[], None],
     ):
         self.clock = clock
         self.metrics = metrics
         self.upstream_registry = upstream_registry
+        self.rng = rng
+        self.evaluate_waiting = evaluate_waiting
+        self._me = ""
+        self._processes: int | None = 1
+        self._vms: dict[str, str] = {}
+        self._rankings: dict[str, list[str]] = {}
+        self._owners: dict[str, str | None] = {}
+        self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
+        self._waiting: dict[str, list[_WaitingCall]] = defaultdict(list)
+        self._numbers = itertools.count()
+        self._send: Callable[[Iterable[tuple[str, LimitMessage]]], None] = lambda messages: None
+        self._timer: asyncio.TimerHandle | None = None
 
-    def refresh_gauges(self) -> None:
-        """Show the limits in force; an upstream that is not limited any more is left out."""
-        self.metrics.rate_limit.clear()
-        for upstream in self.upstream_registry.all():
-            if upstream.rate_limit.per_s is not None:
-                self.metrics.rate_limit.labels(upstream.id).set(upstream.rate_limit.per_s)
+    def join_fleet(
+        self, incarnation: str, send: Callable[[Iterable[tuple[str, LimitMessage]]], None]
+    ) -> None:
+        """Keep the limits together with other processes, whose number is not known yet.
+
+        Parameters
+        ----------
+        incarnation : str
+            That of this process.
+        send : callable
+            Sends messages, each with the incarnation of the upstream that it is about.
+        """
+        self._me = incarnation
+        self._send = send
+        self._processes = None
+
+    def set_processes(self, count: int) -> None:
+        """Set the number of processes of the fleet, this one included."""
+        self._processes = max(1, count)
+
+    def set_peers(self, vms: Mapping[str, str]) -> None:
+        """Set the VMs of the connected processes that keep limits, by incarnation."""
+        self._vms = dict(vms)
+        self._rankings.clear()
+
+    def want(self, service: str, rank: int) -> None:
+        """Ask for a start at the limited upstreams of a service, for a new request.
+
+        Parameters
+        ----------
+        service : str
+        rank : int
+            Rank of the request; 0 is the most urgent.
+        """
+        now = self.clock.now()
+        limited = self._limited(self.upstream_registry.of_service(service))
+        for upstream in limited:
+            upstream.limit.want(rank, 1, now)
+        self._step(limited, now)
+        for upstream in limited:
+            if not upstream.may_start(now):
+                self._count_held_back(upstream, now)
+
+    def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
+        """Ask for starts for the requests that wait, by rank."""
+        now = self.clock.now()
+        limited = self._limited(self.upstream_registry.of_service(service))
+        for upstream in limited:
+            for rank, count in counts.items():
+                upstream.limit.want(rank, count, now)
+        self._step(limited, now)
+
+    def take(self, upstream: Upstream, rank: int) -> None:
+        """Count a request that is sent to an upstream.
+
+        Raises
+        ------
+        ValueError
+            If its limit does not allow it.
+        """
+        upstream.limit.take(rank, self.clock.now())
+
+    def has_earlier_waiting(self, call: ForwardCall) -> bool:
+        """Return whether plain requests that go before a new one wait for a start."""
+        queue = self._waiting.get(call.service)
+        return bool(queue) and not call.was_woken and queue[0].key <= (call.rank, call.started)
+
+    async def wait(self, call: ForwardCall) -> bool:
+        """Wait until a plain request may start; return False if it cannot or not in time."""
+        now = self.clock.now()
+        until = call.started + MAX_WAIT_SHARE * (call.deadline - call.started)
+        if now >= until or not self._held_back_upstreams(call):
+            return False
+        queue = self._waiting[call.service]
+        woken = asyncio.get_running_loop().create_future()
+        entry = _WaitingCall((call.rank, call.started), next(self._numbers), woken)
+        heapq.heappush(queue, entry)
+        self.want_waiting(call.service, Counter(item.key[0] for item in queue))
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(until - now, MAX_WAIT_SLICE_S)):
+                    await woken
+                call.was_woken = True
+        finally:
+            if entry in queue:
+                queue.remove(entry)
+                heapq.heapify(queue)
+        return True
+
+    def refusal(self, call: ForwardCall, waiting: int | None = None) -> RequestError | None:
+        """Return the refusal of a call that only limits have held back, None if others have.
+
+        Parameters
+        ----------
+        call : ForwardCall
+        waiting : int or None
+            Number of requests that wait; None counts the plain ones.
+        """
+        limited = self._held_back_upstreams(call)
+        candidates = self.upstream_registry.of_service(call.service)
+        able = [item for item in candidates if item.accepts_work() and item.id not in call.tried]
+        if call.sends or call.maybe_run or not limited or len(limited) < len(able):
+            return None
+        per_s = sum(item.limit.per_s for item in limited)
+        queued = len(self._waiting[call.service]) if waiting is None else waiting
+        delay_s = limited_delay_s(queued, self._processes or 1, per_s, self.rng)
+        detail = f"{len(limited)} upstreams take {per_s:g} requests a second from all processes"
+        return RequestError(ErrorKind.UPSTREAM_LIMITED, detail, retry_after_s=delay_s)
 
     def record_answer(self, upstream: Upstream, reading: RateReading, call: ForwardCall) -> None:
         """Apply the limit that an answer to a call names, or that it names none."""
-        if reading.fault is not None and upstream.rate_limit.is_new_fault(reading.fault):
+        if upstream.limit.is_new_fault(reading):
             self._log_fault(upstream, reading.fault, call)
-        change = upstream.rate_limit.record_answer(reading, call.sent_at, self.clock.now())
+        now = self.clock.now()
+        change = upstream.limit.record_answer(reading, call.sent_at, now)
         if change is not None:
             self._log_change(upstream, change, "answer", call.request.id)
+            self._step([upstream], now)
+            self._wake(change.kind is not RateChangeKind.LEARNT)
+
+    def receive(self, peer: str, messages: Iterable[tuple[str, LimitMessage]]) -> None:
+        """Apply messages of another process.
+
+        Parameters
+        ----------
+        peer : str
+            Incarnation of the sender.
+        messages : iterable of (str, NeedMessage or GrantMessage)
+            Each with the incarnation of the upstream that it is about.
+        """
+        now = self.clock.now()
+        has_starts = False
+        upstreams = []
+        for incarnation, message in messages:
+            upstream = self.upstream_registry.find(incarnation)
+            if upstream is None:
+                # It is not listed here yet, or not any more; what is in force is sent again.
+                continue
+            upstreams.append(upstream)
+            if isinstance(message, NeedMessage):
+                change = upstream.limit.receive_need(peer, message, now)
+            else:
+                received = upstream.limit.receive_grant(peer, message, self._processes, now)
+                change, is_more = received
+                if is_more:
+                    has_starts = True
+                    self.metrics.starts_granted.labels(upstream.id).inc(message.grant.starts)
+            if change is not None:
+                self._log_change(upstream, change, self._vms.get(peer, peer))
+                has_starts |= change.kind is RateChangeKind.ENDED
+        self._step(upstreams, now)
+        self._wake(has_starts)
+
+    def refresh_gauges(self) -> None:
+        """Show the limits in force; an upstream that is not limited any more is left out."""
+        now = self.clock.now()
+        self.metrics.rate_limit.clear()
+        self.metrics.rate_part.clear()
+        for upstream in self._limited(self.upstream_registry.all()):
+            self.metrics.rate_limit.labels(upstream.id).set(upstream.limit.per_s)
+            self.metrics.rate_part.labels(upstream.id).set(upstream.limit.lent_fraction(now))
+
+    def _limited(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
+        return [item for item in upstreams if item.limit.per_s is not None]
+
+    def _held_back_upstreams(self, call: ForwardCall) -> list[Upstream]:
+        candidates = self.upstream_registry.of_service(call.service)
+        return list(held_back_upstreams(candidates, call.tried, self.clock.now()))
+
+    def _step(self, upstreams: Iterable[Upstream], now: float) -> None:
+        """Send what is due at some upstreams, and schedule the next step."""
+        messages: list[tuple[str, LimitMessage]] = []
+        has_starts = False
+        for upstream in upstreams:
+            if not upstream.limit.is_active():
+                continue
+            fleet = Fleet(self._me, self._ranking(upstream.incarnation), self._processes)
+            step = upstream.limit.step(fleet, now)
+            if step.own_starts:
+                has_starts = True
+                self.metrics.starts_granted.labels(upstream.id).inc(step.own_starts)
+            self._log_owner(upstream)
+            messages += [(upstream.incarnation, message) for message in step.messages]
+        if messages:
+            self._send(messages)
+        self._schedule(now)
+        self._wake(has_starts)
+
+    def _ranking(self, incarnation: str) -> list[str]:
+        found = self._rankings.get(incarnation)
+        if found is None:
+            found = rank_processes(f"limit {incarnation}", [self._me, *self._vms])
+            self._rankings[incarnation] = found
+        return found
+
+    def _schedule(self, now: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        active = [item for item in self.upstream_registry.all() if item.limit.is_active()]
+        if active:
+            due_in_s = min(item.limit.due_at(now) for item in active) - now
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(MIN_STEP_PAUSE_S, due_in_s), self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._step(self.upstream_registry.all(), self.clock.now())
+
+    def _wake(self, has_starts: bool) -> None:
+        """Let waiting requests try again, the most urgent plain ones of each service first."""
+        if not has_starts:
+            return
+        for service, queue in self._waiting.items():
+            now = self.clock.now()
+            upstreams = self.upstream_registry.of_service(service)
+            free = sum(item.may_start(now) for item in upstreams if item.accepts_work())
+            for _ in range(min(free, len(queue))):
+                waiting = heapq.heappop(queue)
+                if not waiting.woken.done():
+                    waiting.woken.set_result(None)
+        asyncio.get_running_loop().call_soon(self.evaluate_waiting)
+
+    def _count_held_back(self, upstream: Upstream, now: float) -> None:
+        held_back = self._held_back[upstream.id]
+        held_back.count += 1
+        if now - held_back.logged_at >= HELD_BACK_INTERVAL_S:
+            log_event(
+                Event.SENDS_HELD_BACK,
+                upstream=upstream.id,
+                per_s=upstream.limit.per_s,
+                count=held_back.count,
+                owner=self._vm_of(upstream.limit.owner),
+            )
+            self._held_back[upstream.id] = _HeldBack(0, now)
+
+    def _log_owner(self, upstream: Upstream) -> None:
+        owner = upstream.limit.owner
+        if self._owners.get(upstream.incarnation) != owner:
+            self._owners[upstream.incarnation] = owner
+            log_event(Event.RATE_LIMIT_OWNER, upstream=upstream.id, owner=self._vm_of(owner))
+
+    def _vm_of(self, incarnation: str | None) -> str:
+        """Return the VM of a process; an empty text stands for this one."""
+        return self._vms.get(incarnation or "", "")
 
     def _log_change(
         self, upstream: Upstream, change: RateChange, source: str, request: str | None = None
     ) -> None:
         log_event(
-            _CHANGE_EVENTS[change.kind],
+            RATE_EVENTS[change.kind],
             upstream=upstream.id,
             before=change.before,
             per_s=change.after,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
@@ -43,7 +43,7 @@
         answer = error.answer
         headers = self.state.platform.answer_headers(request) if request else {}
         if answer.status in NOT_RUN_STATUSES:
-            headers["Retry-After"] = f"{self._retry_after(request, started, error.kind):.3f}"
+            headers["Retry-After"] = f"{self._retry_after(request, started, error):.3f}"
         now = self.state.clock.now()
         directory = self.state.directory
         self.state.metrics.refusals.labels(error.kind.value).inc()
@@ -68,10 +68,14 @@
             response.force_close()
         return response
 
-    def _retry_after(self, request: CallerRequest | None, started: float, kind: ErrorKind) -> float:
+    def _retry_after(
+        self, request: CallerRequest | None, started: float, error: RequestError
+    ) -> float:
+        if error.kind is ErrorKind.UPSTREAM_LIMITED and error.retry_after_s is not None:
+            return error.retry_after_s
         now = self.state.clock.now()
         patience = None
         if request is not None and request.patience_s is not None:
             patience = request.patience_s - (now - started)
-        is_referred = kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now)
+        is_referred = error.kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now)
         return retry_delay_s(patience, is_referred, self.state.rng)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -15,6 +15,7 @@
     Upstream,
     choose_backup,
     choose_upstream,
+    held_back_upstreams,
     usable_upstreams,
 )
 from burdockquay_protocol import ErrorKind, RequestError
@@ -47,6 +48,9 @@
 """Share of the remaining time that one upstream has to answer a plain request which can still be
 retried at another, so that an upstream that hangs leaves time for the retry."""
 
+MAX_NAMED_UPSTREAMS = 5
+"""Most upstreams that a line names as held back by their limits."""
+
 MIN_ATTEMPT_S = 0.25
 """Lower limit of that time, seconds; about ten times the duration of a plain request."""
 
@@ -94,11 +98,9 @@
             If there is no upstream, or none with capacity in time.
         """
         if not call.by_prompt:
-            upstream = self._choose(call)
-            if upstream is None:
-                raise CallError(failure_of(call))
-            return await self._send(call, upstream)
+            return await self._send(call, await self._choose_allowed(call))
         if call.continue_at is not None:
+            self.state.rate_limits.take(call.continue_at, call.rank)
             return await self._send(call, call.continue_at)
         dispatcher = self.state.dispatcher(call.service)
         call.sent = await dispatcher.start(call)
@@ -114,9 +116,25 @@
             self.state.dispatcher(call.service).record_ended(call.sent)
             call.sent = None
 
+    async def _choose_allowed(self, call: ForwardCall) -> Upstream:
+        """Return the upstream for a call, and count its start; wait while limits allow none.
+
+        Raises
+        ------
+        CallError
+            If there is no upstream, or no start in time.
+        """
+        limits = self.state.rate_limits
+        limits.want(call.service, call.rank)
+        while (upstream := self._choose(call)) is None:
+            if not await limits.wait(call):
+                raise CallError(limits.refusal(call) or failure_of(call))
+        limits.take(upstream, call.rank)
+        return upstream
+
     def _choose(self, call: ForwardCall) -> Upstream | None:
         state = self.state
-        return choose_upstream(
+        chosen = choose_upstream(
             state.upstream_registry.of_service(call.service),
             state.settings.failure_domain,
             call.tried,
@@ -124,6 +142,8 @@
             state.rng,
             state.switches,
         )
+        is_limited = chosen is not None and chosen.limit.per_s is not None
+        return None if is_limited and state.rate_limits.has_earlier_waiting(call) else chosen
 
     def _can_continue_from_copy(self, call: ForwardCall) -> bool:
         """Return whether a run can continue from the copy of its memory at another upstream.
@@ -132,7 +152,9 @@
         holds what was generated, so that no event is generated again.
         """
         backup = call.backup
-        return backup is not None and call.last_event is not None and backup.accepts_work()
+        if backup is None or call.last_event is None or not backup.accepts_work():
+            return False
+        return backup.may_start(self.state.clock.now())
 
     async def _record_outcome(self, call: ForwardCall, outcome: Outcome) -> bool:
         """Record an outcome at its upstream; return whether the upstream is down."""
@@ -232,7 +254,7 @@
         now = self.state.clock.now()
         placement = call.sent.placement if call.sent else None
         directory = self.state.directory
-        if upstream.rate_limit.per_s is not None:
+        if upstream.limit.per_s is not None:
             self.state.metrics.limited_sends.labels(upstream.id).inc()
         if not call.sends:
             self.state.metrics.waited.labels(*call.class_labels).observe(now - call.started)
@@ -248,7 +270,8 @@
             urgency=call.urgency,
             sent_urgency=self._sent_urgency(call),
             running=upstream.running(now),
-            rate_limit=upstream.rate_limit.per_s,
+            rate_limit=upstream.limit.per_s,
+            held_back=self._describe_held_back(call),
             predicted_s=placement.first_token_s if placement else None,
             backlog_s=placement.backlog_s if placement else None,
             missing_tokens=placement.tokens if placement else None,
@@ -261,6 +284,13 @@
             config_age_s=self.state.lease.age(now),
         )
 
+    def _describe_held_back(self, call: ForwardCall) -> str | None:
+        """Return the upstreams that the call was not sent to because of their limits."""
+        state = self.state
+        candidates = state.upstream_registry.of_service(call.service)
+        found = held_back_upstreams(candidates, call.tried, state.clock.now())
+        return ",".join(item.id for item in found[:MAX_NAMED_UPSTREAMS]) or None
+
     def _remaining(self, call: ForwardCall) -> float:
         return call.deadline - self.state.clock.now()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -76,7 +76,9 @@
         self.connections = UpstreamConnections()
         self.leaving = False
         self.metrics = ForwarderMetrics()
-        self.rate_limits = RateLimits(clock, self.metrics, self.upstream_registry)
+        self.rate_limits = RateLimits(
+            clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
+        )
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         self._unread = set(REQUIRED_READS)
@@ -139,6 +141,7 @@
                 lambda: self.directory.targets(service),
                 self.metrics.prediction.labels(service).observe,
                 self.switches,
+                self.rate_limits,
             )
             self._dispatchers[service] = found
         return found
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests of the queue of prompts that wait for an upstream."""
 
 import asyncio
+import random
 
 import pytest
 import uvloop
@@ -22,7 +23,9 @@
 from burdockquay_transport._call_error import CallError
 from burdockquay_transport.forwarding._call import ForwardCall
 from burdockquay_transport.forwarding._dispatch import PromptDispatcher
+from burdockquay_transport.forwarding._forwarder_metrics import ForwarderMetrics
 from burdockquay_transport.forwarding._platform import CallerRequest
+from burdockquay_transport.forwarding._rate_limits import RateLimits
 
 ROUTE = ForwardRoute(
     "talk", "h", "/", RouteKind.STREAM, (ServiceShare("s", 1.0),), 5.0, 0.5, 1, 1, by_prompt=True
@@ -60,8 +63,12 @@
 @pytest.fixture
 def dispatcher(upstream_registry):
     targets = ServiceTargets(0.25, 0)
+    clock = ShiftedClock()
+    limits = RateLimits(
+        clock, ForwarderMetrics(), upstream_registry, random.Random(1), lambda: None
+    )
     return PromptDispatcher(
-        "s", upstream_registry, ShiftedClock(), lambda: targets, lambda ratio: None, Switches()
+        "s", upstream_registry, clock, lambda: targets, lambda ratio: None, Switches(), limits
     )
 
 
--- a/scripts/make_reference.py
+++ b/scripts/make_reference.py
@@ -49,6 +49,8 @@
     "operator releases it by a quarantine-withdrawal record.",
     ErrorKind.NO_UPSTREAM: "No slot of the group is connected and healthy.",
     ErrorKind.NO_PLACE: "Every place of the upstream was taken when the attempt arrived.",
+    ErrorKind.UPSTREAM_LIMITED: "All upstreams that could run it limit the requests of all "
+    "processes together (`forwarder_upstream_rate_limit`). Retry after the time in `Retry-After`.",
     ErrorKind.LEAVING: "A planned shutdown; another process accepts the retry.",
     ErrorKind.NOT_READY: "The process has no configuration yet; see `/readyz`.",
     ErrorKind.TABLE_UNAVAILABLE: "Requests that run at most once wait for the table service.",
