Keep the request rate limit of an engine at its slot

What was seen: 21 requests in four seconds at an engine behind a slot that had named 0.5 a second, health checks included. Cause: as with the forwarders, nothing read the limit; but all requests to the engine pass through one process, its slot. Change: the slot starts work, grants places and probes only while the limit leaves a start, and reports as free only as many places as there are starts, so that entries send the rest elsewhere.

--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
@@ -0,0 +1,66 @@
+"""Starts at an upstream to which only this process sends."""
+
+from __future__ import annotations
+
+from ._rate_limit import RateChange, RateLimit, RateReading
+from ._start_bucket import StartBucket
+
+
+class StartGate:
+    """The request rate limit of an upstream, where one process sends all requests to it.
+
+    Examples
+    --------
+    >>> gate = StartGate(now=0.0)
+    >>> gate.may_start(0.0)
+    True
+    >>> _ = gate.record_answer(RateReading(2.0), sent_at=0.0, now=1.0)
+    >>> gate.may_start(1.4), gate.may_start(1.5)
+    (False, True)
+    """
+
+    def __init__(self, now: float):
+        self._limit = RateLimit()
+        self._bucket = StartBucket(now)
+
+    @property
+    def per_s(self) -> float | None:
+        """Requests per second; None if the upstream is not limited."""
+        return self._limit.per_s
+
+    def record_answer(self, reading: RateReading, sent_at: float, now: float) -> RateChange | None:
+        """Apply an answer of the upstream; see :meth:`RateLimit.record_answer`."""
+        change = self._limit.record_answer(reading, sent_at, now)
+        if change is not None and change.after is not None:
+            if change.before is None:
+                self._bucket = StartBucket(now)
+            self._bucket.set_rate(change.after, now)
+        return change
+
+    def is_new_fault(self, reading: RateReading) -> bool:
+        """Return whether an answer names the limit with a fault that is seen for the first time."""
+        return reading.fault is not None and self._limit.is_new_fault(reading.fault)
+
+    def available(self, now: float) -> float:
+        """Return the number of requests that may be sent now; infinite without a limit."""
+        return float("inf") if self.per_s is None else self._bucket.available(now)
+
+    def may_start(self, now: float, reserved: int = 0) -> bool:
+        """Return whether a request may be sent now.
+
+        Parameters
+        ----------
+        now : float
+        reserved : int
+            Requests that have been promised a start before.
+        """
+        return self.available(now) >= 1 + reserved
+
+    def take(self, now: float) -> None:
+        """Count a request that is sent."""
+        if self.per_s is not None:
+            self._bucket.charge(now)
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until a request may be sent, seconds."""
+        return 0.0 if self.per_s is None else self._bucket.wait_s(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err
 
-from burdockquay_coordination import AtMostOnceGuard, PlaceGrant, SlotScheduler, Work
+from burdockquay_coordination import AtMostOnceGuard, PlaceGrant, SlotScheduler, StartGate, Work
 from burdockquay_protocol import (
     PART_BODY,
     PART_END,
@@ -102,6 +102,8 @@
         Called with each :class:`PlaceGrant`.
     on_change : callable
         Called without arguments when the counts may have changed.
+    gate : StartGate
+        Request rate limit of the upstream.
     """
 
     def __init__(
@@ -113,7 +115,9 @@
         find_priority: Callable[[str], int],
         send_grant: Callable[[PlaceGrant, Grant], None],
         on_change: Callable[[], None],
+        gate: StartGate,
     ):
+        self.gate = gate
         self.scheduler = scheduler
         self.client = client
         self.guard = guard
@@ -185,9 +189,12 @@
         return True
 
     def _start_one(self, now: float) -> bool:
+        if not self.gate.may_start(now):
+            return False
         work = self.scheduler.next_start(now)
         if work is None:
             return False
+        self.gate.take(now)
         attempt = self._attempts[work.request, work.attempt]
         attempt.task = asyncio.create_task(self._run(attempt))
         # A done callback, since a task that is cancelled before its first step runs none of its
@@ -204,6 +211,8 @@
         return True
 
     def _grant_one(self, now: float) -> bool:
+        if not self._may_grant(now):
+            return False
         place = self.scheduler.next_grant(now)
         if place is None:
             return False
@@ -211,6 +220,13 @@
         self.send_grant(place, Grant(place.grant, place.class_name, valid_s))
         return True
 
+    def _may_grant(self, now: float) -> bool:
+        """Return whether another start is left for a request that an entry would send."""
+        if self.gate.per_s is None:
+            return True
+        counts = self.scheduler.counts(now)
+        return self.gate.may_start(now, reserved=counts.granted + counts.queued)
+
     def expire(self, now: float) -> None:
         """Refuse queued work that has waited too long, and expire grants."""
         for work in self.scheduler.expire(now):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 import attrs
 
+from burdockquay_coordination import RateReading, read_rate
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 from burdockquay_state import Registry
 
@@ -111,7 +113,17 @@
 CONTROL_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 
 
-def make_session(reuse_connections: bool) -> aiohttp.ClientSession:
+REQUEST_RATE_HEADER = "X-Request-Rate-Limit"
+"""Header in which an upstream names its request rate limit, requests per second."""
+
+RecordRate = Callable[[RateReading, float], None]
+"""Called with the limit that an answer names, and the time for which the answer was awaited,
+seconds."""
+
+
+def make_session(
+    reuse_connections: bool, record_rate: RecordRate | None = None
+) -> aiohttp.ClientSession:
     """Return a client session without a limit on connections.
 
     Parameters
@@ -119,18 +131,47 @@
     reuse_connections : bool
         False for requests for which a failure on a reused connection would be harmful: if the
         upstream closes an idle connection just then, it is unknown whether the request has run.
+    record_rate : callable or None
+        Called for each answer.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=not reuse_connections)
     timeout = aiohttp.ClientTimeout(total=None, connect=2.0)
-    return aiohttp.ClientSession(connector=connector, timeout=timeout, auto_decompress=False)
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=False,
+        trace_configs=[] if record_rate is None else [_trace_rates(record_rate)],
+    )
+
+
+def _trace_rates(record_rate: RecordRate) -> aiohttp.TraceConfig:
+    clock = asyncio.get_running_loop().time
+    trace = aiohttp.TraceConfig()
+
+    async def begin(session, context, params) -> None:
+        context.begun_at = clock()
+
+    async def end(session, context, params) -> None:
+        named = params.response.headers.getall(REQUEST_RATE_HEADER, [])
+        record_rate(read_rate(named), clock() - context.begun_at)
+
+    trace.on_request_start.append(begin)
+    trace.on_request_end.append(end)
+    return trace
 
 
 class UpstreamSessions:
-    """Client sessions of a slot: one with a connection pool, one that never reuses connections."""
+    """Client sessions of a slot: one with a connection pool, one that never reuses connections.
+
+    Parameters
+    ----------
+    record_rate : callable or None
+        Called for each answer of the upstream.
+    """
 
-    def __init__(self):
-        self.pooled = make_session(reuse_connections=True)
-        self.unpooled = make_session(reuse_connections=False)
+    def __init__(self, record_rate: RecordRate | None = None):
+        self.pooled = make_session(True, record_rate)
+        self.unpooled = make_session(False, record_rate)
 
     def for_run(self, run: Run) -> aiohttp.ClientSession:
         """Return the session for an attempt; only idempotent requests reuse connections."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from burdockquay_coordination import ProbeCircuitBreaker, Work
+from burdockquay_coordination import ProbeCircuitBreaker, StartGate, Work
 
 from ._clock import Clock
 from ._events import Event, log_event
@@ -78,6 +78,8 @@
         Called without arguments when the upstream becomes healthy or unhealthy.
     on_crash : callable
         Called with the digests of the requests that ran when the upstream crashed.
+    gate : StartGate
+        Request rate limit of the upstream; a probe is one of its requests.
 
     Notes
     -----
@@ -92,7 +94,9 @@
         probe_interval_s: float,
         on_change: Callable[[], None],
         on_crash: Callable[[Sequence[str]], None],
+        gate: StartGate,
     ):
+        self.gate = gate
         self.client = client
         self.clock = clock
         self.probe_interval_s = probe_interval_s
@@ -131,13 +135,20 @@
             self._checking.cancel()
 
     async def _check(self) -> None:
-        if await self.client.probe():
+        if await self._probe():
             return
         self._breaker.failed(self.clock.now())
         log_event(Event.UPSTREAM_UNHEALTHY)
         self.on_change()
         while not self._breaker.healthy:
             await asyncio.sleep(self.probe_interval_s)
-            self._breaker.probe_result(await self.client.probe(), self.clock.now())
+            self._breaker.probe_result(await self._probe(), self.clock.now())
         log_event(Event.UPSTREAM_HEALTHY)
         self.on_change()
+
+    async def _probe(self) -> bool:
+        """Probe the upstream once its limit allows a request; return whether it answered."""
+        while (wait_s := self.gate.wait_s(self.clock.now())) > 0.0:
+            await asyncio.sleep(wait_s)
+        self.gate.take(self.clock.now())
+        return await self.client.probe()
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -13,7 +13,9 @@
     OrderRunner,
     OutcomeWriter,
     PlaceGrant,
+    RateReading,
     SlotScheduler,
+    StartGate,
     classes_of_group,
 )
 from burdockquay_protocol import (
@@ -38,10 +40,12 @@
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
 from ._era_follower import EraFollower
+from ._events import Event, log_event
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, RECEIVE_TIMEOUT_S, PeerConnection
 from ._peer_server import PeerServer
 from ._process import Process
+from ._rate_events import RATE_EVENTS
 from ._slot_runner import SlotRunner
 from ._status_http import serve_status
 from ._status_sender import StatusSender
@@ -131,7 +135,8 @@
 
     def _open_runner(self) -> None:
         settings = self.settings
-        self._sessions = UpstreamSessions()
+        self._gate = StartGate(self._clock.now())
+        self._sessions = UpstreamSessions(self._record_rate)
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
         self._claims = claims
@@ -157,6 +162,7 @@
             self._find_priority,
             self._post_grant,
             self._status.counts_changed,
+            self._gate,
         )
         self._health = UpstreamHealth(
             self._client,
@@ -164,6 +170,7 @@
             settings.probe_interval_s,
             self._health_changed,
             self._record_crash,
+            self._gate,
         )
         self._runner.health = self._health
 
@@ -298,14 +305,29 @@
         else:
             peer.post(grant)
 
+    def _record_rate(self, reading: RateReading, waited_s: float) -> None:
+        """Apply the request rate limit that an answer of the upstream names."""
+        now = self._clock.now()
+        if self._gate.is_new_fault(reading):
+            log_event(Event.RATE_LIMIT_FAULT, fault=reading.fault.value)
+        change = self._gate.record_answer(reading, now - waited_s, now)
+        if change is None:
+            return
+        log_event(RATE_EVENTS[change.kind], before=change.before, per_s=change.after)
+        self.metrics.gauge("upstream.rate_limit", change.after or 0.0)
+        self._runner.run_scheduler(now)
+
     async def _run_ticks(self) -> None:
-        async for now in ticks(self._clock, self._has_deadlines):
+        async for now in ticks(self._clock, self._needs_ticks):
             due = self._scheduler.next_deadline(now)
             if due is not None and due <= now:
                 self._runner.expire(now)
+            elif self._gate.per_s is not None:
+                self._runner.run_scheduler(now)
 
-    def _has_deadlines(self) -> bool:
-        return self._scheduler.next_deadline(self._clock.now()) is not None
+    def _needs_ticks(self) -> bool:
+        has_deadline = self._scheduler.next_deadline(self._clock.now()) is not None
+        return has_deadline or self._gate.per_s is not None
 
     async def _measure_when_idle(self) -> None:
         """Measure the time per token of an idle upstream, until cancelled.
@@ -320,6 +342,9 @@
             models = self._group.models if idle else []
             if not models or not self._runner.latency.is_stale(interval_s, self._clock.now()):
                 continue
+            if not self._gate.may_start(self._clock.now()):
+                continue
+            self._gate.take(self._clock.now())
             step_s = await self._client.measure(models[0])
             if step_s is not None and not self._runner.held:
                 self._runner.latency.replace(step_s, self._clock.now())
@@ -342,8 +367,13 @@
         now = self._clock.now()
         counts = self._scheduler.counts(now)
         group = self._group
+        places = group.places if group else 0
+        if self._gate.per_s is not None:
+            # A place without a start is not free: entries would send requests that only wait here.
+            starts = max(0, int(self._gate.available(now)))
+            places = min(places, counts.running + counts.granted + counts.queued + starts)
         return SlotStatus(
-            group.places if group else 0,
+            places,
             counts.running + counts.granted,
             counts.queued,
             counts.protected_running,
