Test the shared limit with a state machine, and take back an owner only when it is heard

The machine plays requests, limits that change, end and come back, kills, joins, freezes and cuts in any order.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -41,11 +41,6 @@
     The connections of a frozen or cut-off process stay open for seconds. No process declares it
     dead: each one changes to the next relay in an order that is the same at all.
 
-    Parameters
-    ----------
-    timeout_s : float
-        Time without a message after which a relay is replaced, seconds.
-
     Examples
     --------
     >>> watch = RelaySelector()
@@ -53,8 +48,7 @@
     ['a', 'a', 'a', 'b']
     """
 
-    def __init__(self, timeout_s: float = RELAY_TIMEOUT_S):
-        self.timeout_s = timeout_s
+    def __init__(self):
         self._checked_at = float("-inf")
         self._chosen: str | None = None
         self._received_at = 0.0
@@ -85,7 +79,7 @@
             if name != self._chosen:
                 self._chosen = name
                 self._received_at = now
-            elif name != me and now - self._received_at > self.timeout_s:
+            elif name != me and now - self._received_at > RELAY_TIMEOUT_S:
                 self._avoided_until[name] = now + RELAY_RETRY_S
                 continue
             return name
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
@@ -7,7 +7,7 @@
 import attrs
 
 from .._rate_limit import RateChange, RateLimit, RateReading
-from ._load_relay import RelaySelector
+from ._load_relay import LOCAL_STALL_S
 from ._start_pool import StartAccount, StartGrant, StartNeed, StartPool, share_interval_s
 
 ENDED_RETENTION_S = 60.0
@@ -76,6 +76,63 @@
     own_starts: int = 0
 
 
+class OwnerSelector:
+    """Chooses the owner of a limit: the first connected process that is not silent.
+
+    A process that was silent for too long is passed over until it sends something again. An owner
+    sends the limit to all processes, so that a frozen one is taken back soon after it goes on.
+
+    Examples
+    --------
+    >>> selector = OwnerSelector()
+    >>> [selector.choose(["a", "b"], "b", 0.6, now) for now in (0.0, 0.25, 0.5, 0.75)]
+    ['a', 'a', 'a', 'b']
+    >>> selector.record_message("a", 0.8)
+    >>> selector.choose(["a", "b"], "b", 0.6, 0.9)
+    'a'
+    """
+
+    def __init__(self):
+        self._silent: set[str] = set()
+        self._chosen: str | None = None
+        self._received_at = float("-inf")
+        self._checked_at = float("-inf")
+
+    def record_message(self, name: str, now: float) -> None:
+        """Record that a process has sent the limit."""
+        self._silent.discard(name)
+        if name == self._chosen:
+            self._received_at = now
+
+    def choose(self, ranked: Sequence[str], me: str, timeout_s: float, now: float) -> str:
+        """Return the owner.
+
+        Parameters
+        ----------
+        ranked : sequence of str
+            Candidates in order of preference; this process is one of them.
+        me : str
+        timeout_s : float
+            Time without a message after which a process is silent, seconds.
+        now : float
+        """
+        if now - self._checked_at > LOCAL_STALL_S:
+            # This process itself stalled, and may not have read what others sent meanwhile.
+            self._received_at = now
+        self._checked_at = now
+        for name in ranked:
+            if name in self._silent:
+                continue
+            if name != self._chosen:
+                self._chosen = name
+                self._received_at = now
+            elif name != me and now - self._received_at > timeout_s:
+                self._silent.add(name)
+                continue
+            return name
+        return me
+
+
 class SharedLimit:
     """The limit of one upstream at one process, which may be its owner.
 
@@ -88,7 +145,7 @@
         self._limit = RateLimit()
         self._account = StartAccount()
         self._pool: StartPool | None = None
-        self._selector = RelaySelector()
+        self._selector = OwnerSelector()
         self._owner: str | None = None
         self._is_reported = True
         self._is_announced = True
@@ -174,7 +231,7 @@
         self, owner: str, message: GrantMessage, processes: int | None, now: float
     ) -> tuple[RateChange | None, bool]:
         """Apply a grant; return the change of the limit, and whether there are more starts."""
-        self._selector.record_relay_message(owner, now)
+        self._selector.record_message(owner, now)
         change = self._limit.apply_peer(message.per_s, now)
         if change is not None:
             self._on_change(now)
@@ -186,8 +243,8 @@
         """Return the messages that are due, and grant starts to this process."""
         step = LimitStep()
         interval_s = share_interval_s(fleet.processes or 1)
-        self._selector.timeout_s = OWNER_TIMEOUT_RENEWALS * interval_s
-        self._owner = self._selector.choose(fleet.ranked, now, fleet.me)
+        timeout_s = OWNER_TIMEOUT_RENEWALS * interval_s
+        self._owner = self._selector.choose(fleet.ranked, fleet.me, timeout_s, now)
         self._account.set_owner(self._owner)
         self._send_need(fleet, step, now)
         self._grant(fleet, step, now)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/limit_cluster.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/limit_cluster.py
@@ -62,12 +62,15 @@
     ----------
     at : float
     process : str
+    is_told : bool
+        Whether its process was told of the limit long enough before.
     is_judged : bool
-        Whether its process was told of the limit, and had no fault, for long enough.
+        Whether that process had no fault either, so that the operators' bound holds for it.
     """
 
     at: float
     process: str
+    is_told: bool
     is_judged: bool
 
 
@@ -249,7 +252,9 @@
         sent_at = self.now
         told = process.told_at is not None and sent_at - process.told_at >= TOLD_S
         is_judged = told and sent_at >= process.faulty_until
-        self.schedule(self.now + self._delay_s(), lambda: self._arrive(process, sent_at, is_judged))
+        self.schedule(
+            self.now + self._delay_s(), lambda: self._arrive(process, sent_at, told, is_judged)
+        )
 
     def record_start(self, item: Waiting) -> None:
         """Record that a request was sent."""
@@ -307,7 +312,7 @@
             Whether requests of processes with faults count as well.
         """
         found = []
-        times = [item.at for item in self.arrivals if item.is_judged or is_strict]
+        times = [item.at for item in self.arrivals if item.is_judged or is_strict and item.is_told]
         first = 0
         for last, at in enumerate(times):
             while times[first] <= at - WINDOW_S:
@@ -317,6 +322,10 @@
                 found.append((at, last - first + 1, allowed))
         return found
 
+    def lent(self) -> float:
+        """Return the sum of the parts of the limit that processes grant."""
+        return sum(process.limit.lent_fraction(process.now) for process in self.processes.values())
+
     def _allowed(self, at: float) -> float | None:
         """Return the bound of the window that ends at a time, None if there is none.
 
@@ -377,8 +386,8 @@
             apply(self.processes[one], other)
             apply(self.processes[other], one)
 
-    def _arrive(self, process: Process, sent_at: float, is_judged: bool) -> None:
-        self.arrivals.append(Arrival(self.now, process.name, is_judged))
+    def _arrive(self, process: Process, sent_at: float, told: bool, is_judged: bool) -> None:
+        self.arrivals.append(Arrival(self.now, process.name, told, is_judged))
         reading = RateReading(self.named)
         self.schedule(self.now + self._delay_s(), lambda: process.receive_answer(reading, sent_at))
 
