Skip the steps of limits where no upstream is limited

Each request scheduled a step and looked at all upstreams although none was limited. A limit reported by a peer is kept within the same bounds as one that an answer names.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
@@ -171,8 +171,9 @@
         """Apply the limit that another process reports; return the change, None if none."""
         if _is_looser(per_s, self._per_s) and now - self._named_at < LOOSEN_AFTER_S:
             return None
-        if per_s is not None and per_s != self._per_s:
-            self._learnt_at = now
+        if per_s is not None:
+            per_s = min(max(per_s, MIN_RATE_PER_S), MAX_RATE_PER_S)
+            self._learnt_at = now if per_s != self._per_s else self._learnt_at
         return self._set(per_s)
 
     def is_new_fault(self, fault: RateFault) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
@@ -70,10 +70,20 @@
 
 @attrs.define
 class LimitStep:
-    """What one step produced: messages, and the starts that this process granted to itself."""
+    """What one step produced.
+
+    Parameters
+    ----------
+    messages : list of NeedMessage or GrantMessage
+    own_starts : int
+        Starts that this process granted to itself.
+    has_new_owner : bool
+        Whether this process asks another one than before for starts.
+    """
 
     messages: list[NeedMessage | GrantMessage] = attrs.field(factory=list)
     own_starts: int = 0
+    has_new_owner: bool = False
 
 
 class OwnerSelector:
@@ -244,7 +254,9 @@
         step = LimitStep()
         interval_s = share_interval_s(fleet.processes or 1)
         timeout_s = OWNER_TIMEOUT_RENEWALS * interval_s
-        self._owner = self._selector.choose(fleet.ranked, fleet.me, timeout_s, now)
+        owner = self._selector.choose(fleet.ranked, fleet.me, timeout_s, now)
+        step.has_new_owner = owner != self._owner
+        self._owner = owner
         self._account.set_owner(self._owner)
         self._send_need(fleet, step, now)
         self._grant(fleet, step, now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -94,7 +94,6 @@
         self._processes: int | None = 1
         self._vms: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
-        self._owners: dict[str, str | None] = {}
         self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
         self._waiting: dict[str, list[_WaitingCall]] = defaultdict(list)
         self._numbers = itertools.count()
@@ -135,8 +134,10 @@
         rank : int
             Rank of the request; 0 is the most urgent.
         """
-        now = self.clock.now()
         limited = self._limited(self.upstream_registry.of_service(service))
+        if not limited:
+            return
+        now = self.clock.now()
         for upstream in limited:
             upstream.limit.want(rank, 1, now)
         self._step(limited, now)
@@ -146,8 +147,10 @@
 
     def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
         """Ask for starts for the requests that wait, by rank."""
-        now = self.clock.now()
         limited = self._limited(self.upstream_registry.of_service(service))
+        if not limited:
+            return
+        now = self.clock.now()
         for upstream in limited:
             for rank, count in counts.items():
                 upstream.limit.want(rank, count, now)
@@ -282,7 +285,9 @@
             if step.own_starts:
                 has_starts = True
                 self.metrics.starts_granted.labels(upstream.id).inc(step.own_starts)
-            self._log_owner(upstream)
+            if step.has_new_owner:
+                owner = self._vm_of(upstream.limit.owner)
+                log_event(Event.RATE_LIMIT_OWNER, upstream=upstream.id, owner=owner)
             messages += [(upstream.incarnation, message) for message in step.messages]
         if messages:
             self._send(messages)
@@ -337,12 +342,6 @@
             )
             self._held_back[upstream.id] = _HeldBack(0, now)
 
-    def _log_owner(self, upstream: Upstream) -> None:
-        owner = upstream.limit.owner
-        if self._owners.get(upstream.incarnation) != owner:
-            self._owners[upstream.incarnation] = owner
-            log_event(Event.RATE_LIMIT_OWNER, upstream=upstream.id, owner=self._vm_of(owner))
-
     def _vm_of(self, incarnation: str | None) -> str:
         """Return the VM of a process; an empty text stands for this one."""
         return self._vms.get(incarnation or "", "")
