Give no retry burst to a process that does not know the others yet

Same class as the request rate limit: the retries beyond the ratio are a bound for all processes together, and a process that had just started took a tenth of them. With 300 processes that start at once that is thirty times the bound. The burst is now zero until the members were read, some hundredths of a second after the start; retries within the ratio are not affected.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -118,6 +118,7 @@
         self._key = b""
         self._store_restored = asyncio.Event()
         self._rejoining: asyncio.Task | None = None
+        state.awaits_members = True
         state.platform.exchange.send_changes = self._broadcast_changes
         state.platform.exchange.on_restored = self._on_store_restored
         self._loads = LoadSharing(state, identity, post_all)
@@ -290,6 +291,7 @@
         changed = self._members.apply(changes, self.state.clock.now())
         self.state.upstream_registry.processes = len(self._members)
         self.state.rate_limits.set_processes(len(self._members))
+        self.state.awaits_members = False
         for vm in changed:
             self._update_link(vm)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -53,6 +53,11 @@
     platform : ForwardingPlatform
     clock : Clock
     rng : random.Random
+
+    Attributes
+    ----------
+    awaits_members : bool
+        Whether there may be other processes, and their number is not known yet.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         self.others = PeerAvailability()
         self.connections = UpstreamConnections()
         self.leaving = False
+        self.awaits_members = False
         self.metrics = ForwarderMetrics()
         self.rate_limits = RateLimits(
             clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
@@ -182,9 +188,11 @@
         if found is None:
             found = RetryWindow(settings.retry_ratio, 0.0, settings.retry_window_s)
             self._budgets[service] = found
-        found.burst = settings.retry_burst / max(
-            MIN_ASSUMED_PROCESSES, self.upstream_registry.processes
-        )
+        processes = self.upstream_registry.processes
+        if self.awaits_members:
+            found.burst = 0.0
+        else:
+            found.burst = settings.retry_burst / max(MIN_ASSUMED_PROCESSES, processes)
         return found
 
     def keys_trusted(self, now: float) -> bool:
