Let a former owner of a limit stop sending it to all

A process that had granted starts once went on to send the limit to all others for as long as the limit lasted. It forgets its pool when nobody lends to it or wants anything from it. A stamp that a peer names is never taken for later than now. The new test fails on the code before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
@@ -306,18 +306,22 @@
         recipients: Sequence[str] = list(self._corrected)
         self._corrected.clear()
         is_renewal = now >= self._renewal_due_at and self.per_s is not None
-        if not self._is_announced or (is_renewal and self._grants_to_others(fleet)):
+        if is_renewal:
+            self._drop_unused_pool(now)
+        grants_to_others = self._owner == fleet.me or self._pool is not None
+        if not self._is_announced or (is_renewal and grants_to_others):
             recipients = [name for name in fleet.ranked if name != fleet.me]
         if is_renewal or not self._is_announced:
             self._renewal_due_at = now + interval_s
-            if self._pool is not None:
-                self._pool.forget_silent(now)
         self._is_announced = True
         for name in recipients:
             step.messages.append(GrantMessage(name, self.per_s, StartGrant(0, 0.0, now)))
 
-    def _grants_to_others(self, fleet: Fleet) -> bool:
-        return self._owner == fleet.me or self._pool is not None
+    def _drop_unused_pool(self, now: float) -> None:
+        if self._pool is not None:
+            self._pool.forget_silent(now)
+            if not self._pool.is_used:
+                self._pool = None
 
     def _on_change(self, now: float) -> None:
         if self.per_s is None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_start_pool.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_start_pool.py
@@ -284,6 +284,11 @@
         self._lent = 0.0
         self._lent_valid_until = float("-inf")
 
+    @property
+    def is_used(self) -> bool:
+        """Whether a process lends a share or wants something."""
+        return bool(self._members)
+
     def receive_need(self, member: str, need: StartNeed, now: float) -> None:
         """Apply the need of a process."""
         known = self._members.get(member)
@@ -291,7 +296,8 @@
         if need.share:
             entry.share = need.share
             # Counted from when this process asked for the share, which was before it was lent.
-            entry.lent_until = need.answers + SHARE_RENEWALS * share_interval_s(need.processes)
+            asked_at = min(need.answers, now)
+            entry.lent_until = asked_at + SHARE_RENEWALS * share_interval_s(need.processes)
         elif known is not None:
             entry.share, entry.lent_until = known.share, known.lent_until
         if known is None or known.share != entry.share or now >= known.lent_until:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit.py
@@ -150,3 +150,18 @@
     limit.record_answer(RateReading(1.0), 0.0, 0.0)
     with pytest.raises(ValueError, match="expected a start"):
         limit.take(0, 0.1)
+
+
+def test_former_owner_does_not_send_the_limit_to_all_any_more():
+    """Guards against traffic that grows with each process that has owned the limit once."""
+    cluster = LimitCluster(6)
+    cluster.name_rate(5.0)
+    saturate(cluster, 4.0)
+    owner = find_owner(cluster)
+    cluster.freeze(owner, 2.0)
+    saturate(cluster, 10.0)
+    assert find_owner(cluster) == owner
+    cluster.messages.clear()
+    saturate(cluster, 4.0)
+    senders = [name for name, count in cluster.messages.items() if count > 4.0 * 10]
+    assert senders == [owner]
