Keep the number of processes, and whether it is known, in one place

The number of members stood in the registry of upstreams and again in RateLimits, and whether it is known in a third place. The registry holds both; the retry budget and the limits read them there. The two ways to ask for starts share one function. No change of behaviour.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -245,11 +245,14 @@
     ----------
     processes : int
         Number of processes that send to these upstreams.
+    knows_processes : bool
+        Whether that number is known; False while there may be others that have not been read yet.
     """
 
     def __init__(self, rng: random.Random | None = None):
         self.rng = rng
         self.processes = 1
+        self.knows_processes = True
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._unlisted: dict[str, None] = {}
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -118,7 +118,7 @@
         self._key = b""
         self._store_restored = asyncio.Event()
         self._rejoining: asyncio.Task | None = None
-        state.awaits_members = True
+        state.upstream_registry.knows_processes = False
         state.platform.exchange.send_changes = self._broadcast_changes
         state.platform.exchange.on_restored = self._on_store_restored
         self._loads = LoadSharing(state, identity, post_all)
@@ -289,9 +289,9 @@
 
     def _apply_members(self, changes: MemberChanges) -> None:
         changed = self._members.apply(changes, self.state.clock.now())
-        self.state.upstream_registry.processes = len(self._members)
-        self.state.rate_limits.set_processes(len(self._members))
-        self.state.awaits_members = False
+        registry = self.state.upstream_registry
+        registry.processes = len(self._members)
+        registry.knows_processes = True
         for vm in changed:
             self._update_link(vm)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -90,7 +90,6 @@
         self.rng = rng
         self.evaluate_waiting = evaluate_waiting
         self._me = ""
-        self._processes: int | None = 1
         self._vms: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
         self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
@@ -99,10 +98,16 @@
         self._send: Callable[[Iterable[tuple[str, LimitMessage]]], None] = lambda messages: None
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def _processes(self) -> int | None:
+        """Number of processes of the fleet, this one included; None if it is not known yet."""
+        registry = self.upstream_registry
+        return max(1, registry.processes) if registry.knows_processes else None
+
     def join_fleet(
         self, incarnation: str, send: Callable[[Iterable[tuple[str, LimitMessage]]], None]
     ) -> None:
-        """Keep the limits together with other processes, whose number is not known yet.
+        """Keep the limits together with other processes.
 
         Parameters
         ----------
@@ -113,11 +118,6 @@
         """
         self._me = incarnation
         self._send = send
-        self._processes = None
-
-    def set_processes(self, count: int) -> None:
-        """Set the number of processes of the fleet, this one included."""
-        self._processes = max(1, count)
 
     def set_peers(self, vms: Mapping[str, str]) -> None:
         """Set the VMs of the connected processes that keep limits, by incarnation."""
@@ -133,27 +133,26 @@
         rank : int
             Rank of the request; 0 is the most urgent.
         """
-        limited = self._limited(self.upstream_registry.of_service(service))
-        if not limited:
-            return
+        limited = self._ask(service, {rank: 1})
         now = self.clock.now()
-        for upstream in limited:
-            upstream.limit.want(rank, 1, now)
-        self._step(limited, now)
         for upstream in limited:
             if not upstream.may_start(now):
                 self._count_held_back(upstream, now)
 
     def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
         """Ask for starts for the requests that wait, by rank."""
+        self._ask(service, counts)
+
+    def _ask(self, service: str, counts: Mapping[int, int]) -> list[Upstream]:
+        """Ask for starts at the limited upstreams of a service, and return these."""
         limited = self._limited(self.upstream_registry.of_service(service))
-        if not limited:
-            return
-        now = self.clock.now()
-        for upstream in limited:
-            for rank, count in counts.items():
-                upstream.limit.want(rank, count, now)
-        self._step(limited, now)
+        if limited:
+            now = self.clock.now()
+            for upstream in limited:
+                for rank, count in counts.items():
+                    upstream.limit.want(rank, count, now)
+            self._step(limited, now)
+        return limited
 
     def take(self, upstream: Upstream, rank: int) -> None:
         """Count a request that is sent to an upstream.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -271,7 +271,7 @@
             sent_urgency=self._sent_urgency(call),
             running=upstream.running(now),
             rate_limit=upstream.limit.per_s,
-            held_back=self._describe_held_back(call),
+            held_back=self._describe_held_back(call, now),
             predicted_s=placement.first_token_s if placement else None,
             backlog_s=placement.backlog_s if placement else None,
             missing_tokens=placement.tokens if placement else None,
@@ -284,11 +284,10 @@
             config_age_s=self.state.lease.age(now),
         )
 
-    def _describe_held_back(self, call: ForwardCall) -> str | None:
+    def _describe_held_back(self, call: ForwardCall, now: float) -> str | None:
         """Return the upstreams that the call was not sent to because of their limits."""
-        state = self.state
-        candidates = state.upstream_registry.of_service(call.service)
-        found = held_back_upstreams(candidates, call.tried, state.clock.now())
+        candidates = self.state.upstream_registry.of_service(call.service)
+        found = held_back_upstreams(candidates, call.tried, now)
         return ",".join(item.id for item in found[:MAX_NAMED_UPSTREAMS]) or None
 
     def _remaining(self, call: ForwardCall) -> float:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -53,11 +53,6 @@
     platform : ForwardingPlatform
     clock : Clock
     rng : random.Random
-
-    Attributes
-    ----------
-    awaits_members : bool
-        Whether there may be other processes, and their number is not known yet.
     """
 
     def __init__(
@@ -80,7 +75,6 @@
         self.others = PeerAvailability()
         self.connections = UpstreamConnections()
         self.leaving = False
-        self.awaits_members = False
         self.metrics = ForwarderMetrics()
         self.rate_limits = RateLimits(
             clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
@@ -188,11 +182,9 @@
         if found is None:
             found = RetryWindow(settings.retry_ratio, 0.0, settings.retry_window_s)
             self._budgets[service] = found
-        processes = self.upstream_registry.processes
-        if self.awaits_members:
-            found.burst = 0.0
-        else:
-            found.burst = settings.retry_burst / max(MIN_ASSUMED_PROCESSES, processes)
+        registry = self.upstream_registry
+        burst = settings.retry_burst if registry.knows_processes else 0.0
+        found.burst = burst / max(MIN_ASSUMED_PROCESSES, registry.processes)
         return found
 
     def keys_trusted(self, now: float) -> bool:
