--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -7,10 +7,8 @@
 from burdockquay_state._lazy import lazy_exports
 
 _EXPORTS = {
-    "._admission": (
-        "AdmissionController",
-        "TokenBucket",
-    ),
+    "._admission": ("AdmissionController",),
+    "._token_bucket": ("TokenBucket",),
     "._configuration": (
         "ApplyOutcome",
         "ApplyStatus",
