Log and expose what upstreams state: leaving and rest beside the request rate

What answers state is now read once at the boundary into typed values, by a registry of kinds of which the request rate is the first entry, and kept for one run of an upstream. New: events statement_learnt, _changed, _ended, _fault; leaving_s, rest_s and listed in call_sent; gauges of upstreams that leave or rest; counters of statements and of refused sends. Choices do not change yet. The test of faults that are new once only moves to the class that keeps them, with the same checks.

--- a/benchmarks/bench_limits.py
+++ b/benchmarks/bench_limits.py
@@ -15,7 +15,7 @@
 import attrs
 from _report import print_load_average, print_result, print_table, quantile
 
-from burdockquay_coordination import RateReading, StartGate
+from burdockquay_coordination import StartGate, StatementReading
 from burdockquay_coordination.forwarding import Fleet, LimitStep, SharedLimit
 from burdockquay_coordination.forwarding.tests.limit_cluster import LimitCluster
 
@@ -73,10 +73,10 @@
 
     def record_answer(self, reading, sent_at, now):
         """Apply an answer."""
-        if reading.per_s is not None:
-            self._per_s = reading.per_s
-            part = max(reading.per_s * self.share(self, now), 1e-6)
-            return self._gate.record_answer(RateReading(part), sent_at, now)
+        if reading.value is not None:
+            self._per_s = reading.value
+            part = max(reading.value * self.share(self, now), 1e-6)
+            return self._gate.record_answer(StatementReading(part), sent_at, now)
         return None
 
     def want(self, rank, count, now):
@@ -87,7 +87,7 @@
         """Return whether the bucket of this process holds a start."""
         if self.per_s is not None:
             self._gate.record_answer(
-                RateReading(max(self._per_s * self.share(self, now), 1e-6)), now, now
+                StatementReading(max(self._per_s * self.share(self, now), 1e-6)), now, now
             )
         return self._gate.may_start(now)
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
@@ -6,11 +6,19 @@
 
 from __future__ import annotations
 
-import enum
-import re
 from collections.abc import Iterable
 
-import attrs
+from ._statements import (
+    NOT_STATED,
+    Binding,
+    ProofNeed,
+    StatementChange,
+    StatementFault,
+    StatementReading,
+    parse_decimals,
+    register_statement,
+    split_items,
+)
 
 MIN_RATE_PER_S = 0.1
 """Lowest limit that is kept, requests per second. With none at all, no answer could tell that the
@@ -23,43 +31,9 @@
 """Time after an answer that names a limit in which reports of others do not raise or end it,
 seconds: they may be older than the answer."""
 
-MAX_RATE_DIGITS = 40
-"""Longest text that is read as a limit, characters."""
 
-_DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
-
-
-class RateFault(enum.Enum):
-    """Why a limit was not taken as it was named."""
-
-    UNREADABLE = "unreadable"
-    """No decimal number; the limit in force is kept."""
-    TOO_LOW = "too low"
-    """Lower than ``MIN_RATE_PER_S``, which is used instead."""
-    TOO_HIGH = "too high"
-    """Higher than ``MAX_RATE_PER_S``: no limit."""
-
-
-@attrs.frozen
-class RateReading:
-    """A limit as an answer names it.
-
-    Parameters
-    ----------
-    per_s : float or None
-        Requests per second; None if the upstream is not limited, or the limit is unreadable.
-    fault : RateFault or None
-    """
-
-    per_s: float | None
-    fault: RateFault | None = None
-
-
-NO_RATE = RateReading(None)
-"""Reading of an answer that names no limit."""
-
-
-def read_rate(texts: Iterable[str]) -> RateReading:
+@register_statement("request_rate", Binding.ALL, is_relayed=True, proof=ProofNeed.END)
+def read_rate(texts: Iterable[str]) -> StatementReading:
     """Return the limit that an answer names.
 
     Parameters
@@ -70,53 +44,27 @@
     Examples
     --------
     >>> read_rate(["1.7"])
-    RateReading(per_s=1.7, fault=None)
-    >>> read_rate(["8", "2.5"]).per_s
+    StatementReading(value=1.7, fault=None)
+    >>> read_rate(["8", "2.5"]).value
     2.5
     >>> read_rate(["-1"]).fault, read_rate(["nan"]).fault, read_rate([""]).fault
-    (<RateFault.UNREADABLE: 'unreadable'>, <RateFault.UNREADABLE: 'unreadable'>, \
-<RateFault.UNREADABLE: 'unreadable'>)
+    (<StatementFault.UNREADABLE: 'unreadable'>, <StatementFault.UNREADABLE: 'unreadable'>, \
+<StatementFault.UNREADABLE: 'unreadable'>)
     >>> read_rate(["0"])
-    RateReading(per_s=0.1, fault=<RateFault.TOO_LOW: 'too low'>)
+    StatementReading(value=0.1, fault=<StatementFault.TOO_LOW: 'too low'>)
     >>> read_rate([])
-    RateReading(per_s=None, fault=None)
+    StatementReading(value=None, fault=None)
     """
-    named = [item.strip() for text in texts for item in text.split(",")]
-    rates = [
-        float(item) for item in named if len(item) <= MAX_RATE_DIGITS and _DECIMAL.fullmatch(item)
-    ]
+    named = split_items(texts)
+    rates = parse_decimals(named)
     if not rates:
-        return RateReading(None, RateFault.UNREADABLE) if named else NO_RATE
+        return StatementReading(None, StatementFault.UNREADABLE) if named else NOT_STATED
     lowest = min(rates)
     if lowest < MIN_RATE_PER_S:
-        return RateReading(MIN_RATE_PER_S, RateFault.TOO_LOW)
+        return StatementReading(MIN_RATE_PER_S, StatementFault.TOO_LOW)
     if lowest > MAX_RATE_PER_S:
-        return RateReading(None, RateFault.TOO_HIGH)
-    return RateReading(lowest)
-
-
-class RateChangeKind(enum.Enum):
-    """What an answer or a message changed about a limit."""
-
-    LEARNT = "learnt"
-    CHANGED = "changed"
-    ENDED = "ended"
-
-
-@attrs.frozen
-class RateChange:
-    """A change of the limit in force.
-
-    Parameters
-    ----------
-    kind : RateChangeKind
-    before, after : float or None
-        Requests per second; None is no limit.
-    """
-
-    kind: RateChangeKind
-    before: float | None
-    after: float | None
+        return StatementReading(None, StatementFault.TOO_HIGH)
+    return StatementReading(lowest)
 
 
 class RateLimit:
@@ -129,45 +77,46 @@
     Examples
     --------
     >>> limit = RateLimit()
-    >>> limit.record_answer(RateReading(2.0), sent_at=0.5, now=1.0).kind
-    <RateChangeKind.LEARNT: 'learnt'>
-    >>> limit.record_answer(NO_RATE, sent_at=0.9, now=1.1) is None
+    >>> limit.record_answer(StatementReading(2.0), sent_at=0.5, now=1.0).kind
+    <StatementChangeKind.LEARNT: 'learnt'>
+    >>> limit.record_answer(NOT_STATED, sent_at=0.9, now=1.1) is None
     True
-    >>> limit.record_answer(NO_RATE, sent_at=1.2, now=1.3).kind
-    <RateChangeKind.ENDED: 'ended'>
+    >>> limit.record_answer(NOT_STATED, sent_at=1.2, now=1.3).kind
+    <StatementChangeKind.ENDED: 'ended'>
     """
 
     def __init__(self):
         self._per_s: float | None = None
         self._learnt_at = float("-inf")
         self._named_at = float("-inf")
-        self._faults: set[RateFault] = set()
 
     @property
     def per_s(self) -> float | None:
         """Requests per second of all processes together; None if the upstream is not limited."""
         return self._per_s
 
-    def record_answer(self, reading: RateReading, sent_at: float, now: float) -> RateChange | None:
+    def record_answer(
+        self, reading: StatementReading, sent_at: float, now: float
+    ) -> StatementChange | None:
         """Apply an answer of the upstream; return the change, None if there is none.
 
         Parameters
         ----------
-        reading : RateReading
+        reading : StatementReading
         sent_at : float
             When the request was sent.
         now : float
             When its answer was received.
         """
-        if reading.fault is RateFault.UNREADABLE:
+        if reading.fault is StatementFault.UNREADABLE:
             return None
-        if _is_looser(reading.per_s, self._per_s) and sent_at < self._learnt_at:
+        if _is_looser(reading.value, self._per_s) and sent_at < self._learnt_at:
             return None
-        if reading.per_s is not None:
+        if reading.value is not None:
             self._learnt_at = self._named_at = now
-        return self._set(reading.per_s)
+        return self._set(reading.value)
 
-    def apply_peer(self, per_s: float | None, now: float) -> RateChange | None:
+    def apply_peer(self, per_s: float | None, now: float) -> StatementChange | None:
         """Apply the limit that another process reports; return the change, None if none."""
         if _is_looser(per_s, self._per_s) and now - self._named_at < LOOSEN_AFTER_S:
             return None
@@ -176,20 +125,9 @@
             self._learnt_at = now if per_s != self._per_s else self._learnt_at
         return self._set(per_s)
 
-    def is_new_fault(self, fault: RateFault) -> bool:
-        """Return whether a fault occurs for the first time, and record it."""
-        is_new = fault not in self._faults
-        self._faults.add(fault)
-        return is_new
-
-    def _set(self, per_s: float | None) -> RateChange | None:
+    def _set(self, per_s: float | None) -> StatementChange | None:
         before, self._per_s = self._per_s, per_s
-        if before == per_s:
-            return None
-        if before is None:
-            return RateChange(RateChangeKind.LEARNT, before, per_s)
-        kind = RateChangeKind.ENDED if per_s is None else RateChangeKind.CHANGED
-        return RateChange(kind, before, per_s)
+        return StatementChange.between(before, per_s)
 
 
 def _is_looser(per_s: float | None, than: float | None) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from ._rate_limit import RateChange, RateLimit, RateReading
+from ._rate_limit import RateLimit
 from ._start_bucket import StartBucket
+from ._statements import StatementChange, StatementReading
 
 
 class StartGate:
@@ -14,7 +15,7 @@
     >>> gate = StartGate(now=0.0)
     >>> gate.may_start(0.0)
     True
-    >>> _ = gate.record_answer(RateReading(2.0), sent_at=0.0, now=1.0)
+    >>> _ = gate.record_answer(StatementReading(2.0), sent_at=0.0, now=1.0)
     >>> gate.may_start(1.4), gate.may_start(1.5)
     (False, True)
     """
@@ -28,7 +29,9 @@
         """Requests per second; None if the upstream is not limited."""
         return self._limit.per_s
 
-    def record_answer(self, reading: RateReading, sent_at: float, now: float) -> RateChange | None:
+    def record_answer(
+        self, reading: StatementReading, sent_at: float, now: float
+    ) -> StatementChange | None:
         """Apply an answer of the upstream; see :meth:`RateLimit.record_answer`."""
         change = self._limit.record_answer(reading, sent_at, now)
         if change is not None and change.after is not None:
@@ -37,10 +40,6 @@
             self._bucket.set_rate(change.after, now)
         return change
 
-    def is_new_fault(self, reading: RateReading) -> bool:
-        """Return whether an answer names the limit with a fault that is seen for the first time."""
-        return reading.fault is not None and self._limit.is_new_fault(reading.fault)
-
     def available(self, now: float) -> float:
         """Return the number of requests that may be sent now; infinite without a limit."""
         return float("inf") if self.per_s is None else self._bucket.available(now)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from .._rate_limit import RateChange, RateLimit, RateReading
+from .._rate_limit import RateLimit
+from .._statements import StatementChange, StatementReading
 from ._load_relay import LOCAL_STALL_S
 from ._start_pool import StartAccount, StartGrant, StartNeed, StartPool, share_interval_s
 
@@ -211,11 +212,9 @@
         if self.per_s is not None:
             self._account.want(rank, count, now)
 
-    def is_new_fault(self, reading: RateReading) -> bool:
-        """Return whether an answer names the limit with a fault that is seen for the first time."""
-        return reading.fault is not None and self._limit.is_new_fault(reading.fault)
-
-    def record_answer(self, reading: RateReading, sent_at: float, now: float) -> RateChange | None:
+    def record_answer(
+        self, reading: StatementReading, sent_at: float, now: float
+    ) -> StatementChange | None:
         """Apply an answer of the upstream; see :meth:`RateLimit.record_answer`."""
         change = self._limit.record_answer(reading, sent_at, now)
         if change is not None:
@@ -223,7 +222,7 @@
             self._on_change(now)
         return change
 
-    def receive_need(self, member: str, message: NeedMessage, now: float) -> RateChange | None:
+    def receive_need(self, member: str, message: NeedMessage, now: float) -> StatementChange | None:
         """Apply the need of a process that takes this one for the owner."""
         change = None
         is_unknown = self.per_s is None and message.per_s is not None
@@ -239,7 +238,7 @@
 
     def receive_grant(
         self, owner: str, message: GrantMessage, processes: int | None, now: float
-    ) -> tuple[RateChange | None, bool]:
+    ) -> tuple[StatementChange | None, bool]:
         """Apply a grant; return the change of the limit, and whether there are more starts."""
         self._selector.record_message(owner, now)
         change = self._limit.apply_peer(message.per_s, now)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -9,6 +9,7 @@
 
 from burdockquay_state import Position
 
+from .._run_statements import RunStatements
 from ._linear import SpeedFactor
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
@@ -149,6 +150,7 @@
         self._run_cancellers: set[Callable[[], None]] = set()
         self.health = UpstreamHealth(spread)
         self.limit = SharedLimit()
+        self.statements = RunStatements(self.limit)
 
     @property
     def id(self) -> str:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/limit_cluster.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/limit_cluster.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from burdockquay_coordination import RateReading
+from burdockquay_coordination import StatementReading
 from burdockquay_coordination.forwarding import (
     Fleet,
     GrantMessage,
@@ -169,13 +169,13 @@
             self.limit.receive_grant(sender, message, self.processes, self.now)
         self.proceed()
 
-    def receive_answer(self, reading: RateReading, sent_at: float) -> None:
+    def receive_answer(self, reading: StatementReading, sent_at: float) -> None:
         """Apply an answer of the upstream."""
         if not self.is_up:
             return
         if self.cluster.hold(self, lambda: self.receive_answer(reading, sent_at)):
             return
-        if reading.per_s is not None and self.told_at is None:
+        if reading.value is not None and self.told_at is None:
             self.told_at = self.cluster.now
         self.limit.record_answer(reading, sent_at + self.offset_s, self.now)
         self.proceed()
@@ -392,7 +392,7 @@
 
     def _arrive(self, process: Process, sent_at: float, told: bool, is_judged: bool) -> None:
         self.arrivals.append(Arrival(self.now, process.name, told, is_judged))
-        reading = RateReading(self.named)
+        reading = StatementReading(self.named)
         self.schedule(self.now + self._delay_s(), lambda: process.receive_answer(reading, sent_at))
 
     def _deliver(self, sender: str, to: str, message: NeedMessage | GrantMessage) -> None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from burdockquay_coordination import RateReading
+from burdockquay_coordination import StatementReading
 from burdockquay_coordination.forwarding import Fleet, SharedLimit
 
 from .limit_cluster import STABLE_S, LimitCluster
@@ -121,7 +121,7 @@
 def test_process_that_does_not_know_the_others_yet_sends_nothing():
     """Guards against a process that has just started and takes itself for the only one."""
     limit = SharedLimit()
-    limit.record_answer(RateReading(100.0), 0.0, 0.0)
+    limit.record_answer(StatementReading(100.0), 0.0, 0.0)
     for number in range(100):
         limit.want(0, 1, number * 0.1)
         limit.step(Fleet("me", ["me"], None), number * 0.1)
@@ -147,7 +147,7 @@
 
 def test_start_without_a_grant_is_refused():
     limit = SharedLimit()
-    limit.record_answer(RateReading(1.0), 0.0, 0.0)
+    limit.record_answer(StatementReading(1.0), 0.0, 0.0)
     with pytest.raises(ValueError, match="expected a start"):
         limit.take(0, 0.1)
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit_machine.py
@@ -149,7 +149,7 @@
     """Keeps the limit after it has ended."""
 
     def record_answer(self, reading, sent_at, now):
-        return None if reading.per_s is None else super().record_answer(reading, sent_at, now)
+        return None if reading.value is None else super().record_answer(reading, sent_at, now)
 
 
 class TwiceLentAccount(StartAccount):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -362,6 +362,23 @@
         "Another process than before grants the starts at a limited upstream, as seen here.",
     )
 
+    STATEMENT_LEARNT = (
+        1935,
+        "WARNING",
+        "An upstream has stated something about itself, ``statement``: ``leaving`` (it takes no "
+        "new requests) or ``rest`` (it wants none for ``value`` seconds). ``proved`` is whether "
+        "the answer proves its origin; ``source`` as for 1929.",
+    )
+    STATEMENT_CHANGED = (1936, "INFO", "An upstream has stated another value than before.")
+    STATEMENT_ENDED = (1937, "NOTICE", "What an upstream has stated is not in force any more.")
+    STATEMENT_FAULT = (
+        1938,
+        "WARNING",
+        "What an upstream has stated was not taken as it is: an unreadable statement changes "
+        "nothing, a rest that is too long becomes the longest one. Logged once for each run of an "
+        "upstream, statement and fault.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
@@ -12,7 +12,7 @@
 import aiohttp
 import attrs
 
-from burdockquay_coordination import RateReading, read_rate
+from burdockquay_coordination import Statements, read_statements
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 from burdockquay_state import Registry
 
@@ -113,16 +113,22 @@
 CONTROL_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 
 
-REQUEST_RATE_HEADER = "X-Request-Rate-Limit"
-"""Header in which an upstream names its request rate limit, requests per second."""
+STATEMENT_HEADERS = {
+    "leaving": "X-Leaving",
+    "request_rate": "X-Request-Rate-Limit",
+    "rest": "Retry-After",
+}
+"""Headers in which an upstream makes each kind of statement."""
 
-RecordRate = Callable[[RateReading, float], None]
-"""Called with the limit that an answer names, and the time for which the answer was awaited,
-seconds."""
+TURNED_AWAY_STATUSES = frozenset({429, 503})
+"""Statuses of an answer in which ``Retry-After`` asks for a rest."""
+
+RecordStatements = Callable[[Statements, float], None]
+"""Called with what an answer states, and the time for which the answer was awaited, seconds."""
 
 
 def make_session(
-    reuse_connections: bool, record_rate: RecordRate | None = None
+    reuse_connections: bool, record_statements: RecordStatements | None = None
 ) -> aiohttp.ClientSession:
     """Return a client session without a limit on connections.
 
@@ -131,7 +137,7 @@
     reuse_connections : bool
         False for requests for which a failure on a reused connection would be harmful: if the
         upstream closes an idle connection just then, it is unknown whether the request has run.
-    record_rate : callable or None
+    record_statements : callable or None
         Called for each answer.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=not reuse_connections)
@@ -140,11 +146,11 @@
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
-        trace_configs=[] if record_rate is None else [_trace_rates(record_rate)],
+        trace_configs=[] if record_statements is None else [_trace_answers(record_statements)],
     )
 
 
-def _trace_rates(record_rate: RecordRate) -> aiohttp.TraceConfig:
+def _trace_answers(record_statements: RecordStatements) -> aiohttp.TraceConfig:
     clock = asyncio.get_running_loop().time
     trace = aiohttp.TraceConfig()
 
@@ -152,26 +158,34 @@
         context.begun_at = clock()
 
     async def end(session, context, params) -> None:
-        named = params.response.headers.getall(REQUEST_RATE_HEADER, [])
-        record_rate(read_rate(named), clock() - context.begun_at)
+        record_statements(_read_answer(params.response), clock() - context.begun_at)
 
     trace.on_request_start.append(begin)
     trace.on_request_end.append(end)
     return trace
 
 
+def _read_answer(response: aiohttp.ClientResponse) -> Statements:
+    texts = {
+        kind: response.headers.getall(header, []) for kind, header in STATEMENT_HEADERS.items()
+    }
+    if response.status not in TURNED_AWAY_STATUSES:
+        del texts["rest"]
+    return read_statements(texts)
+
+
 class UpstreamSessions:
     """Client sessions of a slot: one with a connection pool, one that never reuses connections.
 
     Parameters
     ----------
-    record_rate : callable or None
+    record_statements : callable or None
         Called for each answer of the upstream.
     """
 
-    def __init__(self, record_rate: RecordRate | None = None):
-        self.pooled = make_session(True, record_rate)
-        self.unpooled = make_session(False, record_rate)
+    def __init__(self, record_statements: RecordStatements | None = None):
+        self.pooled = make_session(True, record_statements)
+        self.unpooled = make_session(False, record_statements)
 
     def for_run(self, run: Run) -> aiohttp.ClientSession:
         """Return the session for an attempt; only idempotent requests reuse connections."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -7,7 +7,6 @@
 import aiohttp
 from aiohttp import web
 
-from burdockquay_coordination import NO_RATE
 from burdockquay_coordination.forwarding import RouteKind, Upstream
 
 from ._call import Answered, Broke, ForwardCall, NotRun, Outcome
@@ -50,9 +49,7 @@
         if facts.not_run and facts.answered_by not in (None, upstream.id):
             self.state.upstream_registry.drop(upstream)
             return NotRun(upstream, "another incarnation answered")
-        if facts.sealed or facts.request_rate != NO_RATE:
-            # Without proof of origin, an answer that names no limit does not end one.
-            self.state.rate_limits.record_answer(upstream, facts.request_rate, call)
+        self.state.statements.record_answer(upstream, facts, call)
         if response.status < 300 and not facts.sealed:
             return record_broken(
                 self.state, call, upstream, "answer without proof of origin", crashed=False
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -89,6 +89,24 @@
             ["upstream"],
             registry=self.registry,
         )
+        self.leaving = Gauge(
+            "forwarder_upstream_leaving",
+            "1 for an upstream that has stated that it leaves.",
+            ["upstream"],
+            registry=self.registry,
+        )
+        self.rest = Gauge(
+            "forwarder_upstream_rest_seconds",
+            "Time for which an upstream still rests, as it asked.",
+            ["upstream"],
+            registry=self.registry,
+        )
+        self.statements = self._counter(
+            "statements", "Changes of what upstreams state.", "statement", "change"
+        )
+        self.turned_away = self._counter(
+            "turned_away", "Sends that an upstream refused without running them.", "upstream"
+        )
         self.starts_granted = self._counter(
             "starts_granted", "Starts at limited upstreams granted to this process.", "upstream"
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -16,7 +16,7 @@
 from multidict import CIMultiDict
 from result import Result
 
-from burdockquay_coordination import NO_RATE, RateReading
+from burdockquay_coordination import Statements
 from burdockquay_coordination.forwarding import ForwardConfig, Prompt, UpstreamChanges
 from burdockquay_state import Registry, TableError, TableService
 
@@ -116,8 +116,8 @@
     request_id : str or None
         Id of the request that is answered.
     weights_version : str or None
-    request_rate : RateReading
-        Limit on the requests of all processes together that the answer names.
+    statements : Statements
+        What the upstream states about itself.
     """
 
     not_run: bool
@@ -125,7 +125,7 @@
     sealed: bool
     request_id: str | None
     weights_version: str | None = None
-    request_rate: RateReading = NO_RATE
+    statements: Statements = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from burdockquay_coordination import RateChange, RateChangeKind, RateFault, RateReading
+from burdockquay_coordination import StatementChange, StatementChangeKind
 from burdockquay_coordination.forwarding import (
     Fleet,
     GrantMessage,
@@ -26,7 +26,7 @@
 
 from .._clock import Clock
 from .._events import Event, log_event
-from .._rate_events import RATE_EVENTS
+from .._statement_events import log_change
 from ._call import ForwardCall
 from ._forwarder_metrics import ForwarderMetrics
 
@@ -214,16 +214,10 @@
         detail = f"{len(limited)} upstreams take {per_s:g} requests a second from all processes"
         return RequestError(ErrorKind.UPSTREAM_LIMITED, detail, retry_after_s=delay_s)
 
-    def record_answer(self, upstream: Upstream, reading: RateReading, call: ForwardCall) -> None:
-        """Apply the limit that an answer to a call names, or that it names none."""
-        if upstream.limit.is_new_fault(reading):
-            self._log_fault(upstream, reading.fault, call)
-        now = self.clock.now()
-        change = upstream.limit.record_answer(reading, call.sent_at, now)
-        if change is not None:
-            self._log_change(upstream, change, "answer", call.request.id)
-            self._step([upstream], now)
-            self._wake(change.kind is not RateChangeKind.LEARNT)
+    def apply_change(self, upstream: Upstream, change: StatementChange) -> None:
+        """Tell the others of a change that an answer made, and let requests that wait try again."""
+        self._step([upstream], self.clock.now())
+        self._wake(change.kind is not StatementChangeKind.LEARNT)
 
     def receive(self, peer: str, messages: Iterable[tuple[str, LimitMessage]]) -> None:
         """Apply messages of another process.
@@ -253,8 +247,9 @@
                     has_starts = True
                     self.metrics.starts_granted.labels(upstream.id).inc(message.grant.starts)
             if change is not None:
-                self._log_change(upstream, change, self._vms.get(peer, peer))
-                has_starts |= change.kind is RateChangeKind.ENDED
+                source = self._vms.get(peer, peer)
+                log_change("request_rate", change, upstream=upstream.id, source=source)
+                has_starts |= change.kind is StatementChangeKind.ENDED
         self._step(upstreams, now)
         self._wake(has_starts)
 
@@ -355,23 +350,3 @@
     def _vm_of(self, incarnation: str | None) -> str:
         """Return the VM of a process; an empty text stands for this one."""
         return self._vms.get(incarnation or "", "")
-
-    def _log_change(
-        self, upstream: Upstream, change: RateChange, source: str, request: str | None = None
-    ) -> None:
-        log_event(
-            RATE_EVENTS[change.kind],
-            upstream=upstream.id,
-            before=change.before,
-            per_s=change.after,
-            source=source,
-            request=request,
-        )
-
-    def _log_fault(self, upstream: Upstream, fault: RateFault, call: ForwardCall) -> None:
-        log_event(
-            Event.RATE_LIMIT_FAULT,
-            upstream=upstream.id,
-            fault=fault.value,
-            request=call.request.id,
-        )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -27,6 +27,7 @@
     Answered,
     Broke,
     ForwardCall,
+    NotRun,
     NotSent,
     Outcome,
     failure_of,
@@ -168,6 +169,8 @@
             reason=outcome.reason,
             sends=call.sends,
         )
+        if isinstance(outcome, NotRun):
+            self.state.metrics.turned_away.labels(upstream.id).inc()
         if isinstance(outcome, Broke):
             upstream.health.record_failure(now)
         is_down = isinstance(outcome, NotSent) or await self._went_down(outcome)
@@ -271,6 +274,9 @@
             sent_urgency=self._sent_urgency(call),
             running=upstream.running(now),
             rate_limit=upstream.limit.per_s,
+            leaving_s=upstream.statements.leaving.age_s(now),
+            rest_s=upstream.statements.rest.remaining_s(now) or None,
+            listed=self._describe_listing(upstream),
             held_back=self._describe_held_back(call, now),
             predicted_s=placement.first_token_s if placement else None,
             backlog_s=placement.backlog_s if placement else None,
@@ -284,6 +290,12 @@
             config_age_s=self.state.lease.age(now),
         )
 
+    def _describe_listing(self, upstream: Upstream) -> str | None:
+        """Return why a usable upstream is not listed as ready, None if it is."""
+        if upstream.id in self.state.upstream_registry.missing:
+            return "missing"
+        return "leaving" if upstream.entry.leaving else None
+
     def _describe_held_back(self, call: ForwardCall, now: float) -> str | None:
         """Return the upstreams that the call was not sent to because of their limits."""
         candidates = self.state.upstream_registry.of_service(call.service)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -27,6 +27,7 @@
 from ._platform import ForwardingPlatform
 from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
+from ._statements import UpstreamStatements
 
 LEASE_SHARE = 0.72
 """Share of the time allowed for the withdrawal of a key for which the last confirmed reading is
@@ -79,6 +80,9 @@
         self.rate_limits = RateLimits(
             clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
         )
+        self.statements = UpstreamStatements(
+            clock, self.metrics, self.upstream_registry, self.rate_limits
+        )
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         self._unread = set(REQUIRED_READS)
@@ -157,6 +161,7 @@
         metrics.keys_trusted.set(self.keys_trusted(now))
         metrics.revision.set(self.directory.config.version if self.directory else 0)
         self.rate_limits.refresh_gauges()
+        self.statements.refresh_gauges()
         for service, dispatcher in self._dispatchers.items():
             metrics.waiting.labels(service).set(len(dispatcher.queue))
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -7,15 +7,17 @@
 from typing import Any
 
 from burdockquay_coordination import (
+    AnswerContext,
     AtMostOnceGuard,
     ClaimEra,
     LoadTurns,
     OrderRunner,
     OutcomeWriter,
     PlaceGrant,
-    RateReading,
+    RunStatements,
     SlotScheduler,
     StartGate,
+    Statements,
     classes_of_group,
 )
 from burdockquay_protocol import (
@@ -40,13 +42,12 @@
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
 from ._era_follower import EraFollower
-from ._events import Event, log_event
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, RECEIVE_TIMEOUT_S, PeerConnection
 from ._peer_server import PeerServer
 from ._process import Process
-from ._rate_events import RATE_EVENTS
 from ._slot_runner import SlotRunner
+from ._statement_events import log_change, log_fault
 from ._status_http import serve_status
 from ._status_sender import StatusSender
 from ._upstream import UpstreamSessions, upstream_clients
@@ -56,6 +57,14 @@
 """Interval of the measurements of an idle upstream, as a multiple of the probe interval."""
 
 
+STATEMENT_GAUGES = {
+    "leaving": "upstream.leaving",
+    "request_rate": "upstream.rate_limit",
+    "rest": "upstream.rest",
+}
+"""Gauge of each kind of statement of the upstream."""
+
+
 class Slot(Process):
     """One slot process; see :class:`Process` for the parameters."""
 
@@ -136,7 +145,8 @@
     def _open_runner(self) -> None:
         settings = self.settings
         self._gate = StartGate(self._clock.now())
-        self._sessions = UpstreamSessions(self._record_rate)
+        self._statements = RunStatements(self._gate)
+        self._sessions = UpstreamSessions(self._record_statements)
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
         self._claims = claims
@@ -305,17 +315,19 @@
         else:
             peer.post(grant)
 
-    def _record_rate(self, reading: RateReading, waited_s: float) -> None:
-        """Apply the request rate limit that an answer of the upstream names."""
+    def _record_statements(self, statements: Statements, waited_s: float) -> None:
+        """Apply what an answer of the upstream states."""
+        for kind, fault in self._statements.new_faults(statements):
+            log_fault(kind, fault)
         now = self._clock.now()
-        if self._gate.is_new_fault(reading):
-            log_event(Event.RATE_LIMIT_FAULT, fault=reading.fault.value)
-        change = self._gate.record_answer(reading, now - waited_s, now)
-        if change is None:
-            return
-        log_event(RATE_EVENTS[change.kind], before=change.before, per_s=change.after)
-        self.metrics.gauge("upstream.rate_limit", change.after or 0.0)
-        self._runner.run_scheduler(now)
+        # The upstream is reached on a private network, so that its answers need no further proof.
+        answer = AnswerContext(now - waited_s, is_proved=True)
+        changes = list(self._statements.record_answer(statements, answer, now))
+        for kind, change in changes:
+            log_change(kind, change)
+            self.metrics.gauge(STATEMENT_GAUGES[kind], change.after or 0.0)
+        if changes:
+            self._runner.run_scheduler(now)
 
     async def _run_ticks(self) -> None:
         async for now in ticks(self._clock, self._needs_ticks):
