--- a/packages/burdockquay-standins/src/burdockquay_standins/_server.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_server.py
@@ -10,9 +10,6 @@
 
 MAX_BODY_BYTES = 64 << 20
 
-REQUEST_RATE_HEADER = "X-Request-Rate-Limit"
-"""Header in which an upstream names its request rate limit."""
-
 CONTROL_PATHS = ("/requests/", "/faults", "/stats")
 """Paths of calls about requests or the stand-in, which are no requests to the upstream."""
 
@@ -28,8 +25,8 @@
 
     Attributes
     ----------
-    named_rate : str or None
-        Request rate limit that every answer names, requests per second; None names none.
+    stated : dict of str to str
+        Headers by which every answer states something about the upstream.
     arrivals : list of float
         When each request arrived, control calls left out, on the clock of the event loop.
 
@@ -43,7 +40,7 @@
         self.host = host
         self.port = port
         self.crashes = 0
-        self.named_rate: str | None = None
+        self.stated: dict[str, str] = {}
         self.arrivals: list[float] = []
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
@@ -68,7 +65,7 @@
         application = web.Application(
             client_max_size=MAX_BODY_BYTES, middlewares=[self._record_arrival]
         )
-        application.on_response_prepare.append(self._name_rate)
+        application.on_response_prepare.append(self._add_statements)
         application.add_routes(self.routes())
         self._runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
         await self._runner.setup()
@@ -115,9 +112,8 @@
             self.arrivals.append(asyncio.get_running_loop().time())
         return await handler(request)
 
-    async def _name_rate(self, request: web.Request, response: web.StreamResponse) -> None:
-        if self.named_rate is not None:
-            response.headers[REQUEST_RATE_HEADER] = self.named_rate
+    async def _add_statements(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers.update(self.stated)
 
     async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_rate_limit.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_rate_limit.py
@@ -21,7 +21,7 @@
     """Guards against a slot that sends requests or probes beyond the limit of its engine."""
     async with deployment(engines=2, entries=2) as running:
         limited = running.engines[0]
-        limited.named_rate = str(RATE_PER_S)
+        limited.stated["X-Request-Rate-Limit"] = str(RATE_PER_S)
         while not any(limited.starts):
             assert (await running.ask("/v1/chat/completions", chat_body()))[0] == 200
         # A health check that was sent before the answer was read is not bound by it.
