--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -72,6 +72,7 @@
         "Rest",
         "read_rest",
     ),
+    "._run_gate": ("RunGate",),
     "._run_statements": (
         "AnswerContext",
         "RunStatements",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_leaving.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_leaving.py
@@ -40,6 +40,11 @@
 class Leaving:
     """Whether one run of an upstream has said that it leaves. It is never taken back.
 
+    Attributes
+    ----------
+    unstated : int
+        Answers in a row, to requests that were sent since, that did not say it.
+
     Examples
     --------
     >>> leaving = Leaving()
@@ -50,6 +55,7 @@
     """
 
     def __init__(self):
+        self.unstated = 0
         self._since: float | None = None
 
     @property
@@ -57,6 +63,10 @@
         """Whether the upstream leaves."""
         return self._since is not None
 
+    def binds(self, now: float) -> bool:
+        """Return whether the upstream leaves; see :class:`StatementState`."""
+        return self.in_force
+
     def age_s(self, now: float) -> float | None:
         """Return the time since this process learnt it, seconds; None if it does not leave."""
         return None if self._since is None else now - self._since
@@ -74,7 +84,11 @@
         now : float
             When its answer was received.
         """
-        return None if reading.value is None else self.learn(now)
+        if reading.value is None:
+            self.unstated += self._since is not None and sent_at > self._since
+            return None
+        self.unstated = 0
+        return self.learn(now)
 
     def learn(self, now: float) -> StatementChange | None:
         """Record that the upstream leaves; return the change, None if that was known."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
@@ -95,6 +95,10 @@
         """Requests per second of all processes together; None if the upstream is not limited."""
         return self._per_s
 
+    def binds(self, now: float) -> bool:
+        """Return whether the upstream is limited; see :class:`StatementState`."""
+        return self._per_s is not None
+
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rest.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from ._statements import (
@@ -20,6 +21,16 @@
 """Longest rest that is kept, seconds. Whether the upstream has recovered before is only seen once
 a request is sent to it."""
 
+SPREAD_SHARE = 0.25
+MAX_SPREAD_S = 0.5
+"""Share of a rest, and longest time in seconds, by which the processes spread its end."""
+
+RECOVERY_S = 1.0
+"""Time after a rest in which the number of requests is bounded, seconds."""
+
+DOUBLING_S = 0.15
+"""Time in which that number doubles, seconds."""
+
 
 @register_statement("rest", Binding.VM, is_relayed=False, proof=ProofNeed.NONE)
 def read_rest(texts: Iterable[str]) -> StatementReading:
@@ -50,24 +61,65 @@
 
 
 class Rest:
-    """The rest of one upstream, as one process keeps it.
+    """The rest of one upstream, as one process keeps it, and the recovery after it.
+
+    No request is sent in the rest. If all that waited were sent at its end, the upstream would turn
+    them away again, so that the number of requests grows from one in the recovery.
+
+    Parameters
+    ----------
+    spread : float
+        From 0 to 1, different at each process: how much later than others it ends the rest.
 
     Examples
     --------
     >>> rest = Rest()
     >>> _ = rest.record_answer(StatementReading(3.0), sent_at=0.9, now=1.0)
     >>> _ = rest.record_answer(StatementReading(0.5), sent_at=0.9, now=1.1)
-    >>> rest.remaining_s(1.5), rest.remaining_s(4.0)
-    (2.5, 0.0)
+    >>> rest.remaining_s(1.5), rest.may_send(3.9), rest.may_send(4.0)
+    (2.5, False, True)
+    >>> rest.record_sent(4.0)
+    >>> rest.may_send(4.1), rest.may_send(4.2), rest.available(6.0)
+    (False, True, inf)
     """
 
-    def __init__(self):
+    def __init__(self, spread: float = 0.0):
+        self._spread = spread
         self._until = float("-inf")
+        self._recovered_at = float("-inf")
+        self._sent = 0
+
+    def binds(self, now: float) -> bool:
+        """Return whether the upstream rests, or recovers from a rest."""
+        return now < self._recovered_at
 
     def remaining_s(self, now: float) -> float:
         """Return how long the rest still lasts, seconds."""
         return max(0.0, self._until - now)
 
+    def available(self, now: float) -> float:
+        """Return the number of requests that may be sent now; infinite without a rest."""
+        if now >= self._recovered_at:
+            return float("inf")
+        if now < self._until:
+            return 0.0
+        return 2.0 ** ((now - self._until) / DOUBLING_S) - self._sent
+
+    def may_send(self, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        return self.available(now) >= 1.0
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until a request may be sent, seconds."""
+        if self.may_send(now):
+            return 0.0
+        next_at = self._until + DOUBLING_S * math.log2(self._sent + 1)
+        return min(next_at, self._recovered_at) - now
+
+    def record_sent(self, now: float) -> None:
+        """Count a request that is sent."""
+        self._sent += 1
+
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
@@ -83,8 +135,13 @@
         now : float
             When its answer was received.
         """
-        if reading.value is None or now + reading.value <= self._until:
+        if reading.value is None:
+            return None
+        until = now + reading.value + self._spread * min(SPREAD_SHARE * reading.value, MAX_SPREAD_S)
+        if until <= self._until:
             return None
         before = self.remaining_s(now) or None
-        self._until = now + reading.value
+        self._until = until
+        self._recovered_at = until + RECOVERY_S
+        self._sent = 0
         return StatementChange.between(before, reading.value)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_run_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_run_statements.py
@@ -41,6 +41,9 @@
 class StatementState(Protocol):
     """What is kept of one kind of statement."""
 
+    def binds(self, now: float) -> bool:
+        """Return whether the statement restricts sends now."""
+
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
@@ -70,6 +73,8 @@
     ----------
     limit : StatementState
         State of the request rate limit, which forwarders keep together and a slot keeps alone.
+    spread : float
+        See :class:`Rest`.
 
     Examples
     --------
@@ -82,9 +87,10 @@
     True
     """
 
-    def __init__(self, limit: StatementState):
+    def __init__(self, limit: StatementState, spread: float = 0.0):
+        self.limit = limit
         self.leaving = Leaving()
-        self.rest = Rest()
+        self.rest = Rest(spread)
         self._states: Mapping[str, StatementState] = {
             "leaving": self.leaving,
             "request_rate": limit,
@@ -92,6 +98,10 @@
         }
         self._faults: set[tuple[str, StatementFault]] = set()
 
+    def is_any_in_force(self, now: float) -> bool:
+        """Return whether any statement restricts sends now."""
+        return any(state.binds(now) for state in self._states.values())
+
     def record_answer(
         self, statements: Statements, answer: AnswerContext, now: float
     ) -> Iterator[tuple[str, StatementChange]]:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
@@ -40,6 +40,10 @@
             self._bucket.set_rate(change.after, now)
         return change
 
+    def binds(self, now: float) -> bool:
+        """Return whether the upstream is limited; see :class:`StatementState`."""
+        return self.per_s is not None
+
     def available(self, now: float) -> float:
         """Return the number of requests that may be sent now; infinite without a limit."""
         return float("inf") if self.per_s is None else self._bucket.available(now)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -32,7 +32,7 @@
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
-from ._retry_after import PeerAvailability, limited_delay_s, retry_delay_s
+from ._retry_after import PeerAvailability, limited_delay_s, rest_delay_s, retry_delay_s
 from ._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
 from ._start_pool import StartGrant, StartNeed
 from ._steady_reservation import SteadyReservation
@@ -50,6 +50,7 @@
 
 __all__ = [
     "limited_delay_s",
+    "rest_delay_s",
     "held_back_upstreams",
     "StartNeed",
     "StartGrant",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -51,10 +51,12 @@
 
     It is in another failure domain if possible, since a whole domain can fail at once. Among those,
     it has the fewest running requests, which share its memory with the copy. One that limits its
-    requests is not used: the run could not continue there at once.
+    requests or recovers from a rest is not used: the run could not continue there at once.
     """
     others = [
-        item for item in usable_upstreams(upstreams, (serving.id,), now) if item.limit.per_s is None
+        item
+        for item in usable_upstreams(upstreams, (serving.id,), now)
+        if not item.is_restricted(now)
     ]
 
     def cost(item: Upstream) -> tuple[bool, int, float]:
@@ -72,7 +74,7 @@
 ) -> Sequence[Upstream]:
     """Return the upstreams that a request may be sent to, only the healthy ones if there are any.
 
-    Those whose request rate limit allows no request of this process now are left out in any case.
+    Those whose limit or rest allows no request of this process now are left out in any case.
 
     Notes
     -----
@@ -97,7 +99,7 @@
 def held_back_upstreams(
     upstreams: Sequence[Upstream], tried: Collection[str], now: float
 ) -> Sequence[Upstream]:
-    """Return the upstreams that a request may not be sent to because of their limits alone."""
+    """Return the upstreams that a request may not be sent to because of their limits or rests."""
     return [
         item
         for item in upstreams
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -137,7 +137,7 @@
         self.model = model
         self.now = now
         self._usable = usable_upstreams(upstreams, (), now, model.switches)
-        self._is_limited = any(item.limit.per_s is not None for item in upstreams)
+        self._is_restricted = any(item.is_restricted(now) for item in upstreams)
         self._reserved: frozenset[str] = frozenset()
         if model.switches.uses(Mechanism.SET_APART):
             # Healthy or not, all that accept work: the choice must not change with each failure.
@@ -188,7 +188,7 @@
             else PREFERRED_CANDIDATES_LARGE_FLEET
         )
         usable = self._usable
-        if tried or self._is_limited:
+        if tried or self._is_restricted:
             # A request that has started in this round may have used the last start that was held.
             usable = usable_upstreams(self.upstreams, tried, self.now, self.model.switches)
         if self._reserved:
@@ -265,19 +265,25 @@
 def find_holders(upstreams: Sequence[Upstream], prompt: Prompt, now: float) -> list[Holder]:
     """Return the upstreams that hold parts of a prompt, those with the fewest missing tokens first.
 
-    A draining upstream still serves fetches of its parts. One that is unreachable is left out,
-    since the request would wait for the fetch in vain.
+    An upstream that drains according to the list still serves fetches of its parts. One that is
+    unreachable is left out, since the request would wait for the fetch in vain, and so is one that
+    has stated that it leaves or wants a rest: a fetch is a request to it, too.
     """
     first = prompt.parts[0][0]
     held = [
         Holder(item, item.memory.unread(prompt))
         for item in upstreams
-        if item.memory.holds(first) and not item.is_removed and not item.health.suspended(now)
+        if item.memory.holds(first) and not item.is_removed and _serves_fetches(item, now)
     ]
     held = [holder for holder in held if holder.missing < prompt.tokens]
     return sorted(held, key=lambda holder: (holder.missing, holder.upstream.id))
 
 
+def _serves_fetches(upstream: Upstream, now: float) -> bool:
+    statements = upstream.statements
+    return not statements.leaving.in_force and not upstream.health.suspended(now)
+
+
 def _estimate(
     upstream: Upstream,
     demand: Demand,
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_retry_after.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_retry_after.py
@@ -19,6 +19,9 @@
 LIMITED_SPREAD = (0.75, 1.25)
 """Spread of that delay, so that callers do not retry at the same time."""
 
+REST_SPREAD_S = 0.5
+"""Time over which callers rejected because of a rest return after its end, seconds."""
+
 REFERRAL_DELAY_S = (0.005, 0.05)
 """Shortest and longest delay before a caller retries at another process, seconds: only a spread, as
 the other process can serve at once."""
@@ -71,6 +74,18 @@
     return min(until_start_s, MAX_LIMITED_DELAY_S) * rng.uniform(*LIMITED_SPREAD)
 
 
+def rest_delay_s(rest_s: float, rng: random.Random) -> float:
+    """Return the time after which a caller rejected because of rests should retry, seconds.
+
+    Parameters
+    ----------
+    rest_s : float
+        Time until the first upstream takes requests again, seconds.
+    rng : random.Random
+    """
+    return rest_s + rng.uniform(0.0, REST_SPREAD_S)
+
+
 def retry_delay_s(patience_s: float | None, is_referred: bool, rng: random.Random) -> float:
     """Return the time after which a rejected caller should retry, seconds.
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
@@ -178,6 +178,10 @@
         """Return the part of the limit that this process grants."""
         return self._pool.lent_fraction(now) if self._pool is not None else 0.0
 
+    def binds(self, now: float) -> bool:
+        """Return whether the upstream is limited; see :class:`StatementState`."""
+        return self.per_s is not None
+
     def is_active(self) -> bool:
         """Return whether there is anything to do in a step."""
         has_unsent = bool(self._corrected) or not (self._is_reported and self._is_announced)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -14,6 +14,7 @@
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
 from ._shared_limit import SharedLimit
+from ._unlisted_statements import UnlistedStatements
 from ._upstream_health import UpstreamHealth
 
 RELIST_WAIT_S = 2.2
@@ -149,8 +150,17 @@
         self.ended = False
         self._run_cancellers: set[Callable[[], None]] = set()
         self.health = UpstreamHealth(spread)
-        self.limit = SharedLimit()
-        self.statements = RunStatements(self.limit)
+        self.statements = RunStatements(SharedLimit(), spread)
+
+    @property
+    def limit(self) -> SharedLimit:
+        """Its request rate limit."""
+        return self.statements.limit
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it leaves, by the list or by its own statement."""
+        return self.entry.leaving or self.statements.leaving.in_force
 
     @property
     def id(self) -> str:
@@ -202,13 +212,27 @@
         return unsent
 
     def accepts_work(self) -> bool:
-        """Return whether new requests may be sent according to the list."""
-        return not (self.is_removed or self.entry.leaving)
+        """Return whether new requests may be sent, now or later."""
+        return not (self.is_removed or self.is_leaving)
 
     def may_start(self, now: float) -> bool:
-        """Return whether its request rate limit allows this process to send a request now."""
+        """Return whether its limit and its rest allow this process to send a request now."""
         return self.limit.may_start(now)
 
+    def is_restricted(self, now: float) -> bool:
+        """Return whether it limits its requests, rests, or recovers from a rest."""
+        return self.limit.per_s is not None
+
+    def take_start(self, rank: int, now: float) -> None:
+        """Count a request that is sent to it.
+
+        Raises
+        ------
+        ValueError
+            If its request rate limit does not allow it.
+        """
+        self.limit.take(rank, now)
+
     def add_run(self, end: Callable[[], None]) -> None:
         """Record a running request, with a callback that ends it if the upstream restarts."""
         self._run_cancellers.add(end)
@@ -260,6 +284,7 @@
         self._unlisted: dict[str, None] = {}
         self._removed_entries: dict[str, _RetainedEntry] = {}
         self._withheld: dict[str, _RetainedEntry] = {}
+        self._unlisted_statements = UnlistedStatements(self._make_statements)
         self._list_trusted_at = float("-inf")
         self._capacities: Mapping[str, int] = {}
 
@@ -298,6 +323,21 @@
         """Return the upstreams of a service, including those that accept no work."""
         return self._by_service.get(service, [])
 
+    def learn_leaving(self, incarnation: str, now: float) -> bool:
+        """Record that a run of an upstream has stated that it leaves; return whether that is new.
+
+        It may be listed later, or again.
+        """
+        listed = self.find(incarnation)
+        if listed is None:
+            return self._unlisted_statements.learn_leaving(incarnation, now)
+        return listed.statements.leaving.learn(now) is not None
+
+    def leaving_runs(self) -> list[str]:
+        """Return the runs that have stated that they leave, listed or not."""
+        listed = [item for item in self.all() if item.statements.leaving.in_force]
+        return [item.incarnation for item in listed] + self._unlisted_statements.leaving()
+
     def set_memory_capacities(self, memories: Mapping[str, int]) -> None:
         """Set how many tokens the upstreams of each service keep in memory.
 
@@ -354,6 +394,7 @@
                 upstream.is_removed = True
                 self._by_service[upstream.entry.service].remove(upstream)
                 self._retain_removed(upstream, now)
+                self._unlisted_statements.keep(upstream.incarnation, upstream.statements, now)
         self._unlisted.clear()
 
     def _retain_removed(self, upstream: Upstream, now: float) -> None:
@@ -422,11 +463,17 @@
         return order < 0 or (order == 0 and entry.sequence <= kept.entry.sequence)
 
     def _add(self, entry: ListedUpstream) -> None:
-        spread = self.rng.random() if self.rng is not None else 0.0
-        added = self._upstreams[entry.id] = Upstream(entry, spread)
+        added = self._upstreams[entry.id] = Upstream(entry, self._spread())
+        added.statements = self._unlisted_statements.take(entry.incarnation)
         self._set_memory_capacity(added)
         self._by_service.setdefault(entry.service, []).append(added)
 
+    def _spread(self) -> float:
+        return self.rng.random() if self.rng is not None else 0.0
+
+    def _make_statements(self) -> RunStatements:
+        return RunStatements(SharedLimit(), self._spread())
+
     def _set_memory_capacity(self, upstream: Upstream) -> None:
         tokens = self._capacities.get(upstream.entry.service)
         if tokens is not None:
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -42,6 +42,8 @@
         "UpstreamOutcomes",
         "RateGrant",
         "RateGrants",
+        "StatementReport",
+        "StatementReports",
         "RateNeed",
         "RateNeeds",
         "UsageCounts",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
@@ -38,6 +38,7 @@
     NO_UPSTREAM = "no_upstream"
     NO_PLACE = "no_place"
     UPSTREAM_LIMITED = "upstream_limited"
+    UPSTREAM_RESTING = "upstream_resting"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
     TABLE_UNAVAILABLE = "table_unavailable"
@@ -110,6 +111,9 @@
     ErrorKind.UPSTREAM_LIMITED: Answer(
         503, "The upstreams limit their requests, and none was left in time.", _NOT_RUN, 2.0
     ),
+    ErrorKind.UPSTREAM_RESTING: Answer(
+        503, "The upstreams have asked for a rest, which did not end in time.", _NOT_RUN, 2.0
+    ),
     ErrorKind.LEAVING: Answer(503, "The process is shutting down.", _NOT_RUN, 0.5),
     ErrorKind.NOT_READY: Answer(503, "The process has no configuration yet.", _NOT_RUN, 1.0),
     ErrorKind.TABLE_UNAVAILABLE: Answer(
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -339,3 +339,27 @@
     """Grants of one owner to one forwarder."""
 
     grants: list[RateGrant]
+
+
+@attrs.frozen
+class StatementReport:
+    """What an upstream has stated in an answer with proof of origin, and does not take back.
+
+    Parameters
+    ----------
+    upstream : str
+        Incarnation of the upstream.
+    kind : str
+        Kind of the statement; ``leaving`` is the only one so far.
+    """
+
+    upstream: str
+    kind: str
+
+
+@message(43, since=9)
+@attrs.frozen
+class StatementReports:
+    """Statements that bind all processes, as the sender knows them."""
+
+    reports: list[StatementReport]
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -379,6 +379,12 @@
         "upstream, statement and fault.",
     )
 
+    STATEMENT_UNKNOWN = (
+        1939,
+        "NOTICE",
+        "Another process reports a kind of statement that this release does not know; ignored.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err
 
-from burdockquay_coordination import AtMostOnceGuard, PlaceGrant, SlotScheduler, StartGate, Work
+from burdockquay_coordination import AtMostOnceGuard, PlaceGrant, RunGate, SlotScheduler, Work
 from burdockquay_protocol import (
     PART_BODY,
     PART_END,
@@ -102,8 +102,8 @@
         Called with each :class:`PlaceGrant`.
     on_change : callable
         Called without arguments when the counts may have changed.
-    gate : StartGate
-        Request rate limit of the upstream.
+    gate : RunGate
+        What the upstream has stated.
     """
 
     def __init__(
@@ -115,7 +115,7 @@
         find_priority: Callable[[str], int],
         send_grant: Callable[[PlaceGrant, Grant], None],
         on_change: Callable[[], None],
-        gate: StartGate,
+        gate: RunGate,
     ):
         self.gate = gate
         self.scheduler = scheduler
@@ -222,7 +222,7 @@
 
     def _may_grant(self, now: float) -> bool:
         """Return whether another start is left for a request that an entry would send."""
-        if self.gate.per_s is None:
+        if not self.gate.is_restricted(now):
             return True
         counts = self.scheduler.counts(now)
         return self.gate.may_start(now, reserved=counts.granted + counts.queued)
@@ -252,6 +252,13 @@
         elif attempt.run.idempotent:
             attempt.task.cancel()
 
+    def refuse_queued(self, detail: str, now: float) -> None:
+        """Report all attempts that have not started as not run, so that they go elsewhere."""
+        for attempt in list(self._attempts.values()):
+            if attempt.task is None:
+                attempt.post_not_run(ErrorKind.NO_PLACE, detail)
+                self._remove(attempt, now)
+
     def drop_peer(self, peer: str, now: float) -> None:
         """Cancel the attempts of an entry that disconnected."""
         for work in self.scheduler.forget_peer(peer, now):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from burdockquay_coordination import ProbeCircuitBreaker, StartGate, Work
+from burdockquay_coordination import ProbeCircuitBreaker, RunGate, Work
 
 from ._clock import Clock
 from ._events import Event, log_event
@@ -78,8 +78,8 @@
         Called without arguments when the upstream becomes healthy or unhealthy.
     on_crash : callable
         Called with the digests of the requests that ran when the upstream crashed.
-    gate : StartGate
-        Request rate limit of the upstream; a probe is one of its requests.
+    gate : RunGate
+        What the upstream has stated; a probe is one of its requests.
 
     Notes
     -----
@@ -94,7 +94,7 @@
         probe_interval_s: float,
         on_change: Callable[[], None],
         on_crash: Callable[[Sequence[str]], None],
-        gate: StartGate,
+        gate: RunGate,
     ):
         self.gate = gate
         self.client = client
@@ -147,8 +147,8 @@
         self.on_change()
 
     async def _probe(self) -> bool:
-        """Probe the upstream once its limit allows a request; return whether it answered."""
-        while (wait_s := self.gate.wait_s(self.clock.now())) > 0.0:
+        """Probe the upstream once its limit and rest allow it; return whether it answered."""
+        while (wait_s := self.gate.probe_wait_s(self.clock.now())) > 0.0:
             await asyncio.sleep(wait_s)
         self.gate.take(self.clock.now())
         return await self.client.probe()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -140,6 +140,14 @@
     reason: str
 
 
+@attrs.frozen
+class HeldBack:
+    """The request was not sent, since the upstream had stated meanwhile that it wants none."""
+
+    upstream: Upstream
+    reason: str
+
+
 @attrs.frozen
 class NotRun:
     """The upstream refused the request without running it."""
@@ -168,7 +176,7 @@
     crashed: bool = False
 
 
-Outcome = Answered | NotSent | NotRun | Broke
+Outcome = Answered | HeldBack | NotSent | NotRun | Broke
 
 
 def failure_of(call: ForwardCall) -> RequestError:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -52,6 +52,10 @@
     """No connection was opened, so the upstream certainly did not receive the request."""
 
 
+class HeldBackError(Exception):
+    """The upstream has stated that it wants no requests; nothing was written."""
+
+
 class BrokenError(Exception):
     """The connection broke after the request was sent; it may have run."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -28,8 +28,8 @@
 from .._call_error import CallError
 from .._clock import Clock
 from .._events import Event, log_event
-from ._call import ForwardCall
-from ._rate_limits import RateLimits
+from ._call import ForwardCall, failure_of
+from ._held_calls import HeldCalls
 from ._sent_prompt import SentPrompt
 
 EVALUATION_INTERVAL_S = 0.02
@@ -64,7 +64,7 @@
     record_prediction_ratio : callable
         Called with the ratio of each time to first token to its prediction.
     switches : Switches
-    rate_limits : RateLimits
+    held_calls : HeldCalls
     """
 
     def __init__(
@@ -75,14 +75,15 @@
         targets: Callable[[], ServiceTargets],
         record_prediction_ratio: Callable[[float], None],
         switches: Switches,
-        rate_limits: RateLimits,
+        held_calls: HeldCalls,
     ):
         self.service = service
         self.upstream_registry = upstream_registry
         self.clock = clock
         self.targets = targets
         self.record_prediction_ratio = record_prediction_ratio
-        self.rate_limits = rate_limits
+        self.rate_limits = held_calls.rate_limits
+        self.held_calls = held_calls
         self.model = EngineModel(switches)
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
@@ -99,8 +100,11 @@
         """
         self.rate_limits.want(self.service, call.rank)
         if call.sends or call.unreachable:
-            # A retry does not queue again: the call has waited before its first send.
-            return self._send_immediately(call)
+            # A retry does not queue again, since the call has waited before its first send, unless
+            # all upstreams that are left are held back.
+            sent = self._send_immediately(call)
+            if sent is not None or not self.held_calls.may_start_later(call):
+                return sent
         waiting = self._make_waiting(call)
         prompt = call.request.prompt
         self.model.steady_reservation.record_demand(
@@ -199,7 +203,10 @@
             owner: _WaitingCall = start.waiting.owner
             owner.resolve(self._record_sent(owner.call, start.placement, now))
         for waiting in self.queue.take_expired(now):
-            refusal = self.rate_limits.refusal(waiting.owner.call, len(self.queue))
+            call = waiting.owner.call
+            refusal = self.held_calls.refusal(call, len(self.queue))
+            if refusal is None and call.sends:
+                refusal = failure_of(call)
             waiting.owner.refuse(
                 refusal or RequestError(ErrorKind.OVERLOADED, self._describe_backlog(now))
             )
@@ -284,7 +291,7 @@
 
     def _record_sent(self, call: ForwardCall, placement: Placement, now: float) -> SentPrompt:
         upstream = placement.upstream
-        self.rate_limits.take(upstream, call.rank)
+        self.held_calls.take(upstream, call.rank)
         ahead = 0 if placement.is_short else upstream.pending.tokens(now)
         prompt = call.request.prompt
         sent = SentPrompt(call.request.id, prompt, placement, ahead, now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -25,6 +25,7 @@
     NewestConfiguration,
     RateGrants,
     RateNeeds,
+    StatementReports,
     TableChanges,
     UpstreamCrash,
     UpstreamLoads,
@@ -52,6 +53,7 @@
 from ._platform import Member, MemberChanges, MemberRegistry
 from ._rate_sharing import RateSharing
 from ._state import ForwarderState
+from ._statement_sharing import StatementSharing
 
 LOADS_INTERVAL_S = 0.01
 """Shortest time between two messages about loads, seconds. A prompt waits some tenths of a second
@@ -124,6 +126,7 @@
         self._loads = LoadSharing(state, identity, post_all)
         self._outcomes = OutcomeSharing(state, identity, post_all)
         self._rates = RateSharing(state.rate_limits, identity.incarnation)
+        self._statements = StatementSharing(state.statements, post_all)
         self._key_repeater = ChangeRepeater()
         self._configuration_repeater = ChangeRepeater()
         self._key_status_recipients: list[PeerConnection] = []
@@ -139,6 +142,7 @@
             EralessTableChanges: self._receive_eraless_changes,
             RateNeeds: self._rates.receive_needs,
             RateGrants: self._rates.receive_grants,
+            StatementReports: self._statements.receive,
             UsageCounts: _ignore,
             ClockReading: _ignore,
             Heartbeat: _ignore,
@@ -354,6 +358,7 @@
         peer.keep_alive(HEARTBEAT_S, RECEIVE_TIMEOUT_S, lambda: Heartbeat(0))
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
         self._key_repeater.reset()
+        self._statements.greet(peer)
         newest = self.state.config_versions.newest
         if newest:
             # The peer may have started with an older configuration from a store that was restored.
@@ -380,6 +385,7 @@
         exchange.choose_pollers(self.identity.incarnation, others)
         self._loads.set_peers(self._peer_connections)
         self._rates.set_peers(self._peer_connections)
+        self._statements.set_peers(self._peer_connections.values())
         near = rank_processes(self.identity.incarnation, self._peer_connections)[
             :KEY_STATUS_RECIPIENTS
         ]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import heapq
-import itertools
 import random
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -19,15 +16,12 @@
     NeedMessage,
     Upstream,
     UpstreamRegistry,
-    limited_delay_s,
     rank_processes,
 )
-from burdockquay_protocol import ErrorKind, RequestError
 
 from .._clock import Clock
 from .._events import Event, log_event
 from .._statement_events import log_change
-from ._call import ForwardCall
 from ._forwarder_metrics import ForwarderMetrics
 
 MIN_STEP_PAUSE_S = 0.005
@@ -36,13 +30,6 @@
 HELD_BACK_INTERVAL_S = 1.0
 """Shortest time between two log lines about requests that a limit held back, seconds."""
 
-MAX_WAIT_SLICE_S = 0.2
-"""Longest time until a plain request that waits for a start tries again, seconds."""
-
-MAX_WAIT_SHARE = 0.33
-"""Share of a caller's patience for which a plain request waits for a start."""
-
-
 LimitMessage = NeedMessage | GrantMessage
 
 
@@ -54,15 +41,6 @@
     logged_at: float = float("-inf")
 
 
-@attrs.define(order=True)
-class _WaitingCall:
-    """A plain request that waits for a start, in the order of rank and arrival."""
-
-    key: tuple[int, float]
-    number: int
-    woken: asyncio.Future = attrs.field(order=False)
-
-
 class RateLimits:
     """Limits of all upstreams at one process.
 
@@ -73,7 +51,7 @@
     upstream_registry : UpstreamRegistry
     rng : random.Random
     evaluate_waiting : callable
-        Called when prompts that wait may start.
+        Called when requests that wait may start.
     """
 
     def __init__(
@@ -93,13 +71,11 @@
         self._vms: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
         self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
-        self._waiting: dict[str, list[_WaitingCall]] = defaultdict(list)
-        self._numbers = itertools.count()
         self._send: Callable[[Iterable[tuple[str, LimitMessage]]], None] = lambda messages: None
         self._timer: asyncio.TimerHandle | None = None
 
     @property
-    def _processes(self) -> int | None:
+    def processes(self) -> int | None:
         """Number of processes of the fleet, this one included; None if it is not known yet."""
         registry = self.upstream_registry
         return max(1, registry.processes) if registry.knows_processes else None
@@ -154,66 +130,6 @@
             self._step(limited, now)
         return limited
 
-    def take(self, upstream: Upstream, rank: int) -> None:
-        """Count a request that is sent to an upstream.
-
-        Raises
-        ------
-        ValueError
-            If its limit does not allow it.
-        """
-        upstream.limit.take(rank, self.clock.now())
-        if self._waiting.get(upstream.entry.service):
-            self._wake_next(upstream.entry.service)
-
-    def has_earlier_waiting(self, call: ForwardCall) -> bool:
-        """Return whether plain requests that go before a new one wait for a start."""
-        queue = self._waiting.get(call.service)
-        return bool(queue) and not call.was_woken and queue[0].key <= (call.rank, call.started)
-
-    async def wait(self, call: ForwardCall) -> bool:
-        """Wait until a plain request may start; return False if it cannot or not in time."""
-        now = self.clock.now()
-        until = call.started + MAX_WAIT_SHARE * (call.deadline - call.started)
-        # Also where a start is held, but for a request that has waited before this one.
-        able = self._limited(self._able_upstreams(call))
-        if now >= until or not able:
-            return False
-        queue = self._waiting[call.service]
-        woken = asyncio.get_running_loop().create_future()
-        entry = _WaitingCall((call.rank, call.started), next(self._numbers), woken)
-        heapq.heappush(queue, entry)
-        self.want_waiting(call.service, Counter(item.key[0] for item in queue))
-        try:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(min(until - now, MAX_WAIT_SLICE_S)):
-                    await woken
-                call.was_woken = True
-        finally:
-            if entry in queue:
-                queue.remove(entry)
-                heapq.heapify(queue)
-        return True
-
-    def refusal(self, call: ForwardCall, waiting: int | None = None) -> RequestError | None:
-        """Return the refusal of a call that only limits have held back, None if others have.
-
-        Parameters
-        ----------
-        call : ForwardCall
-        waiting : int or None
-            Number of requests that wait; None counts the plain ones.
-        """
-        able = self._able_upstreams(call)
-        limited = self._limited(able)
-        if call.sends or call.maybe_run or not limited or len(limited) < len(able):
-            return None
-        per_s = sum(item.limit.per_s for item in limited)
-        queued = len(self._waiting[call.service]) if waiting is None else waiting
-        delay_s = limited_delay_s(queued, self._processes or 1, per_s, self.rng)
-        detail = f"{len(limited)} upstreams take {per_s:g} requests a second from all processes"
-        return RequestError(ErrorKind.UPSTREAM_LIMITED, detail, retry_after_s=delay_s)
-
     def apply_change(self, upstream: Upstream, change: StatementChange) -> None:
         """Tell the others of a change that an answer made, and let requests that wait try again."""
         self._step([upstream], self.clock.now())
@@ -241,7 +157,7 @@
             if isinstance(message, NeedMessage):
                 change = upstream.limit.receive_need(peer, message, now)
             else:
-                received = upstream.limit.receive_grant(peer, message, self._processes, now)
+                received = upstream.limit.receive_grant(peer, message, self.processes, now)
                 change, is_more = received
                 if is_more:
                     has_starts = True
@@ -265,11 +181,6 @@
     def _limited(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
         return [item for item in upstreams if item.limit.per_s is not None]
 
-    def _able_upstreams(self, call: ForwardCall) -> list[Upstream]:
-        """Return the upstreams that could run a call, whatever their limits."""
-        candidates = self.upstream_registry.of_service(call.service)
-        return [item for item in candidates if item.accepts_work() and item.id not in call.tried]
-
     def _step(self, upstreams: Iterable[Upstream], now: float) -> None:
         """Send what is due at some upstreams, and schedule the next step."""
         messages: list[tuple[str, LimitMessage]] = []
@@ -277,7 +188,7 @@
         for upstream in upstreams:
             if not upstream.limit.is_active():
                 continue
-            fleet = Fleet(self._me, self._ranking(upstream.incarnation), self._processes)
+            fleet = Fleet(self._me, self._ranking(upstream.incarnation), self.processes)
             step = upstream.limit.step(fleet, now)
             if step.own_starts:
                 has_starts = True
@@ -314,25 +225,8 @@
 
     def _wake(self, has_starts: bool) -> None:
         """Let requests that wait try again."""
-        if not has_starts:
-            return
-        for service in self._waiting:
-            self._wake_next(service)
-        asyncio.get_running_loop().call_soon(self.evaluate_waiting)
-
-    def _wake_next(self, service: str) -> None:
-        """Let the first plain requests that wait try again, one for each upstream with a start.
-
-        Each wakes the next one when it has taken its start.
-        """
-        now = self.clock.now()
-        queue = self._waiting[service]
-        upstreams = self.upstream_registry.of_service(service)
-        free = sum(item.may_start(now) for item in upstreams if item.accepts_work())
-        for _ in range(min(free, len(queue))):
-            waiting = heapq.heappop(queue)
-            if not waiting.woken.done():
-                waiting.woken.set_result(None)
+        if has_starts:
+            asyncio.get_running_loop().call_soon(self.evaluate_waiting)
 
     def _count_held_back(self, upstream: Upstream, now: float) -> None:
         held_back = self._held_back[upstream.id]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -27,6 +27,7 @@
     Answered,
     Broke,
     ForwardCall,
+    HeldBack,
     NotRun,
     NotSent,
     Outcome,
@@ -34,6 +35,7 @@
 )
 from ._connections import (
     BrokenError,
+    HeldBackError,
     NotSentError,
     Send,
     accepts_connections,
@@ -101,7 +103,7 @@
         if not call.by_prompt:
             return await self._send(call, await self._choose_allowed(call))
         if call.continue_at is not None:
-            self.state.rate_limits.take(call.continue_at, call.rank)
+            self.state.held_calls.take(call.continue_at, call.rank)
             return await self._send(call, call.continue_at)
         dispatcher = self.state.dispatcher(call.service)
         call.sent = await dispatcher.start(call)
@@ -118,33 +120,34 @@
             call.sent = None
 
     async def _choose_allowed(self, call: ForwardCall) -> Upstream:
-        """Return the upstream for a call, and count its start; wait while limits allow none.
+        """Return the upstream for a call, and count its start; wait while all are held back.
 
         Raises
         ------
         CallError
             If there is no upstream, or no start in time.
         """
-        limits = self.state.rate_limits
-        limits.want(call.service, call.rank)
+        held = self.state.held_calls
+        self.state.rate_limits.want(call.service, call.rank)
         while (upstream := self._choose(call)) is None:
-            if not await limits.wait(call):
-                raise CallError(limits.refusal(call) or failure_of(call))
-        limits.take(upstream, call.rank)
+            if not await held.wait(call):
+                raise CallError(held.refusal(call) or failure_of(call))
+        held.take(upstream, call.rank)
         return upstream
 
     def _choose(self, call: ForwardCall) -> Upstream | None:
         state = self.state
+        now = state.clock.now()
         chosen = choose_upstream(
             state.upstream_registry.of_service(call.service),
             state.settings.failure_domain,
             call.tried,
-            state.clock.now(),
+            now,
             state.rng,
             state.switches,
         )
-        is_limited = chosen is not None and chosen.limit.per_s is not None
-        return None if is_limited and state.rate_limits.has_earlier_waiting(call) else chosen
+        is_restricted = chosen is not None and chosen.is_restricted(now)
+        return None if is_restricted and state.held_calls.has_earlier_waiting(call) else chosen
 
     def _can_continue_from_copy(self, call: ForwardCall) -> bool:
         """Return whether a run can continue from the copy of its memory at another upstream.
@@ -193,6 +196,8 @@
         return not await accepts_connections(outcome.upstream.entry)
 
     def _may_retry(self, call: ForwardCall, outcome: Outcome) -> bool:
+        if isinstance(outcome, HeldBack):
+            return True
         if isinstance(outcome, NotSent):
             return call.unreachable < MAX_UNREACHABLE_UPSTREAMS
         if call.sends >= call.route.max_attempts:
@@ -205,7 +210,9 @@
             return False
         candidates = state.upstream_registry.of_service(call.service)
         if not usable_upstreams(candidates, call.tried, now, state.switches):
-            return False
+            has_answer = isinstance(outcome, Broke) and outcome.ready is not None
+            if has_answer or not state.held_calls.may_start_later(call):
+                return False
         if state.budget(call.service).try_retry(now):
             return True
         state.metrics.repeats_denied.labels(call.service).inc()
@@ -214,7 +221,7 @@
     def _give_up(self, call: ForwardCall, outcome: Outcome) -> web.StreamResponse:
         if isinstance(outcome, Broke) and outcome.ready is not None and call.answer is None:
             return outcome.ready
-        raise CallError(failure_of(call))
+        raise CallError(self.state.held_calls.refusal(call) or failure_of(call))
 
     async def _send(self, call: ForwardCall, upstream: Upstream) -> Outcome:
         """Send a call to one upstream and pass on its answer."""
@@ -230,6 +237,8 @@
                     response = await self.state.connections.send(send)
                 call.sends += 1
                 return await self._answer_handler.handle(call, upstream, response)
+        except HeldBackError as error:
+            return HeldBack(upstream, str(error))
         except NotSentError as error:
             call.unreachable += 1
             return NotSent(upstream, str(error))
@@ -340,8 +349,9 @@
 
         def check() -> None:
             self.check_key(call)
+            _check_statements(upstream, self.state.clock.now())
 
-        check()
+        self.check_key(call)
         return Send(
             upstream.entry,
             call.request.method,
@@ -374,6 +384,19 @@
             raise CallError(_withheld_error(call, ErrorKind.UNAUTHENTICATED))
 
 
+def _check_statements(upstream: Upstream, now: float) -> None:
+    """Raise if an upstream wants no requests any more.
+
+    An answer to another request may have stated that while a connection was opened.
+
+    Raises
+    ------
+    HeldBackError
+    """
+    if upstream.statements.leaving.in_force:
+        raise HeldBackError("upstream leaves")
+
+
 @contextlib.asynccontextmanager
 async def _timeout_on_restart(upstream: Upstream) -> AsyncIterator[None]:
     """Raise TimeoutError in the body once the upstream has restarted."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -24,6 +24,7 @@
 from ._connections import UpstreamConnections
 from ._dispatch import PromptDispatcher
 from ._forwarder_metrics import ForwarderMetrics
+from ._held_calls import HeldCalls
 from ._platform import ForwardingPlatform
 from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
@@ -80,6 +81,7 @@
         self.rate_limits = RateLimits(
             clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
         )
+        self.held_calls = HeldCalls(clock, self.upstream_registry, self.rate_limits, rng)
         self.statements = UpstreamStatements(
             clock, self.metrics, self.upstream_registry, self.rate_limits
         )
@@ -145,7 +147,7 @@
                 lambda: self.directory.targets(service),
                 self.metrics.prediction.labels(service).observe,
                 self.switches,
-                self.rate_limits,
+                self.held_calls,
             )
             self._dispatchers[service] = found
         return found
@@ -167,6 +169,7 @@
 
     def evaluate_waiting(self) -> None:
         """Start the waiting calls that may start now."""
+        self.held_calls.wake()
         for dispatcher in self._dispatchers.values():
             dispatcher.evaluate()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_statements.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_statements.py
@@ -8,6 +8,7 @@
 from burdockquay_coordination.forwarding import Upstream, UpstreamRegistry
 
 from .._clock import Clock
+from .._events import Event, log_event
 from .._statement_events import log_change, log_fault
 from ._call import ForwardCall
 from ._forwarder_metrics import ForwarderMetrics
@@ -16,6 +17,8 @@
 
 OnChange = Callable[[Upstream, StatementChange], None]
 
+LEAVING = "leaving"
+
 
 class UpstreamStatements:
     """Applies the statements of answers to the upstreams that made them.
@@ -38,7 +41,11 @@
         self.clock = clock
         self.metrics = metrics
         self.upstream_registry = upstream_registry
-        self._on_change: dict[str, OnChange] = {"request_rate": rate_limits.apply_change}
+        self.report: Callable[[str, str], None] = lambda incarnation, kind: None
+        self._on_change: dict[str, OnChange] = {
+            "request_rate": rate_limits.apply_change,
+            LEAVING: lambda upstream, change: self.report(upstream.incarnation, LEAVING),
+        }
 
     def record_answer(self, upstream: Upstream, facts: AnswerFacts, call: ForwardCall) -> None:
         """Apply what an answer to a call states, or that it states nothing."""
@@ -54,6 +61,29 @@
             if kind in self._on_change:
                 self._on_change[kind](upstream, change)
 
+    def receive_report(self, incarnation: str, kind: str, source: str) -> None:
+        """Apply what another process reports of a run of an upstream.
+
+        Parameters
+        ----------
+        incarnation : str
+            It may not be listed here yet, or not any more.
+        kind : str
+            Kind of the statement; one of a later release is ignored.
+        source : str
+            VM of that process.
+        """
+        if kind != LEAVING:
+            log_event(Event.STATEMENT_UNKNOWN, statement=kind, source=source)
+            return
+        if self.upstream_registry.learn_leaving(incarnation, self.clock.now()):
+            change = StatementChange.between(None, 1.0)
+            log_change(LEAVING, change, upstream=incarnation, source=source)
+
+    def in_force(self) -> list[tuple[str, str]]:
+        """Return the incarnation and kind of each statement that is reported to others."""
+        return [(name, LEAVING) for name in self.upstream_registry.leaving_runs()]
+
     def refresh_gauges(self) -> None:
         """Show the upstreams that leave and rest; others are left out."""
         now = self.clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -24,6 +24,7 @@
 from burdockquay_transport.forwarding._call import ForwardCall
 from burdockquay_transport.forwarding._dispatch import PromptDispatcher
 from burdockquay_transport.forwarding._forwarder_metrics import ForwarderMetrics
+from burdockquay_transport.forwarding._held_calls import HeldCalls
 from burdockquay_transport.forwarding._platform import CallerRequest
 from burdockquay_transport.forwarding._rate_limits import RateLimits
 
@@ -67,8 +68,9 @@
     limits = RateLimits(
         clock, ForwarderMetrics(), upstream_registry, random.Random(1), lambda: None
     )
+    held_calls = HeldCalls(clock, upstream_registry, limits, random.Random(1))
     return PromptDispatcher(
-        "s", upstream_registry, clock, lambda: targets, lambda ratio: None, Switches(), limits
+        "s", upstream_registry, clock, lambda: targets, lambda ratio: None, Switches(), held_calls
     )
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -14,9 +14,10 @@
     OrderRunner,
     OutcomeWriter,
     PlaceGrant,
-    RunStatements,
+    RunGate,
     SlotScheduler,
-    StartGate,
+    StatementChange,
+    StatementChangeKind,
     Statements,
     classes_of_group,
 )
@@ -114,6 +115,7 @@
             self._run_ticks(),
             self._status.run(),
             self._measure_when_idle(),
+            self._watch_leaving_upstream(),
             self._expiry.run(),
             self._eras.run(),
             self._orders.run(),
@@ -144,8 +146,7 @@
 
     def _open_runner(self) -> None:
         settings = self.settings
-        self._gate = StartGate(self._clock.now())
-        self._statements = RunStatements(self._gate)
+        self._gate = RunGate(self._clock.now())
         self._sessions = UpstreamSessions(self._record_statements)
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
@@ -283,17 +284,23 @@
             return ErrorKind.NOT_READY
         if not self._health.healthy:
             return ErrorKind.NO_UPSTREAM
+        if not self._gate.takes_work(self._clock.now()):
+            return ErrorKind.NO_PLACE
         if run.deadline_s <= 0:
             return ErrorKind.DEADLINE_EXCEEDED
         return None
 
+    def _takes_work(self) -> bool:
+        """Return whether the upstream is healthy, and neither leaves nor rests."""
+        return self._health.healthy and self._gate.takes_work(self._clock.now())
+
     def _on_cancel(self, peer: PeerConnection, message: Cancel) -> None:
         self._runner.cancel(message.request, message.attempt, self._clock.now())
 
     def _on_demand(self, peer: PeerConnection, message: Demand) -> None:
         now = self._clock.now()
         # A slot that accepts no work must not send grants.
-        accepts_work = not self._leaving and self._health.healthy
+        accepts_work = not (self._leaving or self._gate.is_leaving) and self._health.healthy
         classes = message.classes if accepts_work else []
         self._scheduler.set_demand(peer.peer.incarnation, classes, now)
         self._runner.run_scheduler(now)
@@ -317,29 +324,54 @@
 
     def _record_statements(self, statements: Statements, waited_s: float) -> None:
         """Apply what an answer of the upstream states."""
-        for kind, fault in self._statements.new_faults(statements):
+        kept = self._gate.statements
+        for kind, fault in kept.new_faults(statements):
             log_fault(kind, fault)
         now = self._clock.now()
         # The upstream is reached on a private network, so that its answers need no further proof.
         answer = AnswerContext(now - waited_s, is_proved=True)
-        changes = list(self._statements.record_answer(statements, answer, now))
-        for kind, change in changes:
-            log_change(kind, change)
-            self.metrics.gauge(STATEMENT_GAUGES[kind], change.after or 0.0)
-        if changes:
-            self._runner.run_scheduler(now)
+        changes = dict(kept.record_answer(statements, answer, now))
+        for kind, change in changes.items():
+            self._log_statement(kind, change)
+        if not changes:
+            return
+        if not self._gate.takes_work(now):
+            self._runner.refuse_queued("the upstream takes no requests now", now)
+        if self._gate.is_leaving:
+            self._stop_taking_work()
+        self._runner.run_scheduler(now)
+
+    def _log_statement(self, kind: str, change: StatementChange) -> None:
+        log_change(kind, change)
+        self.metrics.gauge(STATEMENT_GAUGES[kind], change.after or 0.0)
+
+    async def _watch_leaving_upstream(self) -> None:
+        """Probe an upstream that leaves until another run answers in its place, until cancelled."""
+        while True:
+            await asyncio.sleep(self.settings.probe_interval_s)
+            if self._gate.is_leaving and (
+                not await self._client.probe() or self._gate.is_new_run()
+            ):
+                self._begin_upstream_run()
+
+    def _begin_upstream_run(self) -> None:
+        """Forget what the upstream has stated, since its run has ended."""
+        self._gate.begin_run(self._clock.now())
+        self._log_statement("leaving", StatementChange(StatementChangeKind.ENDED, 1.0, None))
+        self._health.probe_soon()
+        self._status.send_now()
 
     async def _run_ticks(self) -> None:
         async for now in ticks(self._clock, self._needs_ticks):
             due = self._scheduler.next_deadline(now)
             if due is not None and due <= now:
                 self._runner.expire(now)
-            elif self._gate.per_s is not None:
+            elif self._gate.is_restricted(now):
                 self._runner.run_scheduler(now)
 
     def _needs_ticks(self) -> bool:
-        has_deadline = self._scheduler.next_deadline(self._clock.now()) is not None
-        return has_deadline or self._gate.per_s is not None
+        now = self._clock.now()
+        return self._scheduler.next_deadline(now) is not None or self._gate.is_restricted(now)
 
     async def _measure_when_idle(self) -> None:
         """Measure the time per token of an idle upstream, until cancelled.
@@ -350,7 +382,7 @@
         interval_s = IDLE_PROBE_FACTOR * self.settings.probe_interval_s
         while True:
             await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
-            idle = self.ready and self._health.healthy and not self._runner.held
+            idle = self.ready and self._takes_work() and not self._runner.held
             models = self._group.models if idle else []
             if not models or not self._runner.latency.is_stale(interval_s, self._clock.now()):
                 continue
@@ -380,7 +412,7 @@
         counts = self._scheduler.counts(now)
         group = self._group
         places = group.places if group else 0
-        if self._gate.per_s is not None:
+        if self._gate.is_restricted(now):
             # A place without a start is not free: entries would send requests that only wait here.
             starts = max(0, int(self._gate.available(now)))
             places = min(places, counts.running + counts.granted + counts.queued + starts)
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_statements.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_statements.py
@@ -2,21 +2,29 @@
 
 import asyncio
 
-from ._deployment import chat_body
+from burdockquay_transport import SystemClock
+
+from ._deployment import chat_body, until
 
 REST_S = 3.0
 MAX_SENDS_IN_REST = 2
 """Requests that an engine may receive from a VM in a rest: the bound that operators state."""
 
 
+def now():
+    """Return the time on the clock of the slots, seconds."""
+    return SystemClock().now()
+
+
 async def ask_until_told(running, engine):
-    """Send requests until an engine has answered one of its own, and return how many arrived."""
+    """Send requests until an engine has answered one, and return when that arrived."""
+    before = len(engine.arrivals)
     async with asyncio.timeout(10):
-        while not engine.arrivals:
+        while len(engine.arrivals) == before:
             await running.ask("/v1/chat/completions", chat_body())
     # Requests on their way when the slot received the answer are not bound by it.
     await asyncio.sleep(0.1)
-    return len(engine.arrivals)
+    return engine.arrivals[before]
 
 
 async def ask_many(running, count):
@@ -47,7 +55,52 @@
         resting = running.engines[0]
         resting.stated["Retry-After"] = str(REST_S)
         resting.faults.refuse = True
-        told = await ask_until_told(running, resting)
+        told_at = await ask_until_told(running, resting)
         for _ in range(10):
             assert await ask_many(running, 4) == {200}
-        assert len(resting.arrivals) - told <= MAX_SENDS_IN_REST
+        rest_ends_at = told_at + REST_S
+        assert asyncio.get_running_loop().time() < rest_ends_at
+        in_rest = [at for at in resting.arrivals if told_at + 0.1 <= at < rest_ends_at]
+    assert len(in_rest) <= MAX_SENDS_IN_REST
+
+
+async def test_request_waits_for_the_end_of_the_rest_of_the_only_engine(deployment):
+    """Guards against requests that are refused, or sent round in circles, in a short rest."""
+    async with deployment(engines=1) as running:
+        engine = running.engines[0]
+        engine.stated["Retry-After"] = "0.5"
+        engine.faults.refuse = True
+        first = asyncio.create_task(running.ask("/v1/chat/completions", chat_body()))
+        await until(lambda: running.slots[0]._gate.statements.rest.remaining_s(now()))
+        engine.faults.refuse = False
+        begun_at = now()
+        assert (await running.ask("/v1/chat/completions", chat_body()))[0] == 200
+        assert 0.3 <= now() - begun_at <= 1.5
+        await first
+
+
+async def test_engine_that_restarts_after_leaving_is_used_again(deployment):
+    """Guards against a slot that is out of use for ever because its engine has left once."""
+    async with deployment(engines=1, restart_s=0.2) as running:
+        engine = running.engines[0]
+        engine.stated["X-Leaving"] = "1"
+        slot = running.slots[0]
+        assert (await running.ask("/v1/chat/completions", chat_body()))[0] == 200
+        await until(lambda: slot._gate.is_leaving)
+        engine.stated.clear()
+        engine.crash(0.2)
+        await until(lambda: not slot._gate.is_leaving)
+        assert (await running.ask("/v1/chat/completions", chat_body()))[0] == 200
+
+
+async def test_engine_that_is_replaced_between_two_probes_is_used_again(deployment):
+    """Guards against a new run that is taken for the one that left, since no probe failed."""
+    async with deployment(engines=1) as running:
+        engine = running.engines[0]
+        engine.stated["X-Leaving"] = "1"
+        slot = running.slots[0]
+        assert (await running.ask("/v1/chat/completions", chat_body()))[0] == 200
+        await until(lambda: slot._gate.is_leaving)
+        engine.stated.clear()
+        await until(lambda: not slot._gate.is_leaving)
+        assert (await running.ask("/v1/chat/completions", chat_body()))[0] == 200
--- a/scripts/make_reference.py
+++ b/scripts/make_reference.py
@@ -51,6 +51,8 @@
     ErrorKind.NO_PLACE: "Every place of the upstream was taken when the attempt arrived.",
     ErrorKind.UPSTREAM_LIMITED: "All upstreams that could run it limit the requests of all "
     "processes together (`forwarder_upstream_rate_limit`). Retry after the time in `Retry-After`.",
+    ErrorKind.UPSTREAM_RESTING: "All upstreams that could run it have asked for a rest "
+    "(`forwarder_upstream_rest_seconds`). Retry after the time in `Retry-After`.",
     ErrorKind.LEAVING: "A planned shutdown; another process accepts the retry.",
     ErrorKind.NOT_READY: "The process has no configuration yet; see `/readyz`.",
     ErrorKind.TABLE_UNAVAILABLE: "Requests that run at most once wait for the table service.",
