Give upstreams the rest that they ask for

Same cause and class as with leaving: nobody read what the answer stated.

A rest now holds every send of the process back, of overlapping ones the one that ends last. A send is checked again when its connection is open. A slot refuses what is queued, and probes after the rest only.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_run_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_run_gate.py
@@ -24,9 +24,9 @@
     >>> gate.may_start(0.0), gate.is_restricted(0.0)
     (True, False)
     >>> answer = AnswerContext(sent_at=0.0, is_proved=True)
-    >>> _ = list(gate.statements.record_answer(read_statements({"leaving": ["1"]}), answer, 1.0))
-    >>> gate.may_start(3.0), gate.is_restricted(3.0)
-    (False, True)
+    >>> _ = list(gate.statements.record_answer(read_statements({"rest": ["2"]}), answer, 1.0))
+    >>> gate.may_start(2.9), gate.may_start(3.0), gate.is_restricted(3.0)
+    (False, True, True)
     """
 
     def __init__(self, now: float):
@@ -48,7 +48,7 @@
 
     def takes_work(self, now: float) -> bool:
         """Return whether the upstream neither leaves nor rests."""
-        return not self.is_leaving
+        return not self.is_leaving and not self.statements.rest.remaining_s(now)
 
     def is_restricted(self, now: float) -> bool:
         """Return whether the upstream limits its requests, leaves, rests or recovers."""
@@ -58,7 +58,7 @@
         """Return the number of requests that may be sent now; infinite without restrictions."""
         if self.is_leaving:
             return 0.0
-        return self._limit.available(now)
+        return min(self._limit.available(now), self.statements.rest.available(now))
 
     def may_start(self, now: float, reserved: int = 0) -> bool:
         """Return whether a request may be sent now.
@@ -74,7 +74,8 @@
     def take(self, now: float) -> None:
         """Count a request that is sent."""
         self._limit.take(now)
+        self.statements.rest.record_sent(now)
 
     def probe_wait_s(self, now: float) -> float:
         """Return the time until a probe may be sent, seconds; also to an upstream that leaves."""
-        return self._limit.wait_s(now)
+        return max(self._limit.wait_s(now), self.statements.rest.wait_s(now))
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -281,7 +281,8 @@
 
 def _serves_fetches(upstream: Upstream, now: float) -> bool:
     statements = upstream.statements
-    return not statements.leaving.in_force and not upstream.health.suspended(now)
+    may_send = statements.rest.may_send(now) and not statements.leaving.in_force
+    return may_send and not upstream.health.suspended(now)
 
 
 def _estimate(
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -217,11 +217,11 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether its limit and its rest allow this process to send a request now."""
-        return self.limit.may_start(now)
+        return self.limit.may_start(now) and self.statements.rest.may_send(now)
 
     def is_restricted(self, now: float) -> bool:
         """Return whether it limits its requests, rests, or recovers from a rest."""
-        return self.limit.per_s is not None
+        return self.limit.per_s is not None or self.statements.rest.binds(now)
 
     def take_start(self, rank: int, now: float) -> None:
         """Count a request that is sent to it.
@@ -232,6 +232,7 @@
             If its request rate limit does not allow it.
         """
         self.limit.take(rank, now)
+        self.statements.rest.record_sent(now)
 
     def add_run(self, end: Callable[[], None]) -> None:
         """Record a running request, with a callback that ends it if the upstream restarts."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -395,6 +395,8 @@
     """
     if upstream.statements.leaving.in_force:
         raise HeldBackError("upstream leaves")
+    if upstream.statements.rest.remaining_s(now):
+        raise HeldBackError("upstream rests")
 
 
 @contextlib.asynccontextmanager
