--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_unlisted_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_unlisted_statements.py
@@ -36,12 +36,14 @@
         self.make = make
         self._runs: OrderedDict[str, RunStatements] = OrderedDict()
 
-    def keep(self, incarnation: str, statements: RunStatements, now: float) -> None:
-        """Keep the statements of a run that is removed from the list, if any are in force."""
-        if statements.is_any_in_force(now):
-            self._runs[incarnation] = statements
-            while len(self._runs) > MAX_RUNS:
-                self._runs.popitem(last=False)
+    def keep(self, incarnation: str, statements: RunStatements) -> None:
+        """Keep the statements of a run that is removed from the list.
+
+        An answer that is still on its way may state something, too.
+        """
+        self._runs[incarnation] = statements
+        if len(self._runs) > MAX_RUNS:
+            self._runs.popitem(last=False)
 
     def take(self, incarnation: str) -> RunStatements:
         """Return the statements of a run that is listed now, and keep them no longer."""
@@ -58,5 +60,5 @@
         if statements is None:
             statements = self.make()
         is_new = statements.leaving.learn(now) is not None
-        self.keep(incarnation, statements, now)
+        self.keep(incarnation, statements)
         return is_new
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -395,7 +395,7 @@
                 upstream.is_removed = True
                 self._by_service[upstream.entry.service].remove(upstream)
                 self._retain_removed(upstream, now)
-                self._unlisted_statements.keep(upstream.incarnation, upstream.statements, now)
+                self._unlisted_statements.keep(upstream.incarnation, upstream.statements)
         self._unlisted.clear()
 
     def _retain_removed(self, upstream: Upstream, now: float) -> None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_upstreams.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from burdockquay_coordination import AnswerContext, read_statements
 from burdockquay_coordination.forwarding import (
     CrashSuspects,
     ListedUpstream,
@@ -225,3 +226,52 @@
         assert upstream.memory.holds("old")
     registry.set_memory_capacities({"s": 300_000})
     assert not registry.of_service("s")[0].memory.holds("old")
+
+
+def state(upstream, now, **texts):
+    """Let an answer of an upstream state something."""
+    statements = read_statements({kind: [text] for kind, text in texts.items()})
+    list(upstream.statements.record_answer(statements, AnswerContext(now, True), now))
+
+
+@pytest.fixture
+def stated_while_removed():
+    """A registry that lists an upstream again which has stated something while it was removed."""
+
+    def make(**texts):
+        registry = UpstreamRegistry()
+        registry.apply(UpstreamChanges(True, (entry("a", 1, started_ms=5),)), 0.0)
+        upstream = registry.of_service("s")[0]
+        registry.apply(UpstreamChanges(False, removed=("a",)), 1.0)
+        state(upstream, 1.1, **texts)
+        registry.apply(UpstreamChanges(False, (entry("a", 2, started_ms=5),)), 1.2)
+        return registry
+
+    return make
+
+
+def test_statement_of_an_answer_after_the_removal_binds_the_run_that_is_listed_again(
+    stated_while_removed,
+):
+    """Guards against statements that are recorded where the registry does not find them."""
+    assert not stated_while_removed(leaving="1").of_service("s")[0].accepts_work()
+    resting = stated_while_removed(rest="3").of_service("s")[0]
+    assert not resting.may_start(4.0) and resting.may_start(4.1)
+
+
+def test_another_run_begins_without_the_statements_of_the_former_one(stated_while_removed):
+    """Guards against a new run that is out of use because the former one has left."""
+    registry = stated_while_removed(leaving="1", rest="3")
+    registry.apply(UpstreamChanges(False, (entry("a", 3, started_ms=6),)), 1.3)
+    upstream = registry.of_service("s")[0]
+    assert upstream.accepts_work() and upstream.may_start(1.3)
+
+
+def test_run_that_a_peer_reports_before_it_is_listed_gets_no_requests():
+    """Guards against reports that are lost because the list is read later."""
+    registry = UpstreamRegistry()
+    assert registry.learn_leaving("a@5", 0.0)
+    assert not registry.learn_leaving("a@5", 0.1)
+    registry.apply(UpstreamChanges(True, (entry("a", 1, started_ms=5),)), 1.0)
+    assert not registry.of_service("s")[0].accepts_work()
+    assert registry.leaving_runs() == ["a@5"]
