Judge only in one direction which runs are served again in the machine of statements

The check took a run that leaves for wrongly served if its first request after the change came in the last second: nobody had been told. Requests after the answer are checked by an invariant of their own, now at the end as well. Seen with the coordination package run alone.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
@@ -124,7 +124,9 @@
         served = {item.incarnation for item in cluster.arrivals if item.at > latest}
         told = {name for process in cluster.processes for name in process.told_leaving}
         present = {run.incarnation for run in cluster.runs.values()}
-        assert served == present - told
+        # A run that is not told of yet may still be sent to; late sends are checked above.
+        assert present - told <= served
+        self.no_request_follows_the_statement_of_leaving()
 
 
 StatementMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=12)
