--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
@@ -55,7 +55,10 @@
 
     @rule(number=PICKS)
     def leave(self, number):
+        # With requests on their way, whose answers do not state it.
+        self.cluster.run_for(0.1)
         self.pick(number).is_leaving = True
+        self.cluster.run_for(0.5)
 
     @rule(number=PICKS, rest_s=RESTS)
     def turn_away(self, number, rest_s):
@@ -189,7 +192,7 @@
         run_state_machine_as_test(
             StatementMachine,
             settings=settings(
-                max_examples=40,
+                max_examples=100,
                 stateful_step_count=12,
                 phases=[Phase.generate],
                 report_multiple_bugs=False,
