Send routine work only where a place is free while an upstream of its service rests

What a rest moves to other upstreams made them turn requests away in their turn. While one rests or recovers, plain requests but those of the first rank go only to upstreams with a free place, and wait in order of urgency otherwise.

--- a/benchmarks/bench_statements.py
+++ b/benchmarks/bench_statements.py
@@ -25,6 +25,7 @@
     UpstreamChanges,
     UpstreamRegistry,
     choose_upstream,
+    spare_upstreams,
     usable_upstreams,
 )
 
@@ -98,14 +99,14 @@
 
     reads: bool = True
     recovers: bool = True
-    only_places: bool = False
+    only_places: bool = True
 
 
 WAYS = {
-    "not_read": Way(reads=False),
-    "rest_only": Way(recovers=False),
+    "not_read": Way(reads=False, only_places=False),
+    "rest_only": Way(recovers=False, only_places=False),
+    "no_places": Way(only_places=False),
     "kept": Way(),
-    "only_places": Way(only_places=True),
 }
 
 
@@ -246,10 +247,8 @@
         """Send a request if an upstream may be used; return whether it needs no more waiting."""
         registry = self.registries[process]
         upstreams = registry.of_service("s")
-        if self.way.only_places and request.rank:
-            rests = any(item.statements.rest.remaining_s(self.now) for item in upstreams)
-            if rests:
-                upstreams = [item for item in upstreams if item.has_place(self.now)]
+        if self.way.only_places:
+            upstreams = spare_upstreams(upstreams, request.rank, self.now)
         if not usable_upstreams(upstreams, request.tried, self.now):
             untried = [item for item in registry.of_service("s") if item.id not in request.tried]
             return not any(item.accepts_work() for item in untried)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -6,7 +6,13 @@
 """
 
 from ._budget import RetryWindow
-from ._choice import choose_backup, choose_upstream, held_back_upstreams, usable_upstreams
+from ._choice import (
+    choose_backup,
+    choose_upstream,
+    held_back_upstreams,
+    spare_upstreams,
+    usable_upstreams,
+)
 from ._config import (
     CallerLimits,
     CallerOrganisation,
@@ -51,6 +57,7 @@
 __all__ = [
     "limited_delay_s",
     "rest_delay_s",
+    "spare_upstreams",
     "held_back_upstreams",
     "StartNeed",
     "StartGrant",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -96,6 +96,25 @@
     return healthy or reached or usable
 
 
+def spare_upstreams(upstreams: Sequence[Upstream], rank: int, now: float) -> Sequence[Upstream]:
+    """Return the upstreams that may receive the work of resting ones, for a plain request.
+
+    While an upstream of a service rests, only requests of the first rank go where no place is free.
+    Otherwise the others would turn requests away in their turn.
+
+    Parameters
+    ----------
+    upstreams : sequence of Upstream
+        Upstreams of one service.
+    rank : int
+        Rank of the request; 0 is the first.
+    now : float
+    """
+    if rank == 0 or not any(item.statements.rest.binds(now) for item in upstreams):
+        return upstreams
+    return [item for item in upstreams if item.has_place(now)]
+
+
 def held_back_upstreams(
     upstreams: Sequence[Upstream], tried: Collection[str], now: float
 ) -> Sequence[Upstream]:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -17,6 +17,7 @@
     UpstreamRegistry,
     limited_delay_s,
     rest_delay_s,
+    spare_upstreams,
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
@@ -33,6 +34,9 @@
 SUCCESSOR_SLICE_S = 0.05
 """Time between two looks for an upstream that replaces those that leave, seconds."""
 
+PLACE_SLICE_S = 0.02
+"""Time between two looks for a free place, seconds."""
+
 MAX_WAIT_SHARE = 0.33
 """Share of a caller's patience for which a plain request waits."""
 
@@ -91,8 +95,14 @@
     def may_start_later(self, call: ForwardCall) -> bool:
         """Return whether an upstream that has not been tried may take a call later."""
         now = self.clock.now()
+        able = self._able_upstreams(call)
         # Also where a start is held, but for a request that has waited before this one.
-        return any(item.is_restricted(now) for item in self._able_upstreams(call))
+        return any(item.is_restricted(now) for item in able) or self._awaits_place(call, able, now)
+
+    def _awaits_place(self, call: ForwardCall, able: list[Upstream], now: float) -> bool:
+        """Return whether a call waits for a place, since other upstreams rest."""
+        upstreams = self.upstream_registry.of_service(call.service)
+        return bool(able) and len(spare_upstreams(upstreams, call.rank, now)) < len(upstreams)
 
     async def wait(self, call: ForwardCall) -> bool:
         """Wait until a plain request may start; return False if it cannot or not in time."""
@@ -187,8 +197,10 @@
         return bool(present) and all(item.is_leaving for item in present)
 
     def _soonest_s(self, upstreams: Iterable[Upstream], now: float) -> float:
-        """Return the time until a rest allows the next request, seconds."""
+        """Return the time until a rest allows the next request or a place may be free, seconds."""
         waits = [item.statements.rest.wait_s(now) for item in upstreams]
+        if all(item.limit.per_s is None for item in upstreams):
+            waits.append(PLACE_SLICE_S)
         return max(
             MIN_WAIT_SLICE_S, min((item for item in waits if item), default=MAX_WAIT_SLICE_S)
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -16,6 +16,7 @@
     choose_backup,
     choose_upstream,
     held_back_upstreams,
+    spare_upstreams,
     usable_upstreams,
 )
 from burdockquay_protocol import ErrorKind, RequestError
@@ -138,8 +139,9 @@
     def _choose(self, call: ForwardCall) -> Upstream | None:
         state = self.state
         now = state.clock.now()
+        upstreams = state.upstream_registry.of_service(call.service)
         chosen = choose_upstream(
-            state.upstream_registry.of_service(call.service),
+            spare_upstreams(upstreams, call.rank, now),
             state.settings.failure_domain,
             call.tried,
             now,
