--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -118,11 +118,13 @@
 def held_back_upstreams(
     upstreams: Sequence[Upstream], tried: Collection[str], now: float
 ) -> Sequence[Upstream]:
-    """Return the upstreams that a request may not be sent to because of their limits or rests."""
+    """Return the upstreams that a request may not be sent to because of what they have stated."""
     return [
         item
         for item in upstreams
-        if item.accepts_work() and item.id not in tried and not item.may_start(now)
+        if not (item.is_removed or item.entry.leaving)
+        and item.id not in tried
+        and item.held_back_by(now) is not None
     ]
 
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -223,6 +223,14 @@
         """Return whether it limits its requests, rests, or recovers from a rest."""
         return self.limit.per_s is not None or self.statements.rest.binds(now)
 
+    def held_back_by(self, now: float) -> str | None:
+        """Return the statement that allows no request of this process now, None if all do."""
+        if self.statements.leaving.in_force:
+            return "leaving"
+        if not self.statements.rest.may_send(now):
+            return "rest"
+        return None if self.limit.may_start(now) else "request_rate"
+
     def take_start(self, rank: int, now: float) -> None:
         """Count a request that is sent to it.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -353,8 +353,9 @@
     SENDS_HELD_BACK = (
         1933,
         "INFO",
-        "Requests found an upstream whose limit allowed none of this process then; ``count`` since "
-        "the last such line, of which there is at most one a second for each upstream.",
+        "Requests found an upstream that takes none of this process now because of its "
+        "``statement``: its limit, its rest or that it leaves; ``count`` since the last such line, "
+        "of which there is at most one a second for each upstream.",
     )
     RATE_LIMIT_OWNER = (
         1934,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -16,6 +16,7 @@
     NeedMessage,
     Upstream,
     UpstreamRegistry,
+    held_back_upstreams,
     rank_processes,
 )
 
@@ -28,14 +29,14 @@
 """Shortest time between two scheduled steps, seconds."""
 
 HELD_BACK_INTERVAL_S = 1.0
-"""Shortest time between two log lines about requests that a limit held back, seconds."""
+"""Shortest time between two log lines about requests that an upstream held back, seconds."""
 
 LimitMessage = NeedMessage | GrantMessage
 
 
 @attrs.define
 class _HeldBack:
-    """Requests that an upstream's limit held back since the last line about them."""
+    """Requests that an upstream's statements held back since the last line about them."""
 
     count: int = 0
     logged_at: float = float("-inf")
@@ -109,11 +110,10 @@
         rank : int
             Rank of the request; 0 is the most urgent.
         """
-        limited = self._ask(service, {rank: 1})
+        self._ask(service, {rank: 1})
         now = self.clock.now()
-        for upstream in limited:
-            if not upstream.may_start(now):
-                self._count_held_back(upstream, now)
+        for upstream in held_back_upstreams(self.upstream_registry.of_service(service), (), now):
+            self._count_held_back(upstream, now)
 
     def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
         """Ask for starts for the requests that wait, by rank."""
@@ -235,7 +235,9 @@
             log_event(
                 Event.SENDS_HELD_BACK,
                 upstream=upstream.id,
+                statement=upstream.held_back_by(now),
                 per_s=upstream.limit.per_s,
+                rest_s=upstream.statements.rest.remaining_s(now) or None,
                 count=held_back.count,
                 owner=self._vm_of(upstream.limit.owner),
             )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -53,7 +53,7 @@
 retried at another, so that an upstream that hangs leaves time for the retry."""
 
 MAX_NAMED_UPSTREAMS = 5
-"""Most upstreams that a line names as held back by their limits."""
+"""Most upstreams that a line names as held back by what they have stated."""
 
 MIN_ATTEMPT_S = 0.25
 """Lower limit of that time, seconds; about ten times the duration of a plain request."""
@@ -308,10 +308,11 @@
         return "leaving" if upstream.entry.leaving else None
 
     def _describe_held_back(self, call: ForwardCall, now: float) -> str | None:
-        """Return the upstreams that the call was not sent to because of their limits."""
+        """Return the upstreams that a call was not sent to, with what they have stated."""
         candidates = self.state.upstream_registry.of_service(call.service)
         found = held_back_upstreams(candidates, call.tried, now)
-        return ",".join(item.id for item in found[:MAX_NAMED_UPSTREAMS]) or None
+        named = [f"{item.id}:{item.held_back_by(now)}" for item in found[:MAX_NAMED_UPSTREAMS]]
+        return ",".join(named) or None
 
     def _remaining(self, call: ForwardCall) -> float:
         return call.deadline - self.state.clock.now()
