--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -69,6 +69,7 @@
         "read_rate",
     ),
     "._rest": (
+        "TURNED_AWAY_STATUSES",
         "Rest",
         "read_rest",
     ),
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
@@ -32,7 +32,7 @@
 seconds: they may be older than the answer."""
 
 
-@register_statement("request_rate", Binding.ALL, is_relayed=True, proof=ProofNeed.END)
+@register_statement("request_rate", Binding.ALL, is_relayed=False, proof=ProofNeed.END)
 def read_rate(texts: Iterable[str]) -> StatementReading:
     """Return the limit that an answer names.
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rest.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rest.py
@@ -17,6 +17,9 @@
     split_items,
 )
 
+TURNED_AWAY_STATUSES = frozenset({429, 503})
+"""HTTP statuses of an answer that may ask for a rest."""
+
 MAX_REST_S = 300.0
 """Longest rest that is kept, seconds. Whether the upstream has recovered before is only seen once
 a request is sent to it."""
@@ -78,7 +81,7 @@
     >>> _ = rest.record_answer(StatementReading(0.5), sent_at=0.9, now=1.1)
     >>> rest.remaining_s(1.5), rest.may_send(3.9), rest.may_send(4.0)
     (2.5, False, True)
-    >>> rest.record_sent(4.0)
+    >>> rest.record_sent()
     >>> rest.may_send(4.1), rest.may_send(4.2), rest.available(6.0)
     (False, True, inf)
     """
@@ -116,7 +119,7 @@
         next_at = self._until + DOUBLING_S * math.log2(self._sent + 1)
         return min(next_at, self._recovered_at) - now
 
-    def record_sent(self, now: float) -> None:
+    def record_sent(self) -> None:
         """Count a request that is sent."""
         self._sent += 1
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_run_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_run_gate.py
@@ -74,7 +74,7 @@
     def take(self, now: float) -> None:
         """Count a request that is sent."""
         self._limit.take(now)
-        self.statements.rest.record_sent(now)
+        self.statements.rest.record_sent()
 
     def probe_wait_s(self, now: float) -> float:
         """Return the time until a probe may be sent, seconds; also to an upstream that leaves."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_statements.py
@@ -82,7 +82,8 @@
         Maps the texts of an answer that make the statement to its reading.
     binds : Binding
     is_relayed : bool
-        Whether processes tell each other.
+        Whether processes report it to each other as it is. The request rate limit has messages of
+        its own.
     proof : ProofNeed
     """
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -28,6 +28,7 @@
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
+from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._load_relay import LoadRelay, LoadUpdate, RelaySelector, split_by_domain
 from ._losses import LossRate
 from ._mechanisms import Mechanism, Switches
@@ -44,13 +45,7 @@
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._suspects import CrashSuspects
-from ._upstreams import (
-    ListedUpstream,
-    UnreadableEntry,
-    Upstream,
-    UpstreamChanges,
-    UpstreamRegistry,
-)
+from ._upstreams import Upstream, UpstreamRegistry
 from ._urgency import SHORT_READING_SHARE, UrgencyScale
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -7,10 +7,9 @@
 
 import attrs
 
-from burdockquay_state import Position
-
 from .._run_statements import RunStatements
 from ._linear import SpeedFactor
+from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
 from ._shared_limit import SharedLimit
@@ -32,102 +31,6 @@
 longer than the platform lists one that sends nothing. One that is still listed then is alive."""
 
 
-@attrs.frozen
-class ListedUpstream:
-    """An upstream as the platform lists it.
-
-    Parameters
-    ----------
-    id : str
-        Stays the same when the upstream restarts.
-    service : str
-    host, port
-    failure_domain : str
-    places : int
-        Number of requests that it runs at once.
-    leaving : bool
-        Whether it is draining and accepts no new work.
-    revision : int
-        Increases with each change of the entry, within one era.
-    started_ms : int or None
-        Start time in Unix milliseconds; None if the entry has none.
-    era : int
-        Era of the store that holds the entry.
-    sequence : int
-        Increases with each entry that the upstream writes while it runs, across eras.
-    """
-
-    id: str
-    service: str
-    host: str
-    port: int
-    failure_domain: str
-    places: int
-    leaving: bool
-    revision: int
-    started_ms: int | None = None
-    era: int = 0
-    sequence: int = 0
-
-    @property
-    def position(self) -> Position:
-        """Position of the entry in the history of the store."""
-        return Position(self.era, self.revision)
-
-    @property
-    def incarnation(self) -> str:
-        """Name of one run of the process; another run has no state of the requests of this one."""
-        return self.id if self.started_ms is None else f"{self.id}@{self.started_ms}"
-
-
-@attrs.frozen
-class UnreadableEntry:
-    """An entry of the list that cannot be decoded, for example one written by another program.
-
-    Parameters
-    ----------
-    id : str
-    revision : int
-    era : int
-        Era of the store that holds the entry.
-    """
-
-    id: str
-    revision: int
-    era: int = 0
-
-    @property
-    def position(self) -> Position:
-        """Position of the entry in the history of the store."""
-        return Position(self.era, self.revision)
-
-
-@attrs.frozen
-class UpstreamChanges:
-    """The result of reading the list once.
-
-    Parameters
-    ----------
-    whole : bool
-        Whether ``listed`` is the complete list; otherwise it holds the changed entries.
-    listed : tuple of ListedUpstream
-    removed : tuple of str
-        Ids whose entries were deleted.
-    unreadable : tuple of UnreadableEntry
-    last_failure_at : float
-        Time of the last request for the list that the platform did not answer, at any process.
-    after_restore : bool
-        Whether this is the first reading since the store was restored from a copy.
-    """
-
-    whole: bool
-    listed: tuple[ListedUpstream, ...] = ()
-    removed: tuple[str, ...] = ()
-    unreadable: tuple[UnreadableEntry, ...] = ()
-    last_failure_at: float = float("-inf")
-    after_restore: bool = False
-
-
 class Upstream:
     """State of one upstream as observed by this process.
 
@@ -240,7 +143,7 @@
             If its request rate limit does not allow it.
         """
         self.limit.take(rank, now)
-        self.statements.rest.record_sent(now)
+        self.statements.rest.record_sent()
 
     def add_run(self, end: Callable[[], None]) -> None:
         """Record a running request, with a callback that ends it if the upstream restarts."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
@@ -12,7 +12,7 @@
 import aiohttp
 import attrs
 
-from burdockquay_coordination import Statements, read_statements
+from burdockquay_coordination import TURNED_AWAY_STATUSES, Statements, read_statements
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 from burdockquay_state import Registry
 
@@ -120,9 +120,6 @@
 }
 """Headers in which an upstream makes each kind of statement."""
 
-TURNED_AWAY_STATUSES = frozenset({429, 503})
-"""Statuses of an answer in which ``Retry-After`` asks for a rest."""
-
 RecordStatements = Callable[[Statements, float], None]
 """Called with what an answer states, and the time for which the answer was awaited, seconds."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -397,9 +397,10 @@
     HeldBackError
     """
     if upstream.statements.leaving.in_force:
-        raise HeldBackError("upstream leaves")
-    if upstream.statements.rest.remaining_s(now):
-        raise HeldBackError("upstream rests")
+        raise HeldBackError(f"upstream {upstream.id} has stated that it leaves")
+    rest_s = upstream.statements.rest.remaining_s(now)
+    if rest_s:
+        raise HeldBackError(f"upstream {upstream.id} rests for another {rest_s:.3f} s")
 
 
 @contextlib.asynccontextmanager
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_statements.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_statements.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from burdockquay_coordination import AnswerContext, StatementChange
+from burdockquay_coordination import AnswerContext, StatementChange, statement_kinds
 from burdockquay_coordination.forwarding import Upstream, UpstreamRegistry
 
 from .._clock import Clock
@@ -18,6 +18,7 @@
 OnChange = Callable[[Upstream, StatementChange], None]
 
 LEAVING = "leaving"
+"""The kind of statement that processes report to each other."""
 
 
 class UpstreamStatements:
@@ -42,10 +43,7 @@
         self.metrics = metrics
         self.upstream_registry = upstream_registry
         self.report: Callable[[str, str], None] = lambda incarnation, kind: None
-        self._on_change: dict[str, OnChange] = {
-            "request_rate": rate_limits.apply_change,
-            LEAVING: lambda upstream, change: self.report(upstream.incarnation, LEAVING),
-        }
+        self._on_change: dict[str, OnChange] = {"request_rate": rate_limits.apply_change}
 
     def record_answer(self, upstream: Upstream, facts: AnswerFacts, call: ForwardCall) -> None:
         """Apply what an answer to a call states, or that it states nothing."""
@@ -60,6 +58,8 @@
             self.metrics.statements.labels(kind, change.kind.value).inc()
             if kind in self._on_change:
                 self._on_change[kind](upstream, change)
+            if statement_kinds.get(kind).is_relayed:
+                self.report(upstream.incarnation, kind)
 
     def receive_report(self, incarnation: str, kind: str, source: str) -> None:
         """Apply what another process reports of a run of an upstream.
