--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
@@ -15,6 +15,7 @@
 from burdockquay_coordination.forwarding import Upstream, UpstreamRegistry
 from burdockquay_coordination.forwarding._unlisted_statements import UnlistedStatements
 
+from . import statement_cluster
 from .statement_cluster import MAX_ANSWER_DELAY_S, StatementCluster
 
 PICKS = st.integers(0, 5)
@@ -182,10 +183,31 @@
     monkeypatch.setattr(RunStatements, "record_answer", record_and_take_back)
 
 
-@pytest.mark.parametrize(
-    "plant",
-    [forget_on_table_update, forget_unlisted, send_to_leaving, shorten_rest, take_back_leaving],
-)
+def ignore_rest_at_retry(monkeypatch):
+    """Plant: retries are sent regardless of rests."""
+    choose = statement_cluster.choose_upstream
+
+    def choose_regardless(upstreams, domain, tried, now, rng):
+        if not tried:
+            return choose(upstreams, domain, tried, now, rng)
+        with monkeypatch.context() as patch:
+            patch.setattr(Rest, "available", lambda self, now: float("inf"))
+            return choose(upstreams, domain, tried, now, rng)
+
+    monkeypatch.setattr(statement_cluster, "choose_upstream", choose_regardless)
+
+
+PLANTS = [
+    forget_on_table_update,
+    forget_unlisted,
+    send_to_leaving,
+    shorten_rest,
+    take_back_leaving,
+    ignore_rest_at_retry,
+]
+
+
+@pytest.mark.parametrize("plant", PLANTS)
 def test_planted_fault_is_found(plant, monkeypatch):
     plant(monkeypatch)
     with pytest.raises(AssertionError):
