--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_leaving.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_leaving.py
@@ -74,16 +74,7 @@
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
-        """Apply an answer of the upstream; return the change, None if there is none.
-
-        Parameters
-        ----------
-        reading : StatementReading
-        sent_at : float
-            When the request was sent.
-        now : float
-            When its answer was received.
-        """
+        """Apply an answer of the upstream; see :class:`StatementState`."""
         if reading.value is None:
             self.unstated += self._since is not None and sent_at > self._since
             return None
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rate_limit.py
@@ -102,16 +102,7 @@
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
-        """Apply an answer of the upstream; return the change, None if there is none.
-
-        Parameters
-        ----------
-        reading : StatementReading
-        sent_at : float
-            When the request was sent.
-        now : float
-            When its answer was received.
-        """
+        """Apply an answer of the upstream; see :class:`StatementState`."""
         if reading.fault is StatementFault.UNREADABLE:
             return None
         if _is_looser(reading.value, self._per_s) and sent_at < self._learnt_at:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_rest.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_rest.py
@@ -126,17 +126,9 @@
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
-        """Apply an answer of the upstream; return the change, None if there is none.
+        """Apply an answer of the upstream; see :class:`StatementState`.
 
         Of overlapping rests, the one that ends last applies.
-
-        Parameters
-        ----------
-        reading : StatementReading
-        sent_at : float
-            When the request was sent.
-        now : float
-            When its answer was received.
         """
         if reading.value is None:
             return None
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_run_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_run_statements.py
@@ -47,7 +47,16 @@
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
-        """Apply an answer of the upstream; return the change, None if there is none."""
+        """Apply an answer of the upstream; return the change, None if there is none.
+
+        Parameters
+        ----------
+        reading : StatementReading
+        sent_at : float
+            When the request was sent.
+        now : float
+            When its answer was received.
+        """
 
 
 @attrs.frozen
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_start_gate.py
@@ -48,16 +48,9 @@
         """Return the number of requests that may be sent now; infinite without a limit."""
         return float("inf") if self.per_s is None else self._bucket.available(now)
 
-    def may_start(self, now: float, reserved: int = 0) -> bool:
-        """Return whether a request may be sent now.
-
-        Parameters
-        ----------
-        now : float
-        reserved : int
-            Requests that have been promised a start before.
-        """
-        return self.available(now) >= 1 + reserved
+    def may_start(self, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        return self.available(now) >= 1.0
 
     def take(self, now: float) -> None:
         """Count a request that is sent."""
