Log and expose what the retry budget grants, denies and is divided by

Nothing showed among how many processes the constant part of the budget is divided, how old a run is that draws from it, or that a retry was denied, so the hypotheses on retries beyond the budget could not be told apart.

Each withdrawal and each denial is an event with the window, the burst and the age of the process; a change of the list of forwarders is one with their number. Counters of granted retries, gauges of the members and of the burst.

The tests of the platform and the transport pass.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_budget.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_budget.py
@@ -36,6 +36,16 @@
         self._requests = 0.0
         self._retries = 0.0
 
+    @property
+    def requests(self) -> float:
+        """Number of requests in the window."""
+        return self._requests
+
+    @property
+    def retries(self) -> float:
+        """Number of retries in the window."""
+        return self._retries
+
     def record_request(self, now: float) -> None:
         """Count a request of a caller."""
         self._bucket(now)[1] += 1
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -386,6 +386,24 @@
         "Another process reports a kind of statement that this release does not know; ignored.",
     )
 
+    RETRY_GRANTED = (
+        1940,
+        "INFO",
+        "A retry was withdrawn from the budget of a service. ``requests`` and ``retries`` are "
+        "those of the window at this process, ``burst`` is its part of the constant number, which "
+        "is divided among ``members``, and ``age_s`` the age of the process.",
+    )
+    RETRY_DENIED = (
+        1941,
+        "INFO",
+        "The budget of a service did not allow a retry; the fields are those of 1940.",
+    )
+    MEMBERS_CHANGED = (
+        1942,
+        "INFO",
+        "The list of forwarders has changed: how many it has now, and which are new or gone.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -27,6 +27,9 @@
         self.calls = self._counter("calls", "Requests that ended.", "kind", "priority", "status")
         self.refusals = self._counter("refusals", "Answers of the forwarder's own.", "kind")
         self.sends = self._counter("sends", "Sends to upstreams.", "service", "outcome")
+        self.repeats_granted = self._counter(
+            "repeats_granted", "Repeats withdrawn from the retry budget.", "service"
+        )
         self.repeats_denied = self._counter(
             "repeats_denied", "Repeats that the retry budget did not allow.", "service"
         )
@@ -60,6 +63,13 @@
         self.keys_trusted = self._gauge("keys_trusted", "1 while API keys are honoured.")
         self.held = self._gauge("held_calls", "Requests that are not answered yet.")
         self.peers = self._gauge("peers", "Other forwarders that are connected.")
+        self.members = self._gauge("members", "Forwarders in the list, this one included.")
+        self.retry_burst = Gauge(
+            "forwarder_retry_burst",
+            "Retries beyond the ratio that the budget allows this process in a window.",
+            ["service"],
+            registry=self.registry,
+        )
         self.loads_age = self._gauge(
             "loads_age_seconds", "Time since it heard of the requests of other forwarders."
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -296,6 +296,15 @@
         registry = self.state.upstream_registry
         registry.processes = len(self._members)
         registry.knows_processes = True
+        if changed:
+            vms = sorted(changed)
+            log_event(
+                Event.MEMBERS_CHANGED,
+                members=len(self._members),
+                present=[vm for vm in vms if self._members.get(vm) is not None],
+                gone=[vm for vm in vms if self._members.get(vm) is None],
+                connected=len(self._peer_connections),
+            )
         for vm in changed:
             self._update_link(vm)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -215,10 +215,28 @@
             has_answer = isinstance(outcome, Broke) and outcome.ready is not None
             if has_answer or not state.held_calls.may_start_later(call):
                 return False
-        if state.budget(call.service).try_retry(now):
-            return True
-        state.metrics.repeats_denied.labels(call.service).inc()
-        return False
+        return self._withdraw_retry(call)
+
+    def _withdraw_retry(self, call: ForwardCall) -> bool:
+        """Withdraw a retry from the budget, and return whether it allows one."""
+        state = self.state
+        now = state.clock.now()
+        budget = state.budget(call.service)
+        is_granted = budget.try_retry(now)
+        counter = state.metrics.repeats_granted if is_granted else state.metrics.repeats_denied
+        counter.labels(call.service).inc()
+        log_event(
+            Event.RETRY_GRANTED if is_granted else Event.RETRY_DENIED,
+            request=call.request.id,
+            service=call.service,
+            rank=call.rank,
+            requests=budget.requests,
+            retries=budget.retries,
+            burst=budget.burst,
+            members=state.upstream_registry.processes,
+            age_s=now - state.started_at,
+        )
+        return is_granted
 
     def _give_up(self, call: ForwardCall, outcome: Outcome) -> web.StreamResponse:
         if isinstance(outcome, Broke) and outcome.ready is not None and call.answer is None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -77,6 +77,7 @@
         self.others = PeerAvailability()
         self.connections = UpstreamConnections()
         self.leaving = False
+        self.started_at = clock.now()
         self.metrics = ForwarderMetrics()
         self.rate_limits = RateLimits(
             clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
@@ -162,6 +163,9 @@
         metrics.config_kept.set(self.config_versions.behind_s(now))
         metrics.keys_trusted.set(self.keys_trusted(now))
         metrics.revision.set(self.directory.config.version if self.directory else 0)
+        metrics.members.set(self.upstream_registry.processes)
+        for service in self._budgets:
+            metrics.retry_burst.labels(service).set(self.budget(service).burst)
         self.rate_limits.refresh_gauges()
         self.statements.refresh_gauges()
         for service, dispatcher in self._dispatchers.items():
