Keep a process that stops in the list of forwarders until it has sent its last request

A stopping process removed its entry at the signal and served callers for up to eight seconds more. In a series of restarts the others saw a list that was short by all that drained: their connections to it were closed, and they divided the retry budget by too few.

The entry is now removed at the end of the stop, within 0.3 s of the time left until the kill.

The tests of members, stops and store eras pass on both event loops.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -86,6 +86,10 @@
 """Time for connections to close with the process, seconds: a paused peer does not answer, and the
 process would be killed while it waits."""
 
+LEAVE_TIMEOUT_S = 0.3
+"""Time for the removal of the own entry at the end of a stop, seconds: many times what the store
+needs, and a part of the time that the platform leaves until it kills the process."""
+
 MAX_REJOIN_PAUSE_S = 1.0
 """Longest pause between two attempts to register this process again after the store was restored
 from a copy, seconds: the others keep it for a few seconds without its entry."""
@@ -179,12 +183,20 @@
             self._stop_rejoining()
 
     async def leave(self) -> None:
-        """Remove this process from the members."""
+        """Remove this process from the members, once it has sent its last request.
+
+        Until then it uses its part of what all members share, and exchanges loads with them.
+        """
         self._stop_rejoining()
         me = self._members.get(self.identity.vm)
         if me is None or me.incarnation != self.identity.incarnation:
             return
-        left = await self._registry.leave(me)
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                left = await self._registry.leave(me)
+        except TimeoutError:
+            log_event(Event.MEMBER_NOT_REMOVED, vm=me.vm, detail="no answer in time")
+            return
         if isinstance(left, Err):
             log_event(Event.MEMBER_NOT_REMOVED, vm=me.vm, detail=left.err().detail)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -229,8 +229,6 @@
         settings = self.settings
         log_event(Event.PROCESS_STOPPING, role=self.role, held=self._ingress.held)
         self._state.leaving = True
-        if self._mesh is not None:
-            self._tasks.spawn(self._mesh.leave())
         try:
             limit_s = settings.stop_limit_s - STOP_MARGIN_S - late_s
             async with asyncio.timeout(max(0.0, limit_s)):
@@ -242,6 +240,8 @@
         await self._ingress.answer_unfinished()
         if self._usage is not None:
             self._usage.share_last()
+        if self._mesh is not None:
+            await self._mesh.leave()
         await self.close()
         log_event(Event.PROCESS_STOPPED, role=self.role)
 
