Keep the retry budget of all processes whichever of them restart

Cause: the constant part was divided by the number of processes in the list at that moment, which is short while many restart; a new run had an empty window and drew what the former run had just drawn; and the ratio was drawn for the same seconds by a process that then ended and by those that took over its callers.

Class: a bound on all processes together is divided by a momentary count of members.

A process now saves retries, earned by its requests, up to its part of the constant number. What is saved is lost with the process and a new one begins with nothing, so that whatever process ends, the sum in any window is within the constant number and the ratio of the requests in it. A part exists once the others divide by one more; a larger number of members counts at once, a smaller one after two windows, one that is not confirmed twice. Half of what is saved is kept for the most urgent requests.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_budget.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_budget.py
@@ -9,33 +9,71 @@
 ``window_s``, so that the window slides almost smoothly while a process keeps only some forty
 counts."""
 
+ROUNDING = 1e-6
+"""Tolerance for sums of fractions of a retry."""
 
-class RetryWindow:
-    """Sliding window of first sends and retries to one service.
+URGENT_RESERVE_SHARE = 0.5
+"""Share of what a process can save beyond one retry that only the most urgent requests may use."""
 
-    The retries of each process are limited to a share of the requests that it received itself.
-    Added up, the retries of all processes are within the same share of all requests, so that the
-    limit holds for the whole system although processes do not know each other. The allowance beyond
-    the share is divided by the number of processes that may exist.
+
+class SharedRetryBudget:
+    """One process's part of the retry budget of a service.
+
+    Each request earns a share of a retry. A process can save retries up to its part of the constant
+    number that all processes may send beyond that share. What it has saved is lost when it ends,
+    and a new process begins with nothing. So in any window all processes together send at most the
+    constant number beyond the share of the requests in the window, whichever of them end, restart
+    or take over the callers of others. After a window without retries, a process has saved its part
+    without requests.
 
     Parameters
     ----------
     ratio : float
-        Retries allowed for each request of the window.
-    burst : float
-        Retries allowed in a window beyond the ratio, at this process.
+        Retries earned by each request.
     window_s : float
-        Length of the window, seconds.
+        Length of the window of the budget, seconds.
+    now : float
+        When the process started, or later.
+
+    Notes
+    -----
+    A process must save one whole retry to send any, even if its part is less. The window bounds its
+    retries in that case. Only processes that end just after they have used a saved retry can then
+    exceed the budget, by less than one retry each.
+
+    Examples
+    --------
+    >>> budget = SharedRetryBudget(ratio=0.5, window_s=10.0, now=0.0)
+    >>> budget.set_burst(2.0, now=0.0)
+    >>> budget.try_retry(now=1.0)
+    False
+    >>> budget.record_request(now=1.0); budget.record_request(now=1.0)
+    >>> budget.try_retry(now=1.0), budget.try_retry(now=1.0)
+    (True, False)
+    >>> [budget.try_retry(now=11.0) for _ in range(3)]
+    [True, True, False]
     """
 
-    def __init__(self, ratio: float, burst: float, window_s: float):
+    def __init__(self, ratio: float, window_s: float, now: float):
         self.ratio = ratio
-        self.burst = burst
         self.window_s = window_s
+        self._burst: float | None = None
+        self._saved = 0.0
+        self._unused_since = now
         self._buckets: deque[list[float]] = deque()  # [start, requests, retries]
         self._requests = 0.0
         self._retries = 0.0
 
+    @property
+    def burst(self) -> float | None:
+        """This process's part of the constant number; None while it has none."""
+        return self._burst
+
+    @property
+    def saved(self) -> float:
+        """Retries that are saved."""
+        return self._saved
+
     @property
     def requests(self) -> float:
         """Number of requests in the window."""
@@ -46,18 +84,48 @@
         """Number of retries in the window."""
         return self._retries
 
+    @property
+    def _capacity(self) -> float:
+        return 0.0 if self._burst is None else max(1.0, self._burst)
+
+    def set_burst(self, burst: float | None, now: float) -> None:
+        """Set this process's part of the constant number, None while it has none."""
+        self._burst = burst
+        if now - self._unused_since >= self.window_s:
+            self._saved = self._capacity
+        self._saved = min(self._saved, self._capacity)
+
     def record_request(self, now: float) -> None:
         """Count a request of a caller."""
         self._bucket(now)[1] += 1
         self._requests += 1
+        self._saved = min(self._capacity, self._saved + self.ratio)
+
+    def may_retry(self, now: float, is_urgent: bool = True) -> bool:
+        """Return whether the budget allows a retry.
+
+        Parameters
+        ----------
+        now : float
+        is_urgent : bool
+            Whether no request to the service is more urgent.
+        """
+        self.set_burst(self._burst, now)
+        self._bucket(now)
+        kept = 0.0 if is_urgent else URGENT_RESERVE_SHARE * max(0.0, self._capacity - 1.0)
+        if self._saved + ROUNDING < 1.0 + kept:
+            return False
+        allowed = self.ratio * self._requests + (self._burst or 0.0)
+        return self._retries + 1 <= allowed + ROUNDING
 
-    def try_retry(self, now: float) -> bool:
-        """Count a retry if the budget allows it, and return whether it does."""
-        bucket = self._bucket(now)
-        if self._retries + 1 > self.ratio * self._requests + self.burst:
+    def try_retry(self, now: float, is_urgent: bool = True) -> bool:
+        """Withdraw a retry if the budget allows it, and return whether it does."""
+        if not self.may_retry(now, is_urgent):
             return False
-        bucket[2] += 1
+        self._bucket(now)[2] += 1
         self._retries += 1
+        self._saved -= 1.0
+        self._unused_since = now
         return True
 
     def _bucket(self, now: float) -> list[float]:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -8,6 +8,7 @@
 import attrs
 
 from .._run_statements import RunStatements
+from ._fleet_size import FleetSize
 from ._linear import SpeedFactor
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._pending import LoadShare, PendingPrompts
@@ -178,19 +179,13 @@
     ----------
     rng : random.Random or None
         Spreads the times at which the processes retry an upstream after failures.
-
-    Attributes
-    ----------
-    processes : int
-        Number of processes that send to these upstreams.
-    knows_processes : bool
-        Whether that number is known; False while there may be others that have not been read yet.
+    fleet : FleetSize or None
+        Number of processes that send to these upstreams; None if this is the only one.
     """
 
-    def __init__(self, rng: random.Random | None = None):
+    def __init__(self, rng: random.Random | None = None, fleet: FleetSize | None = None):
         self.rng = rng
-        self.processes = 1
-        self.knows_processes = True
+        self.fleet = fleet or FleetSize()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._unlisted: dict[str, None] = {}
@@ -216,6 +211,11 @@
         """Ids of upstreams that are used although they are not listed."""
         return self._unlisted.keys()
 
+    @property
+    def processes(self) -> int:
+        """Number of processes that are listed now."""
+        return self.fleet.listed
+
     def all(self) -> Collection[Upstream]:
         """Return all upstreams."""
         return self._upstreams.values()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
@@ -12,9 +12,9 @@
     ForwardConfig,
     ForwardRoute,
     FreshnessLease,
-    RetryWindow,
     RouteKind,
     ServiceShare,
+    SharedRetryBudget,
     pick_service,
     request_priority,
 )
@@ -93,7 +93,8 @@
 
     In each window, retries stay within the share of the requests of that window plus the burst.
     """
-    window = RetryWindow(0.2, 2.0, 10.0)
+    window = SharedRetryBudget(0.2, 10.0, 0.0)
+    window.set_burst(2.0, 0.0)
     now = 0.0
     requests, retries = [], []
     for pause, is_request in steps:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -124,7 +124,7 @@
         self._key = b""
         self._store_restored = asyncio.Event()
         self._rejoining: asyncio.Task | None = None
-        state.upstream_registry.knows_processes = False
+        state.upstream_registry.fleet.set_alone(False)
         state.platform.exchange.send_changes = self._broadcast_changes
         state.platform.exchange.on_restored = self._on_store_restored
         self._loads = LoadSharing(state, identity, post_all)
@@ -304,10 +304,9 @@
         self._server.key = key
 
     def _apply_members(self, changes: MemberChanges) -> None:
-        changed = self._members.apply(changes, self.state.clock.now())
-        registry = self.state.upstream_registry
-        registry.processes = len(self._members)
-        registry.knows_processes = True
+        now = self.state.clock.now()
+        changed = self._members.apply(changes, now)
+        self.state.upstream_registry.fleet.update(len(self._members), changes.as_of, now)
         if changed:
             vms = sorted(changed)
             log_event(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -223,12 +223,15 @@
         Names of VMs whose entries were removed.
     after_restore : bool
         Whether this is the first reading since the store was restored from a copy.
+    as_of : float
+        A time at which nothing else had changed, on the clock of the process.
     """
 
     whole: bool
     listed: tuple[Member, ...] = ()
     removed: tuple[str, ...] = ()
     after_restore: bool = False
+    as_of: float = float("-inf")
 
 
 class MemberRegistry(ABC):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -78,8 +78,7 @@
     @property
     def processes(self) -> int | None:
         """Number of processes of the fleet, this one included; None if it is not known yet."""
-        registry = self.upstream_registry
-        return max(1, registry.processes) if registry.knows_processes else None
+        return self.upstream_registry.fleet.count(self.clock.now())
 
     def join_fleet(
         self, incarnation: str, send: Callable[[Iterable[tuple[str, LimitMessage]]], None]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -217,12 +217,16 @@
                 return False
         return self._withdraw_retry(call)
 
+    def _is_most_urgent(self, call: ForwardCall) -> bool:
+        """Return whether no route to the service is more urgent than that of a call."""
+        return call.route.priority <= self.state.directory.targets(call.service).most_urgent
+
     def _withdraw_retry(self, call: ForwardCall) -> bool:
         """Withdraw a retry from the budget, and return whether it allows one."""
         state = self.state
         now = state.clock.now()
         budget = state.budget(call.service)
-        is_granted = budget.try_retry(now)
+        is_granted = budget.try_retry(now, self._is_most_urgent(call))
         counter = state.metrics.repeats_granted if is_granted else state.metrics.repeats_denied
         counter.labels(call.service).inc()
         log_event(
@@ -233,7 +237,8 @@
             requests=budget.requests,
             retries=budget.retries,
             burst=budget.burst,
-            members=state.upstream_registry.processes,
+            saved=budget.saved,
+            members=state.upstream_registry.fleet.divisor(now),
             age_s=now - state.started_at,
         )
         return is_granted
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -11,12 +11,13 @@
     ConfigDirectory,
     ConfigVersionTracker,
     CrashSuspects,
+    FleetSize,
     ForwardConfig,
     FreshnessLease,
     LossRate,
     Mechanism,
     PeerAvailability,
-    RetryWindow,
+    SharedRetryBudget,
     UpstreamRegistry,
 )
 
@@ -34,9 +35,9 @@
 """Share of the time allowed for the withdrawal of a key for which the last confirmed reading is
 valid. The rest covers a send in progress and readings of a store that lags by a second."""
 
-MIN_ASSUMED_PROCESSES = 10
-"""Least number of processes among which the retries beyond the ratio are divided: a process may not
-have received the list of the others yet."""
+FLEET_MEMORY_FACTOR = 2.0
+"""Time for which a larger number of processes is remembered, as a multiple of the window of the
+retry budget."""
 
 REQUIRED_READS = ("configuration", "upstreams")
 """Readings from the platform that a process needs before it can serve."""
@@ -72,7 +73,8 @@
         self.directory: ConfigDirectory | None = None
         self.lease = FreshnessLease(settings.withdrawal_ms / 1000 * LEASE_SHARE)
         self.config_versions = ConfigVersionTracker()
-        self.upstream_registry = UpstreamRegistry(rng)
+        memory_s = FLEET_MEMORY_FACTOR * settings.retry_window_s
+        self.upstream_registry = UpstreamRegistry(rng, FleetSize(memory_s))
         self.suspects = CrashSuspects()
         self.others = PeerAvailability()
         self.connections = UpstreamConnections()
@@ -91,7 +93,7 @@
         self._unread = set(REQUIRED_READS)
         self._required_reads_done = asyncio.Event()
         self._dispatchers: dict[str, PromptDispatcher] = {}
-        self._budgets: dict[str, RetryWindow] = {}
+        self._budgets: dict[str, SharedRetryBudget] = {}
         self._losses: dict[str, LossRate] = {}
 
     def record_read(self, what: str) -> None:
@@ -165,7 +167,7 @@
         metrics.revision.set(self.directory.config.version if self.directory else 0)
         metrics.members.set(self.upstream_registry.processes)
         for service in self._budgets:
-            metrics.retry_burst.labels(service).set(self.budget(service).burst)
+            metrics.retry_burst.labels(service).set(self.budget(service).burst or 0.0)
         self.rate_limits.refresh_gauges()
         self.statements.refresh_gauges()
         for service, dispatcher in self._dispatchers.items():
@@ -187,16 +189,18 @@
         """Return the rate at which the upstreams of a service go down."""
         return self._losses.setdefault(service, LossRate())
 
-    def budget(self, service: str) -> RetryWindow:
+    def budget(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
         settings = self.settings
+        now = self.clock.now()
         found = self._budgets.get(service)
         if found is None:
-            found = RetryWindow(settings.retry_ratio, 0.0, settings.retry_window_s)
+            found = SharedRetryBudget(
+                settings.retry_ratio, settings.retry_window_s, self.started_at
+            )
             self._budgets[service] = found
-        registry = self.upstream_registry
-        burst = settings.retry_burst if registry.knows_processes else 0.0
-        found.burst = burst / max(MIN_ASSUMED_PROCESSES, registry.processes)
+        processes = self.upstream_registry.fleet.divisor(now)
+        found.set_burst(None if processes is None else settings.retry_burst / processes, now)
         return found
 
     def keys_trusted(self, now: float) -> bool:
