Withdraw a retry from the budget when it is sent, also if it continues from a copy

A run that continued from the copy of its memory reached a second upstream without a withdrawal. And a retry that waited for a limited or resting upstream was withdrawn before the wait, so that retries of several windows could arrive in one.

Each send of a request that may have arrived before is now withdrawn just before it is sent; a retry that the budget would not allow does not begin to wait.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -37,6 +37,8 @@
         Ids of the upstreams it was sent to.
     sends : int
         Number of sends that may have arrived.
+    withdrawals : int
+        Number of sends that were withdrawn from the retry budget.
     unreachable : int
         Number of sends without a connection.
     maybe_run : bool
@@ -78,6 +80,7 @@
     rank: int
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
+    withdrawals: int = 0
     unreachable: int = 0
     maybe_run: bool = False
     answer: web.StreamResponse | None = None
@@ -176,7 +179,14 @@
     crashed: bool = False
 
 
-Outcome = Answered | HeldBack | NotSent | NotRun | Broke
+@attrs.frozen
+class RetryDenied:
+    """The request was not sent again, since the retry budget did not allow it."""
+
+    upstream: Upstream
+
+
+Outcome = Answered | HeldBack | NotSent | NotRun | Broke | RetryDenied
 
 
 def failure_of(call: ForwardCall) -> RequestError:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -32,6 +32,7 @@
     NotRun,
     NotSent,
     Outcome,
+    RetryDenied,
     failure_of,
 )
 from ._connections import (
@@ -80,12 +81,16 @@
             If it ends without an answer from an upstream.
         """
         self.state.budget(call.service).record_request(self.state.clock.now())
+        last: Outcome | None = None
         while True:
             outcome = await self._choose_and_send(call)
             name = type(outcome).__name__
             self.state.metrics.sends.labels(call.service, name).inc()
             if isinstance(outcome, Answered):
                 return outcome.response
+            if isinstance(outcome, RetryDenied):
+                return self._give_up(call, last)
+            last = outcome
             went_down = await self._record_outcome(call, outcome)
             if went_down and self._can_continue_from_copy(call):
                 call.continue_at, call.backup = call.backup, None
@@ -215,18 +220,35 @@
             has_answer = isinstance(outcome, Broke) and outcome.ready is not None
             if has_answer or not state.held_calls.may_start_later(call):
                 return False
-        return self._withdraw_retry(call)
+        if state.budget(call.service).may_retry(now, self._is_most_urgent(call)):
+            return True
+        self._record_retry(call, is_granted=False)
+        return False
 
     def _is_most_urgent(self, call: ForwardCall) -> bool:
         """Return whether no route to the service is more urgent than that of a call."""
         return call.route.priority <= self.state.directory.targets(call.service).most_urgent
 
     def _withdraw_retry(self, call: ForwardCall) -> bool:
-        """Withdraw a retry from the budget, and return whether it allows one."""
+        """Withdraw a send from the budget if an earlier one may have arrived.
+
+        Returns
+        -------
+        bool
+            False if the budget does not allow it.
+        """
+        if call.sends <= call.withdrawals:
+            return True
+        budget = self.state.budget(call.service)
+        is_granted = budget.try_retry(self.state.clock.now(), self._is_most_urgent(call))
+        call.withdrawals += is_granted
+        self._record_retry(call, is_granted)
+        return is_granted
+
+    def _record_retry(self, call: ForwardCall, is_granted: bool) -> None:
         state = self.state
         now = state.clock.now()
         budget = state.budget(call.service)
-        is_granted = budget.try_retry(now, self._is_most_urgent(call))
         counter = state.metrics.repeats_granted if is_granted else state.metrics.repeats_denied
         counter.labels(call.service).inc()
         log_event(
@@ -241,15 +263,19 @@
             members=state.upstream_registry.fleet.divisor(now),
             age_s=now - state.started_at,
         )
-        return is_granted
 
-    def _give_up(self, call: ForwardCall, outcome: Outcome) -> web.StreamResponse:
+    def _give_up(self, call: ForwardCall, outcome: Outcome | None) -> web.StreamResponse:
         if isinstance(outcome, Broke) and outcome.ready is not None and call.answer is None:
             return outcome.ready
         raise CallError(self.state.held_calls.refusal(call) or failure_of(call))
 
     async def _send(self, call: ForwardCall, upstream: Upstream) -> Outcome:
-        """Send a call to one upstream and pass on its answer."""
+        """Send a call to one upstream and pass on its answer.
+
+        A retry is withdrawn from the budget here, after it may have waited for seconds.
+        """
+        if not self._withdraw_retry(call):
+            return RetryDenied(upstream)
         send = self._compose(call, upstream)
         self._log_send(call, upstream)
         call.tried.add(upstream.id)
