Let entries keep the retry budget of forwarders, with one burst for all of them

The same cause elsewhere: the burst of retries of entries was 20 at each of them, divided by nothing. Entries use SharedRetryBudget and FleetSize now, with the listed entries as the number. An entry starts with its part, since a deployment with one must retry from the first request on.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -16,6 +16,7 @@
         "ConfigurationReader",
         "next_read_delay",
     ),
+    "._fleet_size": ("FleetSize",),
     "._health": (
         "HealthMonitor",
         "ProbeCircuitBreaker",
@@ -91,7 +92,6 @@
         "statement_kinds",
     ),
     "._retries": (
-        "RetryBudget",
         "RetryDecision",
         "RetryRule",
         "rule_of",
@@ -107,6 +107,7 @@
         "Contender",
         "ShareLedger",
     ),
+    "._shared_retry_budget": ("SharedRetryBudget",),
     "._slots": ("SlotScheduler",),
     "._start_gate": ("StartGate",),
     "._subsets": ("choose_subset",),
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_retries.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_retries.py
@@ -1,4 +1,4 @@
-"""Decision whether a failed attempt is retried on another slot, and the retry budget."""
+"""Decision whether a failed attempt is retried on another slot."""
 
 from __future__ import annotations
 
@@ -10,8 +10,6 @@
 
 MAX_ATTEMPTS = 4
 """Attempts after which a request is not retried, unless its retries cost upstreams nothing."""
-MIN_RETRIES_PER_S = 0.2
-"""Retries per second that are allowed regardless of the amount of first attempts."""
 
 
 class RetryRule(enum.Enum):
@@ -50,7 +48,7 @@
     ----------
     retry : bool
     needs_budget : bool
-        Whether the retry must first be withdrawn from the :class:`RetryBudget`.
+        Whether the retry must first be withdrawn from the :class:`SharedRetryBudget`.
     reason : str
         Label of the counter of retries by reason.
     """
@@ -98,54 +96,3 @@
     if attempt >= MAX_ATTEMPTS:
         return RetryDecision(False, False, "attempts_used")
     return RetryDecision(True, True, kind.value)
-
-
-class RetryBudget:
-    """Limits retries to a share of the first attempts.
-
-    Parameters
-    ----------
-    ratio : float
-        Retries earned by each new request.
-    burst : float
-        Largest number of retries that can be saved up.
-
-    Notes
-    -----
-    A limit per request multiplies the load when everything fails: three attempts each are three
-    times the traffic at the worst moment. A share of the new requests bounds the total. The minimum
-    of :data:`MIN_RETRIES_PER_S` allows a process with little traffic to retry at all.
-
-    Examples
-    --------
-    >>> budget = RetryBudget(ratio=0.5, burst=1.0)
-    >>> budget.withdraw(now=0.0), budget.withdraw(now=0.0)
-    (True, False)
-    >>> budget.deposit(now=0.0); budget.deposit(now=0.0); budget.withdraw(now=0.0)
-    True
-    """
-
-    def __init__(self, ratio: float, burst: float):
-        self.ratio = ratio
-        self.burst = burst
-        self._tokens = burst
-        self._filled_at: float | None = None
-
-    def deposit(self, now: float) -> None:
-        """Record a new request."""
-        self._fill(now)
-        self._tokens = min(self.burst, self._tokens + self.ratio)
-
-    def withdraw(self, now: float) -> bool:
-        """Take one retry; return False if none is left."""
-        self._fill(now)
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-    def _fill(self, now: float) -> None:
-        if self._filled_at is not None:
-            earned = max(0.0, now - self._filled_at) * MIN_RETRIES_PER_S
-            self._tokens = min(self.burst, self._tokens + earned)
-        self._filled_at = now
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -5,7 +5,6 @@
 ``now`` is an argument of each decision.
 """
 
-from ._budget import SharedRetryBudget
 from ._choice import (
     choose_backup,
     choose_upstream,
@@ -26,7 +25,6 @@
 from ._config_versions import ConfigVersionTracker
 from ._directory import ConfigDirectory, pick_service, request_priority
 from ._engine_model import EngineModel
-from ._fleet_size import FleetSize
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
@@ -58,12 +56,10 @@
     "StartNeed",
     "StartGrant",
     "SharedLimit",
-    "SharedRetryBudget",
     "NeedMessage",
     "LimitStep",
     "GrantMessage",
     "Fleet",
-    "FleetSize",
     "CallerLimits",
     "CallerOrganisation",
     "ConfigDirectory",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -7,8 +7,8 @@
 
 import attrs
 
+from .._fleet_size import FleetSize
 from .._run_statements import RunStatements
-from ._fleet_size import FleetSize
 from ._linear import SpeedFactor
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._pending import LoadShare, PendingPrompts
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/retry_fleet.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/retry_fleet.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from burdockquay_coordination.forwarding import FleetSize, SharedRetryBudget
+from burdockquay_coordination import FleetSize, SharedRetryBudget
 
 WINDOW_S = 10.0
 LIST_DELAY_S = (0.05, 1.8)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from burdockquay_coordination import SharedRetryBudget
 from burdockquay_coordination.forwarding import (
     CallerOrganisation,
     ConfigDirectory,
@@ -14,7 +15,6 @@
     FreshnessLease,
     RouteKind,
     ServiceShare,
-    SharedRetryBudget,
     pick_service,
     request_priority,
 )
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_retry_budget_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_retry_budget_machine.py
@@ -12,7 +12,7 @@
     run_state_machine_as_test,
 )
 
-from burdockquay_coordination.forwarding import FleetSize, SharedRetryBudget
+from burdockquay_coordination import FleetSize, SharedRetryBudget
 
 from .retry_fleet import WINDOW_S, RetryFleet
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -14,9 +14,9 @@
     AtMostOnceResolver,
     LatencyTarget,
     QuarantineTracker,
-    RetryBudget,
     Settled,
     SettledState,
+    SharedRetryBudget,
     UsageLedger,
     Verdict,
     should_retry,
@@ -84,7 +84,7 @@
     ----------
     resolver : AtMostOnceResolver
     quarantine : QuarantineTracker
-    budget : RetryBudget
+    budget : SharedRetryBudget
     ledger : UsageLedger
     metrics : MetricsSink
     clock : Clock
@@ -94,7 +94,7 @@
         self,
         resolver: AtMostOnceResolver,
         quarantine: QuarantineTracker,
-        budget: RetryBudget,
+        budget: SharedRetryBudget,
         ledger: UsageLedger,
         metrics: MetricsSink,
         clock: Clock,
@@ -119,7 +119,7 @@
         CallError
             If the call ends without a complete answer.
         """
-        self.budget.deposit(self.clock.now())
+        self.budget.record_request(self.clock.now())
         complete = False
         try:
             self._check_quarantine(call)
@@ -281,7 +281,7 @@
         # Refusals that cost the upstreams nothing are not counted: otherwise a call that was
         # refused by four full slots could not be retried after a crash.
         call.retries += 1
-        if not self.budget.withdraw(now):
+        if not self.budget.try_retry(now):
             log_event(Event.RETRY_BUDGET_EMPTY)
             self.metrics.count("retries.budget_empty")
             raise call.wrap_error(error)
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -11,9 +11,10 @@
 from burdockquay_coordination import (
     AdmissionController,
     AtMostOnceResolver,
+    FleetSize,
     MembershipTracker,
-    RetryBudget,
     RouteTable,
+    SharedRetryBudget,
     UsageLedger,
     choose_subset,
 )
@@ -32,8 +33,10 @@
 BOOTSTRAP_LINKS = 4
 """Number of slots to connect to while there is no configuration yet."""
 
-RETRY_BURST = 20
-"""Retries that may be made in a burst, regardless of the volume of first attempts."""
+RETRY_BURST = 20.0
+RETRY_WINDOW_S = 10.0
+"""Retries of all entries together in a window of this length, seconds, beyond their share of the
+first attempts."""
 
 
 class Entry(Process, LinkListener):
@@ -82,7 +85,13 @@
         self._vm_list_healthy = True
         self._membership = MembershipTracker(settings.vm)
         self.admission = AdmissionController()
-        self.budget = RetryBudget(self.snapshot.policy.retry_ratio, RETRY_BURST)
+        now = self._clock.now()
+        # Starts with its part: a deployment with one entry retries from the first request on.
+        self.budget = SharedRetryBudget(
+            self.snapshot.policy.retry_ratio, RETRY_WINDOW_S, now - RETRY_WINDOW_S
+        )
+        self.budget.set_burst(RETRY_BURST, now)
+        self._entries = FleetSize(2 * RETRY_WINDOW_S)
         self.routes = RouteTable(self.snapshot)
         claims = ClaimStore(self._platform.table, self._platform.objects)
         self.runner = CallRunner(
@@ -176,10 +185,15 @@
         processor time than all other control work. The choice is skipped while the list is
         unchanged and every connection is up, since its result would be the same.
         """
+        now = self._clock.now()
+        listed = sum(entry.role == self.role for entry in entries)
+        self._entries.set_alone(not listed)
+        self._entries.update(max(1, listed), now, now)
+        self.budget.set_burst(RETRY_BURST / self._entries.divisor(now), now)
         changed = entries != self._vm_list
         if changed:
             self._vm_list = entries
-            self._membership.update_list(entries, self._clock.now())
+            self._membership.update_list(entries, now)
         was_stable, self._connections_stable = (
             self._connections_stable,
             self._are_connections_stable(),
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -7,17 +7,16 @@
 import random
 from collections.abc import Callable
 
+from burdockquay_coordination import FleetSize, SharedRetryBudget
 from burdockquay_coordination.forwarding import (
     ConfigDirectory,
     ConfigVersionTracker,
     CrashSuspects,
-    FleetSize,
     ForwardConfig,
     FreshnessLease,
     LossRate,
     Mechanism,
     PeerAvailability,
-    SharedRetryBudget,
     UpstreamRegistry,
 )
 
