--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
@@ -30,6 +30,9 @@
         Era of the store that holds the entry.
     sequence : int
         Increases with each entry that the upstream writes while it runs, across eras.
+    software_version : str
+        Version of its software, any text; versions have no order. What two versions write does not
+        fit together in one stream. Empty if the entry has none.
     """
 
     id: str
@@ -43,6 +46,7 @@
     started_ms: int | None = None
     era: int = 0
     sequence: int = 0
+    software_version: str = ""
 
     @property
     def position(self) -> Position:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -50,6 +50,8 @@
         Description of the prompt of a request to an engine.
     resume_after : str or None
         Id of the last event that the caller has of a stream.
+    resumed_attempt : str or None
+        Id of the request that brought the first event of that stream, as the caller names it.
     """
 
     id: str
@@ -62,6 +64,7 @@
     patience_s: float | None = None
     prompt: Prompt | None = None
     resume_after: str | None = None
+    resumed_attempt: str | None = None
 
 
 @attrs.frozen
