Continue an answer only at upstreams of the software version that began it

A retry within one answer, and a run that continued from the copy of its memory, went to upstreams of any version: callers got events of two versions, which do not fit together.

From the first event that the caller gets, a call is sent only to upstreams of that version, and so are fetches of parts for it. A copy is kept at the version of the run. The version is checked again when the connection is open, since the list may change meanwhile.

The tests of forwarding decisions, streams, limits, statements and failures pass.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import attrs
 
@@ -76,6 +76,8 @@
     is_steady : bool
         Whether the answer is a steady stream: its target for pauses is stricter than that of
         other streams.
+    software_version : str or None
+        Software version of the upstreams that may write the answer; None for any.
     """
 
     prompt: Prompt
@@ -83,6 +85,11 @@
     patience_s: float
     short_s: float = 0.0
     is_steady: bool = False
+    software_version: str | None = None
+
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may write the answer."""
+        return self.software_version in (None, upstream.entry.software_version)
 
 
 @attrs.frozen
@@ -167,7 +174,7 @@
         there.
         """
         prompt = demand.prompt
-        holders = find_holders(self.upstreams, prompt, self.now)
+        holders = find_holders(filter(demand.accepts, self.upstreams), prompt, self.now)
         best: Placement | None = None
         best_cost = float("inf")
         for rank, upstream in enumerate(self._list_candidates(demand, holders, tried)):
@@ -191,6 +198,8 @@
         if tried or self._is_restricted:
             # A request that has started in this round may have used the last start that was held.
             usable = usable_upstreams(self.upstreams, tried, self.now, self.model.switches)
+        if demand.software_version is not None:
+            usable = list(filter(demand.accepts, usable))
         if self._reserved:
             matching = [item for item in usable if self._is_reserved(item) == demand.is_steady]
             mismatched = [item for item in usable if self._is_reserved(item) != demand.is_steady]
@@ -262,7 +271,7 @@
     missing: int
 
 
-def find_holders(upstreams: Sequence[Upstream], prompt: Prompt, now: float) -> list[Holder]:
+def find_holders(upstreams: Iterable[Upstream], prompt: Prompt, now: float) -> list[Holder]:
     """Return the upstreams that hold parts of a prompt, those with the fewest missing tokens first.
 
     An upstream that drains according to the list still serves fetches of its parts. One that is
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -141,6 +141,7 @@
             await self._write_head(call, response)
         # The library buffers the events before it waits for a slow caller. A run that ends during
         # that wait continues at another upstream and must not repeat the buffered events.
+        call.software_version = call.software_version or call.sent_version
         for event in fresh:
             call.last_event = event.id or call.last_event
         await call.answer.write(b"".join(event.data for event in fresh))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -7,7 +7,12 @@
 import attrs
 from aiohttp import web
 
-from burdockquay_coordination.forwarding import ForwardRoute, RouteKind, Upstream
+from burdockquay_coordination.forwarding import (
+    ForwardRoute,
+    RouteKind,
+    Upstream,
+    UpstreamRegistry,
+)
 from burdockquay_protocol import ErrorKind, RequestError
 
 from ._platform import CallerRequest
@@ -48,6 +53,10 @@
     last_event : str or None
         Id of the last event that the caller has.
     weights_version : str or None
+    software_version : str or None
+        Software version of the upstream that began the stream; None until its first event.
+    sent_version : str or None
+        That of the upstream to which it was last sent.
     backup : Upstream or None
         Upstream that keeps a copy of the memory of the run.
     continue_at : Upstream or None
@@ -86,6 +95,8 @@
     answer: web.StreamResponse | None = None
     last_event: str | None = None
     weights_version: str | None = None
+    software_version: str | None = None
+    sent_version: str | None = None
     backup: Upstream | None = None
     continue_at: Upstream | None = None
     first_at: float | None = None
@@ -96,6 +107,15 @@
     is_counted: bool = False
     was_woken: bool = False
 
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether the rest of the stream fits if an upstream writes it."""
+        return self.software_version in (None, upstream.entry.software_version)
+
+    def candidates(self, upstream_registry: UpstreamRegistry) -> list[Upstream]:
+        """Return the upstreams of the service that may run the call by their version."""
+        found = upstream_registry.of_service(self.service)
+        return found if self.software_version is None else list(filter(self.accepts, found))
+
     def record_events(self, now: float) -> None:
         """Record that events were received."""
         if self.newest_event_at is None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -276,7 +276,14 @@
         short_s = SHORT_READING_SHARE * self.targets().tightest_s if uses_short else 0.0
         patience_s = call.deadline - call.started
         is_steady = self.targets().is_steady(call.route)
-        return Demand(call.request.prompt, call.route.target_s, patience_s, short_s, is_steady)
+        return Demand(
+            call.request.prompt,
+            call.route.target_s,
+            patience_s,
+            short_s,
+            is_steady,
+            call.software_version,
+        )
 
     def _resolve_all(self, result: SentPrompt | None) -> None:
         for waiting in self.queue.take_all():
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -101,7 +101,7 @@
 
     def _awaits_place(self, call: ForwardCall, able: list[Upstream], now: float) -> bool:
         """Return whether a call waits for a place, since other upstreams rest."""
-        upstreams = self.upstream_registry.of_service(call.service)
+        upstreams = call.candidates(self.upstream_registry)
         return bool(able) and len(spare_upstreams(upstreams, call.rank, now)) < len(upstreams)
 
     async def wait(self, call: ForwardCall) -> bool:
@@ -146,7 +146,7 @@
         if call.maybe_run:
             return None
         now = self.clock.now()
-        candidates = self.upstream_registry.of_service(call.service)
+        candidates = call.candidates(self.upstream_registry)
         able = [item for item in candidates if item.accepts_work()]
         if not able or not all(item.is_restricted(now) for item in able):
             return None
@@ -186,14 +186,12 @@
 
     def _able_upstreams(self, call: ForwardCall) -> list[Upstream]:
         """Return the upstreams that could run a call now or later."""
-        candidates = self.upstream_registry.of_service(call.service)
+        candidates = call.candidates(self.upstream_registry)
         return [item for item in candidates if item.accepts_work() and item.id not in call.tried]
 
     def _all_leave(self, call: ForwardCall) -> bool:
         """Return whether all upstreams that could run a call leave."""
-        present = [
-            item for item in self.upstream_registry.of_service(call.service) if not item.is_removed
-        ]
+        present = [item for item in call.candidates(self.upstream_registry) if not item.is_removed]
         return bool(present) and all(item.is_leaving for item in present)
 
     def _soonest_s(self, upstreams: Iterable[Upstream], now: float) -> float:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -144,7 +144,7 @@
     def _choose(self, call: ForwardCall) -> Upstream | None:
         state = self.state
         now = state.clock.now()
-        upstreams = state.upstream_registry.of_service(call.service)
+        upstreams = call.candidates(state.upstream_registry)
         chosen = choose_upstream(
             spare_upstreams(upstreams, call.rank, now),
             state.settings.failure_domain,
@@ -165,6 +165,8 @@
         backup = call.backup
         if backup is None or call.last_event is None or not backup.accepts_work():
             return False
+        if not call.accepts(backup):
+            return False
         return backup.may_start(self.state.clock.now())
 
     async def _record_outcome(self, call: ForwardCall, outcome: Outcome) -> bool:
@@ -215,7 +217,7 @@
         now = state.clock.now()
         if state.suspects.is_refused(call.digest, now):
             return False
-        candidates = state.upstream_registry.of_service(call.service)
+        candidates = call.candidates(state.upstream_registry)
         if not usable_upstreams(candidates, call.tried, now, state.switches):
             has_answer = isinstance(outcome, Broke) and outcome.ready is not None
             if has_answer or not state.held_calls.may_start_later(call):
@@ -280,6 +282,7 @@
         self._log_send(call, upstream)
         call.tried.add(upstream.id)
         call.sent_at = self.state.clock.now()
+        call.sent_version = upstream.entry.software_version
         upstream.outstanding += 1
         response: aiohttp.ClientResponse | None = None
         try:
@@ -360,7 +363,7 @@
 
     def _describe_held_back(self, call: ForwardCall, now: float) -> str | None:
         """Return the upstreams that a call was not sent to, with what they have stated."""
-        candidates = self.state.upstream_registry.of_service(call.service)
+        candidates = call.candidates(self.state.upstream_registry)
         found = held_back_upstreams(candidates, call.tried, now)
         named = [f"{item.id}:{item.held_back_by(now)}" for item in found[:MAX_NAMED_UPSTREAMS]]
         return ",".join(named) or None
@@ -385,7 +388,9 @@
         others = state.upstream_registry.of_service(call.service)
         answer_s = call.sent.placement.answer_s
         if state.losses(call.service).is_copy_worthwhile(answer_s, len(others), now):
-            call.backup = choose_backup(others, upstream, now, state.rng)
+            version = upstream.entry.software_version
+            fitting = [item for item in others if item.entry.software_version == version]
+            call.backup = choose_backup(fitting, upstream, now, state.rng)
 
     def _compose(self, call: ForwardCall, upstream: Upstream) -> Send:
         self._choose_backup(call, upstream)
@@ -403,6 +408,7 @@
 
         def check() -> None:
             self.check_key(call)
+            _check_version(call, upstream)
             _check_statements(upstream, self.state.clock.now())
 
         self.check_key(call)
@@ -438,6 +444,17 @@
             raise CallError(_withheld_error(call, ErrorKind.UNAUTHENTICATED))
 
 
+def _check_version(call: ForwardCall, upstream: Upstream) -> None:
+    """Raise if the entry of an upstream has changed to a version that does not fit the stream.
+
+    Raises
+    ------
+    HeldBackError
+    """
+    if not call.accepts(upstream) or call.sent_version != upstream.entry.software_version:
+        raise HeldBackError(f"upstream {upstream.id} has another software version")
+
+
 def _check_statements(upstream: Upstream, now: float) -> None:
     """Raise if an upstream wants no requests any more.
 
