Resume a stream only at the software version that began it, at any process

A caller that takes a stream up again reached any process, which sent it to an upstream of any version: nobody knew the version that began it, and the header that names the first request was dropped.

A process keeps the origin (service and version) of each stream that it begins. The process that a caller returns to asks those peers, and resumes at that service and version only, or refuses as stream_unknown, which has not run. The only version of a service counts as known if a peer has answered: without contact the list may be old.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -43,12 +43,28 @@
 from ._start_pool import StartGrant, StartNeed
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
+from ._stream_versions import (
+    ASKED_PROCESSES,
+    DIGEST_BYTES,
+    RECORD_OWNERS,
+    StreamOrigin,
+    StreamVersions,
+    rank_owners,
+    stream_digest,
+)
 from ._suspects import CrashSuspects
 from ._upstreams import Upstream, UpstreamRegistry
 from ._urgency import SHORT_READING_SHARE, UrgencyScale
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
 __all__ = [
+    "ASKED_PROCESSES",
+    "DIGEST_BYTES",
+    "RECORD_OWNERS",
+    "StreamOrigin",
+    "StreamVersions",
+    "rank_owners",
+    "stream_digest",
     "limited_delay_s",
     "rest_delay_s",
     "spare_upstreams",
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -0,0 +1,143 @@
+"""Which software version began a stream, for callers that resume it at another process."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from hashlib import blake2b
+
+import attrs
+
+from ._ranking import rank_processes
+
+STREAM_MEMORY_S = 60.0
+"""Time for which the version of a stream is kept, seconds: longer than callers wait for an answer
+and its resumptions together."""
+
+MAX_STREAMS = 100_000
+"""Streams that a process keeps; the oldest are forgotten."""
+
+RECORD_OWNERS = 2
+"""Processes that keep the version of a stream beside the one that began it."""
+
+ASKED_PROCESSES = 4
+"""Processes that are asked for it: some of those that kept it may have ended."""
+
+DIGEST_BYTES = 8
+
+
+def stream_digest(request: str, organisation: str | None) -> bytes:
+    """Return the name under which processes exchange the version of a stream.
+
+    A caller of another organisation that names the same request gets another digest.
+    """
+    text = "\0".join((request, organisation or ""))
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def rank_owners(digest: bytes, incarnations: Iterable[str], count: int) -> list[str]:
+    """Return the processes that keep the version of a stream, in the same order everywhere."""
+    return rank_processes(f"stream {digest.hex()}", incarnations)[:count]
+
+
+@attrs.frozen
+class StreamOrigin:
+    """The service that began a stream, and the software version of its upstream."""
+
+    service: str
+    version: str
+
+
+@attrs.frozen
+class _Begun:
+    origin: StreamOrigin
+    at: float
+
+
+class StreamVersions:
+    """Software versions at which streams began, and those that each service has shown.
+
+    While a service has shown one version only, nothing needs to be exchanged.
+
+    Examples
+    --------
+    >>> streams = StreamVersions()
+    >>> streams.observe("chat", ["v1"], now=0.0)
+    ()
+    >>> streams.record(b"s1", StreamOrigin("chat", "v1"), now=1.0)
+    False
+    >>> streams.observe("chat", ["v1", "v2"], now=2.0)
+    ((b's1', StreamOrigin(service='chat', version='v1')),)
+    >>> streams.record(b"s2", StreamOrigin("chat", "v2"), now=3.0)
+    True
+    >>> streams.find(b"s2", now=4.0)
+    StreamOrigin(service='chat', version='v2')
+    >>> streams.only_version("chat", now=4.0), streams.only_version("chat", now=70.0)
+    (None, None)
+    """
+
+    def __init__(self):
+        self._begun: OrderedDict[bytes, _Begun] = OrderedDict()
+        self._received: OrderedDict[bytes, _Begun] = OrderedDict()
+        self._seen_at: dict[str, dict[str, float]] = {}
+
+    def observe(
+        self, service: str, versions: Iterable[str], now: float
+    ) -> tuple[tuple[bytes, StreamOrigin], ...]:
+        """Record the versions of the upstreams of a service.
+
+        Returns
+        -------
+        tuple of tuple
+            Streams that this process began and that others must know from now on, with origins.
+        """
+        seen = self._seen_at.setdefault(service, {})
+        was_single = len(seen) < 2
+        for version in versions:
+            seen[version] = now
+        for version in [item for item, at in seen.items() if now > at + STREAM_MEMORY_S]:
+            del seen[version]
+        if not was_single or len(seen) < 2:
+            return ()
+        _forget(self._begun, now)
+        return tuple(
+            (digest, item.origin)
+            for digest, item in self._begun.items()
+            if item.origin.service == service
+        )
+
+    def record(self, digest: bytes, origin: StreamOrigin, now: float) -> bool:
+        """Record a stream that this process began; return whether others must know of it."""
+        _add(self._begun, digest, _Begun(origin, now), now)
+        return len(self._seen_at.get(origin.service, ())) > 1
+
+    def receive(self, digest: bytes, origin: StreamOrigin, now: float) -> None:
+        """Record a stream that another process began."""
+        _add(self._received, digest, _Begun(origin, now), now)
+
+    def find(self, digest: bytes, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream, None if this process does not know it."""
+        found = self._begun.get(digest) or self._received.get(digest)
+        return None if found is None or now > found.at + STREAM_MEMORY_S else found.origin
+
+    def only_version(self, service: str, now: float) -> str | None:
+        """Return the version of all streams of a service, None if it has shown several."""
+        seen = self._seen_at.get(service, {})
+        current = [item for item, at in seen.items() if now <= at + STREAM_MEMORY_S]
+        return current[0] if len(current) == 1 else None
+
+
+def _add(streams: OrderedDict[bytes, _Begun], digest: bytes, begun: _Begun, now: float) -> None:
+    # The first record counts: a request id that comes again does not change what a stream is.
+    streams.setdefault(digest, begun)
+    if len(streams) > MAX_STREAMS:
+        streams.popitem(last=False)
+    _forget(streams, now)
+
+
+def _forget(streams: OrderedDict[bytes, _Begun], now: float) -> None:
+    while streams:
+        oldest = next(iter(streams))
+        if now <= streams[oldest].at + STREAM_MEMORY_S:
+            return
+        del streams[oldest]
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
@@ -39,6 +39,7 @@
     NO_PLACE = "no_place"
     UPSTREAM_LIMITED = "upstream_limited"
     UPSTREAM_RESTING = "upstream_resting"
+    STREAM_UNKNOWN = "stream_unknown"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
     TABLE_UNAVAILABLE = "table_unavailable"
@@ -114,6 +115,9 @@
     ErrorKind.UPSTREAM_RESTING: Answer(
         503, "The upstreams have asked for a rest, which did not end in time.", _NOT_RUN, 2.0
     ),
+    ErrorKind.STREAM_UNKNOWN: Answer(
+        503, "The stream cannot be resumed: nobody knows the version that began it.", _NOT_RUN, 1.0
+    ),
     ErrorKind.LEAVING: Answer(503, "The process is shutting down.", _NOT_RUN, 0.5),
     ErrorKind.NOT_READY: Answer(503, "The process has no configuration yet.", _NOT_RUN, 1.0),
     ErrorKind.TABLE_UNAVAILABLE: Answer(
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -363,3 +363,50 @@
     """Statements that bind all processes, as the sender knows them."""
 
     reports: list[StatementReport]
+
+
+@message(44, since=10)
+@attrs.frozen
+class StreamStarts:
+    """Software versions at which streams of the sender began.
+
+    Parameters
+    ----------
+    digests : dict of str to dict of str to bytes
+        By service and version, the digests of the streams one after the other, of eight bytes each.
+    """
+
+    digests: dict[str, dict[str, bytes]]
+
+
+@message(45, since=10)
+@attrs.frozen
+class StreamQuestion:
+    """A question for the software version at which a stream began.
+
+    Parameters
+    ----------
+    question : int
+        Identifies the question in its answer.
+    digest : bytes
+    """
+
+    question: int
+    digest: bytes
+
+
+@message(46, since=10)
+@attrs.frozen
+class StreamAnswer:
+    """The answer to a question.
+
+    Parameters
+    ----------
+    question : int
+    service, version : str or None
+        None if the sender does not know the stream.
+    """
+
+    question: int
+    service: str | None
+    version: str | None
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -404,6 +404,14 @@
         "The list of forwarders has changed: how many it has now, and which are new or gone.",
     )
 
+    STREAM_RESUMED = (
+        1943,
+        "INFO",
+        "A caller resumes a stream. ``software`` is the version that began it; ``source`` is how "
+        "it was found: it is the only one (``only``), or this process (``own``) or a peer knows "
+        "it. If it is ``unknown``, the stream is not resumed.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -33,6 +33,12 @@
         self.repeats_denied = self._counter(
             "repeats_denied", "Repeats that the retry budget did not allow.", "service"
         )
+        self.resumed = self._counter(
+            "resumed_streams",
+            "Streams that callers resume, by how the version that began them was found.",
+            "service",
+            "source",
+        )
         self.first = self._histogram(
             "first_seconds", "Arrival to the first event or plain answer.", FIRST_OUTPUT_BUCKETS_S
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -26,6 +26,9 @@
     RateGrants,
     RateNeeds,
     StatementReports,
+    StreamAnswer,
+    StreamQuestion,
+    StreamStarts,
     TableChanges,
     UpstreamCrash,
     UpstreamLoads,
@@ -54,6 +57,7 @@
 from ._rate_sharing import RateSharing
 from ._state import ForwarderState
 from ._statement_sharing import StatementSharing
+from ._stream_sharing import StreamSharing
 
 LOADS_INTERVAL_S = 0.01
 """Shortest time between two messages about loads, seconds. A prompt waits some tenths of a second
@@ -131,6 +135,9 @@
         self._outcomes = OutcomeSharing(state, identity, post_all)
         self._rates = RateSharing(state.rate_limits, identity.incarnation)
         self._statements = StatementSharing(state.statements, post_all)
+        self._streams = StreamSharing(state.streams, identity.incarnation, state.clock)
+        state.send_stream_starts = self._streams.send
+        state.ask_stream_origin = self._streams.ask
         self._key_repeater = ChangeRepeater()
         self._configuration_repeater = ChangeRepeater()
         self._key_status_recipients: list[PeerConnection] = []
@@ -147,6 +154,9 @@
             RateNeeds: self._rates.receive_needs,
             RateGrants: self._rates.receive_grants,
             StatementReports: self._statements.receive,
+            StreamStarts: self._streams.receive_starts,
+            StreamQuestion: self._streams.receive_question,
+            StreamAnswer: self._streams.receive_answer,
             UsageCounts: _ignore,
             ClockReading: _ignore,
             Heartbeat: _ignore,
@@ -405,6 +415,7 @@
         exchange.choose_pollers(self.identity.incarnation, others)
         self._loads.set_peers(self._peer_connections)
         self._rates.set_peers(self._peer_connections)
+        self._streams.set_peers(self._peer_connections)
         self._statements.set_peers(self._peer_connections.values())
         near = rank_processes(self.identity.incarnation, self._peer_connections)[
             :KEY_STATUS_RECIPIENTS
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -12,11 +12,13 @@
 from burdockquay_coordination.forwarding import (
     Mechanism,
     RouteKind,
+    StreamOrigin,
     Upstream,
     choose_backup,
     choose_upstream,
     held_back_upstreams,
     spare_upstreams,
+    stream_digest,
     usable_upstreams,
 )
 from burdockquay_protocol import ErrorKind, RequestError
@@ -80,6 +82,7 @@
         CallError
             If it ends without an answer from an upstream.
         """
+        await self._find_origin(call)
         self.state.budget(call.service).record_request(self.state.clock.now())
         last: Outcome | None = None
         while True:
@@ -98,6 +101,50 @@
             if not self._may_retry(call, outcome):
                 return self._give_up(call, outcome)
 
+    async def _find_origin(self, call: ForwardCall) -> None:
+        """Find the service and the software version that began the stream that a caller resumes.
+
+        Raises
+        ------
+        CallError
+            If they are unknown: upstreams of any version would write an answer.
+        """
+        request = call.request
+        if request.resume_after is None or not call.route.can_resume:
+            return
+        state = self.state
+        digest = stream_digest(request.resumed_attempt or "", call.organisation)
+        origin, source = state.streams.find(digest, state.clock.now()), "own"
+        if origin is None:
+            known = await state.ask_stream_origin(digest)
+            origin, source = known.origin, "peer"
+            is_in_touch = known.has_answer or state.upstream_registry.processes == 1
+            if origin is None and is_in_touch:
+                origin, source = self._find_only_origin(call), "only"
+        if origin is None or origin.service not in {item.service for item in call.route.shares}:
+            origin, source = None, "unknown"
+        state.metrics.resumed.labels(call.service, source).inc()
+        log_event(
+            Event.STREAM_RESUMED,
+            request=request.id,
+            resumes=request.resumed_attempt,
+            service=call.service,
+            software=origin.version if origin else None,
+            source=source,
+        )
+        if origin is None:
+            raise CallError(RequestError(ErrorKind.STREAM_UNKNOWN))
+        call.service, call.software_version = origin.service, origin.version
+
+    def _find_only_origin(self, call: ForwardCall) -> StreamOrigin | None:
+        """Return the origin of all streams of the service, None if it has several versions.
+
+        Without contact to others the list may be old, and lack the version that began the stream.
+        """
+        self.state.observe_versions(call.service)
+        version = self.state.streams.only_version(call.service, self.state.clock.now())
+        return None if version is None else StreamOrigin(call.service, version)
+
     async def _choose_and_send(self, call: ForwardCall) -> Outcome:
         """Choose an upstream, once one has capacity if the call has a prompt, and send.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from burdockquay_coordination import FleetSize, SharedRetryBudget
 from burdockquay_coordination.forwarding import (
@@ -17,6 +17,8 @@
     LossRate,
     Mechanism,
     PeerAvailability,
+    StreamOrigin,
+    StreamVersions,
     UpstreamRegistry,
 )
 
@@ -29,6 +31,7 @@
 from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
 from ._statements import UpstreamStatements
+from ._stream_sharing import PeerKnowledge
 
 LEASE_SHARE = 0.72
 """Share of the time allowed for the withdrawal of a key for which the last confirmed reading is
@@ -46,6 +49,9 @@
 platform answers. A request that waits longer is refused: its caller can use another process."""
 
 
+SendStarts = Callable[[Iterable[tuple[bytes, StreamOrigin]]], None]
+
+
 class ForwarderState:
     """Configuration, upstreams and budgets of one process.
 
@@ -75,6 +81,7 @@
         memory_s = FLEET_MEMORY_FACTOR * settings.retry_window_s
         self.upstream_registry = UpstreamRegistry(rng, FleetSize(memory_s))
         self.suspects = CrashSuspects()
+        self.streams = StreamVersions()
         self.others = PeerAvailability()
         self.connections = UpstreamConnections()
         self.leaving = False
@@ -88,6 +95,8 @@
             clock, self.metrics, self.upstream_registry, self.rate_limits
         )
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
+        self.send_stream_starts: SendStarts = lambda starts: None
+        self.ask_stream_origin: Callable[[bytes], Awaitable[PeerKnowledge]] = _ask_nobody
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         self._unread = set(REQUIRED_READS)
         self._required_reads_done = asyncio.Event()
@@ -210,8 +219,22 @@
             return False
         return self.lease.is_fresh(now)
 
+    def observe_versions(self, service: str) -> None:
+        """Record the software versions of the upstreams of a service, as they are listed now."""
+        versions = [
+            item.entry.software_version for item in self.upstream_registry.of_service(service)
+        ]
+        starts = self.streams.observe(service, versions, self.clock.now())
+        if starts:
+            self.send_stream_starts(starts)
+
     def refers_callers(self, now: float) -> bool:
         """Return whether callers should be referred to another process."""
         if not self.switches.uses(Mechanism.REFERRAL):
             return False
         return not self.keys_trusted(now) and self.others.can_serve(now)
+
+
+async def _ask_nobody(digest: bytes) -> PeerKnowledge:
+    """Return that nobody else knows a stream: the process connects to no others."""
+    return PeerKnowledge(None, True)
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
@@ -0,0 +1,159 @@
+"""Exchange of the software versions at which streams began, between forwarders."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from burdockquay_coordination.forwarding import (
+    ASKED_PROCESSES,
+    DIGEST_BYTES,
+    RECORD_OWNERS,
+    StreamOrigin,
+    StreamVersions,
+    rank_owners,
+)
+from burdockquay_protocol import StreamAnswer, StreamQuestion, StreamStarts
+
+from .._clock import Clock
+from .._peer import PeerConnection
+
+ANSWER_TIMEOUT_S = 0.25
+"""Longest wait for the answers of peers about one stream, seconds: many times a round trip, and a
+small part of the time for which callers wait."""
+
+SECOND_QUESTION_DELAY_S = 0.05
+"""Delay before peers that do not know a stream are asked again, seconds: a caller may return before
+the record of its stream has arrived."""
+
+
+@attrs.frozen
+class PeerKnowledge:
+    """What peers know of a stream.
+
+    Parameters
+    ----------
+    origin : StreamOrigin or None
+        None if those that answered do not know it.
+    has_answer : bool
+        Whether any peer answered.
+    """
+
+    origin: StreamOrigin | None
+    has_answer: bool
+
+
+@attrs.define(eq=False)
+class _Question:
+    """A question that waits for its answers."""
+
+    missing: int
+    origin: asyncio.Future
+
+
+class StreamSharing:
+    """Sends peers the versions of the streams that begin here, and asks them about others.
+
+    Each record goes to a few peers, chosen by the digest of the stream. Records that become due at
+    the same moment are sent together.
+
+    Parameters
+    ----------
+    streams : StreamVersions
+    incarnation : str
+        That of this process.
+    clock : Clock
+    """
+
+    def __init__(self, streams: StreamVersions, incarnation: str, clock: Clock):
+        self.streams = streams
+        self.incarnation = incarnation
+        self.clock = clock
+        self._peers: Mapping[str, PeerConnection] = {}
+        self._unsent: list[tuple[bytes, StreamOrigin]] = []
+        self._questions: dict[int, _Question] = {}
+        self._numbers = itertools.count(1)
+
+    def set_peers(self, peers: Mapping[str, PeerConnection]) -> None:
+        """Set which processes are connected, by incarnation."""
+        self._peers = {
+            name: peer for name, peer in peers.items() if peer.version >= StreamStarts.since
+        }
+
+    def send(self, starts: Iterable[tuple[bytes, StreamOrigin]]) -> None:
+        """Send the origins of some streams, by digest, to the peers that keep them."""
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent += starts
+
+    def _flush(self) -> None:
+        by_peer: dict[str, dict[str, dict[str, bytes]]] = defaultdict(dict)
+        starts, self._unsent = self._unsent, []
+        for digest, origin in starts:
+            for name in self._owners(digest, RECORD_OWNERS):
+                of_service = by_peer[name].setdefault(origin.service, {})
+                of_service[origin.version] = of_service.get(origin.version, b"") + digest
+        for name, digests in by_peer.items():
+            self._peers[name].post(StreamStarts(digests))
+
+    def _owners(self, digest: bytes, count: int) -> list[str]:
+        """Return the first owners of a stream that are peers."""
+        ranked = rank_owners(digest, [self.incarnation, *self._peers], count + 1)
+        return [name for name in ranked if name != self.incarnation][:count]
+
+    async def ask(self, digest: bytes) -> PeerKnowledge:
+        """Ask peers for the origin of a stream."""
+        known = await self._ask_once(digest)
+        if known.origin is None and self._peers:
+            await asyncio.sleep(SECOND_QUESTION_DELAY_S)
+            found = self.streams.find(digest, self.clock.now())
+            known = await self._ask_once(digest) if found is None else PeerKnowledge(found, True)
+        return known
+
+    async def _ask_once(self, digest: bytes) -> PeerKnowledge:
+        asked = self._owners(digest, ASKED_PROCESSES)
+        if not asked:
+            return PeerKnowledge(None, False)
+        number = next(self._numbers)
+        question = _Question(len(asked), asyncio.get_running_loop().create_future())
+        self._questions[number] = question
+        for name in asked:
+            self._peers[name].post(StreamQuestion(number, digest))
+        origin = None
+        # Peers that have ended or are paused do not answer.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                origin = await question.origin
+        del self._questions[number]
+        return PeerKnowledge(origin, question.missing < len(asked))
+
+    def receive_starts(self, peer: PeerConnection, message: StreamStarts) -> None:
+        """Keep the versions of streams that another process began."""
+        now = self.clock.now()
+        for service, by_version in message.digests.items():
+            for version, digests in by_version.items():
+                origin = StreamOrigin(service, version)
+                for start in range(0, len(digests) - DIGEST_BYTES + 1, DIGEST_BYTES):
+                    self.streams.receive(digests[start : start + DIGEST_BYTES], origin, now)
+
+    def receive_question(self, peer: PeerConnection, message: StreamQuestion) -> None:
+        """Answer whether this process knows a stream."""
+        origin = self.streams.find(message.digest, self.clock.now())
+        known = (None, None) if origin is None else (origin.service, origin.version)
+        peer.post(StreamAnswer(message.question, *known))
+
+    def receive_answer(self, peer: PeerConnection, message: StreamAnswer) -> None:
+        """Pass an answer to the question that waits for it; late ones are ignored."""
+        question = self._questions.get(message.question)
+        if question is None or question.origin.done():
+            return
+        question.missing -= 1
+        if message.service is not None and message.version is not None:
+            question.origin.set_result(StreamOrigin(message.service, message.version))
+        elif not question.missing:
+            question.origin.set_result(None)
