Let entries continue an answer only at engines of the same software version

An engine states its version in its answers (X-Software-Version), the slot passes it on in the head of the answer, and the entry cancels a continuation whose head has another version than the answer that the caller has, and retries elsewhere.

test_answer_is_not_continued_at_another_software_version[alone] failed before: the caller got the text of two versions. The tests of the transport pass.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_engine.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_engine.py
@@ -59,6 +59,8 @@
         Number of tokens generated for such a request before the crash.
     restart_s : float
         Time for which the engine refuses connections after a crash, seconds.
+    software_version : str
+        Stated in each answer; empty if the engine states none.
     """
 
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
@@ -76,6 +78,7 @@
         "poison_marker": [InstanceOf(str)],
         "poison_after_tokens": [Interval(int, 1, 1_000_000)],
         "restart_s": [Interval(float, 0.0, 3600.0)],
+        "software_version": [InstanceOf(str)],
     }
 
     seed: int = 1
@@ -92,6 +95,7 @@
     poison_marker: str = ""
     poison_after_tokens: int = 3
     restart_s: float = 1.0
+    software_version: str = ""
 
 
 class EngineStandin(StandinServer):
@@ -277,6 +281,8 @@
     ) -> web.StreamResponse:
         formatter = ChatFormat(sequence.request, chat.model, int(time.time()))
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        if self.parameters.software_version:
+            response.headers["X-Software-Version"] = self.parameters.software_version
         await response.prepare(request)
         while True:
             await sequence.wait()
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -144,6 +144,7 @@
     link: SlotLink | None = None
     next_sequence: int = 0
     has_head: bool = False
+    software_version: str | None = None
     may_have_run: bool = False
     apart: bool = False
     retries: int = 0
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -43,6 +43,7 @@
 from ._call_error import CallError
 from ._clock import Clock
 from ._dispatcher import GroupDispatcher
+from ._engine_client import SOFTWARE_VERSION
 from ._events import Event, log_event
 from ._metrics import (
     TOKENS,
@@ -166,6 +167,9 @@
                 )
                 call.inbox.put(failed)
                 break
+            if frame.part == PART_HEAD and not self._fits(call, frame):
+                self._leave_misfit(call, dispatcher)
+                break
             if frame.part == PART_TOKEN:
                 texts.append(frame.data.decode(errors="replace"))
             else:
@@ -183,6 +187,30 @@
         call.next_sequence += 1
         return True
 
+    def _fits(self, call: Call, frame: Frame) -> bool:
+        """Return whether an answer that begins continues the one that the caller gets.
+
+        What two software versions write does not fit together. Engines that state none count as of
+        one version.
+        """
+        head = decode_part(AnswerHead, frame.data)
+        if isinstance(head, Err):
+            return True
+        version = dict(head.ok().headers).get(SOFTWARE_VERSION)
+        if call.delivered:
+            return call.software_version == version
+        call.software_version = version
+        return True
+
+    def _leave_misfit(self, call: Call, dispatcher: GroupDispatcher) -> None:
+        """Cancel a continuation at another software version, and retry elsewhere."""
+        call.link.cancel_attempt(call)
+        _drop_frames(call)
+        call.avoid.add(call.link.vm)
+        log_event(Event.SOFTWARE_MISFIT, request=call.spec.request, vm=call.link.vm)
+        detail = "the engine has another software version than the one that began the answer"
+        self._retry_or_fail(call, dispatcher, RequestError(ErrorKind.UPSTREAM_FAILED, detail))
+
     def _flush_tokens(
         self, call: Call, dispatcher: GroupDispatcher, texts: list[str]
     ) -> list[AnswerItem]:
@@ -222,7 +250,11 @@
         if call.has_head:
             return []
         call.has_head = True
-        return [decoded.ok()]
+        head = decoded.ok()
+        if frame.part == PART_HEAD:
+            shown = [item for item in head.headers if item[0] != SOFTWARE_VERSION]
+            head = attrs.evolve(head, headers=shown)
+        return [head]
 
     async def _on_not_run(
         self, call: Call, dispatcher: GroupDispatcher, event: NotRun
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -31,6 +31,10 @@
 _REFUSED_BODY_BYTES = 4096
 
 
+SOFTWARE_VERSION = "X-Software-Version"
+"""Header in which an engine states the version of its software."""
+
+
 def engine_request_id(run: Run | Work) -> str:
     """Return the request id of an attempt at the engine."""
     return f"{run.request}-{run.attempt}"
@@ -57,7 +61,9 @@
             async with self._post(run, priority) as response:
                 await _check_accepted(response)
                 answered = True
-                yield AnswerHead(response.status, _STREAM_HEADERS)
+                version = response.headers.get(SOFTWARE_VERSION)
+                stated = [] if version is None else [[SOFTWARE_VERSION, version]]
+                yield AnswerHead(response.status, [*_STREAM_HEADERS, *stated])
                 async for part in _read_events(response):
                     yield part
         except CONNECT_ERRORS as error:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -199,6 +199,13 @@
         "Retries are refused: the retry budget, a share of the traffic, is used up.",
     )
 
+    SOFTWARE_MISFIT = (
+        1405,
+        "INFO",
+        "A retry reached an engine of another software version than the one that began the answer; "
+        "it is cancelled there.",
+    )
+
     UPSTREAM_CRASHED = (1501, "ERROR", "The upstream crashed while it ran requests.")
     UPSTREAM_UNHEALTHY = (1502, "WARNING", "The upstream fails its probes and gets no work.")
     UPSTREAM_HEALTHY = (1503, "INFO", "The upstream passes its probes again.")
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -113,9 +113,9 @@
         is_known = peers.count(entry.identity.vm) == len(self.slots)
         return entry.ready and is_known and len(connected) == len(self.slots)
 
-    async def add_engine(self) -> EngineStandin:
-        """Start an engine and its slot."""
-        engine = EngineStandin(EngineParameters(**self.engine_parameters))
+    async def add_engine(self, **changes) -> EngineStandin:
+        """Start an engine and its slot; the parameters may differ from those of the others."""
+        engine = EngineStandin(EngineParameters(**self.engine_parameters | changes))
         await engine.start()
         self.engines.append(engine)
         await self.add_slot(f"engine-{len(self.engines)}", "drafting", engine.url)
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_end_to_end.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_end_to_end.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from burdockquay_standins import expected_answer
 from burdockquay_state import ClassRecord
 
@@ -87,6 +89,28 @@
         assert text == "".join(expected_answer(body, seed=1))
 
 
+@pytest.mark.parametrize("has_other", [False, True], ids=["alone", "two of the version"])
+async def test_answer_is_not_continued_at_another_software_version(deployment, has_other):
+    """Guards against an answer that joins what two software versions write."""
+    versions = [("v1", 1), ("v2", 2), ("v2", 2)] + [("v1", 1)] * has_other
+    async with deployment(
+        engines=1, base_step_s=0.02, restart_s=60.0, software_version="v1"
+    ) as running:
+        (entry,) = running.entries
+        body = {**chat_body("ceremony", stream=True, max_tokens=400), "min_tokens": 200}
+        async with running.post("/v1/chat/completions", body) as response:
+            begin = json.loads((await response.content.readline()).removeprefix(b"data: "))
+            begun = begin["choices"][0]["delta"]["content"]
+            for version, seed in versions[1:]:
+                await running.add_engine(software_version=version, seed=seed)
+            await until(lambda: running.is_connected(entry))
+            running.engines[0].crash(60.0)
+            text, complete, _ = await read_stream(response)
+        whole = "".join(expected_answer(body, seed=1))
+        assert whole.startswith(begun + text)
+        assert complete == has_other
+
+
 async def test_answer_that_cannot_be_completed_ends_with_an_error(deployment):
     """The only engine crashes while it streams an answer.
 
