List a forwarder again whose entry was removed while it runs

A process whose entry another one has removed, because it could not reach it for two minutes, went on without one: nobody connected to it, and nobody counted it where a bound is divided. It now registers again when the list shows the removal.

test_process_whose_entry_was_removed_is_listed_again failed before (no peer in 30 s) and passes, as do the tests of members and store eras.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -262,10 +262,12 @@
                 log_event(Event.MEMBERS_UNREACHABLE, detail=read.err().detail)
                 await self._pause(self.state.rng.uniform(*RETRY_PAUSES_S))
                 continue
-            self._apply_members(read.ok())
-            # The store may also have been restored between joining and the first reading.
-            if read.ok().after_restore or not has_read:
-                self._start_rejoining(read.ok())
+            changes = read.ok()
+            self._apply_members(changes)
+            # The store may also have been restored between joining and the first reading, and
+            # another process removes an entry that it cannot reach for long.
+            if changes.after_restore or not has_read or self._me.vm in changes.removed:
+                self._start_rejoining(changes)
             has_read = True
             await self._pause(MEMBERS_BATCH_PAUSE_S)
 
