Take a version for the only one only if other processes agree, and test it with a state machine

A state machine of streams, versions and processes found that a process which has just started, or one without contact, took the version that it saw for the only one, and resumed a stream of another at it: begin at a process that is cut off, let another version replace the first, start a process, resume there.

A peer that is asked for a stream now says which version is the only one it has seen, and a stream that nobody knows is resumed only if all that answered agree. Versions are observed at each change of the list, so that streams from before are told as soon as another version appears.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -216,6 +216,11 @@
         """Number of processes that are listed now."""
         return self.fleet.listed
 
+    @property
+    def services(self) -> Collection[str]:
+        """Services that have or had upstreams."""
+        return self._by_service.keys()
+
     def all(self) -> Collection[Upstream]:
         """Return all upstreams."""
         return self._upstreams.values()
--- /dev/null
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
@@ -0,0 +1,173 @@
+"""State machine of streams that begin and are resumed while versions and processes change."""
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from burdockquay_coordination.forwarding import StreamVersions
+
+from . import stream_fleet
+from .stream_fleet import StreamFleet
+
+PICKS = st.integers(0, 20)
+VERSIONS = ["v1", "v2", "1.0-rc"]
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """Releases, kills, restarts and cuts, in any order, while callers resume streams."""
+
+    @initialize(processes=st.integers(2, 7), seed=st.integers(0, 999))
+    def begin(self, processes, seed):
+        self.fleet = StreamFleet(processes, seed)
+        self.streams = []
+
+    def pick(self, number):
+        names = sorted(self.fleet.processes)
+        return names[number % len(names)]
+
+    @rule(seconds=st.floats(0.02, 2.0))
+    def wait(self, seconds):
+        self.fleet.advance(seconds)
+
+    @rule(number=PICKS, count=st.integers(1, 4))
+    def begin_streams(self, number, count):
+        """Begin streams at several processes; each caller has its first event after a moment."""
+        for index in range(count):
+            self.streams.append(self.fleet.begin(self.pick(number + index)))
+        self.fleet.advance(0.03)
+
+    @precondition(lambda self: self.streams)
+    @rule(number=PICKS, which=PICKS)
+    def resume(self, number, which):
+        self.fleet.resume(self.pick(number), self.streams[which % len(self.streams)])
+
+    @precondition(lambda self: self.streams)
+    @rule(number=PICKS)
+    def resume_newest(self, number):
+        """Let the callers of the newest streams return to one process."""
+        for stream in self.streams[-4:]:
+            self.fleet.resume(self.pick(number), stream)
+
+    @rule(count=st.integers(1, 3))
+    def release(self, count):
+        self.fleet.set_versions(VERSIONS[:count])
+
+    @rule(which=st.integers(0, 2))
+    def replace_version(self, which):
+        """Let another version serve alone at once, and a process start that knows no other."""
+        self.fleet.set_versions([VERSIONS[which]])
+        self.fleet.advance(0.03)
+        self.fleet.start()
+        for stream in self.streams[-4:]:
+            self.fleet.resume(self.pick(0), stream)
+
+    @rule()
+    def finish_release(self):
+        """Let only the newest version serve; others were beside it before."""
+        self.fleet.set_versions(VERSIONS[:2])
+        for name in sorted(self.fleet.processes):
+            self.streams.append(self.fleet.begin(name))
+        self.fleet.advance(0.03)
+        self.fleet.set_versions(VERSIONS[1:2])
+
+    # Two peers keep a record beside the process that began the stream: with one loss at a time, and
+    # records as old as the streams that callers resume, one of them is left.
+    @precondition(lambda self: len(self.fleet.processes) > 3)
+    @rule(number=PICKS)
+    def kill_and_restart(self, number):
+        self.streams = self.streams[-4:]
+        self.fleet.end(self.pick(number))
+        for stream in self.streams:
+            self.fleet.resume(self.pick(number), stream)
+        self.streams = []
+        self.fleet.start()
+
+    @rule(number=PICKS)
+    def cut(self, number):
+        self.fleet.cut(self.pick(number))
+
+    @rule()
+    def heal(self):
+        for name in sorted(self.fleet.processes):
+            self.fleet.heal(name)
+
+    @invariant()
+    def check_no_stream_is_joined(self):
+        if hasattr(self, "fleet"):
+            assert self.fleet.joined == 0
+
+
+MACHINE_SETTINGS = settings(max_examples=150, stateful_step_count=40)
+
+
+def test_no_stream_goes_on_at_another_version():
+    run_state_machine_as_test(StreamMachine, settings=MACHINE_SETTINGS)
+
+
+def forget_versions_at_an_update(monkeypatch):
+    original = StreamVersions.observe
+
+    def observe(self, service, versions, now):
+        self._seen_at.pop(service, None)
+        return original(self, service, versions, now)
+
+    monkeypatch.setattr(StreamVersions, "observe", observe)
+
+
+def resume_anywhere(monkeypatch):
+    monkeypatch.setattr(
+        StreamFleet, "_find", lambda self, process, stream: self.rng.choice(process.versions)
+    )
+
+
+def trust_the_list_without_contact(monkeypatch):
+    def find(self, process, stream):
+        known = original(self, process, stream)
+        return process.versions[0] if known is None and process.is_cut else known
+
+    original = StreamFleet._find
+    monkeypatch.setattr(StreamFleet, "_find", find)
+
+
+FAULTS = [
+    forget_versions_at_an_update,
+    resume_anywhere,
+    trust_the_list_without_contact,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_machine_finds_a_planted_fault(monkeypatch, fault):
+    fault(monkeypatch)
+    quick = settings(MACHINE_SETTINGS, max_examples=400, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(StreamMachine, settings=quick)
+
+
+def test_streams_are_resumed_after_the_loss_of_a_process():
+    """Guards against refusals of streams whose version two peers have been told."""
+    fleet = StreamFleet(6, seed=1)
+    fleet.set_versions(["v1", "v2"])
+    for _ in range(50):
+        names = sorted(fleet.processes)
+        stream = fleet.begin(names[0])
+        fleet.advance(0.05)
+        fleet.end(names[0])
+        assert fleet.resume(names[1], stream) == stream.version
+        fleet.start()
+    assert fleet.unknown == 0
+
+
+def test_records_that_a_process_keeps_alone_are_lost_with_it(monkeypatch):
+    """Plants a fault that the test above must find."""
+    monkeypatch.setattr(stream_fleet, "RECORD_OWNERS", 0)
+    with pytest.raises(AssertionError):
+        test_streams_are_resumed_after_the_loss_of_a_process()
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -389,10 +389,13 @@
     question : int
         Identifies the question in its answer.
     digest : bytes
+    service : str
+        Service at which it would be resumed if nobody knows it.
     """
 
     question: int
     digest: bytes
+    service: str
 
 
 @message(46, since=10)
@@ -405,8 +408,12 @@
     question : int
     service, version : str or None
         None if the sender does not know the stream.
+    only_version : str or None
+        The version that all streams of the service named in the question have begun at; None if
+        the sender has seen several.
     """
 
     question: int
     service: str | None
     version: str | None
+    only_version: str | None
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -132,6 +132,8 @@
                 over=",".join(ended),
                 known=len(state.upstream_registry),
             )
+            for service in state.upstream_registry.services:
+                state.observe_versions(service)
             await asyncio.sleep(BATCH_PAUSE_S)
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -46,6 +46,7 @@
 )
 from ._platform import SendTerms
 from ._state import ForwarderState
+from ._stream_sharing import PeerKnowledge
 
 MAX_UNREACHABLE_UPSTREAMS = 4
 """Number of unreachable upstreams after which a request fails: with a connect timeout of 0.4 s,
@@ -116,11 +117,10 @@
         digest = stream_digest(request.resumed_attempt or "", call.organisation)
         origin, source = state.streams.find(digest, state.clock.now()), "own"
         if origin is None:
-            known = await state.ask_stream_origin(digest)
+            known = await state.ask_stream_origin(digest, call.service)
             origin, source = known.origin, "peer"
-            is_in_touch = known.has_answer or state.upstream_registry.processes == 1
-            if origin is None and is_in_touch:
-                origin, source = self._find_only_origin(call), "only"
+            if origin is None:
+                origin, source = self._find_only_origin(call, known), "only"
         if origin is None or origin.service not in {item.service for item in call.route.shares}:
             origin, source = None, "unknown"
         state.metrics.resumed.labels(call.service, source).inc()
@@ -136,14 +136,18 @@
             raise CallError(RequestError(ErrorKind.STREAM_UNKNOWN))
         call.service, call.software_version = origin.service, origin.version
 
-    def _find_only_origin(self, call: ForwardCall) -> StreamOrigin | None:
-        """Return the origin of all streams of the service, None if it has several versions.
+    def _find_only_origin(self, call: ForwardCall, known: PeerKnowledge) -> StreamOrigin | None:
+        """Return the origin of all streams of the service, None if it may have several versions.
 
-        Without contact to others the list may be old, and lack the version that began the stream.
+        A process that has just started does not know the versions of the last minute, and the list
+        of one without contact may be old.
         """
-        self.state.observe_versions(call.service)
-        version = self.state.streams.only_version(call.service, self.state.clock.now())
-        return None if version is None else StreamOrigin(call.service, version)
+        state = self.state
+        state.observe_versions(call.service)
+        version = state.streams.only_version(call.service, state.clock.now())
+        is_alone = state.upstream_registry.processes == 1
+        agrees = known.only_versions == {version} or (is_alone and not known.only_versions)
+        return StreamOrigin(call.service, version) if version is not None and agrees else None
 
     async def _choose_and_send(self, call: ForwardCall) -> Outcome:
         """Choose an upstream, once one has capacity if the call has a prompt, and send.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -49,6 +49,7 @@
 platform answers. A request that waits longer is refused: its caller can use another process."""
 
 
+AskPeers = Callable[[bytes, str], Awaitable[PeerKnowledge]]
 SendStarts = Callable[[Iterable[tuple[bytes, StreamOrigin]]], None]
 
 
@@ -96,7 +97,7 @@
         )
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self.send_stream_starts: SendStarts = lambda starts: None
-        self.ask_stream_origin: Callable[[bytes], Awaitable[PeerKnowledge]] = _ask_nobody
+        self.ask_stream_origin: AskPeers = _ask_nobody
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         self._unread = set(REQUIRED_READS)
         self._required_reads_done = asyncio.Event()
@@ -235,6 +236,6 @@
         return not self.keys_trusted(now) and self.others.can_serve(now)
 
 
-async def _ask_nobody(digest: bytes) -> PeerKnowledge:
+async def _ask_nobody(digest: bytes, service: str) -> PeerKnowledge:
     """Return that nobody else knows a stream: the process connects to no others."""
-    return PeerKnowledge(None, True)
+    return PeerKnowledge(None)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
@@ -40,12 +40,13 @@
     ----------
     origin : StreamOrigin or None
         None if those that answered do not know it.
-    has_answer : bool
-        Whether any peer answered.
+    only_versions : frozenset of str or None
+        What each that answered knows as the only version of the service, None for several; empty if
+        none has answered.
     """
 
     origin: StreamOrigin | None
-    has_answer: bool
+    only_versions: frozenset[str | None] = frozenset()
 
 
 @attrs.define(eq=False)
@@ -54,6 +55,7 @@
 
     missing: int
     origin: asyncio.Future
+    only_versions: set[str | None] = attrs.field(factory=set)
 
 
 class StreamSharing:
@@ -106,31 +108,33 @@
         ranked = rank_owners(digest, [self.incarnation, *self._peers], count + 1)
         return [name for name in ranked if name != self.incarnation][:count]
 
-    async def ask(self, digest: bytes) -> PeerKnowledge:
-        """Ask peers for the origin of a stream."""
-        known = await self._ask_once(digest)
+    async def ask(self, digest: bytes, service: str) -> PeerKnowledge:
+        """Ask peers for the origin of a stream, and for the versions of a service."""
+        known = await self._ask_once(digest, service)
         if known.origin is None and self._peers:
             await asyncio.sleep(SECOND_QUESTION_DELAY_S)
             found = self.streams.find(digest, self.clock.now())
-            known = await self._ask_once(digest) if found is None else PeerKnowledge(found, True)
+            if found is not None:
+                return PeerKnowledge(found)
+            known = await self._ask_once(digest, service)
         return known
 
-    async def _ask_once(self, digest: bytes) -> PeerKnowledge:
+    async def _ask_once(self, digest: bytes, service: str) -> PeerKnowledge:
         asked = self._owners(digest, ASKED_PROCESSES)
         if not asked:
-            return PeerKnowledge(None, False)
+            return PeerKnowledge(None)
         number = next(self._numbers)
         question = _Question(len(asked), asyncio.get_running_loop().create_future())
         self._questions[number] = question
         for name in asked:
-            self._peers[name].post(StreamQuestion(number, digest))
+            self._peers[name].post(StreamQuestion(number, digest, service))
         origin = None
         # Peers that have ended or are paused do not answer.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 origin = await question.origin
         del self._questions[number]
-        return PeerKnowledge(origin, question.missing < len(asked))
+        return PeerKnowledge(origin, frozenset(question.only_versions))
 
     def receive_starts(self, peer: PeerConnection, message: StreamStarts) -> None:
         """Keep the versions of streams that another process began."""
@@ -143,9 +147,11 @@
 
     def receive_question(self, peer: PeerConnection, message: StreamQuestion) -> None:
         """Answer whether this process knows a stream."""
-        origin = self.streams.find(message.digest, self.clock.now())
+        now = self.clock.now()
+        origin = self.streams.find(message.digest, now)
         known = (None, None) if origin is None else (origin.service, origin.version)
-        peer.post(StreamAnswer(message.question, *known))
+        only = self.streams.only_version(message.service, now)
+        peer.post(StreamAnswer(message.question, *known, only))
 
     def receive_answer(self, peer: PeerConnection, message: StreamAnswer) -> None:
         """Pass an answer to the question that waits for it; late ones are ignored."""
@@ -153,6 +159,7 @@
         if question is None or question.origin.done():
             return
         question.missing -= 1
+        question.only_versions.add(message.only_version)
         if message.service is not None and message.version is not None:
             question.origin.set_result(StreamOrigin(message.service, message.version))
         elif not question.missing:
