--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -7,12 +7,7 @@
 import aiohttp
 from aiohttp import web
 
-from burdockquay_coordination.forwarding import (
-    RouteKind,
-    StreamOrigin,
-    Upstream,
-    stream_digest,
-)
+from burdockquay_coordination.forwarding import RouteKind, Upstream
 
 from ._call import Answered, Broke, ForwardCall, NotRun, Outcome
 from ._connections import SENT_ERRORS, BrokenError, check_body_end, read_body
@@ -20,6 +15,7 @@
 from ._headers import end_to_end_headers
 from ._platform import AnswerFacts
 from ._state import ForwarderState
+from ._stream_origins import record_origin
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which a caller concludes that its request certainly has not run."""
@@ -147,24 +143,11 @@
         # The library buffers the events before it waits for a slow caller. A run that ends during
         # that wait continues at another upstream and must not repeat the buffered events.
         if call.software_version is None:
-            self._record_begun(call)
+            record_origin(self.state, call)
         for event in fresh:
             call.last_event = event.id or call.last_event
         await call.answer.write(b"".join(event.data for event in fresh))
 
-    def _record_begun(self, call: ForwardCall) -> None:
-        """Record the version of a stream whose first event the caller is about to get."""
-        call.software_version = call.sent_version
-        if not call.route.can_resume:
-            return
-        state = self.state
-        now = state.clock.now()
-        state.observe_versions(call.service)
-        digest = stream_digest(call.request.id, call.organisation)
-        origin = StreamOrigin(call.service, call.software_version)
-        if state.streams.record(digest, origin, now):
-            state.send_stream_starts([(digest, origin)])
-
     async def _write_head(self, call: ForwardCall, response: aiohttp.ClientResponse) -> None:
         """Write the head of a stream to the caller; after that, no other answer is possible."""
         answer = web.StreamResponse(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -12,13 +12,11 @@
 from burdockquay_coordination.forwarding import (
     Mechanism,
     RouteKind,
-    StreamOrigin,
     Upstream,
     choose_backup,
     choose_upstream,
     held_back_upstreams,
     spare_upstreams,
-    stream_digest,
     usable_upstreams,
 )
 from burdockquay_protocol import ErrorKind, RequestError
@@ -46,7 +44,7 @@
 )
 from ._platform import SendTerms
 from ._state import ForwarderState
-from ._stream_sharing import PeerKnowledge
+from ._stream_origins import find_origin
 
 MAX_UNREACHABLE_UPSTREAMS = 4
 """Number of unreachable upstreams after which a request fails: with a connect timeout of 0.4 s,
@@ -83,7 +81,7 @@
         CallError
             If it ends without an answer from an upstream.
         """
-        await self._find_origin(call)
+        await find_origin(self.state, call)
         self.state.budget(call.service).record_request(self.state.clock.now())
         last: Outcome | None = None
         while True:
@@ -102,53 +100,6 @@
             if not self._may_retry(call, outcome):
                 return self._give_up(call, outcome)
 
-    async def _find_origin(self, call: ForwardCall) -> None:
-        """Find the service and the software version that began the stream that a caller resumes.
-
-        Raises
-        ------
-        CallError
-            If they are unknown: upstreams of any version would write an answer.
-        """
-        request = call.request
-        if request.resume_after is None or not call.route.can_resume:
-            return
-        state = self.state
-        digest = stream_digest(request.resumed_attempt or "", call.organisation)
-        origin, source = state.streams.find(digest, state.clock.now()), "own"
-        if origin is None:
-            known = await state.ask_stream_origin(digest, call.service)
-            origin, source = known.origin, "peer"
-            if origin is None:
-                origin, source = self._find_only_origin(call, known), "only"
-        if origin is None or origin.service not in {item.service for item in call.route.shares}:
-            origin, source = None, "unknown"
-        state.metrics.resumed.labels(call.service, source).inc()
-        log_event(
-            Event.STREAM_RESUMED,
-            request=request.id,
-            resumes=request.resumed_attempt,
-            service=call.service,
-            software=origin.version if origin else None,
-            source=source,
-        )
-        if origin is None:
-            raise CallError(RequestError(ErrorKind.STREAM_UNKNOWN))
-        call.service, call.software_version = origin.service, origin.version
-
-    def _find_only_origin(self, call: ForwardCall, known: PeerKnowledge) -> StreamOrigin | None:
-        """Return the origin of all streams of the service, None if it may have several versions.
-
-        A process that has just started does not know the versions of the last minute, and the list
-        of one without contact may be old.
-        """
-        state = self.state
-        state.observe_versions(call.service)
-        version = state.streams.only_version(call.service, state.clock.now())
-        is_alone = state.upstream_registry.processes == 1
-        agrees = known.only_versions == {version} or (is_alone and not known.only_versions)
-        return StreamOrigin(call.service, version) if version is not None and agrees else None
-
     async def _choose_and_send(self, call: ForwardCall) -> Outcome:
         """Choose an upstream, once one has capacity if the call has a prompt, and send.
 
