Load the modules for peers only after callers are served, as before

The state of a forwarder imported a type from the module that exchanges the origins of streams, which loads the connections to peers: 501 modules instead of 447 before a process serves callers.

The type stands beside the origins of streams now. Behaviour is unchanged.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -48,6 +48,23 @@
     version: str
 
 
+@attrs.frozen
+class PeerKnowledge:
+    """What peers know of a stream.
+
+    Parameters
+    ----------
+    origin : StreamOrigin or None
+        None if those that answered do not know it.
+    only_versions : frozenset of str or None
+        What each that answered knows as the only version of the service, None for several; empty if
+        none has answered.
+    """
+
+    origin: StreamOrigin | None
+    only_versions: frozenset[str | None] = frozenset()
+
+
 @attrs.frozen
 class _Begun:
     origin: StreamOrigin
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -17,6 +17,7 @@
     LossRate,
     Mechanism,
     PeerAvailability,
+    PeerKnowledge,
     StreamOrigin,
     StreamVersions,
     UpstreamRegistry,
@@ -31,7 +32,6 @@
 from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
 from ._statements import UpstreamStatements
-from ._stream_sharing import PeerKnowledge
 
 LEASE_SHARE = 0.72
 """Share of the time allowed for the withdrawal of a key for which the last confirmed reading is
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from burdockquay_coordination.forwarding import StreamOrigin, stream_digest
+from burdockquay_coordination.forwarding import PeerKnowledge, StreamOrigin, stream_digest
 from burdockquay_protocol import ErrorKind, RequestError
 
 from .._call_error import CallError
 from .._events import Event, log_event
 from ._call import ForwardCall
 from ._state import ForwarderState
-from ._stream_sharing import PeerKnowledge
 
 
 def record_origin(state: ForwarderState, call: ForwardCall) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
@@ -14,6 +14,7 @@
     ASKED_PROCESSES,
     DIGEST_BYTES,
     RECORD_OWNERS,
+    PeerKnowledge,
     StreamOrigin,
     StreamVersions,
     rank_owners,
@@ -32,23 +33,6 @@
 the record of its stream has arrived."""
 
 
-@attrs.frozen
-class PeerKnowledge:
-    """What peers know of a stream.
-
-    Parameters
-    ----------
-    origin : StreamOrigin or None
-        None if those that answered do not know it.
-    only_versions : frozenset of str or None
-        What each that answered knows as the only version of the service, None for several; empty if
-        none has answered.
-    """
-
-    origin: StreamOrigin | None
-    only_versions: frozenset[str | None] = frozenset()
-
-
 @attrs.define(eq=False)
 class _Question:
     """A question that waits for its answers."""
