Move what an upstream bears into a package of its own

Cause: what restricts sends to an upstream (stated rate limits, rests, departures, shared starts) is spread over ten modules in two packages. Cold starts and evacuations restrict the same sends. Change: the ten modules move to burdockquay_coordination.sending; the stall constant that the load relay shares with them gets a module of its own. No behaviour changes.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -66,26 +66,26 @@
         "QueuePolicy",
         "queue_policies",
     ),
-    "._leaving": (
+    ".sending._leaving": (
         "Leaving",
         "read_leaving",
     ),
-    "._rate_limit": (
+    ".sending._rate_limit": (
         "RateLimit",
         "read_rate",
     ),
-    "._rest": (
+    ".sending._rest": (
         "TURNED_AWAY_STATUSES",
         "Rest",
         "read_rest",
     ),
     "._run_gate": ("RunGate",),
-    "._run_statements": (
+    ".sending._run_statements": (
         "AnswerContext",
         "RunStatements",
         "read_statements",
     ),
-    "._statements": (
+    ".sending._statements": (
         "NOT_STATED",
         "Binding",
         "ProofNeed",
@@ -114,7 +114,7 @@
     ),
     "._shared_retry_budget": ("SharedRetryBudget",),
     "._slots": ("SlotScheduler",),
-    "._start_gate": ("StartGate",),
+    ".sending._start_gate": ("StartGate",),
     "._subsets": ("choose_subset",),
     "._suspicion_store": (
         "SuspicionStore",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_run_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_run_gate.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from ._run_statements import RunStatements
-from ._start_gate import StartGate
+from .sending._run_statements import RunStatements
+from .sending._start_gate import StartGate
 
 MIN_UNSTATED_ANSWERS = 3
 """Answers in a row without the statement after which an upstream that left counts as another run: a
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -5,6 +5,8 @@
 ``now`` is an argument of each decision.
 """
 
+from ..sending._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
+from ..sending._start_pool import StartGrant, StartNeed
 from ._choice import (
     choose_backup,
     choose_upstream,
@@ -40,8 +42,6 @@
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
 from ._retry_after import PeerAvailability, limited_delay_s, rest_delay_s, retry_delay_s
-from ._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
-from ._start_pool import StartGrant, StartNeed
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._stream_versions import (
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from .._local_stall import LOCAL_STALL_S
 from ._pending import NO_LOAD, PEER_LOAD_EXPIRY_S, LoadShare
 
 RELAY_TIMEOUT_S = 0.6
@@ -15,10 +16,6 @@
 RELAY_RETRY_S = 2.0
 """Time after which a replaced relay is tried again, seconds."""
 
-LOCAL_STALL_S = 0.3
-"""Time between two checks beyond which this process itself, and not the relay, counts as stalled,
-seconds: messages received meanwhile have not been read yet."""
-
 HEARTBEAT_INTERVAL_S = 0.2
 """Longest time between two messages of a relay to each process, seconds: a third of the time after
 which processes replace it."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -8,13 +8,13 @@
 import attrs
 
 from .._fleet_size import FleetSize
-from .._run_statements import RunStatements
+from ..sending._run_statements import RunStatements
+from ..sending._shared_limit import SharedLimit
+from ..sending._unlisted_statements import UnlistedStatements
 from ._linear import SpeedFactor
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
-from ._shared_limit import SharedLimit
-from ._unlisted_statements import UnlistedStatements
 from ._upstream_health import UpstreamHealth
 
 RELIST_WAIT_S = 2.2
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit_machine.py
@@ -13,7 +13,7 @@
 )
 
 from burdockquay_coordination.forwarding import Fleet, SharedLimit
-from burdockquay_coordination.forwarding._start_pool import StartAccount
+from burdockquay_coordination.sending._start_pool import StartAccount
 
 from .limit_cluster import MEMBERS_DELAY_S, LimitCluster
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_statements_machine.py
@@ -13,7 +13,7 @@
 
 from burdockquay_coordination import Rest, RunStatements
 from burdockquay_coordination.forwarding import Upstream, UpstreamRegistry
-from burdockquay_coordination.forwarding._unlisted_statements import UnlistedStatements
+from burdockquay_coordination.sending._unlisted_statements import UnlistedStatements
 
 from . import statement_cluster
 from .statement_cluster import MAX_ANSWER_DELAY_S, StatementCluster
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from .._rate_limit import RateLimit
-from .._statements import StatementChange, StatementReading
-from ._load_relay import LOCAL_STALL_S
+from .._local_stall import LOCAL_STALL_S
+from ._rate_limit import RateLimit
 from ._start_pool import StartAccount, StartGrant, StartNeed, StartPool, share_interval_s
+from ._statements import StatementChange, StatementReading
 
 ENDED_RETENTION_S = 60.0
 """Time for which a process remembers that a limit has ended, seconds: one that was cut off
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_start_bucket.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_bucket.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._token_bucket import TokenBucket
+from .._token_bucket import TokenBucket
 
 BURST_S = 0.05
 """Time whose starts may be made together, seconds: at high rates a process wakes less often than a
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_start_pool.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_pool.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from .._start_bucket import StartBucket
+from ._start_bucket import StartBucket
 
 MIN_INTERVAL_S = 0.25
 """Shortest time between two messages that only renew something, seconds."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_unlisted_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from .._run_statements import RunStatements
+from ._run_statements import RunStatements
 
 MAX_RUNS = 4096
 """Largest number of runs that are kept; the one that was added first is dropped."""
