Define the interfaces of cold starts, evacuations and regions

Cause: two deployments state cold starts of services, evacuate failure domains and lie in several regions, which nothing reads. A list of homes that cannot be read allows no region.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -17,6 +17,7 @@
 from ._config import (
     CallerLimits,
     CallerOrganisation,
+    ColdStartTerms,
     ForwardConfig,
     ForwardRoute,
     RouteKind,
@@ -81,6 +82,7 @@
     "Fleet",
     "CallerLimits",
     "CallerOrganisation",
+    "ColdStartTerms",
     "ConfigDirectory",
     "ConfigVersionTracker",
     "CrashSuspects",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -64,6 +64,8 @@
         Time without an event after which callers abandon a stream, seconds.
     pause_target_s : float or None
         Target for the longest pause between two events of a stream, seconds.
+    homes : frozenset of str or None
+        Regions in which its requests may be served; None for any, empty for none.
     """
 
     name: str
@@ -80,6 +82,7 @@
     can_resume: bool = False
     silence_s: float | None = None
     pause_target_s: float | None = None
+    homes: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -138,11 +141,14 @@
     api_keys : frozenset of str
     priority : int or None
         Overrides the priority of a route if set.
+    homes : frozenset of str or None
+        Regions in which its requests may be served; None for any, empty for none.
     """
 
     name: str
     api_keys: frozenset[str] = attrs.field(repr=False)
     priority: int | None = None
+    homes: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -172,6 +178,23 @@
     tokens: int
 
 
+@attrs.frozen
+class ColdStartTerms:
+    """How long the upstreams of a service are cold after a start, and what they bear meanwhile.
+
+    Parameters
+    ----------
+    service : str
+    duration_s : float
+    per_s : float
+        Requests per second from all processes together.
+    """
+
+    service: str
+    duration_s: float
+    per_s: float
+
+
 @attrs.frozen
 class ForwardConfig:
     """One version of the complete configuration.
@@ -186,6 +209,8 @@
     limits : CallerLimits
     memories : tuple of ServiceMemory
         Capacities of the services whose upstreams keep prompt parts.
+    cold_starts : tuple of ColdStartTerms
+        The services whose upstreams are cold after a start.
     """
 
     version: int
@@ -193,3 +218,4 @@
     organisations: tuple[CallerOrganisation, ...] | None = None
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     memories: tuple[ServiceMemory, ...] = ()
+    cold_starts: tuple[ColdStartTerms, ...] = ()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
@@ -33,6 +33,8 @@
     software_version : str
         Version of its software, any text; versions have no order. What two versions write does not
         fit together in one stream. Empty if the entry has none.
+    cold_s : float
+        Time for which it stays cold after the entry was written, seconds; 0 if it is warm.
     """
 
     id: str
@@ -47,6 +49,7 @@
     era: int = 0
     sequence: int = 0
     software_version: str = ""
+    cold_s: float = 0.0
 
     @property
     def position(self) -> Position:
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -138,6 +138,7 @@
         "Interval",
         "InvalidParameterError",
         "ListOf",
+        "MappingOf",
         "Matches",
         "OneOf",
         "ParameterFault",
--- a/packages/burdockquay-state/src/burdockquay_state/_validation.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_validation.py
@@ -122,6 +122,23 @@
         return f"a list, each item {self.item}"
 
 
+@attrs.frozen
+class MappingOf(Constraint):
+    """Accepts mappings in which every key satisfies ``key`` and every value ``value``."""
+
+    key: Constraint
+    value: Constraint
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether the value is a mapping of accepted keys and values."""
+        return isinstance(value, dict) and all(
+            self.key.accepts(name) and self.value.accepts(item) for name, item in value.items()
+        )
+
+    def __str__(self) -> str:
+        return f"an object, each name {self.key}, each value {self.value}"
+
+
 NAME = Matches(
     r"[a-z0-9][a-z0-9._-]{0,62}",
     "a name of 1 to 63 lower-case letters, digits, '.', '_', '-', that starts with no sign",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -283,6 +283,37 @@
     )
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration is invalid and is ignored.")
     SERVICE_FAULT = (1914, "ERROR", "The configuration of a service is invalid.")
+    HOMES_FAULT = (
+        1944,
+        "ERROR",
+        "The homes of a route or an organisation cannot be read, or name no region: none of its "
+        "requests is served until they can.",
+    )
+    UPSTREAM_COLD = (
+        1945,
+        "NOTICE",
+        "An upstream is cold: it gets at most ``per_s`` requests a second from all processes until "
+        "``remaining_s`` have passed. ``source`` is the list, an answer, the VM of a peer, or "
+        "``unknown`` where nothing shows that it is warm.",
+    )
+    UPSTREAM_WARM = (1946, "INFO", "An upstream is not cold any more, after ``cold_s``.")
+    EVACUATION_BEGAN = (
+        1947,
+        "NOTICE",
+        "The operator has evacuated a failure domain: its upstreams get no requests. ``age_s`` is "
+        "the age of the reading that shows it.",
+    )
+    EVACUATION_ENDED = (
+        1948,
+        "NOTICE",
+        "The operator has taken back the evacuation of a failure domain, after ``lasted_s``.",
+    )
+    EVACUATION_KEPT = (
+        1949,
+        "WARNING",
+        "A store that was restored from a copy lacks the evacuation of a failure domain. It stays "
+        "in force until the operator writes it again or removes it.",
+    )
     CALL_SENT = (
         1911,
         "INFO",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -7,7 +7,16 @@
 import attrs
 
 from burdockquay_coordination.forwarding import Mechanism
-from burdockquay_state import NAME, Constraint, InstanceOf, Interval, ListOf, Matches, OneOf
+from burdockquay_state import (
+    NAME,
+    Constraint,
+    InstanceOf,
+    Interval,
+    ListOf,
+    MappingOf,
+    Matches,
+    OneOf,
+)
 
 _ADDRESS = Matches(
     r"([0-9.]+|\[[0-9a-fA-F:]+\]):[0-9]{1,5}", "IP address and port, as 10.0.0.1:7000"
@@ -80,6 +89,10 @@
     usage_window_s, usage_due_s : float
         Length of a window of reported usage, and time after its end at which its report is due,
         seconds.
+    regions : dict of str to str
+        Region of each failure domain; a domain that is not named has no region.
+    cold_overage, cold_slack : float
+        A cold upstream gets at most its rate times the first, plus the second, in any one second.
     mechanisms_off : list of str
         Disabled mechanisms, see :class:`Mechanism`; can be changed while the process runs.
     """
@@ -105,6 +118,9 @@
         "retry_ratio": [Interval(float, 0.0, 10.0)],
         "retry_burst": [Interval(float, 0.0, 100_000.0)],
         "retry_window_s": _SECONDS,
+        "regions": [MappingOf(NAME, NAME)],
+        "cold_overage": [Interval(float, 1.0, 100.0)],
+        "cold_slack": [Interval(float, 0.0, 100_000.0)],
         "mechanisms_off": [ListOf(OneOf(tuple(map(str, Mechanism))))],
     }
 
@@ -128,4 +144,7 @@
     duty_lease_ms: float = 3000.0
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
+    regions: dict[str, str] = attrs.field(factory=dict)
+    cold_overage: float = 1.0
+    cold_slack: float = 1.0
     mechanisms_off: list[str] = attrs.field(factory=list)
