Repeat failed polls of a large fleet at a bounded rate

Change: from 16 connected processes on, those that are not pollers repeat failed requests at ten a second in all. The pollers try as before, and their broadcast ends the pause.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -21,6 +21,15 @@
 POLLER_BACKOFF_S = 3.0
 """Time for which a poller that the platform did not answer leaves polling to others, seconds."""
 
+FAILED_POLLS_PER_S = 10.0
+"""Requests for one table that all processes without a poller's duty repeat per second while the
+platform answers none. The platform charges refused calls too, and its recovery is found by the
+pollers, which broadcast it."""
+
+MIN_SPREAD_PROCESSES = 16
+"""Processes from which repeated requests are spread. Fewer processes repeat them at less than twice
+that rate anyway."""
+
 SUBSTITUTE_POLL_S = 10.0
 """Time for which a process polls after it has received no updates from peers, seconds."""
 
@@ -70,6 +79,7 @@
         self.rng = rng
         self.switches = switches
         self.is_poller = True
+        self.processes = 1
         self._as_of = float("-inf")
         self._overdue_factor = rng.uniform(*OVERDUE_WAIT_FACTORS)
         self._has_gap = False
@@ -78,6 +88,7 @@
         self._is_failing = False
         self._backs_off_until = float("-inf")
         self._substitutes_until = float("-inf")
+        self._repeats_at = float("-inf")
 
     def polls(self, now: float) -> bool:
         """Return whether the process is a poller at present."""
@@ -96,6 +107,8 @@
         wait_s : float
             Longest time that the platform holds a request, seconds.
         """
+        if now < self._repeats_at and not self._is_needed(now):
+            return False
         return self._has_gap or self.polls(now) or now >= self._overdue_at(wait_s)
 
     def next_due_at(self, now: float, wait_s: float) -> float:
@@ -103,7 +116,11 @@
         due = self._overdue_at(wait_s)
         if self.is_poller and now < self._backs_off_until:
             due = min(due, self._backs_off_until)
-        return due
+        return due if self._is_needed(now) else max(due, self._repeats_at)
+
+    def _is_needed(self, now: float) -> bool:
+        """Return whether others rely on this process to find the recovery of the platform."""
+        return self.is_poller or self.polls(now)
 
     def hold_s(self, now: float, wait_s: float) -> float:
         """Return how long the platform may hold a request that is sent now, seconds.
@@ -181,6 +198,7 @@
             # The failure may have lasted until now: there was no answer since it began.
             self._failed_at = now
             self._is_failing = False
+            self._repeats_at = float("-inf")
 
     def record_no_answer(self, now: float) -> None:
         """Record that the platform did not answer a request.
@@ -191,6 +209,9 @@
         self._is_failing = True
         if now - self._peer_confirmed_at < POLLER_BACKOFF_S:
             self._backs_off_until = now + POLLER_BACKOFF_S
+        if self.processes >= MIN_SPREAD_PROCESSES:
+            spread_s = self.processes / FAILED_POLLS_PER_S
+            self._repeats_at = now + spread_s * self.rng.uniform(0.5, 1.5)
 
     def age_s(self, now: float) -> float:
         """Return the time since the last confirmation, seconds."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_polling.py
@@ -133,3 +133,46 @@
     poll_schedule.confirm_by_peer(10.9, 11.2)
     poll_schedule.record_answer(14.0, 14.0, WAIT_S)
     assert poll_schedule.steady_s(14.0) == 0.0
+
+
+def count_failed_requests(processes, seconds):
+    """Return the requests for one table that all processes send while none is answered."""
+    rng = random.Random(7)
+    schedules = [PollSchedule(rng) for _ in range(processes)]
+    for number, poll_schedule in enumerate(schedules):
+        poll_schedule.is_poller = number < 3
+        poll_schedule.processes = processes
+        poll_schedule.confirm_by_peer(0.0, 0.0)
+    retry_at = [0.0] * processes
+    count = 0
+    for tick in range(round(seconds / 0.05)):
+        now = tick * 0.05
+        for number, poll_schedule in enumerate(schedules):
+            if now >= retry_at[number] and poll_schedule.is_due(now, WAIT_S):
+                count += 1
+                poll_schedule.record_no_answer(now)
+                # The caller pauses between 0.3 and 0.6 s after each failure.
+                retry_at[number] = now + rng.uniform(0.3, 0.6)
+    return count
+
+
+@pytest.mark.parametrize("processes", [31, 300])
+def test_outage_of_the_store_is_not_polled_by_all_processes(processes):
+    """Guards against a charge for refused calls that grows with the processes."""
+    seconds = 10.0
+    pollers = 3 * seconds / 0.3
+    assert count_failed_requests(processes, seconds) <= pollers + 11 * seconds + processes
+
+
+def test_small_fleet_polls_an_outage_as_often_as_before():
+    """Guards against late recovery where few processes poll."""
+    assert count_failed_requests(4, 10.0) >= 4 * (10.0 - 1.5 * WAIT_S) / 0.65
+
+
+def test_process_polls_at_once_when_a_peer_shows_the_recovery(poll_schedule):
+    """Guards against data that stays old for the pause after a failure."""
+    poll_schedule.processes = 300
+    poll_schedule.record_no_answer(13.0)
+    assert not poll_schedule.is_due(14.0, WAIT_S)
+    poll_schedule.confirm_by_peer(14.5, 14.5)
+    assert poll_schedule.next_due_at(14.5, WAIT_S) < 14.5 + 1.6 * WAIT_S
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -206,7 +206,7 @@
     def choose_pollers(self, me: str, others: Collection[str]) -> None:
         """Choose the pollers of each table again, by the incarnations of connected processes."""
         for table, feed in self._feeds.items():
-            feed.set_poller(is_poller(table, me, others))
+            feed.set_poller(is_poller(table, me, others), 1 + len(others))
 
 
 @attrs.frozen
@@ -270,9 +270,10 @@
         self._received.append(message)
         self._wake.set()
 
-    def set_poller(self, polls: bool) -> None:
-        """Set whether this process is one of those that poll."""
+    def set_poller(self, polls: bool, processes: int = 1) -> None:
+        """Set whether this process is one of those that poll, and how many are connected."""
         self.poll_schedule.is_poller = polls
+        self.poll_schedule.processes = processes
         self._wake.set()
 
     def on_store_restored(self, now: float) -> None:
