Restrict starts at cold upstreams by the shared limit

Upstreams that start, or turn cold within a run, crash when the whole fleet sends to them. The rate of a cold start now restricts the same starts as a stated limit.

--- a/benchmarks/bench_limits.py
+++ b/benchmarks/bench_limits.py
@@ -95,7 +95,7 @@
         """Use a start."""
         self._gate.take(now)
 
-    def is_active(self):
+    def is_active(self, now):
         """Return whether the upstream is limited."""
         return self.per_s is not None
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -5,7 +5,16 @@
 ``now`` is an argument of each decision.
 """
 
-from ..sending._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
+from ..sending._cold_start import MIN_REPORT_S, ColdStart, ColdTerms, granted_rate
+from ..sending._shared_limit import (
+    ColdMessage,
+    Fleet,
+    GrantMessage,
+    LimitStep,
+    NeedMessage,
+    SharedLimit,
+)
+from ..sending._start_asks import StartAsks
 from ..sending._start_pool import StartGrant, StartNeed
 from ._choice import (
     choose_backup,
@@ -76,6 +85,12 @@
     "StartNeed",
     "StartGrant",
     "SharedLimit",
+    "ColdMessage",
+    "ColdStart",
+    "ColdTerms",
+    "MIN_REPORT_S",
+    "StartAsks",
+    "granted_rate",
     "NeedMessage",
     "LimitStep",
     "GrantMessage",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -291,7 +291,7 @@
 
     An upstream that drains according to the list still serves fetches of its parts. One that is
     unreachable is left out, since the request would wait for the fetch in vain, and so is one that
-    has stated that it leaves or wants a rest: a fetch is a request to it, too.
+    has stated that it leaves, wants a rest or is cold: a fetch is a request to it, too.
     """
     first = prompt.parts[0][0]
     held = [
@@ -306,6 +306,7 @@
 def _serves_fetches(upstream: Upstream, now: float) -> bool:
     statements = upstream.statements
     may_send = statements.rest.may_send(now) and not statements.leaving.in_force
+    may_send = may_send and not upstream.cold.binds(now)
     return may_send and not upstream.health.suspended(now)
 
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -8,9 +8,11 @@
 import attrs
 
 from .._fleet_size import FleetSize
+from ..sending._cold_start import ColdStart, ColdTerms, granted_rate
 from ..sending._run_statements import RunStatements
-from ..sending._shared_limit import SharedLimit
+from ..sending._shared_limit import ColdMessage, SharedLimit
 from ..sending._unlisted_statements import UnlistedStatements
+from ._config import ColdStartTerms
 from ._linear import SpeedFactor
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._pending import LoadShare, PendingPrompts
@@ -61,6 +63,11 @@
         """Its request rate limit."""
         return self.statements.limit
 
+    @property
+    def cold(self) -> ColdStart:
+        """Its cold start."""
+        return self.limit.cold
+
     @property
     def is_leaving(self) -> bool:
         """Whether it leaves, by the list or by its own statement."""
@@ -124,8 +131,8 @@
         return self.limit.may_start(now) and self.statements.rest.may_send(now)
 
     def is_restricted(self, now: float) -> bool:
-        """Return whether it limits its requests, rests, or recovers from a rest."""
-        return self.limit.per_s is not None or self.statements.rest.binds(now)
+        """Return whether it limits its requests, is cold, rests, or recovers from a rest."""
+        return self.limit.binds(now) or self.statements.rest.binds(now)
 
     def held_back_by(self, now: float) -> str | None:
         """Return the statement that allows no request of this process now, None if all do."""
@@ -133,7 +140,9 @@
             return "leaving"
         if not self.statements.rest.may_send(now):
             return "rest"
-        return None if self.limit.may_start(now) else "request_rate"
+        if self.limit.may_start(now):
+            return None
+        return "cold_start" if self.cold.binds(now) else "request_rate"
 
     def take_start(self, rank: int, now: float) -> None:
         """Count a request that is sent to it.
@@ -194,6 +203,7 @@
         self._unlisted_statements = UnlistedStatements(self._make_statements)
         self._list_trusted_at = float("-inf")
         self._capacities: Mapping[str, int] = {}
+        self._cold_terms: dict[str, ColdTerms] = {}
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -265,6 +275,53 @@
         for upstream in self._upstreams.values():
             self._set_memory_capacity(upstream)
 
+    def set_cold_starts(
+        self,
+        starts: Iterable[ColdStartTerms],
+        now: float,
+        overage: float = 1.0,
+        slack: float = 1.0,
+    ) -> None:
+        """Set the cold starts of services; the upstreams of all others are never cold.
+
+        Parameters
+        ----------
+        starts : iterable of ColdStartTerms
+        now : float
+        overage, slack : float
+            See :func:`granted_rate`.
+        """
+        self._cold_terms = {
+            item.service: ColdTerms(item.duration_s, granted_rate(item.per_s, overage, slack))
+            for item in starts
+        }
+        for upstream in self._upstreams.values():
+            upstream.cold.set_terms(self._cold_terms.get(upstream.entry.service), now)
+
+    def mark_cold_unknown(self, domain: str, now: float) -> None:
+        """Record that the upstreams of a failure domain may have turned cold until now.
+
+        They count as cold for the duration of a start, until they have shown that they are warm.
+        """
+        for upstream in self._upstreams.values():
+            if upstream.entry.failure_domain == domain:
+                upstream.cold.learn_unknown(now)
+
+    def receive_cold(
+        self, incarnation: str, remaining_s: float, now: float, source: str = "peer"
+    ) -> None:
+        """Apply the report of a peer about a run; it may be listed later, or again."""
+        listed = self.find(incarnation)
+        if listed is not None:
+            listed.limit.receive_cold(ColdMessage("", remaining_s), now, source)
+        else:
+            self._unlisted_statements.learn_cold(incarnation, remaining_s, now, source)
+
+    def cold_runs(self, now: float) -> list[tuple[str, float]]:
+        """Return the runs that have stated that they are cold, with the time left, seconds."""
+        runs = ((item.incarnation, item.cold.known_s(now)) for item in self._upstreams.values())
+        return [(name, remaining_s) for name, remaining_s in runs if remaining_s]
+
     def record_list_failure(self, now: float) -> None:
         """Record that the list could not be read."""
         self._list_trusted_at = max(self._list_trusted_at, now + RELIST_WAIT_S)
@@ -327,7 +384,7 @@
         """Add the withheld upstreams that the platform still lists after the waiting time."""
         for kept in [kept for kept in self._withheld.values() if now >= kept.until]:
             del self._withheld[kept.entry.id]
-            self._add(kept.entry)
+            self._add(kept.entry, now)
 
     def drop(self, upstream: Upstream) -> None:
         """Mark an upstream as removed because its address answered under another id."""
@@ -354,7 +411,7 @@
                 self._withheld.setdefault(entry.id, _RetainedEntry(entry, now + WITHHOLD_S))
                 return None
             self._withheld.pop(entry.id, None)
-            self._add(entry)
+            self._add(entry, now)
             return None
         order = _compare_starts(entry.started_ms, known.entry.started_ms)
         if order < 0:
@@ -363,12 +420,13 @@
         self._unlisted.pop(entry.id, None)
         if order > 0:
             self._by_service[known.entry.service].remove(known)
-            self._add(entry)
+            self._add(entry, now)
             return known
         if _is_newer_entry(entry, known.entry):
             self._by_service[known.entry.service].remove(known)
             known.entry = attrs.evolve(entry, started_ms=known.entry.started_ms)
             self._by_service.setdefault(entry.service, []).append(known)
+            self._apply_cold(known, now)
         return None
 
     def _is_stale_copy(self, entry: ListedUpstream) -> bool:
@@ -379,11 +437,18 @@
         order = _compare_starts(entry.started_ms, kept.entry.started_ms)
         return order < 0 or (order == 0 and entry.sequence <= kept.entry.sequence)
 
-    def _add(self, entry: ListedUpstream) -> None:
+    def _add(self, entry: ListedUpstream, now: float) -> None:
         added = self._upstreams[entry.id] = Upstream(entry, self._spread())
         added.statements = self._unlisted_statements.take(entry.incarnation)
         self._set_memory_capacity(added)
         self._by_service.setdefault(entry.service, []).append(added)
+        self._apply_cold(added, now)
+
+    def _apply_cold(self, upstream: Upstream, now: float) -> None:
+        """Apply the cold time of an upstream's entry, and the terms of its service."""
+        entry = upstream.entry
+        upstream.limit.learn_listed(entry.cold_s, entry.sequence, now)
+        upstream.cold.set_terms(self._cold_terms.get(entry.service), now)
 
     def _spread(self) -> float:
         return self.rng.random() if self.rng is not None else 0.0
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/limit_cluster.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/limit_cluster.py
@@ -127,7 +127,7 @@
             self.limit.take(item.rank, self.now)
             self.cluster.record_start(item)
             self.cluster.send_request(self)
-        if self.limit.is_active():
+        if self.limit.is_active(self.now):
             self._schedule(self.limit.due_at(self.now) - self.offset_s)
 
     def _want(self) -> None:
@@ -136,7 +136,7 @@
             self.limit.want(rank, ranks.count(rank), self.now)
 
     def _step(self) -> None:
-        if not self.limit.is_active():
+        if not self.limit.is_active(self.now):
             return
         if self._ranked_of != self.connected:
             self._ranked_of = set(self.connected)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit.py
@@ -40,7 +40,7 @@
     cluster.name_rate(1.0)
     cluster.processes["p7"].add(0, 1.0)
     cluster.run_for(0.5)
-    assert {process.limit.per_s for process in cluster.processes.values()} == {1.0}
+    assert {process.limit.stated_per_s for process in cluster.processes.values()} == {1.0}
 
 
 def test_ended_limit_binds_nobody_any_more():
@@ -50,7 +50,7 @@
     saturate(cluster, 6.0)
     cluster.name_rate(None)
     saturate(cluster, 2.0)
-    assert {process.limit.per_s for process in cluster.processes.values()} == {None}
+    assert {process.limit.stated_per_s for process in cluster.processes.values()} == {None}
 
 
 def test_limit_that_comes_back_is_kept():
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_shared_limit_machine.py
@@ -118,7 +118,7 @@
         assert len(recent) >= 0.8 * cluster.named * 4.0 - 1
         cluster.name_rate(None)
         self.run(3.0)
-        assert {process.limit.per_s for process in cluster.processes.values()} == {None}
+        assert {process.limit.stated_per_s for process in cluster.processes.values()} == {None}
 
 
 LimitMachine.TestCase.settings = settings(max_examples=25, stateful_step_count=12)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
@@ -7,6 +7,13 @@
 import attrs
 
 from .._local_stall import LOCAL_STALL_S
+from ._cold_start import (
+    ANSWER,
+    GRANT_HOLD_S,
+    MIN_REPORT_S,
+    WARM_REPORT_DELAY_S,
+    ColdStart,
+)
 from ._rate_limit import RateLimit
 from ._start_pool import StartAccount, StartGrant, StartNeed, StartPool, share_interval_s
 from ._statements import StatementChange, StatementReading
@@ -69,22 +76,44 @@
     grant: StartGrant
 
 
+@attrs.frozen
+class ColdMessage:
+    """The cold time of an upstream on its way to a process.
+
+    Parameters
+    ----------
+    to : str
+    remaining_s : float
+        Cold time left when the message is sent, seconds; 0 if the upstream has shown that it is
+        warm where that was unknown.
+    """
+
+    to: str
+    remaining_s: float
+
+
+LimitMessage = NeedMessage | GrantMessage | ColdMessage
+
+
 @attrs.define
 class LimitStep:
     """What one step produced.
 
     Parameters
     ----------
-    messages : list of NeedMessage or GrantMessage
+    messages : list of NeedMessage, GrantMessage or ColdMessage
     own_starts : int
         Starts that this process granted to itself.
     has_new_owner : bool
         Whether this process asks another one than before for starts.
+    cold : bool or None
+        Whether the upstream has turned cold or warm since the last step; None if neither.
     """
 
-    messages: list[NeedMessage | GrantMessage] = attrs.field(factory=list)
+    messages: list[LimitMessage] = attrs.field(factory=list)
     own_starts: int = 0
     has_new_owner: bool = False
+    cold: bool | None = None
 
 
 class OwnerSelector:
@@ -150,9 +179,23 @@
     The owner is the first connected process in an order that is the same at all; nobody elects it.
     Every process also grants starts to those that take it for the owner, out of the shares that
     they lend.
+
+    The narrowest of the stated limit and the rate of a cold start is in force. Only the stated one
+    is sent to others, with needs and grants. The end of a cold start is reported once: by a process
+    that has seen it in an answer, and by the owner, to all; by others to the owner, which could not
+    grant them starts if it took the upstream for warm.
+
+    Attributes
+    ----------
+    cold : ColdStart
     """
 
     def __init__(self):
+        self.cold = ColdStart()
+        self._was_cold = False
+        self._is_cold_reported = True
+        self._is_warm_reported = True
+        self._cold_told_to: str | None = None
         self._limit = RateLimit()
         self._account = StartAccount()
         self._pool: StartPool | None = None
@@ -165,8 +208,8 @@
         self._ended_at = float("-inf")
 
     @property
-    def per_s(self) -> float | None:
-        """Requests per second of all processes together; None if the upstream is not limited."""
+    def stated_per_s(self) -> float | None:
+        """Limit that the upstream states, requests per second; None if it states none."""
         return self._limit.per_s
 
     @property
@@ -174,22 +217,38 @@
         """The process that this one asks for starts."""
         return self._owner
 
+    def per_s(self, now: float) -> float | None:
+        """Return the narrowest rate in force, requests per second of all processes together.
+
+        None if the upstream is neither limited nor cold.
+        """
+        stated, cold = self._limit.per_s, self.cold.per_s(now)
+        if stated is None or cold is None:
+            return cold if stated is None else stated
+        return min(stated, cold)
+
     def lent_fraction(self, now: float) -> float:
         """Return the part of the limit that this process grants."""
         return self._pool.lent_fraction(now) if self._pool is not None else 0.0
 
     def binds(self, now: float) -> bool:
         """Return whether the upstream is limited; see :class:`StatementState`."""
-        return self.per_s is not None
+        return self.per_s(now) is not None
 
-    def is_active(self) -> bool:
+    def is_active(self, now: float) -> bool:
         """Return whether there is anything to do in a step."""
         has_unsent = bool(self._corrected) or not (self._is_reported and self._is_announced)
-        return self.per_s is not None or has_unsent
+        return self._was_cold or self.per_s(now) is not None or has_unsent
+
+    def is_cold_step_due(self, now: float) -> bool:
+        """Return whether something was learnt of its cold start since the last step."""
+        is_cold = self.cold.binds(now)
+        is_reported = self._is_cold_reported and self._is_warm_reported
+        return is_cold != self._was_cold or (is_cold and not is_reported)
 
     def may_start(self, now: float) -> bool:
         """Return whether this process may send a request now."""
-        return self.per_s is None or self._account.may_start(now)
+        return self.per_s(now) is None or self._account.may_start(now)
 
     def take(self, rank: int, now: float) -> None:
         """Count a request that is sent.
@@ -199,7 +258,7 @@
         ValueError
             If this process may not send one.
         """
-        if self.per_s is not None:
+        if self.per_s(now) is not None:
             self._account.take(rank, now)
 
     def want(self, rank: int, count: int, now: float) -> None:
@@ -213,7 +272,7 @@
             Number of requests of this rank that wait.
         now : float
         """
-        if self.per_s is not None:
+        if self.per_s(now) is not None:
             self._account.want(rank, count, now)
 
     def record_answer(
@@ -229,7 +288,7 @@
     def receive_need(self, member: str, message: NeedMessage, now: float) -> StatementChange | None:
         """Apply the need of a process that takes this one for the owner."""
         change = None
-        is_unknown = self.per_s is None and message.per_s is not None
+        is_unknown = self.stated_per_s is None and message.per_s is not None
         if message.observed or (is_unknown and now - self._ended_at > ENDED_RETENTION_S):
             change = self._limit.apply_peer(message.per_s, now)
             if change is not None:
@@ -248,9 +307,40 @@
         change = self._limit.apply_peer(message.per_s, now)
         if change is not None:
             self._on_change(now)
-        if self.per_s is None:
+        if self.per_s(now) is None:
             return change, False
-        return change, self._account.receive_grant(owner, message.grant, processes or 1, now)
+        return change, self._receive_starts(owner, message.grant, processes, now)
+
+    def learn_cold(self, remaining_s: float, now: float) -> None:
+        """Apply the cold time that an answer of the upstream states."""
+        if self.cold.learn(remaining_s, ANSWER, now):
+            self._cold_told_to = None
+            self._is_cold_reported = False
+
+    def learn_listed(self, cold_s: float, sequence: int, now: float) -> None:
+        """Apply a row of the list; see :meth:`ColdStart.learn_listed`."""
+        if self.cold.learn_listed(cold_s, sequence, now):
+            self._cold_told_to = None
+            self._is_cold_reported = False
+
+    def learn_warm(self, sent_at: float, now: float) -> None:
+        """Apply an answer, to a request sent at a time, that states that the upstream is warm."""
+        was_cold = self.cold.binds(now)
+        if self.cold.learn_warm(sent_at) and was_cold:
+            self._is_warm_reported = False
+
+    def receive_cold(self, message: ColdMessage, now: float, source: str) -> None:
+        """Apply the report of another process.
+
+        The owner passes only the first one on: two owners could go on to repeat the reports of each
+        other.
+        """
+        was_cold = self.cold.binds(now)
+        if message.remaining_s <= 0:
+            self.cold.learn_warm(now - WARM_REPORT_DELAY_S)
+        elif self.cold.learn(message.remaining_s, source, now) and not was_cold:
+            self._cold_told_to = None
+            self._is_cold_reported = False
 
     def step(self, fleet: Fleet, now: float) -> LimitStep:
         """Return the messages that are due, and grant starts to this process."""
@@ -261,6 +351,8 @@
         step.has_new_owner = owner != self._owner
         self._owner = owner
         self._account.set_owner(self._owner)
+        self._note_cold(step, now)
+        self._report_cold(fleet, step, now)
         self._send_need(fleet, step, now)
         self._grant(fleet, step, now)
         self._announce(fleet, step, interval_s, now)
@@ -269,46 +361,80 @@
     def due_at(self, now: float) -> float:
         """Return when the next step is due."""
         granting_s = self._pool.due_in_s(now) if self._pool is not None else float("inf")
+        cold_until = self.cold.until if self.cold.binds(now) else float("inf")
         return min(
+            cold_until,
             self._account.need_due_at(now),
             self._renewal_due_at if self._owner is not None else now,
             now + granting_s,
             now + MAX_STEP_INTERVAL_S,
         )
 
+    def _note_cold(self, step: LimitStep, now: float) -> None:
+        """Apply that the upstream has turned cold, or warm by the passing of time."""
+        is_cold = self.cold.binds(now)
+        if is_cold == self._was_cold:
+            return
+        self._was_cold = step.cold = is_cold
+        if is_cold:
+            # Starts at the wider rate that are still held would come on top of those granted now.
+            self._account.drop_starts()
+        else:
+            self._clear_unless_limited(now)
+
+    def _report_cold(self, fleet: Fleet, step: LimitStep, now: float) -> None:
+        others = [name for name in fleet.ranked if name != fleet.me]
+        if not self._is_warm_reported:
+            self._is_warm_reported = True
+            step.messages += [ColdMessage(name, 0.0) for name in others]
+        is_due, self._is_cold_reported = not self._is_cold_reported, True
+        remaining_s = self.cold.known_s(now)
+        if remaining_s < MIN_REPORT_S:
+            return
+        if is_due and (self.cold.source == ANSWER or self._owner == fleet.me):
+            step.messages += [ColdMessage(name, remaining_s) for name in others]
+        elif self._owner not in (fleet.me, self._cold_told_to):
+            step.messages.append(ColdMessage(self._owner, remaining_s))
+        self._cold_told_to = self._owner
+
+    def _receive_starts(
+        self, owner: str, grant: StartGrant, processes: int | None, now: float
+    ) -> bool:
+        hold_s = GRANT_HOLD_S if self.cold.binds(now) else None
+        return self._account.receive_grant(owner, grant, processes or 1, now, hold_s)
+
     def _send_need(self, fleet: Fleet, step: LimitStep, now: float) -> None:
         if self._owner == fleet.me:
             if not self._is_reported:
                 self._is_reported, self._is_announced = True, False
-            if self.per_s is None:
+            if self.per_s(now) is None:
                 return
-            self._account.receive_grant(
-                fleet.me, StartGrant(0, now, now), fleet.processes or 1, now
-            )
+            self._receive_starts(fleet.me, StartGrant(0, now, now), fleet.processes, now)
             need = self._account.compose_need(fleet.processes, now)
             if need is not None:
                 self._open_pool(now).receive_need(fleet.me, need, now)
             return
         need = self._account.compose_need(fleet.processes, now, is_forced=not self._is_reported)
-        if need is not None and self.is_active():
+        if need is not None and self.is_active(now):
             observed, self._is_reported = not self._is_reported, True
-            step.messages.append(NeedMessage(self._owner, self.per_s, observed, need))
+            step.messages.append(NeedMessage(self._owner, self.stated_per_s, observed, need))
 
     def _grant(self, fleet: Fleet, step: LimitStep, now: float) -> None:
-        if self._pool is None or self.per_s is None:
+        per_s = self.per_s(now)
+        if self._pool is None or per_s is None:
             return
-        for name, grant in self._pool.grant(self.per_s, now).items():
+        for name, grant in self._pool.grant(per_s, now).items():
             if name == fleet.me:
-                self._account.receive_grant(fleet.me, grant, fleet.processes or 1, now)
+                self._receive_starts(fleet.me, grant, fleet.processes, now)
                 step.own_starts += grant.starts
             else:
-                step.messages.append(GrantMessage(name, self.per_s, grant))
+                step.messages.append(GrantMessage(name, self.stated_per_s, grant))
 
     def _announce(self, fleet: Fleet, step: LimitStep, interval_s: float, now: float) -> None:
         """Send the limit to all processes: at once after a change, and at regular intervals."""
         recipients: Sequence[str] = list(self._corrected)
         self._corrected.clear()
-        is_renewal = now >= self._renewal_due_at and self.per_s is not None
+        is_renewal = now >= self._renewal_due_at and self.per_s(now) is not None
         if is_renewal:
             self._drop_unused_pool(now)
         grants_to_others = self._owner == fleet.me or self._pool is not None
@@ -318,7 +444,7 @@
             self._renewal_due_at = now + interval_s
         self._is_announced = True
         for name in recipients:
-            step.messages.append(GrantMessage(name, self.per_s, StartGrant(0, 0.0, now)))
+            step.messages.append(GrantMessage(name, self.stated_per_s, StartGrant(0, 0.0, now)))
 
     def _drop_unused_pool(self, now: float) -> None:
         if self._pool is not None:
@@ -327,8 +453,12 @@
                 self._pool = None
 
     def _on_change(self, now: float) -> None:
-        if self.per_s is None:
+        if self.stated_per_s is None:
             self._ended_at = now
+            self._clear_unless_limited(now)
+
+    def _clear_unless_limited(self, now: float) -> None:
+        if self.per_s(now) is None:
             self._account.clear()
             if self._pool is not None:
                 self._pool.clear()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_pool.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_pool.py
@@ -184,8 +184,22 @@
         share = 0.0 if processes is None else self._lend(processes, now)
         return StartNeed(wanted, now, share, self._owner_sent_at or 0.0, count)
 
-    def receive_grant(self, owner: str, grant: StartGrant, processes: int, now: float) -> bool:
-        """Apply a grant; return whether this process holds more starts than before."""
+    def receive_grant(
+        self,
+        owner: str,
+        grant: StartGrant,
+        processes: int,
+        now: float,
+        hold_s: float | None = None,
+    ) -> bool:
+        """Apply a grant; return whether this process holds more starts than before.
+
+        Parameters
+        ----------
+        hold_s : float or None
+            Longest time for which its starts are held from now on, seconds; None if only the
+            validity of the need bounds it.
+        """
         if owner == self._owner:
             if self._owner_sent_at is None:
                 # The share can be lent from now on.
@@ -193,11 +207,17 @@
             self._owner_sent_at = grant.sent_at
         valid_s = NEED_VALIDITY * need_interval_s(processes) + GRANT_DELAY_S
         until = grant.need_sent_at + valid_s
+        if hold_s is not None:
+            until = min(until, now + hold_s)
         if not grant.starts or until <= now:
             return False
         self._starts.extend([until] * grant.starts)
         return True
 
+    def drop_starts(self) -> None:
+        """Forget the starts that are held."""
+        self._starts.clear()
+
     def clear(self) -> None:
         """Forget starts and wants when the limit has ended; a lent share stays lent."""
         self._starts.clear()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ._run_statements import RunStatements
+from ._shared_limit import ColdMessage
 
 MAX_RUNS = 4096
 """Largest number of runs that are kept; the one that was added first is dropped."""
@@ -56,9 +57,16 @@
 
     def learn_leaving(self, incarnation: str, now: float) -> bool:
         """Record that an unlisted run leaves; return whether that is new."""
-        statements = self._runs.get(incarnation)
-        if statements is None:
-            statements = self.make()
+        statements = self._find_or_make(incarnation)
         is_new = statements.leaving.learn(now) is not None
         self.keep(incarnation, statements)
         return is_new
+
+    def learn_cold(self, incarnation: str, remaining_s: float, now: float, source: str) -> None:
+        """Record the cold time that a peer reports of an unlisted run."""
+        statements = self._find_or_make(incarnation)
+        statements.limit.receive_cold(ColdMessage("", remaining_s), now, source)
+        self.keep(incarnation, statements)
+
+    def _find_or_make(self, incarnation: str) -> RunStatements:
+        return self._runs.get(incarnation) or self.make()
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -42,6 +42,8 @@
         "UpstreamOutcomes",
         "RateGrant",
         "RateGrants",
+        "ColdReport",
+        "ColdReports",
         "StatementReport",
         "StatementReports",
         "StreamAnswer",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -365,6 +365,31 @@
     reports: list[StatementReport]
 
 
+@attrs.frozen
+class ColdReport:
+    """Cold time of a run of an upstream, as the sender knows it.
+
+    Parameters
+    ----------
+    upstream : str
+        Incarnation of the upstream.
+    remaining_s : float
+        Cold time left when the report is sent, seconds; 0 if an answer has shown that the upstream
+        is warm where that was unknown.
+    """
+
+    upstream: str
+    remaining_s: float
+
+
+@message(47, since=12)
+@attrs.frozen
+class ColdReports:
+    """Cold times of upstreams, as the sender knows them."""
+
+    reports: list[ColdReport]
+
+
 @message(44, since=10)
 @attrs.frozen
 class StreamStarts:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -117,6 +117,7 @@
         backoff.record_success()
         changes = read.ok()
         ended = state.upstream_registry.apply(changes, now)
+        state.rate_limits.apply_cold_starts()
         state.record_read("upstreams")
         for incarnation in ended:
             state.record_down(incarnation)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -111,6 +111,12 @@
             ["upstream"],
             registry=self.registry,
         )
+        self.cold_rate = Gauge(
+            "forwarder_upstream_cold_rate",
+            "Requests per second that a cold upstream gets from all processes.",
+            ["upstream"],
+            registry=self.registry,
+        )
         self.rate_part = Gauge(
             "forwarder_upstream_rate_part",
             "Part of the limit of an upstream that this process grants.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -156,7 +156,7 @@
             detail = f"{len(able)} upstreams rest, as they asked"
             delay_s = rest_delay_s(rest_s, self.rng)
             return RequestError(ErrorKind.UPSTREAM_RESTING, detail, retry_after_s=delay_s)
-        per_s = sum(item.limit.per_s or 0.0 for item in limited)
+        per_s = sum(item.limit.per_s(now) or 0.0 for item in limited)
         if call.sends or not per_s:
             return None
         queued = len(self._waiting[call.service]) if waiting is None else waiting
@@ -197,7 +197,7 @@
     def _soonest_s(self, upstreams: Iterable[Upstream], now: float) -> float:
         """Return the time until a rest allows the next request or a place may be free, seconds."""
         waits = [item.statements.rest.wait_s(now) for item in upstreams]
-        if all(item.limit.per_s is None for item in upstreams):
+        if not any(item.limit.binds(now) for item in upstreams):
             waits.append(PLACE_SLICE_S)
         return max(
             MIN_WAIT_SLICE_S, min((item for item in waits if item), default=MAX_WAIT_SLICE_S)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -16,6 +16,7 @@
 from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_protocol import (
     ClockReading,
+    ColdReports,
     EralessTableChanges,
     Goodbye,
     Heartbeat,
@@ -156,6 +157,7 @@
             EralessTableChanges: self._receive_eraless_changes,
             RateNeeds: self._rates.receive_needs,
             RateGrants: self._rates.receive_grants,
+            ColdReports: self._rates.receive_cold,
             StatementReports: self._statements.receive,
             PartReports: self._parts.receive,
             StreamStarts: self._streams.receive_starts,
@@ -395,6 +397,7 @@
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
         self._key_repeater.reset()
         self._statements.greet(peer)
+        self._rates.greet(peer)
         self._parts.greet(peer)
         newest = self.state.config_versions.newest
         if newest:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -121,6 +121,8 @@
     weights_version : str or None
     statements : Statements
         What the upstream states about itself.
+    cold_s : float or None
+        Time for which the upstream stays cold, seconds; None if the answer does not say it.
     """
 
     not_run: bool
@@ -129,6 +131,7 @@
     request_id: str | None
     weights_version: str | None = None
     statements: Statements = attrs.field(factory=dict)
+    cold_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -11,9 +11,11 @@
 
 from burdockquay_coordination import StatementChange, StatementChangeKind
 from burdockquay_coordination.forwarding import (
+    ColdMessage,
     Fleet,
     GrantMessage,
     NeedMessage,
+    StartAsks,
     Upstream,
     UpstreamRegistry,
     held_back_upstreams,
@@ -31,7 +33,7 @@
 HELD_BACK_INTERVAL_S = 1.0
 """Shortest time between two log lines about requests that an upstream held back, seconds."""
 
-LimitMessage = NeedMessage | GrantMessage
+LimitMessage = NeedMessage | GrantMessage | ColdMessage
 
 
 @attrs.define
@@ -71,6 +73,7 @@
         self._me = ""
         self._vms: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
+        self._asks: dict[str, StartAsks] = {}
         self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
         self._send: Callable[[Iterable[tuple[str, LimitMessage]]], None] = lambda messages: None
         self._timer: asyncio.TimerHandle | None = None
@@ -109,31 +112,49 @@
         rank : int
             Rank of the request; 0 is the most urgent.
         """
-        self._ask(service, {rank: 1})
+        self._ask(service, {rank: 1}, is_waiting=False)
         now = self.clock.now()
         for upstream in held_back_upstreams(self.upstream_registry.of_service(service), (), now):
             self._count_held_back(upstream, now)
 
     def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
         """Ask for starts for the requests that wait, by rank."""
-        self._ask(service, counts)
-
-    def _ask(self, service: str, counts: Mapping[int, int]) -> list[Upstream]:
-        """Ask for starts at the limited upstreams of a service, and return these."""
-        limited = self._limited(self.upstream_registry.of_service(service))
-        if limited:
-            now = self.clock.now()
-            for upstream in limited:
+        self._ask(service, counts, is_waiting=True)
+
+    def _ask(self, service: str, counts: Mapping[int, int], is_waiting: bool) -> None:
+        """Ask for starts at the limited upstreams of a service."""
+        now = self.clock.now()
+        limited = self._limited(self.upstream_registry.of_service(service), now)
+        if not limited:
+            return
+        cold = [item for item in limited if item.cold.binds(now) and item.accepts_work()]
+        for upstream in limited:
+            if not upstream.cold.binds(now):
                 for rank, count in counts.items():
                     upstream.limit.want(rank, count, now)
-            self._step(limited, now)
-        return limited
+        if cold:
+            if service not in self._asks:
+                self._asks[service] = StartAsks(self.rng)
+            for upstream, rank, count in self._asks[service].spread(cold, counts, is_waiting, now):
+                upstream.limit.want(rank, count, now)
+        self._step(limited, now)
+
+    def apply_cold_starts(self) -> None:
+        """Apply what was learnt of cold starts, from the list or otherwise."""
+        now = self.clock.now()
+        due = [item for item in self.upstream_registry.all() if item.limit.is_cold_step_due(now)]
+        if due:
+            self._step(due, now)
 
     def apply_change(self, upstream: Upstream, change: StatementChange) -> None:
         """Tell the others of a change that an answer made, and let requests that wait try again."""
         self._step([upstream], self.clock.now())
         self._wake(change.kind is not StatementChangeKind.LEARNT)
 
+    def cold_runs(self) -> list[tuple[str, float]]:
+        """Return the runs of upstreams that are cold, with the time left, seconds."""
+        return self.upstream_registry.cold_runs(self.clock.now())
+
     def receive(self, peer: str, messages: Iterable[tuple[str, LimitMessage]]) -> None:
         """Apply messages of another process.
 
@@ -148,11 +169,16 @@
         has_starts = False
         upstreams = []
         for incarnation, message in messages:
+            if isinstance(message, ColdMessage):
+                source = self._vms.get(peer, peer)
+                self.upstream_registry.receive_cold(incarnation, message.remaining_s, now, source)
             upstream = self.upstream_registry.find(incarnation)
             if upstream is None:
                 # It is not listed here yet, or not any more; what is in force is sent again.
                 continue
             upstreams.append(upstream)
+            if isinstance(message, ColdMessage):
+                continue
             if isinstance(message, NeedMessage):
                 change = upstream.limit.receive_need(peer, message, now)
             else:
@@ -173,25 +199,32 @@
         now = self.clock.now()
         self.metrics.rate_limit.clear()
         self.metrics.rate_part.clear()
-        for upstream in self._limited(self.upstream_registry.all()):
-            self.metrics.rate_limit.labels(upstream.id).set(upstream.limit.per_s)
+        self.metrics.cold_rate.clear()
+        for upstream in self._limited(self.upstream_registry.all(), now):
+            if upstream.limit.stated_per_s is not None:
+                self.metrics.rate_limit.labels(upstream.id).set(upstream.limit.stated_per_s)
+            if upstream.cold.binds(now):
+                self.metrics.cold_rate.labels(upstream.id).set(upstream.limit.per_s(now))
             self.metrics.rate_part.labels(upstream.id).set(upstream.limit.lent_fraction(now))
 
-    def _limited(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
-        return [item for item in upstreams if item.limit.per_s is not None]
+    def _limited(self, upstreams: Iterable[Upstream], now: float) -> list[Upstream]:
+        return [item for item in upstreams if item.limit.binds(now)]
 
     def _step(self, upstreams: Iterable[Upstream], now: float) -> None:
         """Send what is due at some upstreams, and schedule the next step."""
         messages: list[tuple[str, LimitMessage]] = []
         has_starts = False
         for upstream in upstreams:
-            if not upstream.limit.is_active():
+            if not upstream.limit.is_active(now):
                 continue
             fleet = Fleet(self._me, self._ranking(upstream.incarnation), self.processes)
             step = upstream.limit.step(fleet, now)
             if step.own_starts:
                 has_starts = True
                 self.metrics.starts_granted.labels(upstream.id).inc(step.own_starts)
+            if step.cold is not None:
+                self._log_cold(upstream, step.cold, now)
+                has_starts |= not step.cold
             if step.has_new_owner:
                 owner = self._vm_of(upstream.limit.owner)
                 log_event(Event.RATE_LIMIT_OWNER, upstream=upstream.id, owner=owner)
@@ -201,6 +234,24 @@
         self._schedule(now)
         self._wake(has_starts)
 
+    def _log_cold(self, upstream: Upstream, is_cold: bool, now: float) -> None:
+        cold = upstream.cold
+        if is_cold:
+            log_event(
+                Event.UPSTREAM_COLD,
+                upstream=upstream.incarnation,
+                source=cold.source,
+                remaining_s=cold.remaining_s(now),
+                per_s=upstream.limit.per_s(now),
+                listed_s=upstream.entry.cold_s,
+                sequence=upstream.entry.sequence,
+                age_s=now - cold.learnt_at,
+            )
+        else:
+            log_event(
+                Event.UPSTREAM_WARM, upstream=upstream.incarnation, cold_s=now - cold.bound_at
+            )
+
     def _ranking(self, incarnation: str) -> list[str]:
         found = self._rankings.get(incarnation)
         if found is None:
@@ -212,7 +263,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        active = [item for item in self.upstream_registry.all() if item.limit.is_active()]
+        active = [item for item in self.upstream_registry.all() if item.limit.is_active(now)]
         if active:
             due_in_s = min(item.limit.due_at(now) for item in active) - now
             loop = asyncio.get_running_loop()
@@ -235,7 +286,8 @@
                 Event.SENDS_HELD_BACK,
                 upstream=upstream.id,
                 statement=upstream.held_back_by(now),
-                per_s=upstream.limit.per_s,
+                per_s=upstream.limit.per_s(now),
+                cold_s=upstream.cold.remaining_s(now) or None,
                 rest_s=upstream.statements.rest.remaining_s(now) or None,
                 count=held_back.count,
                 owner=self._vm_of(upstream.limit.owner),
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_sharing.py
@@ -5,8 +5,22 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
-from burdockquay_coordination.forwarding import GrantMessage, NeedMessage, StartGrant, StartNeed
-from burdockquay_protocol import RateGrant, RateGrants, RateNeed, RateNeeds
+from burdockquay_coordination.forwarding import (
+    MIN_REPORT_S,
+    ColdMessage,
+    GrantMessage,
+    NeedMessage,
+    StartGrant,
+    StartNeed,
+)
+from burdockquay_protocol import (
+    ColdReport,
+    ColdReports,
+    RateGrant,
+    RateGrants,
+    RateNeed,
+    RateNeeds,
+)
 
 from .._peer import PeerConnection
 from ._rate_limits import LimitMessage, RateLimits
@@ -35,6 +49,24 @@
         }
         self.limits.set_peers({name: peer.peer.vm for name, peer in self._peers.items()})
 
+    def greet(self, peer: PeerConnection) -> None:
+        """Send a process that has just connected the cold times that are known."""
+        reports = [
+            ColdReport(name, remaining_s)
+            for name, remaining_s in self.limits.cold_runs()
+            if remaining_s >= MIN_REPORT_S
+        ]
+        if reports and peer.version >= ColdReports.since:
+            peer.post(ColdReports(reports))
+
+    def receive_cold(self, peer: PeerConnection, message: ColdReports) -> None:
+        """Apply the cold times that another process knows."""
+        reports = [
+            (item.upstream, ColdMessage(self.incarnation, item.remaining_s))
+            for item in message.reports
+        ]
+        self.limits.receive(peer.peer.incarnation, reports)
+
     def receive_needs(self, peer: PeerConnection, message: RateNeeds) -> None:
         """Apply what another process needs of this one."""
         messages = []
@@ -55,14 +87,17 @@
     def _send(self, messages: Iterable[tuple[str, LimitMessage]]) -> None:
         needs: dict[str, list[RateNeed]] = defaultdict(list)
         grants: dict[str, list[RateGrant]] = defaultdict(list)
+        cold: dict[str, list[ColdReport]] = defaultdict(list)
         for upstream, message in messages:
-            if isinstance(message, NeedMessage):
+            if isinstance(message, ColdMessage):
+                cold[message.to].append(ColdReport(upstream, message.remaining_s))
+            elif isinstance(message, NeedMessage):
                 needs[message.to].append(_encode_need(upstream, message))
             else:
                 grants[message.to].append(_encode_grant(upstream, message))
-        for kind, by_peer in ((RateNeeds, needs), (RateGrants, grants)):
+        for kind, by_peer in ((ColdReports, cold), (RateNeeds, needs), (RateGrants, grants)):
             for name, items in by_peer.items():
-                if name in self._peers:
+                if name in self._peers and self._peers[name].version >= kind.since:
                     self._peers[name].post(kind(items))
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -332,7 +332,7 @@
         now = self.state.clock.now()
         placement = call.sent.placement if call.sent else None
         directory = self.state.directory
-        if upstream.limit.per_s is not None:
+        if upstream.limit.binds(now):
             self.state.metrics.limited_sends.labels(upstream.id).inc()
         if not call.sends:
             self.state.metrics.waited.labels(*call.class_labels).observe(now - call.started)
@@ -349,7 +349,8 @@
             urgency=call.urgency,
             sent_urgency=self._sent_urgency(call),
             running=upstream.running(now),
-            rate_limit=upstream.limit.per_s,
+            rate_limit=upstream.limit.stated_per_s,
+            cold_s=upstream.cold.remaining_s(now) or None,
             leaving_s=upstream.statements.leaving.age_s(now),
             rest_s=upstream.statements.rest.remaining_s(now) or None,
             listed=self._describe_listing(upstream),
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -149,6 +149,13 @@
         self.upstream_registry.set_memory_capacities(
             {item.service: item.tokens for item in config.memories}
         )
+        self.upstream_registry.set_cold_starts(
+            config.cold_starts,
+            self.clock.now(),
+            self.settings.cold_overage,
+            self.settings.cold_slack,
+        )
+        self.rate_limits.apply_cold_starts()
         return True
 
     def confirm_configuration(self, as_of: float) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_statements.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_statements.py
@@ -42,6 +42,7 @@
         self.clock = clock
         self.metrics = metrics
         self.upstream_registry = upstream_registry
+        self.rate_limits = rate_limits
         self.report: Callable[[str, str], None] = lambda incarnation, kind: None
         self._on_change: dict[str, OnChange] = {"request_rate": rate_limits.apply_change}
 
@@ -60,6 +61,17 @@
                 self._on_change[kind](upstream, change)
             if statement_kinds.get(kind).is_relayed:
                 self.report(upstream.incarnation, kind)
+        if facts.cold_s is not None:
+            self._record_cold(upstream, facts, call, now)
+
+    def _record_cold(
+        self, upstream: Upstream, facts: AnswerFacts, call: ForwardCall, now: float
+    ) -> None:
+        if facts.cold_s > 0:
+            upstream.limit.learn_cold(facts.cold_s, now)
+        elif facts.sealed:
+            upstream.limit.learn_warm(call.sent_at, now)
+        self.rate_limits.apply_cold_starts()
 
     def receive_report(self, incarnation: str, kind: str, source: str) -> None:
         """Apply what another process reports of a run of an upstream.
