--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_fleet_size.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_fleet_size.py
@@ -50,6 +50,11 @@
         self._confirmed_at = float("-inf")
         self._larger: deque[tuple[int, float]] = deque()  # (count, last time), largest first
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether the process connects to no others."""
+        return self._is_alone
+
     def set_alone(self, is_alone: bool) -> None:
         """Set whether the process connects to no others; it then counts as the only one."""
         self._is_alone = is_alone
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -5,7 +5,7 @@
 ``now`` is an argument of each decision.
 """
 
-from ..sending._cold_start import MIN_REPORT_S, ColdStart, ColdTerms, granted_rate
+from ..sending._cold_start import ColdReport, ColdStart, ColdTerms, granted_rate
 from ..sending._shared_limit import (
     ColdMessage,
     Fleet,
@@ -88,7 +88,7 @@
     "ColdMessage",
     "ColdStart",
     "ColdTerms",
-    "MIN_REPORT_S",
+    "ColdReport",
     "StartAsks",
     "granted_rate",
     "NeedMessage",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
@@ -108,3 +108,30 @@
     unreadable: tuple[UnreadableEntry, ...] = ()
     last_failure_at: float = float("-inf")
     after_restore: bool = False
+
+
+def is_newer_entry(entry: ListedUpstream, known: ListedUpstream) -> bool:
+    """Return whether an entry of the same incarnation is newer than the known one.
+
+    Within one era, revisions decide. A store that was restored from a copy first shows an old entry
+    of the upstream. The upstream's own sequence number distinguishes it from the entries that it
+    has written since; if the numbers are equal, an upstream that is known to be draining stays so.
+    """
+    if entry.era == known.era:
+        return entry.revision >= known.revision
+    if entry.era < known.era or entry.sequence < known.sequence:
+        return False
+    return entry.sequence > known.sequence or entry.leaving or not known.leaving
+
+
+def compare_starts(listed_ms: int | None, known_ms: int | None) -> int:
+    """Return 1 if an entry is of a later incarnation than the known one, 0 of the same, -1 before.
+
+    An entry without a start time belongs to the known incarnation. One that has a start time for
+    the first time cannot be shown to belong to the same incarnation, so it begins a new one:
+    discarding the state of an upstream with cached parts costs little, while keeping that of a
+    former incarnation is misleading.
+    """
+    if listed_ms is None or listed_ms == known_ms:
+        return 0
+    return 1 if known_ms is None or listed_ms > known_ms else -1
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -8,13 +8,19 @@
 import attrs
 
 from .._fleet_size import FleetSize
-from ..sending._cold_start import ColdStart, ColdTerms, granted_rate
+from ..sending._cold_start import ColdReport, ColdStart, ColdTerms, granted_rate
 from ..sending._run_statements import RunStatements
-from ..sending._shared_limit import ColdMessage, SharedLimit
+from ..sending._shared_limit import SharedLimit
 from ..sending._unlisted_statements import UnlistedStatements
 from ._config import ColdStartTerms
 from ._linear import SpeedFactor
-from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
+from ._listed_upstream import (
+    ListedUpstream,
+    UnreadableEntry,
+    UpstreamChanges,
+    compare_starts,
+    is_newer_entry,
+)
 from ._pending import LoadShare, PendingPrompts
 from ._prompts import Prompt, PromptMemory
 from ._upstream_health import UpstreamHealth
@@ -204,6 +210,7 @@
         self._list_trusted_at = float("-inf")
         self._capacities: Mapping[str, int] = {}
         self._cold_terms: dict[str, ColdTerms] = {}
+        self._is_isolated = False
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -308,19 +315,35 @@
                 upstream.cold.learn_unknown(now)
 
     def receive_cold(
-        self, incarnation: str, remaining_s: float, now: float, source: str = "peer"
+        self, incarnation: str, sender: str, report: ColdReport, now: float, source: str
     ) -> None:
-        """Apply the report of a peer about a run; it may be listed later, or again."""
+        """Apply the report of a peer about a run; see :meth:`SharedLimit.receive_cold`.
+
+        It may be listed later, or again.
+        """
         listed = self.find(incarnation)
         if listed is not None:
-            listed.limit.receive_cold(ColdMessage("", remaining_s), now, source)
+            listed.limit.receive_cold(sender, report, now, source)
         else:
-            self._unlisted_statements.learn_cold(incarnation, remaining_s, now, source)
+            self._unlisted_statements.receive_cold(incarnation, report, now, source)
+
+    def cold_reports(self, now: float) -> list[tuple[str, ColdReport]]:
+        """Return the runs that have stated that they are cold, with what they have stated."""
+        return [
+            (item.incarnation, report)
+            for item in self._upstreams.values()
+            for report in item.cold.reports(now)
+        ]
 
-    def cold_runs(self, now: float) -> list[tuple[str, float]]:
-        """Return the runs that have stated that they are cold, with the time left, seconds."""
-        runs = ((item.incarnation, item.cold.known_s(now)) for item in self._upstreams.values())
-        return [(name, remaining_s) for name, remaining_s in runs if remaining_s]
+    def set_isolated(self, is_isolated: bool, now: float) -> None:
+        """Set whether nothing could show this process that an upstream has turned cold.
+
+        Its list is then too old to trust: all upstreams count as cold until it is read again.
+        """
+        if is_isolated or self._is_isolated:
+            for upstream in self._upstreams.values():
+                upstream.cold.set_isolated(is_isolated, now)
+        self._is_isolated = is_isolated
 
     def record_list_failure(self, now: float) -> None:
         """Record that the list could not be read."""
@@ -413,7 +436,7 @@
             self._withheld.pop(entry.id, None)
             self._add(entry, now)
             return None
-        order = _compare_starts(entry.started_ms, known.entry.started_ms)
+        order = compare_starts(entry.started_ms, known.entry.started_ms)
         if order < 0:
             # A late update of a former incarnation does not apply to the present one.
             return None
@@ -422,7 +445,7 @@
             self._by_service[known.entry.service].remove(known)
             self._add(entry, now)
             return known
-        if _is_newer_entry(entry, known.entry):
+        if is_newer_entry(entry, known.entry):
             self._by_service[known.entry.service].remove(known)
             known.entry = attrs.evolve(entry, started_ms=known.entry.started_ms)
             self._by_service.setdefault(entry.service, []).append(known)
@@ -434,7 +457,7 @@
         kept = self._removed_entries.get(entry.id)
         if kept is None or entry.era <= kept.entry.era:
             return False
-        order = _compare_starts(entry.started_ms, kept.entry.started_ms)
+        order = compare_starts(entry.started_ms, kept.entry.started_ms)
         return order < 0 or (order == 0 and entry.sequence <= kept.entry.sequence)
 
     def _add(self, entry: ListedUpstream, now: float) -> None:
@@ -468,30 +491,3 @@
 
     entry: ListedUpstream
     until: float
-
-
-def _is_newer_entry(entry: ListedUpstream, known: ListedUpstream) -> bool:
-    """Return whether an entry of the same incarnation is newer than the known one.
-
-    Within one era, revisions decide. A store that was restored from a copy first shows an old entry
-    of the upstream. The upstream's own sequence number distinguishes it from the entries that it
-    has written since; if the numbers are equal, an upstream that is known to be draining stays so.
-    """
-    if entry.era == known.era:
-        return entry.revision >= known.revision
-    if entry.era < known.era or entry.sequence < known.sequence:
-        return False
-    return entry.sequence > known.sequence or entry.leaving or not known.leaving
-
-
-def _compare_starts(listed_ms: int | None, known_ms: int | None) -> int:
-    """Return 1 if an entry is of a later incarnation than the known one, 0 of the same, -1 before.
-
-    An entry without a start time belongs to the known incarnation. One that has a start time for
-    the first time cannot be shown to belong to the same incarnation, so it begins a new one:
-    discarding the state of an upstream with cached parts costs little, while keeping that of a
-    former incarnation is misleading.
-    """
-    if listed_ms is None or listed_ms == known_ms:
-        return 0
-    return 1 if known_ms is None or listed_ms > known_ms else -1
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_cold_start.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_cold_start.py
@@ -79,11 +79,29 @@
     per_s: float
 
 
+@attrs.frozen
+class ColdReport:
+    """A statement of coldness, as one process reports it to another.
+
+    Parameters
+    ----------
+    remaining_s : float
+        Cold time left when the report is made, seconds.
+    row : int or None
+        Sequence number of the row of the list that made the statement; None if an answer made it.
+        Without a row, a time of 0 says that the upstream has shown that it is warm.
+    """
+
+    remaining_s: float
+    row: int | None = None
+
+
 class ColdStart:
     """The cold start of one run of an upstream, as one process knows it.
 
-    Statements are merged by the later end. Without the terms of its service, an upstream is not
-    cold; they may arrive before or after its statements.
+    Statements are merged by the later end. A row of the list does not say when it was written, so
+    of several readings of one row, at this process or at others, the first one counts. Without the
+    terms of its service, an upstream is not cold; they may arrive before or after its statements.
 
     Attributes
     ----------
@@ -97,14 +115,14 @@
     Examples
     --------
     >>> cold = ColdStart()
-    >>> cold.learn_listed(20.0, sequence=1, now=100.0)
+    >>> cold.learn_listed(20.0, row=1, now=100.0)
     True
     >>> cold.binds(101.0)
     False
     >>> cold.set_terms(ColdTerms(30.0, 11.0), now=101.0)
     >>> cold.until, cold.per_s(101.0), cold.per_s(120.0)
     (120.0, 11.0, None)
-    >>> cold.learn_listed(20.0, sequence=1, now=110.0), cold.until
+    >>> cold.learn_listed(20.0, row=1, now=110.0), cold.until
     (False, 120.0)
     """
 
@@ -113,18 +131,20 @@
         self.learnt_at = float("-inf")
         self.bound_at = float("-inf")
         self._terms: ColdTerms | None = None
-        self._known_until = float("-inf")
-        self._unknown_since: float | None = None
-        self._row: tuple[int, float] | None = None
+        self._stated_until = float("-inf")
+        self._row: int | None = None
+        self._row_cold_s: float | None = None
+        self._row_until = float("-inf")
+        self._unknown_since = float("-inf")
+        self._isolated_at = float("-inf")
 
     @property
     def until(self) -> float:
         """When the upstream is warm; in the past if it is."""
         if self._terms is None:
             return float("-inf")
-        if self._unknown_since is None:
-            return self._known_until
-        return max(self._known_until, self._unknown_since + self._terms.duration_s)
+        unknown_until = max(self._unknown_since, self._isolated_at) + self._terms.duration_s
+        return max(self._stated_until, self._row_until, unknown_until)
 
     def binds(self, now: float) -> bool:
         """Return whether the upstream is cold."""
@@ -138,9 +158,22 @@
         """Return how long the upstream is still cold, seconds."""
         return max(0.0, self.until - now)
 
-    def known_s(self, now: float) -> float:
-        """Return how long the upstream is still cold by what it has stated, seconds."""
-        return 0.0 if self._terms is None else max(0.0, self._known_until - now)
+    def reports(self, now: float) -> list[ColdReport]:
+        """Return the statements in force that others should know."""
+        if self._terms is None:
+            return []
+        found = [
+            ColdReport(self._stated_until - now),
+            ColdReport(self._row_until - now, self._row),
+        ]
+        return [item for item in found if item.remaining_s >= MIN_REPORT_S]
+
+    def correction(self, report: ColdReport, now: float) -> ColdReport | None:
+        """Return a report with an earlier reading of the row that a report names, if known."""
+        is_earlier = self._row_until < now + report.remaining_s - MERGE_TOLERANCE_S
+        if report.row is None or report.row != self._row or not is_earlier:
+            return None
+        return ColdReport(max(0.0, self._row_until - now), self._row)
 
     def set_terms(self, terms: ColdTerms | None, now: float) -> None:
         """Set the terms of the service; None if it states no cold start."""
@@ -148,35 +181,49 @@
         self._terms = terms
         self._note_bound(was_cold, now)
 
-    def learn(self, remaining_s: float, source: str, now: float) -> bool:
-        """Apply a statement that was made up to now; return whether the upstream is cold longer.
+    def learn(self, remaining_s: float, now: float, source: str = ANSWER) -> bool:
+        """Apply a statement that was made up to now; return whether it ends later than known ones.
 
         Parameters
         ----------
         remaining_s : float
             Cold time left when the statement was made, seconds.
-        source : str
         now : float
+        source : str
         """
         until = now + min(remaining_s, MAX_COLD_S)
-        tolerance_s = 0.0 if source in (LIST, ANSWER) or not self.binds(now) else MERGE_TOLERANCE_S
-        if remaining_s <= 0 or until <= self._known_until + tolerance_s:
+        tolerance_s = 0.0 if source == ANSWER else MERGE_TOLERANCE_S
+        if remaining_s <= 0 or until <= max(self._stated_until, self._row_until) + tolerance_s:
             return False
         was_cold = self.binds(now)
-        self._known_until = until
+        self._stated_until = until
         self._note(source, was_cold, now)
         return True
 
-    def learn_listed(self, cold_s: float, sequence: int, now: float) -> bool:
-        """Apply a row of the list; see :meth:`learn`.
+    def learn_listed(self, cold_s: float, row: int, now: float) -> bool:
+        """Apply a row of the list with its sequence number; see :meth:`learn`.
 
-        A row that was read before, or that is older than one, changes nothing.
+        A row that was read before, here or at a peer, changes nothing.
         """
-        row = (sequence, cold_s)
-        if self._row is not None and (row == self._row or sequence < self._row[0]):
-            return False
-        self._row = row
-        return self.learn(cold_s, LIST, now)
+        if self._row is not None and row <= self._row:
+            is_changed = row == self._row and self._row_cold_s not in (None, cold_s)
+            if row == self._row:
+                self._row_cold_s = cold_s
+            return is_changed and self.learn(cold_s, now, LIST)
+        return self._learn_row(ColdReport(cold_s, row), cold_s, now, LIST)
+
+    def receive(self, report: ColdReport, now: float, source: str) -> bool:
+        """Apply the report of a peer; see :meth:`learn`."""
+        if report.row is None:
+            if report.remaining_s <= 0:
+                self.learn_warm(now - WARM_REPORT_DELAY_S)
+            return self.learn(report.remaining_s, now, source)
+        if self._row is None or report.row > self._row:
+            return self._learn_row(report, None, now, source)
+        if report.row < self._row:
+            return self.learn(report.remaining_s, now, source)
+        self._row_until = min(self._row_until, now + report.remaining_s)
+        return False
 
     def learn_unknown(self, now: float) -> None:
         """Record that the upstream may have turned cold until now."""
@@ -195,9 +242,26 @@
         asked_at : float
             Time after which the statement was certainly made.
         """
-        if self._unknown_since is None or asked_at < self._unknown_since:
+        if self._unknown_since == float("-inf") or asked_at < self._unknown_since:
+            return False
+        self._unknown_since = float("-inf")
+        return True
+
+    def set_isolated(self, is_isolated: bool, now: float) -> None:
+        """Set whether this process could not learn now that the upstream has turned cold."""
+        was_cold = self.binds(now)
+        self._isolated_at = now if is_isolated else float("-inf")
+        if is_isolated and not was_cold:
+            self._note(UNKNOWN, was_cold, now)
+
+    def _learn_row(self, report: ColdReport, cold_s: float | None, now: float, source: str) -> bool:
+        was_cold = self.binds(now)
+        before = self._stated_until = max(self._stated_until, self._row_until)
+        self._row, self._row_cold_s = report.row, cold_s
+        self._row_until = now + min(report.remaining_s, MAX_COLD_S)
+        if self._row_until <= max(before, now):
             return False
-        self._unknown_since = None
+        self._note(source, was_cold, now)
         return True
 
     def _note(self, source: str, was_cold: bool, now: float) -> None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
@@ -7,13 +7,7 @@
 import attrs
 
 from .._local_stall import LOCAL_STALL_S
-from ._cold_start import (
-    ANSWER,
-    GRANT_HOLD_S,
-    MIN_REPORT_S,
-    WARM_REPORT_DELAY_S,
-    ColdStart,
-)
+from ._cold_start import ANSWER, GRANT_HOLD_S, ColdReport, ColdStart
 from ._rate_limit import RateLimit
 from ._start_pool import StartAccount, StartGrant, StartNeed, StartPool, share_interval_s
 from ._statements import StatementChange, StatementReading
@@ -78,18 +72,10 @@
 
 @attrs.frozen
 class ColdMessage:
-    """The cold time of an upstream on its way to a process.
-
-    Parameters
-    ----------
-    to : str
-    remaining_s : float
-        Cold time left when the message is sent, seconds; 0 if the upstream has shown that it is
-        warm where that was unknown.
-    """
+    """A report of coldness on its way to a process."""
 
     to: str
-    remaining_s: float
+    report: ColdReport
 
 
 LimitMessage = NeedMessage | GrantMessage | ColdMessage
@@ -196,6 +182,7 @@
         self._is_cold_reported = True
         self._is_warm_reported = True
         self._cold_told_to: str | None = None
+        self._cold_corrections: dict[str, ColdReport] = {}
         self._limit = RateLimit()
         self._account = StartAccount()
         self._pool: StartPool | None = None
@@ -238,6 +225,7 @@
     def is_active(self, now: float) -> bool:
         """Return whether there is anything to do in a step."""
         has_unsent = bool(self._corrected) or not (self._is_reported and self._is_announced)
+        has_unsent |= bool(self._cold_corrections)
         return self._was_cold or self.per_s(now) is not None or has_unsent
 
     def is_cold_step_due(self, now: float) -> bool:
@@ -313,15 +301,13 @@
 
     def learn_cold(self, remaining_s: float, now: float) -> None:
         """Apply the cold time that an answer of the upstream states."""
-        if self.cold.learn(remaining_s, ANSWER, now):
-            self._cold_told_to = None
-            self._is_cold_reported = False
+        if self.cold.learn(remaining_s, now):
+            self._on_cold(now)
 
-    def learn_listed(self, cold_s: float, sequence: int, now: float) -> None:
+    def learn_listed(self, cold_s: float, row: int, now: float) -> None:
         """Apply a row of the list; see :meth:`ColdStart.learn_listed`."""
-        if self.cold.learn_listed(cold_s, sequence, now):
-            self._cold_told_to = None
-            self._is_cold_reported = False
+        if self.cold.learn_listed(cold_s, row, now):
+            self._on_cold(now)
 
     def learn_warm(self, sent_at: float, now: float) -> None:
         """Apply an answer, to a request sent at a time, that states that the upstream is warm."""
@@ -329,18 +315,27 @@
         if self.cold.learn_warm(sent_at) and was_cold:
             self._is_warm_reported = False
 
-    def receive_cold(self, message: ColdMessage, now: float, source: str) -> None:
+    def receive_cold(self, sender: str, report: ColdReport, now: float, source: str) -> None:
         """Apply the report of another process.
 
         The owner passes only the first one on: two owners could go on to repeat the reports of each
         other.
+
+        Parameters
+        ----------
+        sender : str
+            Incarnation of that process.
+        report : ColdReport
+        now : float
+        source : str
+            VM of that process.
         """
         was_cold = self.cold.binds(now)
-        if message.remaining_s <= 0:
-            self.cold.learn_warm(now - WARM_REPORT_DELAY_S)
-        elif self.cold.learn(message.remaining_s, source, now) and not was_cold:
-            self._cold_told_to = None
-            self._is_cold_reported = False
+        correction = self.cold.correction(report, now)
+        if correction is not None:
+            self._cold_corrections[sender] = correction
+        elif self.cold.receive(report, now, source) and not was_cold:
+            self._on_cold(now)
 
     def step(self, fleet: Fleet, now: float) -> LimitStep:
         """Return the messages that are due, and grant starts to this process."""
@@ -376,26 +371,33 @@
         if is_cold == self._was_cold:
             return
         self._was_cold = step.cold = is_cold
-        if is_cold:
-            # Starts at the wider rate that are still held would come on top of those granted now.
-            self._account.drop_starts()
-        else:
+        if not is_cold:
             self._clear_unless_limited(now)
 
     def _report_cold(self, fleet: Fleet, step: LimitStep, now: float) -> None:
+        messages = [ColdMessage(*item) for item in self._cold_corrections.items()]
+        self._cold_corrections.clear()
         others = [name for name in fleet.ranked if name != fleet.me]
         if not self._is_warm_reported:
             self._is_warm_reported = True
-            step.messages += [ColdMessage(name, 0.0) for name in others]
+            messages += [ColdMessage(name, ColdReport(0.0)) for name in others]
         is_due, self._is_cold_reported = not self._is_cold_reported, True
-        remaining_s = self.cold.known_s(now)
-        if remaining_s < MIN_REPORT_S:
-            return
+        recipients: Sequence[str] = ()
         if is_due and (self.cold.source == ANSWER or self._owner == fleet.me):
-            step.messages += [ColdMessage(name, remaining_s) for name in others]
+            recipients = others
         elif self._owner not in (fleet.me, self._cold_told_to):
-            step.messages.append(ColdMessage(self._owner, remaining_s))
-        self._cold_told_to = self._owner
+            recipients = [self._owner]
+        if recipients and (reports := self.cold.reports(now)):
+            self._cold_told_to = self._owner
+            messages += [ColdMessage(name, report) for name in recipients for report in reports]
+        step.messages += messages
+
+    def _on_cold(self, now: float) -> None:
+        self._cold_told_to = None
+        self._is_cold_reported = False
+        if not self._was_cold:
+            # Starts at the wider rate that are still held would come on top of those granted now.
+            self._account.drop_starts()
 
     def _receive_starts(
         self, owner: str, grant: StartGrant, processes: int | None, now: float
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
@@ -5,8 +5,8 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from ._cold_start import ColdReport
 from ._run_statements import RunStatements
-from ._shared_limit import ColdMessage
 
 MAX_RUNS = 4096
 """Largest number of runs that are kept; the one that was added first is dropped."""
@@ -62,10 +62,10 @@
         self.keep(incarnation, statements)
         return is_new
 
-    def learn_cold(self, incarnation: str, remaining_s: float, now: float, source: str) -> None:
-        """Record the cold time that a peer reports of an unlisted run."""
+    def receive_cold(self, incarnation: str, report: ColdReport, now: float, source: str) -> None:
+        """Apply the report of a peer that an unlisted run is cold."""
         statements = self._find_or_make(incarnation)
-        statements.limit.receive_cold(ColdMessage("", remaining_s), now, source)
+        statements.limit.cold.receive(report, now, source)
         self.keep(incarnation, statements)
 
     def _find_or_make(self, incarnation: str) -> RunStatements:
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -366,7 +366,7 @@
 
 
 @attrs.frozen
-class ColdReport:
+class ColdStartReport:
     """Cold time of a run of an upstream, as the sender knows it.
 
     Parameters
@@ -374,20 +374,23 @@
     upstream : str
         Incarnation of the upstream.
     remaining_s : float
-        Cold time left when the report is sent, seconds; 0 if an answer has shown that the upstream
-        is warm where that was unknown.
+        Cold time left when the report is sent, seconds.
+    row : int or None
+        Sequence number of the listed entry that states it; None if an answer states it. Without an
+        entry, a time of 0 says that an answer has shown that the upstream is warm.
     """
 
     upstream: str
     remaining_s: float
+    row: int | None
 
 
 @message(47, since=12)
 @attrs.frozen
-class ColdReports:
+class ColdStartReports:
     """Cold times of upstreams, as the sender knows them."""
 
-    reports: list[ColdReport]
+    reports: list[ColdStartReport]
 
 
 @message(44, since=10)
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -22,7 +22,7 @@
 :class:`UpstreamOutcomes`, version 6 :class:`TableChanges` and :class:`NewestConfiguration`, version
 7 :class:`UsageCounts` and :class:`ClockReading`, version 8 :class:`RateNeeds` and
 :class:`RateGrants`, version 9 :class:`StatementReports`, version 12
-:class:`ColdReports`."""
+:class:`ColdStartReports`."""
 
 message_types: dict[int, type] = {}
 """Message class by type number."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -106,6 +106,7 @@
 async def follow_upstreams(state: ForwarderState) -> None:
     """Apply each change of the list of upstreams, until cancelled."""
     source = state.platform.upstreams()
+    state.upstream_list_age_s = source.age_s
     backoff = _RetryBackoff(state, Event.VM_LIST_UNREADABLE, Event.VM_LIST_RECOVERED)
     while True:
         read = await source.next(UPSTREAMS_LONG_POLL_S)
@@ -157,3 +158,4 @@
     while True:
         await asyncio.sleep(SETTLE_INTERVAL_S)
         state.upstream_registry.settle(state.clock.now())
+        state.check_isolation()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -16,7 +16,7 @@
 from burdockquay_coordination.forwarding import rank_processes
 from burdockquay_protocol import (
     ClockReading,
-    ColdReports,
+    ColdStartReports,
     EralessTableChanges,
     Goodbye,
     Heartbeat,
@@ -157,7 +157,7 @@
             EralessTableChanges: self._receive_eraless_changes,
             RateNeeds: self._rates.receive_needs,
             RateGrants: self._rates.receive_grants,
-            ColdReports: self._rates.receive_cold,
+            ColdStartReports: self._rates.receive_cold,
             StatementReports: self._statements.receive,
             PartReports: self._parts.receive,
             StreamStarts: self._streams.receive_starts,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -191,6 +191,10 @@
     async def next(self, wait_s: float) -> Result[UpstreamChanges, TableError]:
         """Return the list at the first call, the changes since the last call at later ones."""
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the list was last confirmed, seconds; 0 if that is not known."""
+        return 0.0
+
 
 @attrs.frozen
 class Member:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -151,10 +151,6 @@
         self._step([upstream], self.clock.now())
         self._wake(change.kind is not StatementChangeKind.LEARNT)
 
-    def cold_runs(self) -> list[tuple[str, float]]:
-        """Return the runs of upstreams that are cold, with the time left, seconds."""
-        return self.upstream_registry.cold_runs(self.clock.now())
-
     def receive(self, peer: str, messages: Iterable[tuple[str, LimitMessage]]) -> None:
         """Apply messages of another process.
 
@@ -171,7 +167,8 @@
         for incarnation, message in messages:
             if isinstance(message, ColdMessage):
                 source = self._vms.get(peer, peer)
-                self.upstream_registry.receive_cold(incarnation, message.remaining_s, now, source)
+                report = message.report
+                self.upstream_registry.receive_cold(incarnation, peer, report, now, source)
             upstream = self.upstream_registry.find(incarnation)
             if upstream is None:
                 # It is not listed here yet, or not any more; what is in force is sent again.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_sharing.py
@@ -6,16 +6,16 @@
 from collections.abc import Iterable, Mapping
 
 from burdockquay_coordination.forwarding import (
-    MIN_REPORT_S,
     ColdMessage,
+    ColdReport,
     GrantMessage,
     NeedMessage,
     StartGrant,
     StartNeed,
 )
 from burdockquay_protocol import (
-    ColdReport,
-    ColdReports,
+    ColdStartReport,
+    ColdStartReports,
     RateGrant,
     RateGrants,
     RateNeed,
@@ -50,22 +50,21 @@
         self.limits.set_peers({name: peer.peer.vm for name, peer in self._peers.items()})
 
     def greet(self, peer: PeerConnection) -> None:
-        """Send a process that has just connected the cold times that are known."""
-        reports = [
-            ColdReport(name, remaining_s)
-            for name, remaining_s in self.limits.cold_runs()
-            if remaining_s >= MIN_REPORT_S
-        ]
-        if reports and peer.version >= ColdReports.since:
-            peer.post(ColdReports(reports))
-
-    def receive_cold(self, peer: PeerConnection, message: ColdReports) -> None:
-        """Apply the cold times that another process knows."""
-        reports = [
-            (item.upstream, ColdMessage(self.incarnation, item.remaining_s))
+        """Send a process that has just connected the cold starts that are known."""
+        known = self.limits.upstream_registry.cold_reports(self.limits.clock.now())
+        if known and peer.version >= ColdStartReports.since:
+            peer.post(ColdStartReports([_encode_cold(*item) for item in known]))
+
+    def receive_cold(self, peer: PeerConnection, message: ColdStartReports) -> None:
+        """Apply the cold starts that another process knows."""
+        decoded = [
+            (
+                item.upstream,
+                ColdMessage(self.incarnation, ColdReport(item.remaining_s, item.row)),
+            )
             for item in message.reports
         ]
-        self.limits.receive(peer.peer.incarnation, reports)
+        self.limits.receive(peer.peer.incarnation, decoded)
 
     def receive_needs(self, peer: PeerConnection, message: RateNeeds) -> None:
         """Apply what another process needs of this one."""
@@ -87,20 +86,24 @@
     def _send(self, messages: Iterable[tuple[str, LimitMessage]]) -> None:
         needs: dict[str, list[RateNeed]] = defaultdict(list)
         grants: dict[str, list[RateGrant]] = defaultdict(list)
-        cold: dict[str, list[ColdReport]] = defaultdict(list)
+        cold: dict[str, list[ColdStartReport]] = defaultdict(list)
         for upstream, message in messages:
             if isinstance(message, ColdMessage):
-                cold[message.to].append(ColdReport(upstream, message.remaining_s))
+                cold[message.to].append(_encode_cold(upstream, message.report))
             elif isinstance(message, NeedMessage):
                 needs[message.to].append(_encode_need(upstream, message))
             else:
                 grants[message.to].append(_encode_grant(upstream, message))
-        for kind, by_peer in ((ColdReports, cold), (RateNeeds, needs), (RateGrants, grants)):
+        for kind, by_peer in ((ColdStartReports, cold), (RateNeeds, needs), (RateGrants, grants)):
             for name, items in by_peer.items():
                 if name in self._peers and self._peers[name].version >= kind.since:
                     self._peers[name].post(kind(items))
 
 
+def _encode_cold(upstream: str, report: ColdReport) -> ColdStartReport:
+    return ColdStartReport(upstream, report.remaining_s, report.row)
+
+
 def _encode_need(upstream: str, message: NeedMessage) -> RateNeed:
     need = message.need
     return RateNeed(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -43,6 +43,7 @@
 )
 from ._platform import SendTerms
 from ._send_conditions import (
+    check_cold,
     check_statements,
     check_version,
     fetch_source,
@@ -424,6 +425,7 @@
             self._check_parts(call)
             check_version(call, upstream)
             check_statements(upstream, self.state.clock.now())
+            check_cold(call, upstream, self.state.clock.now())
 
         self.check_key(call)
         self._check_parts(call)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
@@ -12,6 +12,10 @@
 from ._call import ForwardCall, failure_of
 from ._connections import HeldBackError
 
+MAX_START_AGE_S = 0.3
+"""Longest time from taking a start at a cold upstream to the first byte, seconds. To open a
+connection to another region takes some 0.12 s."""
+
 
 def check_version(call: ForwardCall, upstream: Upstream) -> None:
     """Raise if the entry of an upstream has changed to a version that does not fit the stream.
@@ -40,6 +44,24 @@
         raise HeldBackError(f"upstream {upstream.id} rests for another {rest_s:.3f} s")
 
 
+def check_cold(call: ForwardCall, upstream: Upstream, now: float) -> None:
+    """Raise if an upstream is cold and the start of a call is not granted for this moment.
+
+    It may have turned cold while a connection was opened. And starts whose connections take long,
+    as over a link that stalls, would all arrive at its end.
+
+    Raises
+    ------
+    HeldBackError
+    """
+    if not upstream.cold.binds(now):
+        return
+    if upstream.cold.bound_at > call.sent_at:
+        raise HeldBackError(f"upstream {upstream.id} has turned cold")
+    if now - call.sent_at > MAX_START_AGE_S:
+        raise HeldBackError(f"the start at the cold upstream {upstream.id} is too old")
+
+
 @contextlib.asynccontextmanager
 async def timeout_on_restart(upstream: Upstream) -> AsyncIterator[None]:
     """Raise TimeoutError in the body once the upstream has restarted."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -48,6 +48,10 @@
 """Time for which a larger number of processes is remembered, as a multiple of the window of the
 retry budget."""
 
+MAX_LIST_AGE_S = 10.0
+"""Age from which the list of upstreams is too old to trust at a process without contact to others,
+seconds: several long polls, so that a failed one alone restricts nothing."""
+
 REQUIRED_READS = ("configuration", "upstreams", "suspicions")
 """Readings from the platform that a process needs before it can serve."""
 
@@ -93,6 +97,7 @@
         self.suspects = CrashSuspects()
         self.crowding = Crowding()
         self.connected_peers: Callable[[], int] = lambda: 0
+        self.upstream_list_age_s: Callable[[float], float] = lambda now: 0.0
         self.streams = StreamVersions()
         self.others = PeerAvailability()
         self.connections = UpstreamConnections()
@@ -241,6 +246,18 @@
         for dispatcher in self._dispatchers.values():
             dispatcher.evaluate()
 
+    def check_isolation(self) -> None:
+        """Check whether the list of upstreams is too old to show which of them have turned cold.
+
+        While another process is connected, it reports what it sees.
+        """
+        now = self.clock.now()
+        registry = self.upstream_registry
+        is_old = self.upstream_list_age_s(now) > MAX_LIST_AGE_S
+        has_contact = registry.fleet.is_alone or self.connected_peers() > 0
+        registry.set_isolated(is_old and not has_contact, now)
+        self.rate_limits.apply_cold_starts()
+
     def record_down(self, incarnation: str) -> None:
         """Record that an upstream is down, and send peers the digests of what ran there."""
         now = self.clock.now()
