--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_cold_starts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_cold_starts.py
@@ -3,6 +3,9 @@
 import random
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, invariant, rule
 
 from burdockquay_coordination.forwarding import (
     ColdReport,
@@ -18,8 +21,9 @@
 )
 
 from .limit_cluster import LimitCluster
+from .test_shared_limit_machine import LimitMachine
 
-DURATION_S = 30.0
+DURATION_S, LONG_S = 30.0, 3000.0
 PER_S, OVERAGE, SLACK = 11.0, 1.5, 5.0
 BOUND = PER_S * OVERAGE + SLACK
 READ_S = 0.15
@@ -229,3 +233,42 @@
     assert asked[0] == 2
     assert asked[-1] == 60
     assert asked == sorted(asked)
+
+
+class ColdMachine(LimitMachine):
+    """The faults of a stated limit at a cold upstream, for the bound of cold starts."""
+
+    change = end_for_a_while = None
+
+    @initialize(size=st.integers(1, 8), seed=st.integers(0, 1000))
+    def start(self, size, seed):
+        self.cluster = LimitCluster(size, seed, make_limit=self.make_limit)
+        self.number = size
+        self.members_changed_at = float("-inf")
+        list_cold(self.cluster, LONG_S)
+        self.cluster.run_for(READ_S)
+
+    make_limit = staticmethod(make_limit)
+
+    @rule()
+    def join(self):
+        if len(self.cluster.processes) < 9:
+            name = f"p{self.number}"
+            self.cluster.start(name)
+            self.cluster.processes[name].read_row(LONG_S, 1)
+            self.number += 1
+            self.members_changed_at = self.cluster.now
+
+    @invariant()
+    def limit_is_kept(self):
+        assert self.cluster.busiest_second(0.0) <= BOUND
+
+    def teardown(self):
+        if hasattr(self, "cluster"):
+            self.run(12.0)
+            self.limit_is_kept()
+            assert used(self.cluster, 4.0) >= 0.8
+
+
+ColdMachine.TestCase.settings = settings(max_examples=15, stateful_step_count=10)
+test_cold_rate_is_kept_and_used_under_faults_in_any_order = ColdMachine.TestCase
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -163,6 +163,8 @@
         processes = self.rate_limits.processes or 1
         delay_s = limited_delay_s(queued, processes, per_s, self.rng)
         detail = f"{len(limited)} upstreams take {per_s:g} requests a second from all processes"
+        cold = sum(item.cold.binds(now) for item in limited)
+        detail += f", {cold} of them since they are cold" if cold else ""
         return RequestError(ErrorKind.UPSTREAM_LIMITED, detail, retry_after_s=delay_s)
 
     def wake(self) -> None:
--- a/packages/burdockquay/src/burdockquay/_explain.py
+++ b/packages/burdockquay/src/burdockquay/_explain.py
@@ -45,6 +45,16 @@
 """Period before a request for which restores are included: a process keeps using the rows it
 had until the writer of each row has written it again."""
 
+COLD_EVENTS = frozenset({"upstream_cold", "upstream_warm"})
+"""Events that begin and end the cold start of an upstream."""
+
+COLD_CONTEXT_BEFORE = timedelta(seconds=120)
+"""Period before a request for which they are included: a cold start may last for minutes."""
+
+COLD_START = ":cold_start"
+COLD_REFUSAL = "since they are cold"
+"""How a sent and a refused request name upstreams that did not take it because they are cold."""
+
 _COMMON_KEYS = ("time", "level", "event", "name", "vm", "request")
 
 
@@ -115,7 +125,8 @@
         for field in ("upstream", "upstreams")
         for name in str(line.fields.get(field, "")).split(",")
         if name
-    }
+    } | set(find_cold_upstreams(own))
+    is_refused = any(COLD_REFUSAL in str(line.fields.get("detail", "")) for line in own)
     return [
         line
         for line in all_lines
@@ -125,7 +136,9 @@
             and line.request is None
             and line.vm in vms
             and (
-                line.name in STATE_CHANGE_EVENTS | STORE_RESTORE_EVENTS or line.mentions(upstreams)
+                line.name in STATE_CHANGE_EVENTS | STORE_RESTORE_EVENTS
+                or line.mentions(upstreams)
+                or (is_refused and line.name in COLD_EVENTS)
             )
         )
     ]
@@ -133,9 +146,38 @@
 
 def _context_before(event: str) -> timedelta:
     """Return how long before a request an event is still included."""
+    if event in COLD_EVENTS:
+        return COLD_CONTEXT_BEFORE
     return RESTORE_CONTEXT_BEFORE if event in STORE_RESTORE_EVENTS else CONTEXT_BEFORE
 
 
+def find_cold_upstreams(own: Iterable[LogLine]) -> list[str]:
+    """Return the upstreams that did not take a request because they were cold.
+
+    Parameters
+    ----------
+    own : iterable of LogLine
+        Lines of the request.
+    """
+    named = (str(line.fields.get("held_back") or "").split(",") for line in own)
+    cold = {
+        item.removesuffix(COLD_START) for items in named for item in items if COLD_START in item
+    }
+    return sorted(cold)
+
+
+def describe_cold_wait(timeline: Iterable[LogLine], request: str) -> str | None:
+    """Return the sentence that names cold starts as the cause of a wait, None if they were not."""
+    own = [line for line in timeline if line.request == request]
+    cold = find_cold_upstreams(own)
+    if cold:
+        return f"it waited for a start at cold upstreams or went elsewhere: {', '.join(cold)}"
+    for line in own:
+        if COLD_REFUSAL in str(line.fields.get("detail", "")):
+            return f"it waited for a start until it was refused: {line.fields['detail']}"
+    return None
+
+
 def count_failures(lines: Iterable[LogLine], timeline: list[LogLine]) -> dict[str, int]:
     """Count the failed sends of other requests at each upstream of a timeline, during its time."""
     if not timeline:
--- a/packages/burdockquay/src/burdockquay/_explain_command.py
+++ b/packages/burdockquay/src/burdockquay/_explain_command.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from ._explain import collect_timeline, count_failures, format_line, read_lines
+from ._explain import collect_timeline, count_failures, describe_cold_wait, format_line, read_lines
 from ._output import ExitCode
 
 
@@ -52,6 +52,9 @@
     start = next(line.time for line in timeline if line.request == request)
     for line in timeline:
         print(format_line(line, start, request))
+    cold_wait = describe_cold_wait(timeline, request)
+    if cold_wait is not None:
+        print(f"  {cold_wait}")
     for upstream, count in sorted(count_failures(lines, timeline).items()):
         print(f"  meanwhile {count} other sends failed at {upstream}")
     return ExitCode.DONE
--- a/packages/burdockquay/src/burdockquay/tests/test_explain.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_explain.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from burdockquay._explain import collect_timeline, count_failures, read_lines
+from burdockquay._explain import collect_timeline, count_failures, describe_cold_wait, read_lines
 from burdockquay.cli import app
 
 
@@ -95,3 +95,20 @@
     assert run("nobody", str(log_file)) == 7
     assert run("r1", str(log_file) + ".gone") == 2
     assert "cannot be read" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("name", "fields"),
+    [
+        ("call_sent", {"upstream": "i-2", "held_back": "i-1:cold_start,i-3:rest"}),
+        ("call_refused", {"detail": "1 upstreams take 11 ..., 1 of them since they are cold"}),
+    ],
+)
+def test_cold_start_is_named_as_the_cause_of_a_wait(name, fields):
+    """Guards against a wait without a cause in the timeline: the upstream turned cold long before,
+    and the request was never sent to it."""
+    cold = line(1.0, "upstream_cold", upstream="i-1@5", source="list")
+    lines = [cold, line(30.0, name, request="r1", **fields)]
+    timeline = collect_timeline(read_lines(lines), "r1")
+    assert [item.name for item in timeline] == ["upstream_cold", name]
+    assert "cold" in describe_cold_wait(timeline, "r1")
