--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_asks.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_asks.py
@@ -7,13 +7,12 @@
 from collections.abc import Mapping, Sequence
 from typing import TypeVar
 
-FIRST_ASKS = 2.0
-"""Starts that are asked for per request at first. With one alone, a request would wait for an
-upstream whose owner has nothing to grant while others have."""
-
-DOUBLING_S = 0.1
-"""Time in which that number doubles while requests wait, seconds. After half a second they ask at
-all upstreams of a service, so that the starts of none of them remain unused."""
+FIRST_ASKS = 1.0
+DOUBLING_S = 0.3
+"""Starts that are asked for per request at first, and time in which that number doubles while
+requests wait, seconds: in the end they ask at all upstreams of a service, so that the starts of
+none of them remain unused. With 2 starts and 0.1 s, more are granted in vain and requests wait
+longer."""
 
 TURN_S = 0.25
 """Time for which a process asks at the same upstreams, seconds: as long as a request counts as
@@ -40,9 +39,9 @@
     --------
     >>> asks = StartAsks(random.Random(1))
     >>> len(asks.spread(list(range(60)), {0: 3}, is_waiting=True, now=0.0))
-    6
+    3
     >>> len(asks.spread(list(range(60)), {0: 3}, is_waiting=True, now=0.25))
-    34
+    6
     """
 
     def __init__(self, rng: random.Random):
