--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_unlisted_statements.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from ._cold_start import ColdReport
 from ._run_statements import RunStatements
 
 MAX_RUNS = 4096
@@ -56,9 +57,16 @@
 
     def learn_leaving(self, incarnation: str, now: float) -> bool:
         """Record that an unlisted run leaves; return whether that is new."""
-        statements = self._runs.get(incarnation)
-        if statements is None:
-            statements = self.make()
+        statements = self._find_or_make(incarnation)
         is_new = statements.leaving.learn(now) is not None
         self.keep(incarnation, statements)
         return is_new
+
+    def receive_cold(self, incarnation: str, report: ColdReport, now: float, source: str) -> None:
+        """Apply the report of a peer that an unlisted run is cold."""
+        statements = self._find_or_make(incarnation)
+        statements.limit.cold.receive(report, now, source)
+        self.keep(incarnation, statements)
+
+    def _find_or_make(self, incarnation: str) -> RunStatements:
+        return self._runs.get(incarnation) or self.make()
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -42,6 +42,8 @@
         "UpstreamOutcomes",
         "RateGrant",
         "RateGrants",
+        "ColdStartReport",
+        "ColdStartReports",
         "StatementReport",
         "StatementReports",
         "StreamAnswer",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -365,6 +365,34 @@
     reports: list[StatementReport]
 
 
+@attrs.frozen
+class ColdStartReport:
+    """Cold time of a run of an upstream, as the sender knows it.
+
+    Parameters
+    ----------
+    upstream : str
+        Incarnation of the upstream.
+    remaining_s : float
+        Cold time left when the report is sent, seconds.
+    row : int or None
+        Sequence number of the listed entry that states it; None if an answer states it. Without an
+        entry, a time of 0 says that an answer has shown that the upstream is warm.
+    """
+
+    upstream: str
+    remaining_s: float
+    row: int | None
+
+
+@message(47, since=12)
+@attrs.frozen
+class ColdStartReports:
+    """Cold times of upstreams, as the sender knows them."""
+
+    reports: list[ColdStartReport]
+
+
 @message(44, since=10)
 @attrs.frozen
 class StreamStarts:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -121,6 +121,8 @@
     weights_version : str or None
     statements : Statements
         What the upstream states about itself.
+    cold_s : float or None
+        Time for which the upstream stays cold, seconds; None if the answer does not say it.
     """
 
     not_run: bool
@@ -129,6 +131,7 @@
     request_id: str | None
     weights_version: str | None = None
     statements: Statements = attrs.field(factory=dict)
+    cold_s: float | None = None
 
 
 @attrs.frozen
@@ -188,6 +191,10 @@
     async def next(self, wait_s: float) -> Result[UpstreamChanges, TableError]:
         """Return the list at the first call, the changes since the last call at later ones."""
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the list was last confirmed, seconds; 0 if that is not known."""
+        return 0.0
+
 
 @attrs.frozen
 class Member:
