Send nothing to evacuated failure domains

The operator names a failure domain in a row evacuate/DOMAIN of the table of the configuration. Forwarders read it with the configuration, also beside one that is unreadable, and leave the upstreams of the domain out wherever they choose one. The row is checked again before the first byte of a send.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -5,6 +5,14 @@
 ``now`` is an argument of each decision.
 """
 
+from ..sending._evacuations import (
+    Evacuation,
+    EvacuationChange,
+    EvacuationChangeKind,
+    EvacuationReading,
+    EvacuationRow,
+    Evacuations,
+)
 from ..sending._shared_limit import Fleet, GrantMessage, LimitStep, NeedMessage, SharedLimit
 from ..sending._start_pool import StartGrant, StartNeed
 from ._choice import (
@@ -91,6 +99,12 @@
     "LoadUpdate",
     "LoadRelay",
     "EngineModel",
+    "Evacuation",
+    "EvacuationChange",
+    "EvacuationChangeKind",
+    "EvacuationReading",
+    "EvacuationRow",
+    "Evacuations",
     "LinearModel",
     "ChangeContinuity",
     "ForwardConfig",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -110,7 +110,10 @@
         Rank of the request; 0 is the first.
     now : float
     """
-    if rank == 0 or not any(item.statements.rest.binds(now) for item in upstreams):
+    # A rest in an evacuated domain does not end there, since it recovers by requests.
+    if rank == 0 or not any(
+        item.statements.rest.binds(now) and not item.is_evacuated for item in upstreams
+    ):
         return upstreams
     return [item for item in upstreams if item.has_place(now)]
 
@@ -118,7 +121,10 @@
 def held_back_upstreams(
     upstreams: Sequence[Upstream], tried: Collection[str], now: float
 ) -> Sequence[Upstream]:
-    """Return the upstreams that a request may not be sent to because of what they have stated."""
+    """Return the upstreams that a request may not be sent to because of what they have stated.
+
+    Those of evacuated failure domains are included.
+    """
     return [
         item
         for item in upstreams
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -291,7 +291,8 @@
 
     An upstream that drains according to the list still serves fetches of its parts. One that is
     unreachable is left out, since the request would wait for the fetch in vain, and so is one that
-    has stated that it leaves or wants a rest: a fetch is a request to it, too.
+    has stated that it leaves or wants a rest, or whose failure domain is evacuated: a fetch is a
+    request to it, too.
     """
     first = prompt.parts[0][0]
     held = [
@@ -306,7 +307,7 @@
 def _serves_fetches(upstream: Upstream, now: float) -> bool:
     statements = upstream.statements
     may_send = statements.rest.may_send(now) and not statements.leaving.in_force
-    return may_send and not upstream.health.suspended(now)
+    return may_send and not upstream.health.suspended(now) and not upstream.is_evacuated
 
 
 def _estimate(
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -8,6 +8,7 @@
 import attrs
 
 from .._fleet_size import FleetSize
+from ..sending._evacuations import Evacuations
 from ..sending._run_statements import RunStatements
 from ..sending._shared_limit import SharedLimit
 from ..sending._unlisted_statements import UnlistedStatements
@@ -40,10 +41,15 @@
     entry : ListedUpstream
     spread : float
         See :class:`UpstreamHealth`.
+    evacuations : Evacuations or None
+        Those of the registry, looked up at each decision; None if there are never any.
     """
 
-    def __init__(self, entry: ListedUpstream, spread: float = 0.0):
+    def __init__(
+        self, entry: ListedUpstream, spread: float = 0.0, evacuations: Evacuations | None = None
+    ):
         self.entry = entry
+        self.evacuations = evacuations
         self.outstanding = 0
         self.pending = PendingPrompts()
         self.memory = PromptMemory()
@@ -66,6 +72,12 @@
         """Whether it leaves, by the list or by its own statement."""
         return self.entry.leaving or self.statements.leaving.in_force
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the operator has evacuated its failure domain."""
+        evacuations = self.evacuations
+        return evacuations is not None and evacuations.is_evacuated(self.entry.failure_domain)
+
     @property
     def id(self) -> str:
         """Id, which stays the same when the upstream restarts."""
@@ -117,7 +129,7 @@
 
     def accepts_work(self) -> bool:
         """Return whether new requests may be sent, now or later."""
-        return not (self.is_removed or self.is_leaving)
+        return not (self.is_removed or self.is_leaving or self.is_evacuated)
 
     def may_start(self, now: float) -> bool:
         """Return whether its limit and its rest allow this process to send a request now."""
@@ -128,7 +140,9 @@
         return self.limit.per_s is not None or self.statements.rest.binds(now)
 
     def held_back_by(self, now: float) -> str | None:
-        """Return the statement that allows no request of this process now, None if all do."""
+        """Return what allows no request of this process now, None if nothing does."""
+        if self.is_evacuated:
+            return "evacuation"
         if self.statements.leaving.in_force:
             return "leaving"
         if not self.statements.rest.may_send(now):
@@ -186,6 +200,7 @@
     def __init__(self, rng: random.Random | None = None, fleet: FleetSize | None = None):
         self.rng = rng
         self.fleet = fleet or FleetSize()
+        self.evacuations = Evacuations()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._unlisted: dict[str, None] = {}
@@ -255,6 +270,13 @@
         listed = [item for item in self.all() if item.statements.leaving.in_force]
         return [item.incarnation for item in listed] + self._unlisted_statements.leaving()
 
+    def mark_cold_unknown(self, domain: str, now: float) -> None:
+        """Take the upstreams of a failure domain for cold until they are shown to be warm.
+
+        Called when the evacuation of the domain ends: they may have turned cold while nothing was
+        sent to them. Without cold starts there is nothing to do.
+        """
+
     def set_memory_capacities(self, memories: Mapping[str, int]) -> None:
         """Set how many tokens the upstreams of each service keep in memory.
 
@@ -380,7 +402,7 @@
         return order < 0 or (order == 0 and entry.sequence <= kept.entry.sequence)
 
     def _add(self, entry: ListedUpstream) -> None:
-        added = self._upstreams[entry.id] = Upstream(entry, self._spread())
+        added = self._upstreams[entry.id] = Upstream(entry, self._spread(), self.evacuations)
         added.statements = self._unlisted_statements.take(entry.incarnation)
         self._set_memory_capacity(added)
         self._by_service.setdefault(entry.service, []).append(added)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -128,6 +128,10 @@
         """Return the number of waiting requests of each rank."""
         return Counter(item.rank for item in self._waiting)
 
+    def waiting(self) -> list[WaitingPrompt]:
+        """Return all requests."""
+        return list(self._waiting)
+
     def take_all(self) -> list[WaitingPrompt]:
         """Remove and return all requests."""
         taken, self._waiting = self._waiting, []
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
@@ -39,6 +39,7 @@
     NO_PLACE = "no_place"
     UPSTREAM_LIMITED = "upstream_limited"
     UPSTREAM_RESTING = "upstream_resting"
+    UPSTREAM_EVACUATED = "upstream_evacuated"
     STREAM_UNKNOWN = "stream_unknown"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
@@ -115,6 +116,9 @@
     ErrorKind.UPSTREAM_RESTING: Answer(
         503, "The upstreams have asked for a rest, which did not end in time.", _NOT_RUN, 2.0
     ),
+    ErrorKind.UPSTREAM_EVACUATED: Answer(
+        503, "The operator has evacuated all upstreams that could run it.", _NOT_RUN, 1.0
+    ),
     ErrorKind.STREAM_UNKNOWN: Answer(
         503, "The stream cannot be resumed: nobody knows the version that began it.", _NOT_RUN, 1.0
     ),
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -416,7 +416,8 @@
         "INFO",
         "Requests found an upstream that takes none of this process now because of its "
         "``statement``: its limit, its rest or that it leaves; ``count`` since the last such line, "
-        "of which there is at most one a second for each upstream.",
+        "of which there is at most one a second for each upstream. One line stands for all "
+        "upstreams of an evacuated ``domain``.",
     )
     RATE_LIMIT_OWNER = (
         1934,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -61,6 +61,10 @@
     """The upstream has stated that it wants no requests; nothing was written."""
 
 
+class EvacuatedError(HeldBackError):
+    """The send would involve an upstream of an evacuated failure domain; nothing was written."""
+
+
 class BrokenError(Exception):
     """The connection broke after the request was sent; it may have run."""
 
@@ -127,6 +131,7 @@
         except NotSentError:
             if clock() - begun < CONNECT_TIMEOUT_S + STALL_MARGIN_S:
                 raise
+        send.check()
         return await self._send(send)
 
     async def _send(self, send: Send) -> aiohttp.ClientResponse:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -206,6 +206,8 @@
         for start in self.queue.take_starts(upstreams, self.model, self.targets(), now):
             owner: _WaitingCall = start.waiting.owner
             owner.resolve(self._record_sent(owner.call, start.placement, now))
+        if self.upstream_registry.evacuations.domains:
+            self._refuse_evacuated()
         for waiting in self.queue.take_expired(now):
             call = waiting.owner.call
             refusal = self.held_calls.refusal(call, len(self.queue))
@@ -215,6 +217,18 @@
                 refusal or RequestError(ErrorKind.OVERLOADED, self._describe_backlog(now))
             )
 
+    def _refuse_evacuated(self) -> None:
+        """Refuse the calls for which no upstream is left outside evacuated failure domains."""
+        by_version: dict[str | None, bool] = {}
+        for waiting in self.queue.waiting():
+            call = waiting.owner.call
+            version = call.software_version
+            if version not in by_version:
+                by_version[version] = self.held_calls.is_evacuated(call)
+            if by_version[version]:
+                self.queue.remove(waiting)
+                waiting.owner.refuse(self.held_calls.evacuation_refusal(call) or failure_of(call))
+
     def _record_backlog(self, upstreams: Sequence[Upstream], now: float) -> None:
         """Update the decision whether upstreams are reserved for steady streams."""
         backlogs = self._backlogs_s(upstreams, now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -10,6 +10,7 @@
 from burdockquay_state import TableError
 
 from .._events import Event, log_event
+from ._evacuation import apply_evacuations
 from ._state import ForwarderState
 
 CONFIG_LONG_POLL_S = 1.7
@@ -73,8 +74,14 @@
         if isinstance(read, Err):
             await backoff.after_failure(read.err())
             continue
-        backoff.record_success()
         reading = read.ok()
+        if reading.evacuations is not None:
+            # Before the configuration, which makes the process ready.
+            apply_evacuations(state, reading.evacuations, reading.as_of)
+        if reading.fault is not None:
+            await backoff.after_failure(reading.fault)
+            continue
+        backoff.record_success()
         if reading.config is not None:
             _apply_configuration(state, reading.config, reading.as_of)
         state.confirm_configuration(reading.as_of)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -129,6 +129,12 @@
             ["upstream"],
             registry=self.registry,
         )
+        self.evacuated = Gauge(
+            "forwarder_evacuated_seconds",
+            "Time since this process learnt that a failure domain is evacuated.",
+            ["domain"],
+            registry=self.registry,
+        )
         self.statements = self._counter(
             "statements", "Changes of what upstreams state.", "statement", "change"
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -135,7 +135,9 @@
         return True
 
     def refusal(self, call: ForwardCall, waiting: int | None = None) -> RequestError | None:
-        """Return the refusal of a call that only limits and rests have held back, None otherwise.
+        """Return the refusal of a call that was only held back, None otherwise.
+
+        It was held back by limits, rests or evacuations.
 
         Parameters
         ----------
@@ -145,6 +147,9 @@
         """
         if call.maybe_run:
             return None
+        evacuated = self.evacuation_refusal(call)
+        if evacuated is not None:
+            return evacuated
         now = self.clock.now()
         candidates = call.candidates(self.upstream_registry)
         able = [item for item in candidates if item.accepts_work()]
@@ -165,6 +170,20 @@
         detail = f"{len(limited)} upstreams take {per_s:g} requests a second from all processes"
         return RequestError(ErrorKind.UPSTREAM_LIMITED, detail, retry_after_s=delay_s)
 
+    def evacuation_refusal(self, call: ForwardCall) -> RequestError | None:
+        """Return the refusal of a call that evacuations leave no upstream, None otherwise."""
+        if call.maybe_run or not self.is_evacuated(call):
+            return None
+        domains = ",".join(sorted(self.upstream_registry.evacuations.domains))
+        return RequestError(ErrorKind.UPSTREAM_EVACUATED, f"evacuated: {domains}")
+
+    def is_evacuated(self, call: ForwardCall) -> bool:
+        """Return whether all upstreams that could run a call are in evacuated failure domains."""
+        if not self.upstream_registry.evacuations.domains:
+            return False
+        present = [item for item in call.candidates(self.upstream_registry) if not item.is_removed]
+        return bool(present) and all(item.is_evacuated for item in present)
+
     def wake(self) -> None:
         """Let plain requests that wait try again."""
         for service in self._waiting:
@@ -191,7 +210,11 @@
 
     def _all_leave(self, call: ForwardCall) -> bool:
         """Return whether all upstreams that could run a call leave."""
-        present = [item for item in call.candidates(self.upstream_registry) if not item.is_removed]
+        present = [
+            item
+            for item in call.candidates(self.upstream_registry)
+            if not (item.is_removed or item.is_evacuated)
+        ]
         return bool(present) and all(item.is_leaving for item in present)
 
     def _soonest_s(self, upstreams: Iterable[Upstream], now: float) -> float:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -17,7 +17,12 @@
 from result import Result
 
 from burdockquay_coordination import Statements
-from burdockquay_coordination.forwarding import ForwardConfig, Prompt, UpstreamChanges
+from burdockquay_coordination.forwarding import (
+    EvacuationReading,
+    ForwardConfig,
+    Prompt,
+    UpstreamChanges,
+)
 from burdockquay_state import Registry, TableError, TableService
 
 from ._table_feed import FeedExchange
@@ -161,10 +166,17 @@
         The new configuration; None if the last one is still the newest.
     as_of : float
         A time at which that was true, on the clock of the process.
+    evacuations : EvacuationReading or None
+        Statements about evacuated failure domains since the last reading.
+    fault : TableError or None
+        Why the newest configuration cannot be used: it is missing or malformed. The evacuations
+        are valid nevertheless.
     """
 
     config: ForwardConfig | None
     as_of: float
+    evacuations: EvacuationReading | None = None
+    fault: TableError | None = None
 
 
 class ConfigSource(ABC):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -72,6 +72,7 @@
         self._vms: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
         self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
+        self._evacuated: dict[str, _HeldBack] = defaultdict(_HeldBack)
         self._send: Callable[[Iterable[tuple[str, LimitMessage]]], None] = lambda messages: None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -111,8 +112,14 @@
         """
         self._ask(service, {rank: 1})
         now = self.clock.now()
+        evacuated = set()
         for upstream in held_back_upstreams(self.upstream_registry.of_service(service), (), now):
-            self._count_held_back(upstream, now)
+            if upstream.is_evacuated:
+                evacuated.add(upstream.entry.failure_domain)
+            else:
+                self._count_held_back(upstream, now)
+        for domain in evacuated:
+            self._count_evacuated(domain, now)
 
     def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
         """Ask for starts for the requests that wait, by rank."""
@@ -120,7 +127,11 @@
 
     def _ask(self, service: str, counts: Mapping[int, int]) -> list[Upstream]:
         """Ask for starts at the limited upstreams of a service, and return these."""
-        limited = self._limited(self.upstream_registry.of_service(service))
+        limited = [
+            item
+            for item in self._limited(self.upstream_registry.of_service(service))
+            if not item.is_evacuated
+        ]
         if limited:
             now = self.clock.now()
             for upstream in limited:
@@ -242,6 +253,19 @@
             )
             self._held_back[upstream.id] = _HeldBack(0, now)
 
+    def _count_evacuated(self, domain: str, now: float) -> None:
+        """Count a request that an evacuation held back from all upstreams of a failure domain."""
+        held_back = self._evacuated[domain]
+        held_back.count += 1
+        if now - held_back.logged_at >= HELD_BACK_INTERVAL_S:
+            log_event(
+                Event.SENDS_HELD_BACK,
+                domain=domain,
+                statement="evacuation",
+                count=held_back.count,
+            )
+            self._evacuated[domain] = _HeldBack(0, now)
+
     def _vm_of(self, incarnation: str | None) -> str:
         """Return the VM of a process; an empty text stands for this one."""
         return self._vms.get(incarnation or "", "")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -36,6 +36,7 @@
 from ._connections import (
     PROXY_WATCH_S,
     BrokenError,
+    EvacuatedError,
     HeldBackError,
     NotSentError,
     Send,
@@ -43,6 +44,7 @@
 )
 from ._platform import SendTerms
 from ._send_conditions import (
+    check_named_upstreams,
     check_statements,
     check_version,
     fetch_source,
@@ -61,7 +63,7 @@
 retried at another, so that an upstream that hangs leaves time for the retry."""
 
 MAX_NAMED_UPSTREAMS = 5
-"""Most upstreams that a line names as held back by what they have stated."""
+"""Most upstreams that a line names as held back by what they have stated or by an evacuation."""
 
 MIN_ATTEMPT_S = 0.25
 """Lower limit of that time, seconds; about ten times the duration of a plain request."""
@@ -122,7 +124,7 @@
         dispatcher = self.state.dispatcher(call.service)
         call.sent = await dispatcher.start(call)
         if call.sent is None:
-            raise CallError(failure_of(call))
+            raise CallError(self.state.held_calls.evacuation_refusal(call) or failure_of(call))
         try:
             return await self._send(call, call.sent.placement.upstream)
         finally:
@@ -210,12 +212,16 @@
             return False
         if outcome.upstream.ended:
             return True
+        if outcome.upstream.is_evacuated:
+            # No connection is opened there, and none that fails would show a fault.
+            return False
         watch_s = PROXY_WATCH_S if call.shared_parts and not call.has_begun else 0.0
         return not await accepts_connections(outcome.upstream.entry, watch_s)
 
     def _may_retry(self, call: ForwardCall, outcome: Outcome) -> bool:
         if isinstance(outcome, HeldBack):
-            return True
+            # The copy from which the run would continue is at this upstream only.
+            return call.continue_at is not outcome.upstream or not outcome.upstream.is_evacuated
         if isinstance(outcome, NotSent):
             return call.unreachable < MAX_UNREACHABLE_UPSTREAMS
         if call.sends >= call.route.max_attempts:
@@ -287,10 +293,13 @@
 
         A retry is withdrawn from the budget here, after it may have waited for seconds.
         """
+        if upstream.is_evacuated:
+            return HeldBack(upstream, "evacuated")
         if not self._withdraw_retry(call):
             return RetryDenied(upstream)
         send = self._compose(call, upstream)
         self._log_send(call, upstream)
+        was_tried = upstream.id in call.tried
         call.tried.add(upstream.id)
         call.sent_at = self.state.clock.now()
         call.has_begun = False
@@ -304,8 +313,14 @@
                 call.sends += 1
                 return await self._answer_handler.handle(call, upstream, response)
         except HeldBackError as error:
+            if isinstance(error, EvacuatedError) and not was_tried:
+                # Nothing was sent there, and it is free again when the evacuation ends.
+                call.tried.discard(upstream.id)
             return HeldBack(upstream, str(error))
         except NotSentError as error:
+            if upstream.is_evacuated:
+                # Silence of an upstream that is being evacuated is no fault.
+                return HeldBack(upstream, str(error))
             call.unreachable += 1
             return NotSent(upstream, str(error))
         except BrokenError as error:
@@ -374,7 +389,7 @@
         return "leaving" if upstream.entry.leaving else None
 
     def _describe_held_back(self, call: ForwardCall, now: float) -> str | None:
-        """Return the upstreams that a call was not sent to, with what they have stated."""
+        """Return the upstreams that a call was not sent to, with the reason."""
         candidates = call.candidates(self.state.upstream_registry)
         found = held_back_upstreams(candidates, call.tried, now)
         named = [f"{item.id}:{item.held_back_by(now)}" for item in found[:MAX_NAMED_UPSTREAMS]]
@@ -392,6 +407,8 @@
 
     def _choose_backup(self, call: ForwardCall, upstream: Upstream) -> None:
         state = self.state
+        if call.backup is not None and call.backup.is_evacuated:
+            call.backup = None
         if not state.switches.uses(Mechanism.COPIES):
             return
         if not call.wants_backup or call.sent is None:
@@ -423,6 +440,7 @@
             self._check_parts(call)
             check_version(call, upstream)
             check_statements(upstream, self.state.clock.now())
+            check_named_upstreams(call)
 
         self.check_key(call)
         self._check_parts(call)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
@@ -10,7 +10,7 @@
 from burdockquay_protocol import ErrorKind, RequestError
 
 from ._call import ForwardCall, failure_of
-from ._connections import HeldBackError
+from ._connections import EvacuatedError, HeldBackError
 
 
 def check_version(call: ForwardCall, upstream: Upstream) -> None:
@@ -27,12 +27,15 @@
 def check_statements(upstream: Upstream, now: float) -> None:
     """Raise if an upstream wants no requests any more.
 
-    An answer to another request may have stated that while a connection was opened.
+    An answer to another request may have stated that while a connection was opened, or the operator
+    may have evacuated its failure domain.
 
     Raises
     ------
     HeldBackError
     """
+    if upstream.is_evacuated:
+        raise EvacuatedError(f"upstream {upstream.id} is in an evacuated failure domain")
     if upstream.statements.leaving.in_force:
         raise HeldBackError(f"upstream {upstream.id} has stated that it leaves")
     rest_s = upstream.statements.rest.remaining_s(now)
@@ -40,6 +43,21 @@
         raise HeldBackError(f"upstream {upstream.id} rests for another {rest_s:.3f} s")
 
 
+def check_named_upstreams(call: ForwardCall) -> None:
+    """Raise if a header names an upstream of an evacuated failure domain.
+
+    The upstream that serves the call would fetch prompt parts there, or send a copy there.
+
+    Raises
+    ------
+    HeldBackError
+    """
+    source = call.sent.placement.source if call.sent else None
+    for named in (source, call.backup):
+        if named is not None and named.is_evacuated:
+            raise EvacuatedError(f"upstream {named.id}, in an evacuated failure domain, is named")
+
+
 @contextlib.asynccontextmanager
 async def timeout_on_restart(upstream: Upstream) -> AsyncIterator[None]:
     """Raise TimeoutError in the body once the upstream has restarted."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -222,6 +222,9 @@
             metrics.retry_burst.labels(service).set(self.budget(service).burst or 0.0)
         self.rate_limits.refresh_gauges()
         self.statements.refresh_gauges()
+        metrics.evacuated.clear()
+        for domain, evacuation in self.upstream_registry.evacuations.domains.items():
+            metrics.evacuated.labels(domain).set(now - evacuation.since)
         suspects, refused = self.parts.count_states()
         metrics.crash_parts.labels("suspect").set(suspects)
         metrics.crash_parts.labels("refused").set(refused)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -133,6 +133,8 @@
         Of the platform's store.
     after_restore : bool
         Whether this is the first update since the store was restored from a copy.
+    upto : int or None
+        Revision up to which a complete table is complete.
     """
 
     whole: bool
@@ -141,6 +143,7 @@
     last_failure_at: float = float("-inf")
     era: int = 0
     after_restore: bool = False
+    upto: int | None = None
 
     def split(self, read: Callable[[ChangedRow], T | None]) -> RowsSplit[T]:
         """Decode the rows, and list those that were removed or cannot be read.
@@ -373,7 +376,11 @@
             rows = tuple(message.rows)
             after_restore = self._restart_from(rows, Position(message.era, message.upto))
             last_failure_at = self._last_failure_at(message)
-            return Ok(TableUpdate(True, rows, as_of, last_failure_at, message.era, after_restore))
+            return Ok(
+                TableUpdate(
+                    True, rows, as_of, last_failure_at, message.era, after_restore, message.upto
+                )
+            )
         return None
 
     def _valid_at(self, message: TableChanges) -> float:
@@ -435,7 +442,10 @@
             changed = [row for row in reading.rows if row.revision > after.revision]
             self._broadcast(after, reading, (*changed, *removed))
         restored_at = self.exchange.era.restored_at
-        return Ok(TableUpdate(True, reading.rows, reading.as_of, restored_at, era, after_restore))
+        upto = reading.position.revision
+        return Ok(
+            TableUpdate(True, reading.rows, reading.as_of, restored_at, era, after_restore, upto)
+        )
 
     def _restart_from(self, rows: Collection[ChangedRow], position: Position) -> bool:
         """Continue from a complete table.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -212,6 +212,15 @@
             "configuration_age_s": state.lease.age(now),
             "upstreams": len(state.upstream_registry),
             "leaving_upstreams": sum(item.entry.leaving for item in state.upstream_registry.all()),
+            "evacuations": {
+                domain: {
+                    "seconds": now - evacuation.since,
+                    "era": evacuation.position.era,
+                    "revision": evacuation.position.revision,
+                    "kept": evacuation.kept_at is not None,
+                }
+                for domain, evacuation in state.upstream_registry.evacuations.domains.items()
+            },
             "peers": self._mesh.connected if self._mesh else 0,
             "crash_parts": state.parts.describe(),
         }
--- a/scripts/make_reference.py
+++ b/scripts/make_reference.py
@@ -54,6 +54,8 @@
     "processes together (`forwarder_upstream_rate_limit`). Retry after the time in `Retry-After`.",
     ErrorKind.UPSTREAM_RESTING: "All upstreams that could run it have asked for a rest "
     "(`forwarder_upstream_rest_seconds`). Retry after the time in `Retry-After`.",
+    ErrorKind.UPSTREAM_EVACUATED: "The operator has evacuated the failure domains of all upstreams "
+    "that could run it (`forwarder_evacuated_seconds`). Retry after the time in `Retry-After`.",
     ErrorKind.STREAM_UNKNOWN: "Upstreams of several software versions serve, and no process that "
     "could be reached knows which one began the stream. Send a new request from the beginning.",
     ErrorKind.LEAVING: "A planned shutdown; another process accepts the retry.",
