Name evacuations as a cause, and test them under failure

A process whose store lost the history kept no position while it could not read the table, and dropped the changes that peers sent.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -424,8 +424,8 @@
         read = await self.store.read_table(self.table)
         now = self.store.now()
         if isinstance(read, Err):
+            # The known position stays: changes that peers send from there on still apply.
             self.poll_schedule.record_no_answer(now)
-            self._position = None
             return read
         reading = read.ok()
         era = reading.position.era
--- a/packages/burdockquay/src/burdockquay/_explain.py
+++ b/packages/burdockquay/src/burdockquay/_explain.py
@@ -38,6 +38,9 @@
 )
 """Events that change the state on which a process bases its decisions about requests."""
 
+EVACUATION_EVENTS = frozenset({"evacuation_began", "evacuation_ended", "evacuation_kept"})
+"""Events about evacuated failure domains. Those in force are included whatever their age."""
+
 STORE_RESTORE_EVENTS = frozenset({"configuration_kept", "store_returned", "upstreams_kept"})
 """Events of this kind that report the restore of a store from a copy."""
 
@@ -109,6 +112,7 @@
         return []
     last = own[-1].time + CONTEXT_AFTER
     vms = {line.vm for line in own}
+    evacuations = _evacuations_in_force(all_lines, vms, own[0].time)
     upstreams = {
         name
         for line in own
@@ -120,17 +124,29 @@
         line
         for line in all_lines
         if line.request == request
+        or line in evacuations
         or (
             own[0].time - _context_before(line.name) <= line.time <= last
             and line.request is None
             and line.vm in vms
             and (
-                line.name in STATE_CHANGE_EVENTS | STORE_RESTORE_EVENTS or line.mentions(upstreams)
+                line.name in STATE_CHANGE_EVENTS | EVACUATION_EVENTS | STORE_RESTORE_EVENTS
+                or line.mentions(upstreams)
             )
         )
     ]
 
 
+def _evacuations_in_force(lines: Iterable[LogLine], vms: set[str], time: datetime) -> list[LogLine]:
+    """Return the newest event of each evacuation that was in force at some processes at a time."""
+    newest = {
+        (line.vm, line.fields.get("domain")): line
+        for line in lines
+        if line.name in EVACUATION_EVENTS and line.vm in vms and line.time <= time
+    }
+    return [line for line in newest.values() if line.name != "evacuation_ended"]
+
+
 def _context_before(event: str) -> timedelta:
     """Return how long before a request an event is still included."""
     return RESTORE_CONTEXT_BEFORE if event in STORE_RESTORE_EVENTS else CONTEXT_BEFORE
@@ -140,7 +156,8 @@
     """Count the failed sends of other requests at each upstream of a timeline, during its time."""
     if not timeline:
         return {}
-    included_times = [line.time for line in timeline if line.name not in STORE_RESTORE_EVENTS]
+    earlier_events = STORE_RESTORE_EVENTS | EVACUATION_EVENTS
+    included_times = [line.time for line in timeline if line.name not in earlier_events]
     first, last = included_times[0], included_times[-1]
     own = {line.request for line in timeline} - {None}
     upstreams = {str(line.fields["upstream"]) for line in timeline if "upstream" in line.fields}
--- a/packages/burdockquay/src/burdockquay/_losses.py
+++ b/packages/burdockquay/src/burdockquay/_losses.py
@@ -94,6 +94,7 @@
 CAUSES: tuple[Cause, ...] = (
     Cause("caller left", lambda item: item.status == 0),
     Cause("cut midway", lambda item: item.reason.startswith("cut")),
+    Cause("refused, evacuated", lambda item: item.reason == "upstream_evacuated"),
     Cause("refused", lambda item: item.status in (429, 503)),
     Cause("failed at upstreams", lambda item: item.status >= FIRST_ERROR_STATUS and item.sends > 0),
     Cause("refused for good", lambda item: item.status >= FIRST_ERROR_STATUS),
--- a/packages/burdockquay/src/burdockquay/tests/test_explain.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_explain.py
@@ -39,6 +39,24 @@
     ]
 
 
+def test_timeline_names_the_evacuations_in_force():
+    """Guards against a refusal whose cause lies so long before it that the timeline lacks it."""
+    log = [
+        line(1.0, "evacuation_began", domain="b", revision=4),
+        line(1.1, "evacuation_began", domain="c", revision=5),
+        line(2.0, "evacuation_ended", domain="c", revision=6),
+        line(2.1, "evacuation_began", vm="edge-2", domain="d", revision=7),
+        line(40.0, "call_refused", request="r1", kind="upstream_evacuated"),
+        line(41.0, "evacuation_ended", domain="b", revision=9),
+    ]
+    timeline = collect_timeline(read_lines(log), "r1")
+    assert [(item.name, item.fields.get("domain")) for item in timeline] == [
+        ("evacuation_began", "b"),
+        ("call_refused", None),
+        ("evacuation_ended", "b"),
+    ]
+
+
 def test_timeline_includes_a_restore_of_the_store_long_before_the_request():
     """Guards against a request rejected because of a kept configuration, where the timeline does
     not show that it was kept."""
--- a/packages/burdockquay/src/burdockquay/tests/test_losses.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_losses.py
@@ -51,6 +51,7 @@
     ({"status": 0, "reason": "caller left"}, "caller left"),
     ({"status": 504, "reason": "cut: outcome_unknown"}, "cut midway"),
     ({"status": 503, "reason": "overloaded", "sends": 0}, "refused"),
+    ({"status": 503, "reason": "upstream_evacuated", "sends": 0}, "refused, evacuated"),
     ({"status": 502, "reason": "upstream_failed"}, "failed at upstreams"),
     ({"status": 401, "reason": "unauthenticated", "sends": 0}, "refused for good"),
     ({"first_s": 0.9}, "late at its upstream"),
