--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -6,6 +6,14 @@
 """
 
 from ..sending._cold_start import ColdReport, ColdStart, ColdTerms, granted_rate
+from ..sending._evacuations import (
+    Evacuation,
+    EvacuationChange,
+    EvacuationChangeKind,
+    EvacuationReading,
+    EvacuationRow,
+    Evacuations,
+)
 from ..sending._shared_limit import (
     ColdMessage,
     Fleet,
@@ -106,6 +114,12 @@
     "LoadUpdate",
     "LoadRelay",
     "EngineModel",
+    "Evacuation",
+    "EvacuationChange",
+    "EvacuationChangeKind",
+    "EvacuationReading",
+    "EvacuationRow",
+    "Evacuations",
     "LinearModel",
     "ChangeContinuity",
     "ForwardConfig",
