Evacuate failure domains by a record at entries and slots

Cause: an operator had no means to keep traffic from the slots of a failure domain before its maintenance; entries found out by lost connections and failed attempts. Change: a record of the kind evacuation, named like the domain. Entries choose no slot there, take back attempts that are not written yet, use other slots of the list, and refuse requests as not run if none is left. The slot refuses what arrives there, sends back what has not started and pauses its probes. Failures there are no evidence against the slots or the requests.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -16,6 +16,11 @@
         "ConfigurationReader",
         "next_read_delay",
     ),
+    "._evacuated_domains": (
+        "EvacuatedDomain",
+        "EvacuatedDomains",
+        "EvacuationChange",
+    ),
     "._fleet_size": ("FleetSize",),
     "._health": (
         "HealthMonitor",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_configuration.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_configuration.py
@@ -127,6 +127,10 @@
         """Faults of the records whose latest version this process cannot decode."""
         return [fault for faults in self._faults.values() for fault in faults]
 
+    def entries_of(self, kind: str) -> dict[str, LogEntry]:
+        """Return the last change of each record of a kind, by name; also of unreadable records."""
+        return {name: entry for (one, name), entry in self._entries.items() if one == kind}
+
     def apply(self, part: LogPart, now: float) -> ApplyOutcome:
         """Apply the entries of a part of the log that are newer than what is in force.
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_membership.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_membership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -178,25 +178,31 @@
         if member is not None:
             member.leaving_incarnations |= {incarnation}
 
-    def targets(self, group: GroupRecord, now: float) -> list[VmEntry]:
+    def targets(
+        self, group: GroupRecord, now: float, evacuated: Collection[str] = ()
+    ) -> list[VmEntry]:
         """Return the slots of a group to connect to, sorted by name.
 
         Parameters
         ----------
         group : GroupRecord
         now : float
+        evacuated : collection of str
+            Failure domains whose slots get no requests.
 
         Returns
         -------
         list of VmEntry
             The fixed subset of the group, and one more slot for each member of the subset that is
-            unreachable. A connection to any other slot is closed once nothing runs over it.
+            unreachable or evacuated. A connection to any other slot is closed once nothing runs
+            over it.
 
         Notes
         -----
         If a failure domain fails, a part of the subset becomes unreachable at once while the list
         still shows it. Other slots are used instead. The unreachable ones are still dialled, so
-        that the fixed subset is in use again as soon as the domain recovers.
+        that the fixed subset is in use again as soon as the domain recovers. Connections to slots
+        of an evacuated domain are kept too: they carry the configuration, and their requests drain.
         """
         members = [
             member
@@ -206,8 +212,12 @@
             and not member.leaving
         ]
         fixed = choose_subset(self.own_vm, [member.entry for member in members], group.subset)
-        healthy = [member.entry for member in members if not member.is_unreachable(now)]
-        present = choose_subset(self.own_vm, healthy, group.subset)
+        available = [
+            member.entry
+            for member in members
+            if not member.is_unreachable(now) and member.entry.failure_domain not in evacuated
+        ]
+        present = choose_subset(self.own_vm, available, group.subset)
         chosen = {entry.vm: entry for entry in [*fixed, *present]}
         return [chosen[vm] for vm in sorted(chosen)]
 
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -86,6 +86,7 @@
         "QUEUE_POLICIES",
         "ClassRecord",
         "ClassRecordV1",
+        "EvacuationRecord",
         "GroupRecord",
         "OrganisationRecord",
         "PlacementRecord",
--- a/packages/burdockquay-state/src/burdockquay_state/_records.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_records.py
@@ -356,6 +356,33 @@
     digest: str
 
 
+@record("evacuation", 1)
+@attrs.frozen
+class EvacuationRecord:
+    """Evacuates a failure domain: its slots get no requests until the record is withdrawn.
+
+    Only the presence of the record counts. A body that a process cannot read does not end the
+    evacuation there.
+
+    Parameters
+    ----------
+    name : str
+        The failure domain.
+    reason : str
+        For the operators; not evaluated.
+    """
+
+    kind: ClassVar[str]
+    schema: ClassVar[int]
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "name": [NAME],
+        "reason": [Matches(r"[^\r\n]{0,200}", "one line of at most 200 characters")],
+    }
+
+    name: str
+    reason: str = ""
+
+
 QUEUE_POLICIES = ("class_share", "fifo")
 PLACEMENT_POLICIES = ("least_reported", "random", "round_robin", "scored", "two_choices")
 """Policies that a record may name. The registries are in a higher layer; a test checks that both
--- a/packages/burdockquay-state/src/burdockquay_state/_snapshot.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_snapshot.py
@@ -12,6 +12,7 @@
 from ._record_codec import RecordFault, decode_record
 from ._records import (
     ClassRecord,
+    EvacuationRecord,
     GroupRecord,
     OrganisationRecord,
     PlacementRecord,
@@ -39,6 +40,7 @@
     placements: dict[str, PlacementRecord] = attrs.field(factory=dict)
     withdrawals: dict[str, QuarantineWithdrawalRecord] = attrs.field(factory=dict)
     policies: dict[str, PolicyRecord] = attrs.field(factory=dict)
+    evacuations: dict[str, EvacuationRecord] = attrs.field(factory=dict)
 
     @property
     def policy(self) -> PolicyRecord:
@@ -54,6 +56,7 @@
     "placement": "placements",
     "quarantine-withdrawal": "withdrawals",
     "policy": "policies",
+    "evacuation": "evacuations",
 }
 """Field of :class:`Snapshot` that holds the records of each kind."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -274,11 +274,11 @@
         self, call: Call, dispatcher: GroupDispatcher, event: Failed
     ) -> list[AnswerItem]:
         log_event(Event.ATTEMPT_FAILED, request=event.request, kind=event.kind.value)
-        if event.crashed and not call.has_begun:
+        if event.crashed and not call.has_begun and not dispatcher.is_evacuated(call.link):
             self._record_crash(call)
         call.may_have_run = True
         call.avoid.add(call.link.vm)
-        dispatcher.health.observe_failure(call.link.vm, self.clock.now())
+        dispatcher.observe_failure(call.link, self.clock.now())
         error = RequestError(event.kind, event.detail)
         if not call.spec.idempotent:
             return await self._determine_outcome(call, dispatcher, error)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -8,6 +8,7 @@
 from burdockquay_coordination import (
     AdmissionController,
     Candidate,
+    EvacuatedDomains,
     HealthMonitor,
     PlacementRequest,
     PrefixIndex,
@@ -36,6 +37,10 @@
 DEMAND_BYTES_PER_S = 2000.0
 """Limit on the traffic of demand messages to all slots together, bytes per second."""
 
+EVACUATED_RETRY_AFTER_S = 5.0
+"""Time after which a caller may retry while all domains are evacuated, seconds: an entry may need
+that long to learn that an evacuation has ended."""
+
 PAUSING_KINDS = frozenset({"engine"})
 """Kinds of upstream that can pause a request.
 
@@ -61,6 +66,8 @@
         Receives the waiting times of calls.
     is_usable : callable
         Maps the name of a VM to whether the membership allows new work for it.
+    evacuations : EvacuatedDomains, optional
+        The evacuated failure domains; by default there are none.
 
     Notes
     -----
@@ -78,6 +85,7 @@
         rng: random.Random,
         admission: AdmissionController,
         is_usable: Callable[[str], bool],
+        evacuations: EvacuatedDomains | None = None,
     ):
         self.group = group
         self.snapshot = snapshot
@@ -87,6 +95,7 @@
         self.rng = rng
         self.admission = admission
         self.is_usable = is_usable
+        self.evacuations = EvacuatedDomains() if evacuations is None else evacuations
         self.links: dict[str, SlotLink] = {}
         self.health = HealthMonitor()
         self.prefixes = PrefixIndex(PREFIX_BLOCKS_PER_VM)
@@ -125,6 +134,17 @@
         while waiting := old_queue.pop(now):
             self._queue.push(waiting, now)
 
+    def apply_evacuations(self) -> None:
+        """Apply a change of the evacuated domains: take back the attempts that are not sent yet."""
+        self._demand_changed = True
+        for link in self.links.values():
+            if self.is_evacuated(link):
+                link.withdraw_unsent("the failure domain is evacuated")
+
+    def is_evacuated(self, link: SlotLink) -> bool:
+        """Return whether the failure domain of a slot is evacuated."""
+        return self.evacuations.covers(link.target.failure_domain)
+
     def forget(self, vm: str) -> None:
         """Drop the state of a slot that this entry no longer connects to."""
         self.links.pop(vm, None)
@@ -132,7 +152,10 @@
         self.prefixes.forget(vm)
 
     def submit(self, call: Call, now: float) -> None:
-        """Send a call to a slot now, or queue it."""
+        """Send a call to a slot now, queue it, or refuse it if all slots are evacuated."""
+        if self._is_group_evacuated():
+            self._refuse_evacuated(call)
+            return
         if self.snapshot.policy.binding == "slot_queue":
             link = self._choose(call, self._usable_links(now), now)
             if link is None:
@@ -186,11 +209,19 @@
 
     def observe_status(self, link: SlotLink, now: float) -> None:
         """Record the time per token that a slot reports, and schedule a demand message."""
-        if link.status.step_s:
+        if link.status.step_s and not self.is_evacuated(link):
             self.health.observe_step(link.vm, link.status.step_s, now)
         if len(self._queue):
             self._demand_changed = True
 
+    def observe_failure(self, link: SlotLink, now: float) -> None:
+        """Record that an attempt failed at a slot.
+
+        Attempts that fail in an evacuated domain are no evidence: the operator stops its VMs.
+        """
+        if not self.is_evacuated(link):
+            self.health.observe_failure(link.vm, now)
+
     def tick(self, now: float) -> None:
         """Refuse calls that waited too long, and send the demand to the slots."""
         for waiting in self._queue.expire(now):
@@ -200,10 +231,32 @@
                 kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.PATIENCE_EXCEEDED
                 call.inbox.put(Refused(RequestError(kind)))
                 self._demand_changed = True
+        if self._is_group_evacuated():
+            for call in list(self._calls.values()):
+                self.abandon(call, now)
+                self._refuse_evacuated(call)
         self._fail_unserved_answers(now)
         self._log_ejections(now)
         self._send_demand(now)
 
+    def _is_group_evacuated(self) -> bool:
+        """Return whether the group has slots, and all of them are in evacuated domains."""
+        return bool(self.evacuations.names and self.links) and all(
+            self.is_evacuated(link) for link in self.links.values()
+        )
+
+    def _refuse_evacuated(self, call: Call) -> None:
+        domains = ",".join(sorted({link.target.failure_domain for link in self.links.values()}))
+        log_event(
+            Event.REFUSED_EVACUATED, request=call.spec.request, group=self.group, domains=domains
+        )
+        error = RequestError(
+            ErrorKind.NO_UPSTREAM,
+            f"evacuated failure domains: {domains}",
+            retry_after_s=EVACUATED_RETRY_AFTER_S,
+        )
+        call.inbox.put(Refused(error))
+
     def _fail_unserved_answers(self, now: float) -> None:
         """Refuse interrupted answers when no slot has been usable for longer than their patience.
 
@@ -280,7 +333,9 @@
     def _usable_links(self, now: float) -> list[SlotLink]:
         """Return the slots that may receive work; ejected ones only if there are no others."""
         usable = [
-            link for link in self.links.values() if link.accepts_work and self.is_usable(link.vm)
+            link
+            for link in self.links.values()
+            if link.accepts_work and self.is_usable(link.vm) and not self.is_evacuated(link)
         ]
         ejected = self.health.ejected(now)
         return [link for link in usable if link.vm not in ejected] or usable
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -347,6 +347,11 @@
         "WARNING",
         "The refused prompt parts could not be read from the table or written to it.",
     )
+    REFUSED_EVACUATED = (
+        1964,
+        "DEBUG",
+        "A request was refused because all slots of its group are in evacuated failure domains.",
+    )
     SETTINGS_RELOADED = (1905, "INFO", "The settings were read again; nothing was dropped.")
     MECHANISMS_SET = (1913, "INFO", "All mechanisms of the forwarder are active except these.")
     SETTINGS_FAULT = (
--- a/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
@@ -40,6 +40,8 @@
 """Counter of tokens of incomplete answers."""
 TIMINGS_DROPPED = "metrics.timings_dropped"
 """Counter of timer samples that were not sent, to keep to :data:`MAX_SAMPLES`."""
+EVACUATED_DOMAINS = "evacuated_domains"
+"""Gauge of the failure domains that the records evacuate."""
 NAMES_DROPPED = "metrics.names_dropped"
 """Counter of metric updates dropped because there were too many names."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -172,6 +172,14 @@
             self._urgent.set()
         self._wake.set()
 
+    def withdraw(self, kind: type) -> list[Any]:
+        """Remove the queued messages of a type, which are not sent then, and return them."""
+        withdrawn = [message for message in self._pending if isinstance(message, kind)]
+        kept = [message for message in self._pending if not isinstance(message, kind)]
+        self._pending.clear()
+        self._pending.extend(kept)
+        return withdrawn
+
     def keep_alive(self, interval_s: float, timeout_s: float, make_heartbeat: Callable) -> None:
         """Send heartbeats on an idle connection, and abort it if the peer sends nothing.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -11,14 +11,14 @@
 
 import attrs
 
-from burdockquay_coordination import ConfigurationHolder
+from burdockquay_coordination import ConfigurationHolder, EvacuatedDomains, EvacuationChange
 from burdockquay_state import RecordLog, Snapshot
 
 from ._background import BackgroundTasks
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
-from ._metrics import keep_flushing, make_sink
+from ._metrics import EVACUATED_DOMAINS, keep_flushing, make_sink
 from ._peer import Identity, PeerConnection, TrafficCounts
 from ._platform import open_platform
 from ._suspicion_exchange import SuspicionExchange
@@ -156,6 +156,7 @@
         self._leaving = False
         self._platform = open_platform(settings.platform)
         self._holder = ConfigurationHolder(self.known_schemas)
+        self.evacuations = EvacuatedDomains()
         self._sync = ConfigurationSync(
             self._holder,
             RecordLog(self._platform.table),
@@ -164,7 +165,7 @@
             settings.poll_interval_s,
             settings.table_read_budget,
             self._count_processes,
-            self._reconfigure,
+            self._apply_configuration,
         )
         self.suspicions = SuspicionExchange(
             self._platform.table, self._clock, self._rng, self._connected_peers, self._tasks.spawn
@@ -176,6 +177,31 @@
                 log_event(Event.PROCESS_READY, role=self.role, vm=self.settings.vm)
                 return
 
+    def _apply_configuration(self) -> None:
+        """Apply the configuration in force."""
+        change = self.evacuations.update(self._holder.entries_of("evacuation"))
+        if change != EvacuationChange():
+            self._record_evacuations(change)
+        self._reconfigure(change)
+
+    def _record_evacuations(self, change: EvacuationChange) -> None:
+        now = self._clock.wall()
+        for one in change.began:
+            log_event(
+                Event.EVACUATION_BEGAN,
+                domain=one.domain,
+                revision=one.revision,
+                age_s=round(max(0.0, now - one.since), 3),
+            )
+        for one in change.ended:
+            log_event(
+                Event.EVACUATION_ENDED,
+                domain=one.domain,
+                revision=self._holder.revision,
+                lasted_s=round(max(0.0, now - one.since), 3),
+            )
+        self.metrics.gauge(EVACUATED_DOMAINS, len(self.evacuations.names))
+
     def _describe_common(self) -> dict[str, Any]:
         """Return the part of ``/status`` that both roles have."""
         return {
@@ -184,6 +210,7 @@
             "incarnation": self.identity.incarnation,
             "revision": self._holder.revision,
             "leaving": self._leaving,
+            "evacuations": self.evacuations.describe(),
             "quarantine": self.suspicions.describe(),
             "table": {"healthy": self._sync.table_healthy},
             "traffic": attrs.asdict(self.traffic),
@@ -202,8 +229,14 @@
         """Return the coroutines to run as tasks until the process closes."""
 
     @abstractmethod
-    def _reconfigure(self) -> None:
-        """Apply the configuration in force."""
+    def _reconfigure(self, evacuations: EvacuationChange) -> None:
+        """Apply the configuration in force to the components of this role.
+
+        Parameters
+        ----------
+        evacuations : EvacuationChange
+            What the configuration changes about the evacuated failure domains.
+        """
 
     @abstractmethod
     def _count_processes(self) -> int:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_link.py
@@ -17,6 +17,7 @@
     ClassDemand,
     CrashNotice,
     Demand,
+    ErrorKind,
     Failed,
     FetchLog,
     Frames,
@@ -26,6 +27,7 @@
     LogPart,
     NotRun,
     PartReports,
+    Run,
     SlotStatus,
     Suspicions,
 )
@@ -146,7 +148,7 @@
         return Candidate(
             self.vm,
             self.target.failure_domain,
-            status.places,
+            max(1, status.places),  # restricted upstreams may have no place, and policies divide
             self.outstanding,
             status.running + status.queued,
             now - self._status_at,
@@ -176,6 +178,16 @@
         """Remove an attempt that has ended."""
         self._attempts.pop(call.attempt_key, None)
 
+    def withdraw_unsent(self, detail: str) -> None:
+        """Report attempts that are queued on the connection as not run, and do not send them.
+
+        A peer that reads slowly can hold them up for seconds.
+        """
+        if self.connection is None:
+            return
+        for run in self.connection.withdraw(Run):
+            self._on_attempt_ended(NotRun(run.request, run.attempt, ErrorKind.NO_PLACE, detail))
+
     def post(self, message: Any) -> None:
         """Send a message if the slot is connected."""
         if self.connection is not None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
@@ -80,6 +80,8 @@
         Called with the digests of the requests that ran when the upstream crashed.
     gate : RunGate
         What the upstream has stated; a probe is one of its requests.
+    is_paused : callable
+        Returns whether the upstream gets no requests for another reason; probes wait meanwhile.
 
     Notes
     -----
@@ -95,8 +97,10 @@
         on_change: Callable[[], None],
         on_crash: Callable[[Sequence[str]], None],
         gate: RunGate,
+        is_paused: Callable[[], bool] = lambda: False,
     ):
         self.gate = gate
+        self.is_paused = is_paused
         self.client = client
         self.clock = clock
         self.probe_interval_s = probe_interval_s
@@ -147,9 +151,14 @@
         log_event(Event.UPSTREAM_HEALTHY)
         self.on_change()
 
+    def _wait_s(self) -> float:
+        if self.is_paused():
+            return self.probe_interval_s
+        return self.gate.probe_wait_s(self.clock.now())
+
     async def _probe(self) -> bool:
         """Probe the upstream once its limit and rest allow it; return whether it answered."""
-        while (wait_s := self.gate.probe_wait_s(self.clock.now())) > 0.0:
+        while (wait_s := self._wait_s()) > 0.0:
             await asyncio.sleep(wait_s)
         self.gate.take(self.clock.now())
         return await self.client.probe()
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -11,6 +11,7 @@
 from burdockquay_coordination import (
     AdmissionController,
     AtMostOnceResolver,
+    EvacuationChange,
     FleetSize,
     MembershipTracker,
     RouteTable,
@@ -142,7 +143,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _reconfigure(self) -> None:
+    def _reconfigure(self, evacuations: EvacuationChange) -> None:
         snapshot = self.snapshot
         now = self._clock.now()
         self.routes = RouteTable(snapshot)
@@ -153,6 +154,8 @@
             dispatcher = self._dispatchers.get(name)
             if dispatcher is not None:
                 dispatcher.configure(snapshot, now)
+                if evacuations != EvacuationChange():
+                    dispatcher.apply_evacuations()
                 continue
             self._dispatchers[name] = GroupDispatcher(
                 name,
@@ -162,6 +165,7 @@
                 self._rng,
                 self.admission,
                 lambda vm: self._membership.usable(vm, self._clock.now()),
+                self.evacuations,
             )
         self._connect_targets()
 
@@ -243,7 +247,12 @@
         now = self._clock.now()
         if self._holder.ready:
             groups = self.snapshot.groups.values()
-            return [target for group in groups for target in self._membership.targets(group, now)]
+            evacuated = self.evacuations.names
+            return [
+                target
+                for group in groups
+                for target in self._membership.targets(group, now, evacuated)
+            ]
         # Without a configuration there are no groups. Any slot may provide the configuration,
         # which is needed while the table is unavailable.
         slots = [entry for entry in self._vm_list if entry.role == "slot"]
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -10,6 +10,7 @@
     AnswerContext,
     AtMostOnceGuard,
     ClaimEra,
+    EvacuationChange,
     LoadTurns,
     OrderRunner,
     OutcomeWriter,
@@ -185,6 +186,7 @@
             self._health_changed,
             self._record_crash,
             self._gate,
+            lambda: self._is_evacuated,
         )
         self._runner.health = self._health
 
@@ -222,7 +224,11 @@
         readers_in_budget = self.settings.table_read_budget * self.settings.poll_interval_s
         return round(readers_in_budget * (1 + len(self._connected_peers())))
 
-    def _reconfigure(self) -> None:
+    @property
+    def _is_evacuated(self) -> bool:
+        return self.evacuations.covers(self.settings.failure_domain)
+
+    def _reconfigure(self, evacuations: EvacuationChange) -> None:
         snapshot = self._holder.snapshot
         group = self._group
         now = self._clock.now()
@@ -235,6 +241,9 @@
         classes = classes_of_group(snapshot, self.settings.group)
         self._scheduler.configure(places, classes, weights, snapshot.policy, now)
         self.suspicions.withdraw(snapshot.withdrawals.values())
+        if any(one.domain == self.settings.failure_domain for one in evacuations.began):
+            self._runner.refuse_queued("the failure domain is evacuated", now)
+            self._drop_demand(now)
         self._runner.run_scheduler(now)
         self._status.send_now()
 
@@ -288,15 +297,16 @@
             return ErrorKind.NOT_READY
         if not self._health.healthy:
             return ErrorKind.NO_UPSTREAM
-        if not self._gate.takes_work(self._clock.now()):
+        if self._is_evacuated or not self._gate.takes_work(self._clock.now()):
             return ErrorKind.NO_PLACE
         if run.deadline_s <= 0:
             return ErrorKind.DEADLINE_EXCEEDED
         return None
 
     def _takes_work(self) -> bool:
-        """Return whether the upstream is healthy, and neither leaves nor rests."""
-        return self._health.healthy and self._gate.takes_work(self._clock.now())
+        """Return whether the upstream is healthy, neither leaves nor rests, nor is evacuated."""
+        restricted = self._is_evacuated or not self._gate.takes_work(self._clock.now())
+        return self._health.healthy and not restricted
 
     def _on_cancel(self, peer: PeerConnection, message: Cancel) -> None:
         self._runner.cancel(message.request, message.attempt, self._clock.now())
@@ -304,7 +314,8 @@
     def _on_demand(self, peer: PeerConnection, message: Demand) -> None:
         now = self._clock.now()
         # A slot that accepts no work must not send grants.
-        accepts_work = not (self._leaving or self._gate.is_leaving) and self._health.healthy
+        refuses_work = self._leaving or self._gate.is_leaving or self._is_evacuated
+        accepts_work = not refuses_work and self._health.healthy
         classes = message.classes if accepts_work else []
         self._scheduler.set_demand(peer.peer.incarnation, classes, now)
         self._runner.run_scheduler(now)
@@ -316,6 +327,9 @@
 
     def _record_crash(self, digests: Sequence[str]) -> None:
         self.metrics.count("upstream.crashed")
+        if self._is_evacuated:
+            # The operator stops what is left there; the requests that ran are no suspects.
+            return
         self._crashes += 1
         for peer in self._connected_peers():
             peer.post(CrashNotice(f"{self.identity.incarnation}:{self._crashes}"))
@@ -356,6 +370,8 @@
         """Probe an upstream that leaves until another run answers in its place, until cancelled."""
         while True:
             await asyncio.sleep(self.settings.probe_interval_s)
+            if self._is_evacuated:
+                continue
             if self._gate.is_leaving and (
                 not await self._client.probe() or self._gate.is_new_run()
             ):
@@ -409,10 +425,12 @@
 
     def _stop_taking_work(self) -> None:
         """Drop the demand of all entries, and send them the status."""
-        now = self._clock.now()
+        self._drop_demand(self._clock.now())
+        self._status.send_now()
+
+    def _drop_demand(self, now: float) -> None:
         for peer in self._connected_peers():
             self._scheduler.set_demand(peer.peer.incarnation, [], now)
-        self._status.send_now()
 
     def _make_status(self) -> SlotStatus:
         now = self._clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/_deployment.py
@@ -6,6 +6,7 @@
 import json
 import random
 import secrets
+from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
@@ -71,8 +72,11 @@
         entries: int = 1,
         leave_delay_s: float = 0.0,
         era: int = 0,
+        domains: Sequence[str] = ("north",),
         **engine: Any,
     ):
+        self.domains = domains
+        self.slot_settings: dict[str, Any] = {}
         self.engine_parameters = {"base_step_s": 0.001, "per_running_s": 0.0, **engine}
         self.counts = (engines, services, entries)
         self.leave_delay_s = leave_delay_s
@@ -118,7 +122,9 @@
         engine = EngineStandin(EngineParameters(**self.engine_parameters | changes))
         await engine.start()
         self.engines.append(engine)
-        await self.add_slot(f"engine-{len(self.engines)}", "drafting", engine.url)
+        domain = self.domains[(len(self.engines) - 1) % len(self.domains)]
+        name = f"engine-{len(self.engines)}"
+        await self.add_slot(name, "drafting", engine.url, domain, **self.slot_settings)
         return engine
 
     async def add_service(self) -> ServiceStandin:
@@ -129,23 +135,26 @@
         await self.add_slot(f"service-{len(self.services)}", "booking", service.url)
         return service
 
-    async def add_slot(self, vm: str, group: str, upstream_url: str) -> Slot:
+    async def add_slot(
+        self, vm: str, group: str, upstream_url: str, domain: str = "north", **changes: Any
+    ) -> Slot:
         """Start a slot and add it to the VM list."""
         settings = SlotSettings(
             vm,
-            "north",
+            domain,
             PEER_KEY,
             self._platform(),
             group=group,
             upstream_url=upstream_url,
             probe_interval_s=0.02,
             poll_interval_s=0.1,
+            **changes,
         )
         slot = Slot(settings, rng=random.Random(1))
         await slot.start()
         self.slots.append(slot)
         self.platform.put_vm(
-            VmEntry(vm, "slot", "127.0.0.1", slot.port, slot.status_port, "north", group)
+            VmEntry(vm, "slot", "127.0.0.1", slot.port, slot.status_port, domain, group)
         )
         return slot
 
--- a/packages/burdockquay/src/burdockquay/_status_command.py
+++ b/packages/burdockquay/src/burdockquay/_status_command.py
@@ -13,7 +13,7 @@
 
 from burdockquay_state import RecordLog, TableError, VmEntry
 
-from ._output import ExitCode, print_error, print_json, print_table
+from ._output import ExitCode, format_time, print_error, print_json, print_table
 from ._platform_options import DEFAULT_PLATFORM, PlatformOptions, connect_platform
 from ._record_command import Json
 from ._usage import UsageTotals
@@ -78,8 +78,8 @@
 def status(*, as_json: Json = False, platform: PlatformOptions = DEFAULT_PLATFORM) -> int:
     """Show for each process the revision in force, its members and the health of the table.
 
-    Also lists the suspicions in quarantine. Reads the table, the VM list and the read-only HTTP
-    endpoints of the processes. Exit code 6 means that the platform or a process did not answer.
+    Also lists the evacuated failure domains and the suspicions in quarantine. Reads the table, the
+    VM list and the read-only HTTP endpoints of the processes. Exit code 6 means that the platform or a process did not answer.
     """
     survey = asyncio.run(_survey(platform, "/status", ("entry", "slot")))
     if as_json:
@@ -158,6 +158,8 @@
     print(f"head revision: {'unknown' if head is None else head}")
     header = ("VM", "ROLE", "DOMAIN", "LISTED", "REVISION", "STATE", "MEMBERS", "TABLE")
     print_table(header, [_status_row(answer, head) for answer in survey.answers])
+    for line in _evacuation_lines(survey):
+        print(line)
     digests = _quarantine(survey)
     print(f"quarantine: {len(digests)} suspicion(s)")
     for digest, crashes in sorted(digests.items()):
@@ -180,6 +182,20 @@
     return (*listed_columns, f"{revision}{behind}", state, members_text, table)
 
 
+def _evacuation_lines(survey: Survey) -> list[str]:
+    """Return a line for each evacuated domain: since when, and at how many processes in force."""
+    pages = [answer.page for answer in survey.answers if answer.page is not None]
+    known: dict[str, list[float]] = {}
+    for page in pages:
+        for item in page.get("evacuations", []):
+            known.setdefault(str(item.get("domain")), []).append(float(item.get("since", 0.0)))
+    return [
+        f"evacuated: {domain} since {format_time(min(times))}, in force at {len(times)} of "
+        f"{len(pages)} process(es)"
+        for domain, times in sorted(known.items())
+    ]
+
+
 def _quarantine(survey: Survey) -> dict[str, int]:
     found: dict[str, int] = {}
     for answer in survey.answers:
--- a/packages/burdockquay/src/burdockquay/tests/test_cli.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_cli.py
@@ -146,9 +146,9 @@
 
 
 def test_examples_are_accepted_together(call):
-    for name in ("classes", "routes", "organisation", "quarantine-withdrawal"):
+    for name in ("classes", "routes", "organisation", "quarantine-withdrawal", "evacuation"):
         assert call("record", "put", text=(EXAMPLES / f"{name}.jsonc").read_text())[0] == 0
-    assert len(list(EXAMPLES.iterdir())) == 4
+    assert len(list(EXAMPLES.iterdir())) == 5
 
 
 def test_unknown_adapter_is_rejected_with_a_suggestion(monkeypatch, capsys):
