Limit the starts at a cold engine in its slot

Cause: an engine that restarts under a backlog gets all of it at once, and crashes again. Change: the slot setting cold_start (duration_s, per_s). Starts are promised a little ahead and begun when they are due; a probe gets the next start. The engine stand-in crashes above a bound while it is cold. explain reads the logs of entries and slots, and shows evacuations and cold starts in force.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_engine.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_engine.py
@@ -6,7 +6,7 @@
 import json
 import random
 import time
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from typing import Any, ClassVar
 
 import attrs
@@ -59,6 +59,10 @@
         Number of tokens generated for such a request before the crash.
     restart_s : float
         Time for which the engine refuses connections after a crash, seconds.
+    cold_s : float
+        Time for which the engine is cold after it starts to listen, seconds.
+    cold_most : int
+        Chat requests in any second of that time above which it crashes.
     software_version : str
         Stated in each answer; empty if the engine states none.
     """
@@ -78,6 +82,8 @@
         "poison_marker": [InstanceOf(str)],
         "poison_after_tokens": [Interval(int, 1, 1_000_000)],
         "restart_s": [Interval(float, 0.0, 3600.0)],
+        "cold_s": [Interval(float, 0.0, 3600.0)],
+        "cold_most": [Interval(int, 1, 1_000_000)],
         "software_version": [InstanceOf(str)],
     }
 
@@ -95,6 +101,8 @@
     poison_marker: str = ""
     poison_after_tokens: int = 3
     restart_s: float = 1.0
+    cold_s: float = 0.0
+    cold_most: int = 1
     software_version: str = ""
 
 
@@ -132,6 +140,8 @@
         self.resume_mismatches = 0
         self.starts: OrderedDict[str, int] = OrderedDict()
         self.ends: Counter[str] = Counter()
+        self.cold_until = float("-inf")
+        self._cold_starts: deque[float] = deque()
         self._sequences: dict[str, GeneratedSequence] = {}
         self._load = Lagged(self._current_load(), self.parameters.load_lag_s)
         self._work_available = asyncio.Event()
@@ -150,6 +160,19 @@
             web.get("/stats", self._read_stats),
         ]
 
+    async def _listen(self) -> None:
+        await super()._listen()
+        self.cold_until = time.monotonic() + self.parameters.cold_s
+
+    def _bears_start(self, now: float) -> bool:
+        """Count a chat request; return whether the engine, if it is cold, can bear it."""
+        if now >= self.cold_until:
+            return True
+        self._cold_starts.append(now)
+        while self._cold_starts[0] <= now - 1.0:
+            self._cold_starts.popleft()
+        return len(self._cold_starts) <= self.parameters.cold_most
+
     async def start(self) -> None:
         """Start to listen and to generate tokens."""
         await super().start()
@@ -207,6 +230,9 @@
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         if self.faults.refuse:
             return web.json_response({"error": "refused"}, status=503)
+        if not self._bears_start(time.monotonic()):
+            self._crash()
+            return cut_connection(request)
         raw = await request.read()
         body = await read_object(request)
         try:
--- a/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
@@ -35,6 +35,7 @@
         "HttpVmList",
     ),
     "._settings": (
+        "ColdStartSettings",
         "EntrySettings",
         "MetricsSettings",
         "PlatformSettings",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -67,7 +67,9 @@
                 async for part in _read_events(response):
                     yield part
         except CONNECT_ERRORS as error:
-            raise UpstreamError(ErrorKind.NO_UPSTREAM, str(error), sent=False) from error
+            raise UpstreamError(
+                ErrorKind.NO_UPSTREAM, str(error), sent=False, unreachable=True
+            ) from error
         except BROKEN_ERRORS as error:
             detail = f"{type(error).__name__} {'during' if answered else 'before'} the answer"
             raise UpstreamError(
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -352,6 +352,15 @@
         "DEBUG",
         "A request was refused because all slots of its group are in evacuated failure domains.",
     )
+    ENGINE_COLD = (
+        1965,
+        "NOTICE",
+        "The upstream of this slot counts as cold: at most ``per_s`` requests a second start until "
+        "``remaining_s`` have passed. ``source`` is the ``start`` of the slot, a ``crash``, a "
+        "connection that was ``refused``, a failed ``probe``, another run after one that left "
+        "(``replaced``), or the end of an ``evacuation``, in which a restart goes unnoticed.",
+    )
+    ENGINE_WARM = (1966, "INFO", "The upstream of this slot is not cold any more.")
     SETTINGS_RELOADED = (1905, "INFO", "The settings were read again; nothing was dropped.")
     MECHANISMS_SET = (1913, "INFO", "All mechanisms of the forwarder are active except these.")
     SETTINGS_FAULT = (
--- a/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -172,6 +172,27 @@
     seed_slots: list[str] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class ColdStartSettings:
+    """What an upstream can bear after it has started.
+
+    Parameters
+    ----------
+    duration_s : float
+        Time for which it is cold, seconds.
+    per_s : float
+        Requests per second that it can bear meanwhile.
+    """
+
+    _constraints: ClassVar[dict[str, list[Constraint]]] = {
+        "duration_s": [Interval(float, 0.001, 3600.0)],
+        "per_s": [Interval(float, 0.1, 1e6)],
+    }
+
+    duration_s: float
+    per_s: float
+
+
 @attrs.frozen
 class SlotSettings(_ProcessSettings):
     """Settings of a slot.
@@ -196,6 +217,8 @@
         same everywhere.
     load_turn_s : float
         Shortest time for which such an engine counts as reading, seconds.
+    cold_start : ColdStartSettings or None
+        None if the upstream is never cold.
     """
 
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
@@ -209,6 +232,7 @@
         "claim_retention_s": [Interval(float, MIN_RETENTION_S, 31_536_000)],
         "load_turns": [Interval(int, 1, 1000)],
         "load_turn_s": [Interval(float, 0.1, 3600.0)],
+        "cold_start": [InstanceOf(ColdStartSettings)],
     }
 
     group: str = attrs.field(kw_only=True)
@@ -220,3 +244,4 @@
     claim_retention_s: float = 86400.0
     load_turns: int = 4
     load_turn_s: float = 10.0
+    cold_start: ColdStartSettings | None = None
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -104,6 +104,8 @@
         Called without arguments when the counts may have changed.
     gate : RunGate
         What the upstream has stated.
+    on_unreachable : callable
+        Called without arguments when no connection to the upstream could be made.
     """
 
     def __init__(
@@ -116,8 +118,10 @@
         send_grant: Callable[[PlaceGrant, Grant], None],
         on_change: Callable[[], None],
         gate: RunGate,
+        on_unreachable: Callable[[], None] = lambda: None,
     ):
         self.gate = gate
+        self.on_unreachable = on_unreachable
         self.scheduler = scheduler
         self.client = client
         self.guard = guard
@@ -128,6 +132,7 @@
         self.latency = TokenLatencyMeter()
         self.health: UpstreamHealth | None = None
         self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._next_start: asyncio.TimerHandle | None = None
         self._control_tasks: set[asyncio.Task] = set()
         self._steps = (self._pause_one, self._start_one, self._resume_one, self._grant_one)
 
@@ -178,6 +183,23 @@
         while any(step(now) for step in self._steps):
             continue
         self.on_change()
+        self._schedule_cold_start(now)
+
+    def _schedule_cold_start(self, now: float) -> None:
+        """Run the scheduler again when a cold upstream can bear the next start.
+
+        The ticks are too coarse for that: at 20 starts a second they left a fifth of them unused.
+        """
+        if self._next_start is not None or not self.gate.cold_remaining_s(now):
+            return
+        wait_s = self.gate.start_wait_s(now)
+        if wait_s > 0.0:
+            loop = asyncio.get_running_loop()
+            self._next_start = loop.call_later(wait_s, self._on_start_due)
+
+    def _on_start_due(self) -> None:
+        self._next_start = None
+        self.run_scheduler(self.clock.now())
 
     def _pause_one(self, now: float) -> bool:
         victim = self.scheduler.next_pause(now)
@@ -225,7 +247,7 @@
         if not self.gate.is_restricted(now):
             return True
         counts = self.scheduler.counts(now)
-        return self.gate.may_start(now, reserved=counts.granted + counts.queued)
+        return self.gate.may_promise(now, reserved=counts.granted + counts.queued)
 
     def expire(self, now: float) -> None:
         """Refuse queued work that has waited too long, and expire grants."""
@@ -347,6 +369,8 @@
                 self.scheduler.running(self.clock.now()), self.clock.now()
             )
         elif error.kind is ErrorKind.NO_UPSTREAM:
+            if error.unreachable:
+                self.on_unreachable()
             self.health.probe_soon()
         if error.sent:
             attempt.post_failed(error.kind, error.detail, error.crashed)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_statement_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_statement_events.py
@@ -8,6 +8,13 @@
 
 from ._events import Event, log_event
 
+STATEMENT_GAUGES = {
+    "leaving": "upstream.leaving",
+    "request_rate": "upstream.rate_limit",
+    "rest": "upstream.rest",
+}
+"""Gauge of each kind of statement of the upstream of a slot."""
+
 _RATE_EVENTS = {
     StatementChangeKind.LEARNT: Event.RATE_LIMIT_LEARNT,
     StatementChangeKind.CHANGED: Event.RATE_LIMIT_CHANGED,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
@@ -46,14 +46,24 @@
         False if the upstream certainly did not receive the request.
     crashed : bool
         Whether the upstream itself seems to have crashed.
+    unreachable : bool
+        Whether no connection could be made.
     """
 
-    def __init__(self, kind: ErrorKind, detail: str, sent: bool, crashed: bool = False):
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        sent: bool,
+        crashed: bool = False,
+        unreachable: bool = False,
+    ):
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
         self.sent = sent
         self.crashed = crashed
+        self.unreachable = unreachable
 
 
 class UpstreamClient(ABC):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream_health.py
@@ -158,7 +158,11 @@
 
     async def _probe(self) -> bool:
         """Probe the upstream once its limit and rest allow it; return whether it answered."""
-        while (wait_s := self._wait_s()) > 0.0:
-            await asyncio.sleep(wait_s)
+        self.gate.probe_waits = True
+        try:
+            while (wait_s := self._wait_s()) > 0.0:
+                await asyncio.sleep(wait_s)
+        finally:
+            self.gate.probe_waits = False
         self.gate.take(self.clock.now())
         return await self.client.probe()
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -45,13 +45,14 @@
 from ._addresses import bind_socket
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
+from ._cold_upstream import ColdUpstream
 from ._era_follower import EraFollower
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, RECEIVE_TIMEOUT_S, PeerConnection
 from ._peer_server import PeerServer
 from ._process import Process
 from ._slot_runner import SlotRunner
-from ._statement_events import log_change, log_fault
+from ._statement_events import STATEMENT_GAUGES, log_change, log_fault
 from ._status_http import serve_status
 from ._status_sender import StatusSender
 from ._upstream import UpstreamSessions, upstream_clients
@@ -61,14 +62,6 @@
 """Interval of the measurements of an idle upstream, as a multiple of the probe interval."""
 
 
-STATEMENT_GAUGES = {
-    "leaving": "upstream.leaving",
-    "request_rate": "upstream.rate_limit",
-    "rest": "upstream.rest",
-}
-"""Gauge of each kind of statement of the upstream."""
-
-
 class Slot(Process):
     """One slot process; see :class:`Process` for the parameters."""
 
@@ -150,7 +143,10 @@
 
     def _open_runner(self) -> None:
         settings = self.settings
-        self._gate = RunGate(self._clock.now())
+        terms = settings.cold_start
+        cold = () if terms is None else (terms.duration_s, terms.per_s)
+        self._gate = RunGate(self._clock.now(), *cold)
+        self._cold = ColdUpstream(self._gate, self._clock, self.metrics)
         self._sessions = UpstreamSessions(self._record_statements)
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
@@ -178,6 +174,7 @@
             self._post_grant,
             self._status.counts_changed,
             self._gate,
+            lambda: self._cold.begin("refused"),
         )
         self._health = UpstreamHealth(
             self._client,
@@ -244,6 +241,8 @@
         if any(one.domain == self.settings.failure_domain for one in evacuations.began):
             self._runner.refuse_queued("the failure domain is evacuated", now)
             self._drop_demand(now)
+        if any(one.domain == self.settings.failure_domain for one in evacuations.ended):
+            self._cold.begin("evacuation")
         self._runner.run_scheduler(now)
         self._status.send_now()
 
@@ -327,6 +326,7 @@
 
     def _record_crash(self, digests: Sequence[str]) -> None:
         self.metrics.count("upstream.crashed")
+        self._cold.begin("crash")
         if self._is_evacuated:
             # The operator stops what is left there; the requests that ran are no suspects.
             return
@@ -380,6 +380,7 @@
     def _begin_upstream_run(self) -> None:
         """Forget what the upstream has stated, since its run has ended."""
         self._gate.begin_run(self._clock.now())
+        self._cold.begin("replaced")
         self._log_statement("leaving", StatementChange(StatementChangeKind.ENDED, 1.0, None))
         self._health.probe_soon()
         self._status.send_now()
@@ -387,6 +388,8 @@
     async def _run_ticks(self) -> None:
         async for now in ticks(self._clock, self._needs_ticks):
             due = self._scheduler.next_deadline(now)
+            if self._cold.ends(now):
+                self._runner.run_scheduler(now)
             if due is not None and due <= now:
                 self._runner.expire(now)
             elif self._gate.is_restricted(now):
@@ -413,12 +416,17 @@
                 continue
             self._gate.take(self._clock.now())
             step_s = await self._client.measure(models[0])
+            if step_s is None and self.settings.cold_start is not None:
+                # An engine that restarts while it is idle shows in nothing else.
+                self._cold.begin("probe")
+                self._health.probe_soon()
             if step_s is not None and not self._runner.held:
                 self._runner.latency.replace(step_s, self._clock.now())
                 self._status.counts_changed()
 
     def _health_changed(self) -> None:
         if self._health.healthy:
+            self._cold.begin("probe")
             self._status.send_now()
         else:
             self._stop_taking_work()
--- a/packages/burdockquay/src/burdockquay/_explain.py
+++ b/packages/burdockquay/src/burdockquay/_explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterable, Iterator
 from datetime import datetime, timedelta
 from typing import Any
@@ -45,6 +46,12 @@
 """Period before a request for which restores are included: a process keeps using the rows it
 had until the writer of each row has written it again."""
 
+LASTING_EVENTS = {"evacuation_began": "evacuation_ended", "engine_cold": "engine_warm"}
+"""Events that begin a state that restricts sends, with the event that ends it. The one that began a
+state in force is included however long ago it was."""
+
+_ENDS = {end: begin for begin, end in LASTING_EVENTS.items()}
+
 _COMMON_KEYS = ("time", "level", "event", "name", "vm", "request")
 
 
@@ -80,9 +87,25 @@
 _UPSTREAM_FIELDS = ("upstream", "upstreams", "listed", "leaving", "removed", "unreadable", "over")
 
 
+_VALUE = r'"(?:[^"\\]|\\.)*"|\S*'
+_TEXT_LINE = re.compile(rf"(\S+Z) [A-Z]+ E\d{{4}} (\w+)((?: \w+=(?:{_VALUE}))*)")
+_FIELD = re.compile(rf" (\w+)=({_VALUE})")
+
+
 def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the log lines among lines of text; all other lines are skipped."""
+    """Yield the log lines among lines of text; all other lines are skipped.
+
+    The lines of entries and slots do not name their VM; it is that of the last line about the start
+    of a process.
+    """
+    vm = ""
     for text in texts:
+        if match := _TEXT_LINE.fullmatch(text.strip()):
+            line = _read_text_line(match, vm)
+            if line is not None:
+                vm = str(line.fields["vm"]) if line.name == "process_listening" else vm
+                yield attrs.evolve(line, vm=vm)
+            continue
         start = text.find("{")
         if start < 0:
             continue
@@ -96,6 +119,18 @@
             continue
 
 
+def _read_text_line(match: re.Match[str], vm: str) -> LogLine | None:
+    fields = {
+        name: json.loads(value) if value.startswith('"') else value
+        for name, value in _FIELD.findall(match[3])
+    }
+    try:
+        time = datetime.fromisoformat(match[1])
+    except ValueError:
+        return None
+    return LogLine(time, vm, match[2], fields.pop("request", None), fields)
+
+
 def collect_timeline(lines: Iterable[LogLine], request: str) -> list[LogLine]:
     """Return the log lines that are relevant to a request, ordered by time.
 
@@ -104,6 +139,7 @@
     few milliseconds.
     """
     all_lines = sorted(lines, key=lambda line: line.time)
+    standing = _find_standing(all_lines, request)
     own = [line for line in all_lines if line.request == request]
     if not own:
         return []
@@ -120,17 +156,39 @@
         line
         for line in all_lines
         if line.request == request
+        or id(line) in standing
         or (
             own[0].time - _context_before(line.name) <= line.time <= last
             and line.request is None
             and line.vm in vms
             and (
-                line.name in STATE_CHANGE_EVENTS | STORE_RESTORE_EVENTS or line.mentions(upstreams)
+                line.name in STATE_CHANGE_EVENTS | STORE_RESTORE_EVENTS
+                or line.name in LASTING_EVENTS
+                or line.name in _ENDS
+                or line.mentions(upstreams)
             )
         )
     ]
 
 
+def _find_standing(all_lines: list[LogLine], request: str) -> set[int]:
+    """Return the ids of the lines that began the states in force at the start of a request."""
+    vms = {line.vm for line in all_lines if line.request == request}
+    standing: dict[tuple[str, str, object], LogLine] = {}
+    for line in all_lines:
+        if line.request == request:
+            break
+        begin = line.name if line.name in LASTING_EVENTS else _ENDS.get(line.name)
+        if begin is None or line.vm not in vms:
+            continue
+        key = (line.vm, begin, line.fields.get("domain"))
+        if line.name in _ENDS:
+            standing.pop(key, None)
+        else:
+            standing.setdefault(key, line)
+    return {id(line) for line in standing.values()}
+
+
 def _context_before(event: str) -> timedelta:
     """Return how long before a request an event is still included."""
     return RESTORE_CONTEXT_BEFORE if event in STORE_RESTORE_EVENTS else CONTEXT_BEFORE
--- a/packages/burdockquay/src/burdockquay/_explain_command.py
+++ b/packages/burdockquay/src/burdockquay/_explain_command.py
@@ -39,7 +39,7 @@
     request
         Id of the request.
     files
-        Logs of forwarders; defaults to standard input.
+        Logs of forwarders, entries or slots; defaults to standard input.
     """
     texts = read_texts(files)
     if texts is None:
--- a/packages/burdockquay/src/burdockquay/_settings_file.py
+++ b/packages/burdockquay/src/burdockquay/_settings_file.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 from types import MappingProxyType, SimpleNamespace
-from typing import Any, get_type_hints
+from typing import Any, get_args, get_type_hints
 
 import attrs
 import jsonc
@@ -203,8 +203,9 @@
                 self._add_fault(_join(path, name), "expected a value, the key is missing")
 
     def _read_value(self, cls: type, name: str, kind: Any, value: Any, path: str) -> Any:
-        if attrs.has(kind):
-            return self._build(kind, value, _join(path, name))
+        nested = next((one for one in (kind, *get_args(kind)) if attrs.has(one)), None)
+        if nested is not None:
+            return self._build(nested, value, _join(path, name))
         constraints = {name: cls._constraints[name]}
         for fault in find_faults(constraints, SimpleNamespace(**{name: value})):
             self._add_fault(_join(path, name), _redact(name, fault.removeprefix(f"{name}: ")))
--- a/packages/burdockquay/src/burdockquay/_status_command.py
+++ b/packages/burdockquay/src/burdockquay/_status_command.py
@@ -79,7 +79,8 @@
     """Show for each process the revision in force, its members and the health of the table.
 
     Also lists the evacuated failure domains and the suspicions in quarantine. Reads the table, the
-    VM list and the read-only HTTP endpoints of the processes. Exit code 6 means that the platform or a process did not answer.
+    VM list and the read-only HTTP endpoints of the processes. Exit code 6 means that the platform
+    or a process did not answer.
     """
     survey = asyncio.run(_survey(platform, "/status", ("entry", "slot")))
     if as_json:
--- a/packages/burdockquay/src/burdockquay/tests/test_explain.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_explain.py
@@ -95,3 +95,19 @@
     assert run("nobody", str(log_file)) == 7
     assert run("r1", str(log_file) + ".gone") == 2
     assert "cannot be read" in capsys.readouterr().err
+
+
+def test_timeline_of_an_entry_names_the_evacuation_that_is_in_force():
+    """Guards against a refusal whose cause is not shown since the evacuation began long before."""
+    log = [
+        "2026-03-01T08:00:00.000000Z INFO E1002 process_listening role=entry vm=edge-1 port=1",
+        "2026-03-01T08:01:00.000000Z NOTICE E1947 evacuation_began domain=north revision=7",
+        "2026-03-01T08:02:00.000000Z NOTICE E1948 evacuation_ended domain=north revision=8",
+        "2026-03-01T08:03:00.000000Z NOTICE E1947 evacuation_began domain=south revision=9",
+        "2026-03-01T08:30:00.000000Z DEBUG E1964 refused_evacuated request=r1 domains=south",
+    ]
+    timeline = collect_timeline(read_lines(log), "r1")
+    assert [(item.name, item.fields.get("domain")) for item in timeline] == [
+        ("evacuation_began", "south"),
+        ("refused_evacuated", None),
+    ]
--- a/packages/burdockquay/src/burdockquay/tests/test_settings_file.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_settings_file.py
@@ -13,7 +13,7 @@
 from burdockquay._settings_file import load_settings
 from burdockquay._settings_source import MAX_FILE_BYTES
 from burdockquay_state import find_faults
-from burdockquay_transport import EntrySettings, SlotSettings
+from burdockquay_transport import ColdStartSettings, EntrySettings, SlotSettings
 
 EXAMPLES = Path(__file__).parents[5] / "examples"
 URL = "http://127.0.0.1:1"
@@ -172,3 +172,17 @@
     broken.write_text('{"vmm": 1}')
     assert run(broken) == EXIT_FAULTS
     assert "did you mean 'vm'?" in capsys.readouterr().err
+
+
+def test_faults_of_an_optional_group_of_settings_are_reported(load):
+    """Guards against a cold start that a slot ignores, since one of its keys is mistyped."""
+    slot = VALID | {"group": "desk", "upstream_url": URL}
+    assert load(slot, "slot").settings.cold_start is None
+    good = load(slot | {"cold_start": {"duration_s": 30, "per_s": 11}}, "slot")
+    assert good.settings.cold_start == ColdStartSettings(30, 11)
+    faults = load(slot | {"cold_start": {"duration_s": 0, "pers": 11}}, "slot")
+    assert [fault.split(": ")[1] for fault in faults] == [
+        "cold_start.pers",
+        "cold_start.per_s",
+        "cold_start.duration_s",
+    ]
