--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_membership.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_membership.py
@@ -156,3 +156,11 @@
     membership.connected("s1", "s1-x", 10.0)
     membership.disconnected("s1", "s1-x", 20.0)
     assert membership.reconnect_delay("s1", rng, 20.0) <= 0.2
+
+
+def test_slots_of_other_domains_replace_evacuated_ones_and_no_connection_is_closed(membership):
+    """Guards against an entry whose subset lies in evacuated domains while other slots are idle."""
+    fixed = names(membership.targets(GROUP, 0.0))
+    targets = membership.targets(GROUP, 0.0, DOMAINS[:2])
+    assert fixed <= names(targets)
+    assert sum(entry.failure_domain == DOMAINS[2] for entry in targets) == GROUP.subset
--- a/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
@@ -47,7 +47,9 @@
                     raise aiohttp.ClientPayloadError("connection reset at the end of the body")
                 yield AnswerEnd(0, 0, "stop")
         except CONNECT_ERRORS as error:
-            raise UpstreamError(ErrorKind.NO_UPSTREAM, str(error), sent=False) from error
+            raise UpstreamError(
+                ErrorKind.NO_UPSTREAM, str(error), sent=False, unreachable=True
+            ) from error
         except BROKEN_ERRORS as error:
             raise UpstreamError(
                 ErrorKind.UPSTREAM_FAILED, type(error).__name__, sent=True, crashed=True
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_evacuations.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_evacuations.py
@@ -96,3 +96,22 @@
         await change(running, "south", False)
         assert await ask_many(running, 40) == {200}
         assert len(callers_requests(running.engines[1])) > len(before)
+
+
+async def test_attempt_that_is_not_written_yet_goes_to_another_domain(deployment):
+    """Guards against a slot that reads slowly, and gets requests after the evacuation began."""
+    async with deployment(domains=("north", "south")) as running:
+        link = running.entries[0].dispatcher("drafting").links["engine-1"]
+        send, reads_again = link.connection._send_pending, asyncio.Event()
+
+        async def send_later():
+            await reads_again.wait()
+            await send()
+
+        link.connection._send_pending = send_later
+        asking = asyncio.create_task(ask_many(running, 8))
+        await until(lambda: link.outstanding)
+        await change(running, "north", True)
+        assert await asyncio.wait_for(asking, 4.0) == {200}
+        reads_again.set()
+        assert callers_requests(running.engines[0]) == []
