--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -10,6 +10,7 @@
     AnswerContext,
     AtMostOnceGuard,
     ClaimEra,
+    EvacuationChange,
     LoadTurns,
     OrderRunner,
     OutcomeWriter,
@@ -44,13 +45,14 @@
 from ._addresses import bind_socket
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
+from ._cold_upstream import ColdUpstream
 from ._era_follower import EraFollower
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, RECEIVE_TIMEOUT_S, PeerConnection
 from ._peer_server import PeerServer
 from ._process import Process
 from ._slot_runner import SlotRunner
-from ._statement_events import log_change, log_fault
+from ._statement_events import STATEMENT_GAUGES, log_change, log_fault
 from ._status_http import serve_status
 from ._status_sender import StatusSender
 from ._upstream import UpstreamSessions, upstream_clients
@@ -60,14 +62,6 @@
 """Interval of the measurements of an idle upstream, as a multiple of the probe interval."""
 
 
-STATEMENT_GAUGES = {
-    "leaving": "upstream.leaving",
-    "request_rate": "upstream.rate_limit",
-    "rest": "upstream.rest",
-}
-"""Gauge of each kind of statement of the upstream."""
-
-
 class Slot(Process):
     """One slot process; see :class:`Process` for the parameters."""
 
@@ -149,7 +143,10 @@
 
     def _open_runner(self) -> None:
         settings = self.settings
-        self._gate = RunGate(self._clock.now())
+        terms = settings.cold_start
+        cold = () if terms is None else (terms.duration_s, terms.per_s)
+        self._gate = RunGate(self._clock.now(), *cold)
+        self._cold = ColdUpstream(self._gate, self._clock, self.metrics)
         self._sessions = UpstreamSessions(self._record_statements)
         self._committer = GroupCommitter(self._platform.table)
         claims = ClaimStore(self._platform.table, self._platform.objects, self._committer)
@@ -177,6 +174,7 @@
             self._post_grant,
             self._status.counts_changed,
             self._gate,
+            lambda: self._cold.begin("refused"),
         )
         self._health = UpstreamHealth(
             self._client,
@@ -185,6 +183,7 @@
             self._health_changed,
             self._record_crash,
             self._gate,
+            lambda: self._is_evacuated,
         )
         self._runner.health = self._health
 
@@ -222,7 +221,11 @@
         readers_in_budget = self.settings.table_read_budget * self.settings.poll_interval_s
         return round(readers_in_budget * (1 + len(self._connected_peers())))
 
-    def _reconfigure(self) -> None:
+    @property
+    def _is_evacuated(self) -> bool:
+        return self.evacuations.covers(self.settings.failure_domain)
+
+    def _reconfigure(self, evacuations: EvacuationChange) -> None:
         snapshot = self._holder.snapshot
         group = self._group
         now = self._clock.now()
@@ -235,6 +238,11 @@
         classes = classes_of_group(snapshot, self.settings.group)
         self._scheduler.configure(places, classes, weights, snapshot.policy, now)
         self.suspicions.withdraw(snapshot.withdrawals.values())
+        if any(one.domain == self.settings.failure_domain for one in evacuations.began):
+            self._runner.refuse_queued("the failure domain is evacuated", now)
+            self._drop_demand(now)
+        if any(one.domain == self.settings.failure_domain for one in evacuations.ended):
+            self._cold.begin("evacuation")
         self._runner.run_scheduler(now)
         self._status.send_now()
 
@@ -288,15 +296,16 @@
             return ErrorKind.NOT_READY
         if not self._health.healthy:
             return ErrorKind.NO_UPSTREAM
-        if not self._gate.takes_work(self._clock.now()):
+        if self._is_evacuated or not self._gate.takes_work(self._clock.now()):
             return ErrorKind.NO_PLACE
         if run.deadline_s <= 0:
             return ErrorKind.DEADLINE_EXCEEDED
         return None
 
     def _takes_work(self) -> bool:
-        """Return whether the upstream is healthy, and neither leaves nor rests."""
-        return self._health.healthy and self._gate.takes_work(self._clock.now())
+        """Return whether the upstream is healthy, neither leaves nor rests, nor is evacuated."""
+        restricted = self._is_evacuated or not self._gate.takes_work(self._clock.now())
+        return self._health.healthy and not restricted
 
     def _on_cancel(self, peer: PeerConnection, message: Cancel) -> None:
         self._runner.cancel(message.request, message.attempt, self._clock.now())
@@ -304,7 +313,8 @@
     def _on_demand(self, peer: PeerConnection, message: Demand) -> None:
         now = self._clock.now()
         # A slot that accepts no work must not send grants.
-        accepts_work = not (self._leaving or self._gate.is_leaving) and self._health.healthy
+        refuses_work = self._leaving or self._gate.is_leaving or self._is_evacuated
+        accepts_work = not refuses_work and self._health.healthy
         classes = message.classes if accepts_work else []
         self._scheduler.set_demand(peer.peer.incarnation, classes, now)
         self._runner.run_scheduler(now)
@@ -316,6 +326,10 @@
 
     def _record_crash(self, digests: Sequence[str]) -> None:
         self.metrics.count("upstream.crashed")
+        self._cold.begin("crash")
+        if self._is_evacuated:
+            # The operator stops what is left there; the requests that ran are no suspects.
+            return
         self._crashes += 1
         for peer in self._connected_peers():
             peer.post(CrashNotice(f"{self.identity.incarnation}:{self._crashes}"))
@@ -356,6 +370,8 @@
         """Probe an upstream that leaves until another run answers in its place, until cancelled."""
         while True:
             await asyncio.sleep(self.settings.probe_interval_s)
+            if self._is_evacuated:
+                continue
             if self._gate.is_leaving and (
                 not await self._client.probe() or self._gate.is_new_run()
             ):
@@ -364,6 +380,7 @@
     def _begin_upstream_run(self) -> None:
         """Forget what the upstream has stated, since its run has ended."""
         self._gate.begin_run(self._clock.now())
+        self._cold.begin("replaced")
         self._log_statement("leaving", StatementChange(StatementChangeKind.ENDED, 1.0, None))
         self._health.probe_soon()
         self._status.send_now()
@@ -371,6 +388,8 @@
     async def _run_ticks(self) -> None:
         async for now in ticks(self._clock, self._needs_ticks):
             due = self._scheduler.next_deadline(now)
+            if self._cold.ends(now):
+                self._runner.run_scheduler(now)
             if due is not None and due <= now:
                 self._runner.expire(now)
             elif self._gate.is_restricted(now):
@@ -397,22 +416,29 @@
                 continue
             self._gate.take(self._clock.now())
             step_s = await self._client.measure(models[0])
+            if step_s is None and self.settings.cold_start is not None:
+                # An engine that restarts while it is idle shows in nothing else.
+                self._cold.begin("probe")
+                self._health.probe_soon()
             if step_s is not None and not self._runner.held:
                 self._runner.latency.replace(step_s, self._clock.now())
                 self._status.counts_changed()
 
     def _health_changed(self) -> None:
         if self._health.healthy:
+            self._cold.begin("probe")
             self._status.send_now()
         else:
             self._stop_taking_work()
 
     def _stop_taking_work(self) -> None:
         """Drop the demand of all entries, and send them the status."""
-        now = self._clock.now()
+        self._drop_demand(self._clock.now())
+        self._status.send_now()
+
+    def _drop_demand(self, now: float) -> None:
         for peer in self._connected_peers():
             self._scheduler.set_demand(peer.peer.incarnation, [], now)
-        self._status.send_now()
 
     def _make_status(self) -> SlotStatus:
         now = self._clock.now()
--- a/packages/burdockquay/src/burdockquay/_explain.py
+++ b/packages/burdockquay/src/burdockquay/_explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterable, Iterator
 from datetime import datetime, timedelta
 from typing import Any
@@ -21,6 +22,7 @@
     {
         "configuration_applied",
         "member_forgotten",
+        "evacuation_kept",
         "member_rejoined",
         "peer_connected",
         "peer_disconnected",
@@ -38,9 +40,6 @@
 )
 """Events that change the state on which a process bases its decisions about requests."""
 
-EVACUATION_EVENTS = frozenset({"evacuation_began", "evacuation_ended", "evacuation_kept"})
-"""Events about evacuated failure domains. Those in force are included whatever their age."""
-
 STORE_RESTORE_EVENTS = frozenset({"configuration_kept", "store_returned", "upstreams_kept"})
 """Events of this kind that report the restore of a store from a copy."""
 
@@ -58,6 +57,12 @@
 COLD_REFUSAL = "since they are cold"
 """How a sent and a refused request name upstreams that did not take it because they are cold."""
 
+LASTING_EVENTS = {"evacuation_began": "evacuation_ended", "engine_cold": "engine_warm"}
+"""Events that begin a state that restricts sends, with the event that ends it. The one that began a
+state in force is included however long ago it was."""
+
+_ENDS = {end: begin for begin, end in LASTING_EVENTS.items()}
+
 _COMMON_KEYS = ("time", "level", "event", "name", "vm", "request")
 
 
@@ -93,9 +98,25 @@
 _UPSTREAM_FIELDS = ("upstream", "upstreams", "listed", "leaving", "removed", "unreadable", "over")
 
 
+_VALUE = r'"(?:[^"\\]|\\.)*"|\S*'
+_TEXT_LINE = re.compile(rf"(\S+Z) [A-Z]+ E\d{{4}} (\w+)((?: \w+=(?:{_VALUE}))*)")
+_FIELD = re.compile(rf" (\w+)=({_VALUE})")
+
+
 def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the log lines among lines of text; all other lines are skipped."""
+    """Yield the log lines among lines of text; all other lines are skipped.
+
+    The lines of entries and slots do not name their VM; it is that of the last line about the start
+    of a process.
+    """
+    vm = ""
     for text in texts:
+        if match := _TEXT_LINE.fullmatch(text.strip()):
+            line = _read_text_line(match, vm)
+            if line is not None:
+                vm = str(line.fields["vm"]) if line.name == "process_listening" else vm
+                yield attrs.evolve(line, vm=vm)
+            continue
         start = text.find("{")
         if start < 0:
             continue
@@ -109,6 +130,18 @@
             continue
 
 
+def _read_text_line(match: re.Match[str], vm: str) -> LogLine | None:
+    fields = {
+        name: json.loads(value) if value.startswith('"') else value
+        for name, value in _FIELD.findall(match[3])
+    }
+    try:
+        time = datetime.fromisoformat(match[1])
+    except ValueError:
+        return None
+    return LogLine(time, vm, match[2], fields.pop("request", None), fields)
+
+
 def collect_timeline(lines: Iterable[LogLine], request: str) -> list[LogLine]:
     """Return the log lines that are relevant to a request, ordered by time.
 
@@ -117,12 +150,12 @@
     few milliseconds.
     """
     all_lines = sorted(lines, key=lambda line: line.time)
+    standing = _find_standing(all_lines, request)
     own = [line for line in all_lines if line.request == request]
     if not own:
         return []
     last = own[-1].time + CONTEXT_AFTER
     vms = {line.vm for line in own}
-    evacuations = _evacuations_in_force(all_lines, vms, own[0].time)
     upstreams = {
         name
         for line in own
@@ -135,13 +168,15 @@
         line
         for line in all_lines
         if line.request == request
-        or line in evacuations
+        or id(line) in standing
         or (
             own[0].time - _context_before(line.name) <= line.time <= last
             and line.request is None
             and line.vm in vms
             and (
-                line.name in STATE_CHANGE_EVENTS | EVACUATION_EVENTS | STORE_RESTORE_EVENTS
+                line.name in STATE_CHANGE_EVENTS | STORE_RESTORE_EVENTS
+                or line.name in LASTING_EVENTS
+                or line.name in _ENDS
                 or line.mentions(upstreams)
                 or (is_refused and line.name in COLD_EVENTS)
             )
@@ -149,14 +184,22 @@
     ]
 
 
-def _evacuations_in_force(lines: Iterable[LogLine], vms: set[str], time: datetime) -> list[LogLine]:
-    """Return the newest event of each evacuation that was in force at some processes at a time."""
-    newest = {
-        (line.vm, line.fields.get("domain")): line
-        for line in lines
-        if line.name in EVACUATION_EVENTS and line.vm in vms and line.time <= time
-    }
-    return [line for line in newest.values() if line.name != "evacuation_ended"]
+def _find_standing(all_lines: list[LogLine], request: str) -> set[int]:
+    """Return the ids of the lines that began the states in force at the start of a request."""
+    vms = {line.vm for line in all_lines if line.request == request}
+    standing: dict[tuple[str, str, object], LogLine] = {}
+    for line in all_lines:
+        if line.request == request:
+            break
+        begin = line.name if line.name in LASTING_EVENTS else _ENDS.get(line.name)
+        if begin is None or line.vm not in vms:
+            continue
+        key = (line.vm, begin, line.fields.get("domain"))
+        if line.name in _ENDS:
+            standing.pop(key, None)
+        else:
+            standing.setdefault(key, line)
+    return {id(line) for line in standing.values()}
 
 
 def _context_before(event: str) -> timedelta:
