Keep requests in their homes, and place prompts over regions

Cause: nothing reads the homes of routes and organisations or the regions of failure domains, so requests cross regions at random and leave the regions where they may be served. Homes of the configuration in force limit candidates, fetch sources, backups, continuations and waiting requests, and are checked again before the first byte. Predictions include the way to another region; preferred upstreams are ranked per region, with one spill candidate in each of the two nearest other regions. HOMES_FAULT is logged once per version, where a configuration is applied, instead of at each reading.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -96,6 +96,7 @@
         "Statements",
         "statement_kinds",
     ),
+    ".regions": ("Homes", "RegionDelays", "RegionMap"),
     "._retries": (
         "RetryDecision",
         "RetryRule",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -27,6 +27,7 @@
 )
 from ._config_versions import ConfigVersionTracker
 from ._crowding import Crowding
+from ._demand import Demand, Placement
 from ._directory import ConfigDirectory, pick_service, request_priority
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
@@ -37,7 +38,7 @@
 from ._mechanisms import Mechanism, Switches
 from ._outcome_relay import OutcomeRelay, Outcomes, OutcomesByUpstream, add_outcomes
 from ._pending import NO_LOAD, LoadShare, PendingPrompts
-from ._placing import LARGE_FLEET_PROCESSES, Demand, Placement, place_prompt
+from ._placing import LARGE_FLEET_PROCESSES, place_prompt
 from ._polling import ChangeContinuity, PollSchedule, is_poller
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Sequence
 from hashlib import blake2b
 
+from ..regions import SINGLE_REGION, RegionDelays, RegionMap
 from ._mechanisms import ALL_ON, Mechanism, Switches
 from ._upstreams import Upstream
 
@@ -15,6 +16,10 @@
 """Added to the number of outstanding requests of an upstream in another failure domain. It is below
 1, so it decides only between upstreams with equally many outstanding requests."""
 
+PLAIN_REQUEST_S = 0.025
+"""Usual duration of a plain request, seconds: the way to another region costs as many outstanding
+requests as run one after the other in that time."""
+
 
 def choose_upstream(
     upstreams: Sequence[Upstream],
@@ -23,6 +28,8 @@
     now: float,
     rng: random.Random,
     switches: Switches = ALL_ON,
+    delays: RegionDelays | None = None,
+    round_trips: int = 2,
 ) -> Upstream | None:
     """Return the upstream for one send of a plain request, None if none may be used.
 
@@ -37,21 +44,34 @@
     now : float
     rng : random.Random
     switches : Switches
+    delays : RegionDelays or None
+        Distances of the regions; None where the settings name none.
+    round_trips : int
+        Round trips before an upstream can read it: 2 if it needs a new connection.
     """
     candidates = usable_upstreams(upstreams, tried, now, switches)
     if not candidates:
         return None
+    if delays is not None and delays.region_map.has_several:
+        return _least_outstanding_over_regions(
+            candidates, failure_domain, rng, delays, round_trips / PLAIN_REQUEST_S
+        )
     return _least_outstanding(candidates, failure_domain, rng)
 
 
 def choose_backup(
-    upstreams: Sequence[Upstream], serving: Upstream, now: float, rng: random.Random
+    upstreams: Sequence[Upstream],
+    serving: Upstream,
+    now: float,
+    rng: random.Random,
+    region_map: RegionMap = SINGLE_REGION,
 ) -> Upstream | None:
     """Return the upstream that keeps a copy of another one's stream, None if there is none.
 
-    It is in another failure domain if possible, since a whole domain can fail at once. Among those,
-    it has the fewest running requests, which share its memory with the copy. One that limits its
-    requests or recovers from a rest is not used: the run could not continue there at once.
+    It is in another failure domain if possible, since a whole domain can fail at once, and in the
+    same region if there is such a domain, since the copy would cross otherwise. Among those, it has
+    the fewest running requests, which share its memory with the copy. One that limits its requests
+    or recovers from a rest is not used: the run could not continue there at once.
     """
     others = [
         item
@@ -59,9 +79,13 @@
         if not item.is_restricted(now)
     ]
 
-    def cost(item: Upstream) -> tuple[bool, int, float]:
-        same_domain = item.entry.failure_domain == serving.entry.failure_domain
-        return (same_domain, item.running(now), rng.random())
+    region = region_map.region_of(serving.entry.failure_domain)
+
+    def cost(item: Upstream) -> tuple[bool, bool, int, float]:
+        domain = item.entry.failure_domain
+        same_domain = domain == serving.entry.failure_domain
+        other_region = region_map.region_of(domain) != region
+        return (same_domain, other_region, item.running(now), rng.random())
 
     return min(others, key=cost, default=None)
 
@@ -156,6 +180,24 @@
     return min(candidates, key=cost)
 
 
+def _least_outstanding_over_regions(
+    candidates: Sequence[Upstream],
+    failure_domain: str,
+    rng: random.Random,
+    delays: RegionDelays,
+    cost_per_way_s: float,
+) -> Upstream:
+    region_of = delays.region_map.region_of
+
+    def cost(item: Upstream) -> tuple[float, float]:
+        domain = item.entry.failure_domain
+        domain_cost = REMOTE_DOMAIN_COST if domain != failure_domain else 0.0
+        region_cost = delays.way_s(region_of(domain)) * cost_per_way_s
+        return (item.outstanding + domain_cost + region_cost, rng.random())
+
+    return min(candidates, key=cost)
+
+
 @functools.lru_cache(maxsize=16384)
 def _rendezvous_weight(id_: str, prompt_part: str) -> bytes:
     return blake2b(prompt_part.encode(), key=id_.encode()[:64], digest_size=8).digest()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 
+from ..regions import SINGLE_REGION, Homes, RegionMap, intersect_homes
 from ._config import CallerOrganisation, ForwardConfig, ForwardRoute, ServiceTargets
 from ._urgency import UrgencyScale
 
@@ -15,10 +16,12 @@
     Parameters
     ----------
     config : ForwardConfig
+    region_map : RegionMap
     """
 
-    def __init__(self, config: ForwardConfig):
+    def __init__(self, config: ForwardConfig, region_map: RegionMap = SINGLE_REGION):
         self.config = config
+        self.region_map = region_map
         self._routes = {(route.host, route.prefix): route for route in config.routes}
         self._targets: dict[str, ServiceTargets] = {}
         for route in config.routes:
@@ -32,6 +35,16 @@
             for organisation in config.organisations or ()
             for api_key in organisation.api_keys
         }
+        self._organisation_homes = {item.name: item.homes for item in config.organisations or ()}
+        self._homes: dict[frozenset[str], Homes] = {}
+        self._names_homes = any(
+            item.homes is not None for item in (*config.routes, *(config.organisations or ()))
+        )
+
+    @property
+    def names_homes(self) -> bool:
+        """Whether any route or organisation is limited to some regions."""
+        return self._names_homes
 
     @property
     def needs_keys(self) -> bool:
@@ -76,6 +89,41 @@
             priority, self._max_organisation_priority
         )
 
+    def homes(
+        self, host: str, path: str, organisation: str | None, admitted: ForwardRoute
+    ) -> Homes | None:
+        """Return the regions in which a request may be served now, None for any.
+
+        Parameters
+        ----------
+        host, path : str
+            As for :meth:`find_route`.
+        organisation : str or None
+        admitted : ForwardRoute
+            The route at the admission of the request. Its homes apply, too, as they are now: a
+            configuration that lacks the route may lead the path to one without homes.
+        """
+        if not self._names_homes:
+            return None
+        route = self._routes.get((admitted.host, admitted.prefix), admitted)
+        present = self.find_route(host, path) or route
+        regions = intersect_homes(route.homes, present.homes)
+        regions = intersect_homes(regions, self._organisation_homes.get(organisation))
+        if regions is None:
+            return None
+        found = self._homes.get(regions)
+        if found is None:
+            found = self._homes[regions] = Homes(regions, self.region_map)
+        return found
+
+    def without_home(self) -> list[ForwardRoute | CallerOrganisation]:
+        """Return the routes and organisations whose homes name no known region."""
+        return [
+            item
+            for item in (*self.config.routes, *(self.config.organisations or ()))
+            if item.homes is not None and not item.homes & self.region_map.names
+        ]
+
     def _possible_ranks(self) -> list[int]:
         organisations = (None, *(self.config.organisations or ()))
         return [self.rank(*pair) for pair in itertools.product(self.config.routes, organisations)]
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..regions import SINGLE_REGION, RegionDelays, RegionMap
 from ._linear import LinearModel
 from ._mechanisms import ALL_ON, Mechanism, Switches
 from ._reading import FirstTokenModel
@@ -49,6 +50,8 @@
     ----------
     switches : Switches
         Switches of the mechanisms that use this model.
+    delays : RegionDelays or None
+        Distances of the regions; None where the settings name none.
 
     Attributes
     ----------
@@ -56,8 +59,9 @@
         Number of processes that place prompts, each with a model of its own.
     """
 
-    def __init__(self, switches: Switches = ALL_ON):
+    def __init__(self, switches: Switches = ALL_ON, delays: RegionDelays | None = None):
         self.switches = switches
+        self.delays = delays or RegionDelays(SINGLE_REGION)
         self.processes = 1
         self.steady_reservation = SteadyReservation()
         self.first_token = FirstTokenModel(FIRST_S, TOKEN_S)
@@ -66,6 +70,11 @@
         self.event = LinearModel(EVENT_S, EVENT_PER_RUNNING_S, USUAL_RUNNING)
         self.tokens_per_event = TOKENS_PER_EVENT
 
+    @property
+    def region_map(self) -> RegionMap:
+        """The regions of the failure domains."""
+        return self.delays.region_map
+
     def first_token_s(
         self, upstream: Upstream, tokens: float, now: float, is_short: bool = False
     ) -> float:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -7,7 +7,9 @@
 
 import attrs
 
+from ..regions import Homes, RegionMap
 from ._choice import rank_preferred_upstreams, usable_upstreams
+from ._demand import Demand, Placement
 from ._engine_model import EngineModel
 from ._mechanisms import Mechanism
 from ._prompts import Prompt
@@ -56,82 +58,18 @@
 """Upstreams that one decision evaluates although they do not match the request: unreserved ones for
 a steady stream, reserved ones for any other request."""
 
+SPILL_REGIONS = 2
+"""Other regions of which one decision evaluates an upstream, the nearest ones. One upstream of
+each: the processes of a hot region would fall upon all idle ones of a cool region at once."""
+
+NEARLY_EQUAL_SHARE = 0.05
+"""Difference between costs up to which the nearer upstream is used, as a share of the target."""
+
 OLDEST_WAIT_SHARE = 0.5
 """Lower limit of the predicted delay of a new request, as a share of the age of the oldest
 unanswered request at the upstream."""
 
 
-@attrs.frozen
-class Demand:
-    """Requirements of one request.
-
-    Parameters
-    ----------
-    prompt : Prompt
-    target_s : float
-        Target for the time to the first token, seconds.
-    patience_s : float
-        Time limit of the complete answer, seconds.
-    short_s : float
-        Reading time up to which the prompt overtakes others at the upstream, seconds.
-    is_steady : bool
-        Whether the answer is a steady stream: its target for pauses is stricter than that of
-        other streams.
-    software_version : str or None
-        Software version of the upstreams that may write the answer; None for any.
-    is_suspect : bool
-        Whether the request may crash the upstream that begins to answer it.
-    """
-
-    prompt: Prompt
-    target_s: float
-    patience_s: float
-    short_s: float = 0.0
-    is_steady: bool = False
-    software_version: str | None = None
-    is_suspect: bool = False
-
-    def accepts(self, upstream: Upstream) -> bool:
-        """Return whether an upstream may write the answer."""
-        return self.software_version in (None, upstream.entry.software_version)
-
-
-@attrs.frozen
-class Placement:
-    """A candidate upstream for one request, with the predicted times.
-
-    Parameters
-    ----------
-    upstream : Upstream
-    first_token_s : float
-        Predicted time to the first token, seconds.
-    backlog_s : float
-        The share of it spent on reading other prompts, seconds.
-    answer_s : float
-        Predicted time from the first token to the end of the answer, seconds.
-    tokens : int
-        Prompt tokens that must be read for the request.
-    is_cached : bool
-        Whether all shared parts are cached at the upstream or are fetched.
-    source : Upstream or None
-        The upstream that missing shared parts are fetched from.
-    fetched_tokens : int
-        Prompt tokens that are fetched.
-    is_short : bool
-        Whether the reading time is short enough for the request to overtake others.
-    """
-
-    upstream: Upstream
-    first_token_s: float
-    backlog_s: float
-    answer_s: float
-    tokens: int
-    is_cached: bool
-    source: Upstream | None = None
-    fetched_tokens: int = 0
-    is_short: bool = False
-
-
 class PlacementRound:
     """A snapshot of the upstreams of a service, for all decisions of one moment.
 
@@ -149,6 +87,7 @@
         self.now = now
         self._usable = usable_upstreams(upstreams, (), now, model.switches)
         self._is_restricted = any(item.is_restricted(now) for item in upstreams)
+        self._usable_inside: dict[Homes, Sequence[Upstream]] = {}
         self._reserved: frozenset[str] = frozenset()
         if model.switches.uses(Mechanism.SET_APART):
             # Healthy or not, all that accept work: the choice must not change with each failure.
@@ -179,6 +118,8 @@
         """
         prompt = demand.prompt
         holders = find_holders(filter(demand.accepts, self.upstreams), prompt, self.now)
+        if self.model.region_map.has_several:
+            return self._place_over_regions(demand, holders, tried)
         best: Placement | None = None
         best_cost = float("inf")
         for rank, upstream in enumerate(self._list_candidates(demand, holders, tried)):
@@ -188,31 +129,115 @@
                 best, best_cost = placement, cost
         return best
 
+    def _place_over_regions(
+        self, demand: Demand, holders: Sequence[Holder], tried: Collection[str]
+    ) -> Placement | None:
+        """Return the best placement where upstreams lie in several regions.
+
+        Notes
+        -----
+        Each region has its own preferred upstream of a part, since reading a part again in another
+        region costs less than that all prompts with it cross. Among placements that cost nearly the
+        same, a nearer one is used: bytes between failure domains are not free.
+        """
+        regions, now = self.model.region_map, self.now
+        ranked = _rank_by_region(holders, regions)
+        primary, candidates = self._choose_over_regions(demand, tried, ranked)
+        is_held = any(
+            holder.missing <= demand.prompt.own_tokens
+            and regions.region_of(_domain(holder.upstream)) == primary
+            for holder in holders
+        )
+        found = []
+        for rank, upstream in enumerate(candidates):
+            placement = _estimate_over_regions(upstream, demand, ranked, self.model, now)
+            cost = self._cost(placement, demand, max(rank, int(is_held)))
+            found.append((cost, placement))
+        least = min((cost for cost, _ in found), default=0.0)
+        close = [item for item in found if item[0] <= least + NEARLY_EQUAL_SHARE * demand.target_s]
+        chosen = min(
+            close, key=lambda item: (regions.ring(_domain(item[1].upstream)), item[0]), default=None
+        )
+        return None if chosen is None else chosen[1]
+
+    def _choose_over_regions(
+        self, demand: Demand, tried: Collection[str], holders: Sequence[Holder]
+    ) -> tuple[str | None, list[Upstream]]:
+        """Return the region that a prompt prefers and the candidates, those of this region first.
+
+        The own region is preferred, or the nearest one if the own has no upstream for the prompt.
+        """
+        regions, delays = self.model.region_map, self.model.delays
+        usable = self._list_usable(demand, tried)
+        by_region: dict[str | None, list[Upstream]] = {}
+        for item in usable:
+            by_region.setdefault(regions.region_of(_domain(item)), []).append(item)
+        nearest = sorted(
+            by_region,
+            key=lambda region: (
+                region != regions.own_region,
+                delays.way_s(region),
+                region or "",
+            ),
+        )
+        if not nearest:
+            return regions.own_region, []
+        primary, *others = nearest
+        if demand.is_suspect:
+            return primary, self._least_needed(by_region[primary])
+        found = self._rank_candidates(demand, by_region[primary])
+        for region in others[:SPILL_REGIONS]:
+            found += self._rank_candidates(demand, by_region[region], 1)
+        return primary, self._add_holders(found, holders, usable)
+
+    def _list_usable(self, demand: Demand, tried: Collection[str]) -> Sequence[Upstream]:
+        """Return the upstreams that a request may be sent to."""
+        homes = demand.homes
+        usable = self._usable if homes is None else self._usable_inside.get(homes)
+        # A request that has started in this round may have used the last start that was held.
+        if usable is None or tried or self._is_restricted:
+            # Those outside are removed first: an upstream inside that fails is used if no other is
+            # left there, however healthy the others are.
+            inside = self.upstreams
+            if homes is not None:
+                inside = [item for item in inside if homes.allows_domain(_domain(item))]
+            usable = usable_upstreams(inside, tried, self.now, self.model.switches)
+            if homes is not None and not tried:
+                self._usable_inside[homes] = usable
+        if demand.software_version is not None:
+            usable = list(filter(demand.accepts, usable))
+        return usable
+
     def _list_candidates(
         self, demand: Demand, holders: Sequence[Holder], tried: Collection[str]
     ) -> list[Upstream]:
         """Return the candidate upstreams, the preferred one of the prompt first."""
+        usable = self._list_usable(demand, tried)
+        if demand.is_suspect:
+            return self._least_needed(usable)
+        return self._add_holders(self._rank_candidates(demand, usable), holders, usable)
+
+    def _rank_candidates(
+        self, demand: Demand, usable: Sequence[Upstream], most: int | None = None
+    ) -> list[Upstream]:
+        """Return the preferred upstreams of a prompt, at most some of them."""
         prompt = demand.prompt
-        preferred_count = (
+        preferred_count = most or (
             PREFERRED_CANDIDATES
             if self.model.processes < LARGE_FLEET_PROCESSES
             else PREFERRED_CANDIDATES_LARGE_FLEET
         )
-        usable = self._usable
-        if tried or self._is_restricted:
-            # A request that has started in this round may have used the last start that was held.
-            usable = usable_upstreams(self.upstreams, tried, self.now, self.model.switches)
-        if demand.software_version is not None:
-            usable = list(filter(demand.accepts, usable))
-        if demand.is_suspect:
-            return self._least_needed(usable)
         if self._reserved:
             matching = [item for item in usable if self._is_reserved(item) == demand.is_steady]
             mismatched = [item for item in usable if self._is_reserved(item) != demand.is_steady]
             found = rank_preferred_upstreams(matching, prompt.key, preferred_count)
             found += rank_preferred_upstreams(mismatched, prompt.key, FALLBACK_CANDIDATES)
-        else:
-            found = rank_preferred_upstreams(usable, prompt.key, preferred_count)
+            return found[:most]
+        return rank_preferred_upstreams(usable, prompt.key, preferred_count)
+
+    def _add_holders(
+        self, found: list[Upstream], holders: Sequence[Holder], usable: Sequence[Upstream]
+    ) -> list[Upstream]:
         for holder in holders[:HOLDER_CANDIDATES]:
             if holder.upstream in usable and holder.upstream not in found:
                 found.append(holder.upstream)
@@ -309,6 +334,45 @@
     return may_send and not upstream.health.suspended(now)
 
 
+def _rank_by_region(holders: Sequence[Holder], regions: RegionMap) -> list[Holder]:
+    """Return holders with the fewest missing tokens first, and among equals the nearest."""
+    return sorted(
+        holders,
+        key=lambda holder: (holder.missing, regions.ring(_domain(holder.upstream))),
+    )
+
+
+def _domain(upstream: Upstream) -> str:
+    return upstream.entry.failure_domain
+
+
+def _estimate_over_regions(
+    upstream: Upstream,
+    demand: Demand,
+    holders: Sequence[Holder],
+    model: EngineModel,
+    now: float,
+) -> Placement:
+    """Return the placement at an upstream, with the ways to it and to the fetch source."""
+    regions, delays = model.region_map, model.delays
+    region = regions.region_of(_domain(upstream))
+    way_s = demand.round_trips * delays.way_s(region)
+    missing = upstream.memory.missing(demand.prompt)
+    source, fetched, gain_s, fetch_way_s = None, 0, 0.0, 0.0
+    for holder in holders if model.switches.uses(Mechanism.FETCHES) else ():
+        tokens = missing - holder.missing
+        if tokens <= 0:
+            break
+        if holder.upstream is upstream:
+            continue
+        between_s = delays.between_s(region, regions.region_of(_domain(holder.upstream)))
+        gained_s = model.reading_s(upstream, tokens, now) - model.fetch_s(tokens) - between_s
+        if gained_s > gain_s:
+            source, fetched = holder.upstream, tokens
+            gain_s, fetch_way_s = gained_s, between_s
+    return _predict(upstream, demand, source, missing, fetched, model, now, way_s + fetch_way_s)
+
+
 def _estimate(
     upstream: Upstream,
     demand: Demand,
@@ -316,9 +380,23 @@
     model: EngineModel,
     now: float,
 ) -> Placement:
-    prompt = demand.prompt
-    missing = upstream.memory.missing(prompt)
+    missing = upstream.memory.missing(demand.prompt)
     source, fetched = _find_source(upstream, missing, holders, model, now)
+    return _predict(upstream, demand, source, missing, fetched, model, now)
+
+
+def _predict(
+    upstream: Upstream,
+    demand: Demand,
+    source: Upstream | None,
+    missing: int,
+    fetched: int,
+    model: EngineModel,
+    now: float,
+    way_s: float = 0.0,
+) -> Placement:
+    """Return the placement at an upstream that fetches some of the missing tokens."""
+    prompt = demand.prompt
     read = missing - fetched
     backlog = upstream.pending.tokens(now)
     is_short = model.reading_s(upstream, read, now) <= demand.short_s
@@ -329,7 +407,7 @@
     overdue = OLDEST_WAIT_SHARE * upstream.pending.oldest_s(now)
     return Placement(
         upstream,
-        max(predicted, overdue),
+        max(predicted, overdue) + way_s,
         model.reading_s(upstream, backlog, now),
         model.answer_s(upstream, prompt.answer_tokens, now),
         read,
@@ -337,6 +415,7 @@
         source,
         fetched,
         is_short,
+        way_s,
     )
 
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -10,9 +10,10 @@
 import attrs
 
 from ._config import ServiceTargets
+from ._demand import Demand, Placement
 from ._engine_model import EngineModel
 from ._mechanisms import Mechanism
-from ._placing import LARGE_FLEET_PROCESSES, Demand, Placement, PlacementRound
+from ._placing import LARGE_FLEET_PROCESSES, PlacementRound
 from ._upstreams import Upstream
 
 BACKLOG_WINDOW_SHARE = 0.6
@@ -119,6 +120,10 @@
         """Add a waiting request."""
         self._waiting.append(waiting)
 
+    def all(self) -> Sequence[WaitingPrompt]:
+        """Return the waiting requests."""
+        return tuple(self._waiting)
+
     def remove(self, waiting: WaitingPrompt) -> None:
         """Remove a request; do nothing if it is not in the queue."""
         if waiting in self._waiting:
@@ -241,7 +246,9 @@
     placement = round_.place(item.demand, item.tried)
     if placement is None:
         return None
-    soonest_s = model.first_token_s(placement.upstream, placement.tokens, now, placement.is_short)
+    soonest_s = placement.way_s + model.first_token_s(
+        placement.upstream, placement.tokens, now, placement.is_short
+    )
     late = now + TARGET_MARGIN * soonest_s > item.target_at
     late_with_backlog = now + TARGET_MARGIN * placement.first_token_s > item.target_at
     late_last = model.switches.uses(Mechanism.LATE_LAST)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -286,8 +286,18 @@
     HOMES_FAULT = (
         1944,
         "ERROR",
-        "The homes of a route or an organisation cannot be read, or name no region: none of its "
-        "requests is served until they can.",
+        "The homes of a route or an organisation cannot be read, or name no known region: none of "
+        "its requests is served until they do. Once for each version of the configuration.",
+    )
+    REGIONS_SET = (
+        1959,
+        "INFO",
+        "The settings name several regions: the one of this process, and all of them.",
+    )
+    REGION_WAY_CHANGED = (
+        1960,
+        "NOTICE",
+        "The measured round trip to another region has changed; placement adds it to predictions.",
     )
     UPSTREAM_COLD = (
         1945,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 
 import attrs
 from aiohttp import web
 
+from burdockquay_coordination import Homes
 from burdockquay_coordination.forwarding import (
     ForwardRoute,
     RouteKind,
@@ -79,6 +81,9 @@
         Whether it tests prompt parts that are refused.
     was_woken : bool
         Whether it has waited for a start at a limited upstream and it is its turn.
+    find_homes : callable
+        Returns the regions in which it may be served by the configuration now in force, None for
+        any.
     """
 
     incoming: web.BaseRequest
@@ -112,14 +117,28 @@
     is_counted: bool = False
     is_trial: bool = False
     was_woken: bool = False
+    find_homes: Callable[[ForwardCall], Homes | None] = lambda call: None
+
+    @property
+    def homes(self) -> Homes | None:
+        """Regions in which it may be served now, None for any."""
+        return self.find_homes(self)
+
+    def is_inside(self, upstream: Upstream) -> bool:
+        """Return whether an upstream lies in the homes of the call."""
+        homes = self.homes
+        return homes is None or homes.allows_domain(upstream.entry.failure_domain)
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the rest of the stream fits if an upstream writes it."""
         return self.software_version in (None, upstream.entry.software_version)
 
     def candidates(self, upstream_registry: UpstreamRegistry) -> list[Upstream]:
-        """Return the upstreams of the service that may run the call by their version."""
+        """Return the upstreams of the service that may run the call by version and homes."""
         found = upstream_registry.of_service(self.service)
+        homes = self.homes
+        if homes is not None:
+            found = [item for item in found if homes.allows_domain(item.entry.failure_domain)]
         return found if self.software_version is None else list(filter(self.accepts, found))
 
     def record_events(self, now: float) -> None:
@@ -135,6 +154,11 @@
         """Kind and priority of the route, by which the metrics of requests are labelled."""
         return (self.route.kind.value, str(self.route.priority))
 
+    @property
+    def round_trips(self) -> int:
+        """Round trips before an upstream can read it: one more if it needs a new connection."""
+        return 1 if self.route.repeatable else 2
+
     @property
     def by_prompt(self) -> bool:
         """Whether upstreams are chosen by the prompt."""
@@ -226,4 +250,6 @@
         return RequestError(ErrorKind.UPSTREAM_FAILED)
     if call.sends:
         return RequestError(ErrorKind.NO_PLACE)
-    return RequestError(ErrorKind.NO_UPSTREAM)
+    homes = call.homes
+    detail = "" if homes is None else f"homes {homes.describe()}"
+    return RequestError(ErrorKind.NO_UPSTREAM, detail)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -61,6 +61,10 @@
     """The upstream has stated that it wants no requests; nothing was written."""
 
 
+class OtherHeldBackError(HeldBackError):
+    """Another upstream that the send would involve may not be used; nothing was written."""
+
+
 class BrokenError(Exception):
     """The connection broke after the request was sent; it may have run."""
 
@@ -91,17 +95,28 @@
     check: Callable[[], None]
 
 
+RecordConnect = Callable[[str, float], None]
+"""Called with a failure domain and the time in which a connection to it was opened, seconds."""
+
+
 class UpstreamConnections:
-    """Client sessions of a forwarder; call ``open`` inside a running event loop."""
+    """Client sessions of a forwarder; call ``open`` inside a running event loop.
+
+    Parameters
+    ----------
+    record_connect : callable or None
+        See :data:`RecordConnect`.
+    """
 
-    def __init__(self):
+    def __init__(self, record_connect: RecordConnect | None = None):
+        self._record_connect = record_connect
         self._reusing: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
 
     def open(self) -> None:
         """Open the sessions."""
-        self._reusing = _make_session(reuse=True)
-        self._fresh = _make_session(reuse=False)
+        self._reusing = _make_session(True, self._record_connect)
+        self._fresh = _make_session(False, self._record_connect)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -141,7 +156,7 @@
                 skip_auto_headers=_OWN_HEADERS,
                 allow_redirects=False,
                 middlewares=(SendOnce(),),
-                trace_request_ctx=send.check,
+                trace_request_ctx=send,
             )
         except CONNECT_ERRORS as error:
             raise NotSentError(type(error).__name__) from error
@@ -208,7 +223,7 @@
         raise BrokenError("connection reset at the end of the body")
 
 
-def _make_session(reuse: bool) -> aiohttp.ClientSession:
+def _make_session(reuse: bool, record_connect: RecordConnect | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
         limit=0,
         force_close=not reuse,
@@ -222,16 +237,26 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         max_line_size=MAX_HEAD_LINE_BYTES,
         max_field_size=MAX_HEAD_LINE_BYTES,
-        trace_configs=[_make_trace()],
+        trace_configs=[_make_trace(record_connect)],
     )
 
 
-def _make_trace() -> aiohttp.TraceConfig:
+def _make_trace(record_connect: RecordConnect | None) -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
 
     async def check(session, context, params) -> None:
-        context.trace_request_ctx()
+        context.trace_request_ctx.check()
+
+    async def begin(session, context, params) -> None:
+        context.begun_at = asyncio.get_running_loop().time()
+
+    async def record(session, context, params) -> None:
+        took_s = asyncio.get_running_loop().time() - context.begun_at
+        record_connect(context.trace_request_ctx.upstream.failure_domain, took_s)
 
+    if record_connect is not None:
+        trace.on_connection_create_start.append(begin)
+        trace.on_connection_create_end.append(record)
     trace.on_connection_create_end.append(check)
     trace.on_connection_reuseconn.append(check)
     return trace
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from burdockquay_coordination import Homes, RegionDelays
 from burdockquay_coordination.forwarding import (
     LARGE_FLEET_PROCESSES,
     SHORT_READING_SHARE,
@@ -67,6 +68,8 @@
     held_calls : HeldCalls
     may_crash : callable
         Returns whether a call may crash the upstream that begins to answer it.
+    delays : RegionDelays or None
+        Distances of the regions; None where the settings name none.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         switches: Switches,
         held_calls: HeldCalls,
         may_crash: Callable[[ForwardCall], bool],
+        delays: RegionDelays | None = None,
     ):
         self.service = service
         self.upstream_registry = upstream_registry
@@ -88,7 +92,7 @@
         self.rate_limits = held_calls.rate_limits
         self.held_calls = held_calls
         self.may_crash = may_crash
-        self.model = EngineModel(switches)
+        self.model = EngineModel(switches, delays)
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = 0.0
@@ -153,8 +157,9 @@
         )
         self.record_prediction_ratio(seconds / sent.placement.first_token_s)
         tokens, fetched = sent.placement.tokens, sent.placement.fetched_tokens
+        read_s = max(0.0, seconds - sent.placement.way_s)
         self.model.update_first_token(
-            upstream, sent.ahead, tokens, seconds, now, fetched, sent.placement.is_short
+            upstream, sent.ahead, tokens, read_s, now, fetched, sent.placement.is_short
         )
         upstream.record_prompt_read(sent.prompt)
         self._remove(sent)
@@ -201,6 +206,7 @@
         self.model.processes = self.upstream_registry.processes
         if not upstreams:
             self._resolve_all(None)
+        self._refuse_without_home(upstreams)
         if self.model.processes >= LARGE_FLEET_PROCESSES:
             self._record_backlog(upstreams, now)
         for start in self.queue.take_starts(upstreams, self.model, self.targets(), now):
@@ -215,6 +221,25 @@
                 refusal or RequestError(ErrorKind.OVERLOADED, self._describe_backlog(now))
             )
 
+    def _refuse_without_home(self, upstreams: Sequence[Upstream]) -> None:
+        """Refuse requests at once whose homes have no upstream, as if the service had none."""
+        present: dict[Homes | None, bool] = {None: True}
+        for waiting in self.queue.all():
+            homes = waiting.demand.homes
+            if homes not in present:
+                domains = {item.entry.failure_domain for item in upstreams}
+                present[homes] = any(map(homes.allows_domain, domains))
+            if not present[homes]:
+                self.queue.remove(waiting)
+                waiting.owner.resolve(None)
+
+    def apply_homes(self) -> None:
+        """Apply the homes of the configuration now in force to the requests that wait."""
+        for waiting in self.queue.all():
+            homes = waiting.owner.call.homes
+            if homes is not waiting.demand.homes:
+                waiting.demand = attrs.evolve(waiting.demand, homes=homes)
+
     def _record_backlog(self, upstreams: Sequence[Upstream], now: float) -> None:
         """Update the decision whether upstreams are reserved for steady streams."""
         backlogs = self._backlogs_s(upstreams, now)
@@ -288,6 +313,8 @@
             is_steady,
             call.software_version,
             self.may_crash(call),
+            call.homes,
+            call.round_trips,
         )
 
     def _resolve_all(self, result: SentPrompt | None) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -105,6 +105,12 @@
             registry=self.registry,
         )
 
+        self.region_ways = Gauge(
+            "forwarder_region_way_seconds",
+            "Measured round trip to another region, beyond that within the own one.",
+            ["region"],
+            registry=self.registry,
+        )
         self.rate_limit = Gauge(
             "forwarder_upstream_rate_limit",
             "Requests per second that an upstream takes from all processes, if limited.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -48,6 +48,7 @@
     key: tuple[int, float]
     number: int
     woken: asyncio.Future = attrs.field(order=False)
+    call: ForwardCall = attrs.field(order=False)
 
 
 class HeldCalls:
@@ -87,10 +88,15 @@
         if self._waiting.get(upstream.entry.service):
             self._wake_next(upstream.entry.service)
 
-    def has_earlier_waiting(self, call: ForwardCall) -> bool:
-        """Return whether plain requests that go before a new one wait."""
+    def has_earlier_waiting(self, call: ForwardCall, upstream: Upstream) -> bool:
+        """Return whether plain requests wait that go before a new one at an upstream."""
         queue = self._waiting.get(call.service)
-        return bool(queue) and not call.was_woken and queue[0].key <= (call.rank, call.started)
+        if not queue or call.was_woken or queue[0].key > (call.rank, call.started):
+            return False
+        return any(
+            item.key <= (call.rank, call.started) and item.call.is_inside(upstream)
+            for item in queue
+        )
 
     def may_start_later(self, call: ForwardCall) -> bool:
         """Return whether an upstream that has not been tried may take a call later."""
@@ -120,7 +126,7 @@
             return False
         queue = self._waiting[call.service]
         woken = asyncio.get_running_loop().create_future()
-        entry = _WaitingCall((call.rank, call.started), next(self._numbers), woken)
+        entry = _WaitingCall((call.rank, call.started), next(self._numbers), woken, call)
         heapq.heappush(queue, entry)
         self.rate_limits.want_waiting(call.service, Counter(item.key[0] for item in queue))
         try:
@@ -173,15 +179,16 @@
     def _wake_next(self, service: str) -> None:
         """Let the first plain requests that wait try again, one for each upstream with a start.
 
-        Each wakes the next one when it has taken its start.
+        Each wakes the next one when it has taken its start. A request whose homes do not include
+        the upstream would only wait again.
         """
         now = self.clock.now()
         queue = self._waiting[service]
         upstreams = self.upstream_registry.of_service(service)
-        free = sum(item.may_start(now) for item in upstreams if item.accepts_work())
-        for _ in range(min(free, len(queue))):
-            waiting = heapq.heappop(queue)
-            if not waiting.woken.done():
+        free = [item for item in upstreams if item.accepts_work() and item.may_start(now)]
+        for upstream in free:
+            waiting = _pop_first(queue, upstream)
+            if waiting is not None and not waiting.woken.done():
                 waiting.woken.set_result(None)
 
     def _able_upstreams(self, call: ForwardCall) -> list[Upstream]:
@@ -202,3 +209,14 @@
         return max(
             MIN_WAIT_SLICE_S, min((item for item in waits if item), default=MAX_WAIT_SLICE_S)
         )
+
+
+def _pop_first(queue: list[_WaitingCall], upstream: Upstream) -> _WaitingCall | None:
+    """Remove and return the first request whose homes include an upstream, None if none waits."""
+    if not queue or queue[0].call.is_inside(upstream):
+        return heapq.heappop(queue) if queue else None
+    found = min((item for item in queue if item.call.is_inside(upstream)), default=None)
+    if found is not None:
+        queue.remove(found)
+        heapq.heapify(queue)
+    return found
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -325,6 +325,7 @@
             started,
             started + patience,
             directory.rank(route, organisation),
+            find_homes=self.state.find_homes,
         )
         if self.state.is_crash_suspect(call):
             detail = f"{self.state.suspects.crashes(call.digest)} crashes, digest {call.digest}"
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -38,11 +38,13 @@
     BrokenError,
     HeldBackError,
     NotSentError,
+    OtherHeldBackError,
     Send,
     accepts_connections,
 )
 from ._platform import SendTerms
 from ._send_conditions import (
+    check_homes,
     check_statements,
     check_version,
     fetch_source,
@@ -160,9 +162,13 @@
             now,
             state.rng,
             state.switches,
+            state.delays,
+            call.round_trips,
         )
         is_restricted = chosen is not None and chosen.is_restricted(now)
-        return None if is_restricted and state.held_calls.has_earlier_waiting(call) else chosen
+        return (
+            None if is_restricted and state.held_calls.has_earlier_waiting(call, chosen) else chosen
+        )
 
     def _can_continue_from_copy(self, call: ForwardCall) -> bool:
         """Return whether a run can continue from the copy of its memory at another upstream.
@@ -173,7 +179,7 @@
         backup = call.backup
         if backup is None or call.last_event is None or not backup.accepts_work():
             return False
-        if not call.accepts(backup):
+        if not call.accepts(backup) or not call.is_inside(backup):
             return False
         return backup.may_start(self.state.clock.now())
 
@@ -215,7 +221,8 @@
 
     def _may_retry(self, call: ForwardCall, outcome: Outcome) -> bool:
         if isinstance(outcome, HeldBack):
-            return True
+            # A run continues only where its copy is, and not there if that is outside its homes.
+            return call.continue_at is None or call.is_inside(call.continue_at)
         if isinstance(outcome, NotSent):
             return call.unreachable < MAX_UNREACHABLE_UPSTREAMS
         if call.sends >= call.route.max_attempts:
@@ -304,6 +311,8 @@
                 call.sends += 1
                 return await self._answer_handler.handle(call, upstream, response)
         except HeldBackError as error:
+            if isinstance(error, OtherHeldBackError):
+                call.tried.discard(upstream.id)
             return HeldBack(upstream, str(error))
         except NotSentError as error:
             call.unreachable += 1
@@ -343,6 +352,7 @@
             service=call.service,
             upstream=upstream.id,
             software=upstream.entry.software_version or None,
+            region=self._describe_region(upstream),
             sends=call.sends,
             waited_s=now - call.started,
             remaining_s=call.deadline - now,
@@ -367,6 +377,11 @@
             config_age_s=self.state.lease.age(now),
         )
 
+    def _describe_region(self, upstream: Upstream) -> str | None:
+        """Return the region of an upstream where there are several."""
+        regions = self.state.region_map
+        return regions.region_of(upstream.entry.failure_domain) if regions.has_several else None
+
     def _describe_listing(self, upstream: Upstream) -> str | None:
         """Return why a usable upstream is not listed as ready, None if it is."""
         if upstream.id in self.state.upstream_registry.missing:
@@ -401,10 +416,16 @@
         answer_s = call.sent.placement.answer_s
         if state.losses(call.service).is_copy_worthwhile(answer_s, len(others), now):
             version = upstream.entry.software_version
-            fitting = [item for item in others if item.entry.software_version == version]
-            call.backup = choose_backup(fitting, upstream, now, state.rng)
+            fitting = [
+                item
+                for item in others
+                if item.entry.software_version == version and call.is_inside(item)
+            ]
+            call.backup = choose_backup(fitting, upstream, now, state.rng, state.region_map)
 
     def _compose(self, call: ForwardCall, upstream: Upstream) -> Send:
+        if call.backup is not None and not call.is_inside(call.backup):
+            call.backup = None
         self._choose_backup(call, upstream)
         terms = SendTerms(
             upstream.id,
@@ -422,6 +443,7 @@
             self.check_key(call)
             self._check_parts(call)
             check_version(call, upstream)
+            check_homes(call, upstream)
             check_statements(upstream, self.state.clock.now())
 
         self.check_key(call)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
@@ -10,7 +10,7 @@
 from burdockquay_protocol import ErrorKind, RequestError
 
 from ._call import ForwardCall, failure_of
-from ._connections import HeldBackError
+from ._connections import HeldBackError, OtherHeldBackError
 
 
 def check_version(call: ForwardCall, upstream: Upstream) -> None:
@@ -24,6 +24,28 @@
         raise HeldBackError(f"upstream {upstream.id} has another software version")
 
 
+def check_homes(call: ForwardCall, upstream: Upstream) -> None:
+    """Raise if a send would leave the homes that the configuration now states.
+
+    A new configuration may have been read while a connection was opened. The fetch source and the
+    keeper of the copy receive data of the request, too.
+
+    Raises
+    ------
+    HeldBackError
+    OtherHeldBackError
+        If only one of the latter is outside.
+    """
+    if call.homes is None:
+        return
+    source = call.sent.placement.source if call.sent else None
+    if not call.is_inside(upstream):
+        raise HeldBackError(f"upstream {upstream.id} lies outside the homes of the request")
+    for item in (source, call.backup):
+        if item is not None and not call.is_inside(item):
+            raise OtherHeldBackError(f"{item.id} lies outside the homes of the request")
+
+
 def check_statements(upstream: Upstream, now: float) -> None:
     """Raise if an upstream wants no requests any more.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -90,7 +90,7 @@
         Length of a window of reported usage, and time after its end at which its report is due,
         seconds.
     regions : dict of str to str
-        Region of each failure domain; a domain that is not named has no region.
+        Region of each failure domain; a domain that is not named has no region. None names none.
     cold_overage, cold_slack : float
         A cold upstream gets at most its rate times the first, plus the second, in any one second.
     mechanisms_off : list of str
@@ -118,7 +118,7 @@
         "retry_ratio": [Interval(float, 0.0, 10.0)],
         "retry_burst": [Interval(float, 0.0, 100_000.0)],
         "retry_window_s": _SECONDS,
-        "regions": [MappingOf(NAME, NAME)],
+        "regions": [MappingOf(NAME, NAME), InstanceOf(type(None))],
         "cold_overage": [Interval(float, 1.0, 100.0)],
         "cold_slack": [Interval(float, 0.0, 100_000.0)],
         "mechanisms_off": [ListOf(OneOf(tuple(map(str, Mechanism))))],
@@ -144,7 +144,9 @@
     duty_lease_ms: float = 3000.0
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
-    regions: dict[str, str] = attrs.field(factory=dict)
+    regions: dict[str, str] = attrs.field(
+        factory=dict, converter=attrs.converters.default_if_none(factory=dict)
+    )
     cold_overage: float = 1.0
     cold_slack: float = 1.0
     mechanisms_off: list[str] = attrs.field(factory=list)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -8,7 +8,13 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
-from burdockquay_coordination import FleetSize, SharedRetryBudget
+from burdockquay_coordination import (
+    FleetSize,
+    Homes,
+    RegionDelays,
+    RegionMap,
+    SharedRetryBudget,
+)
 from burdockquay_coordination.forwarding import (
     ConfigDirectory,
     ConfigVersionTracker,
@@ -95,7 +101,11 @@
         self.connected_peers: Callable[[], int] = lambda: 0
         self.streams = StreamVersions()
         self.others = PeerAvailability()
-        self.connections = UpstreamConnections()
+        self.region_map = RegionMap(settings.regions, settings.failure_domain)
+        self.delays = RegionDelays(self.region_map)
+        self.connections = UpstreamConnections(
+            self._record_connect if self.region_map.has_several else None
+        )
         self.leaving = False
         self.started_at = clock.now()
         self.metrics = ForwarderMetrics()
@@ -144,7 +154,11 @@
         """Apply a configuration unless a newer one is in force; return whether it was applied."""
         if self.directory is not None and config.version <= self.directory.config.version:
             return False
-        self.directory = ConfigDirectory(config)
+        self.directory = ConfigDirectory(config, self.region_map)
+        for item in self.directory.without_home():
+            log_event(Event.HOMES_FAULT, name=item.name[:64], revision=config.version)
+        for dispatcher in self._dispatchers.values():
+            dispatcher.apply_homes()
         self.config_versions.record_held_version(config.version, self.clock.now())
         self.upstream_registry.set_memory_capacities(
             {item.service: item.tokens for item in config.memories}
@@ -173,10 +187,30 @@
                 self.switches,
                 self.held_calls,
                 self.may_crash,
+                self.delays,
             )
             self._dispatchers[service] = found
         return found
 
+    def find_homes(self, call: ForwardCall) -> Homes | None:
+        """Return the regions in which a call may be served by the configuration now in force."""
+        directory = self.directory
+        if not directory.names_homes:
+            return None
+        request = call.request
+        return directory.homes(request.host, request.path, call.organisation, call.route)
+
+    def _record_connect(self, failure_domain: str, seconds: float) -> None:
+        region = self.region_map.region_of(failure_domain)
+        change = self.delays.record_connect(region, seconds, self.clock.now())
+        if change is not None:
+            log_event(
+                Event.REGION_WAY_CHANGED,
+                region=change.region,
+                seconds=change.seconds,
+                previous_s=change.previous_s,
+            )
+
     def closes_new_connections(self) -> bool:
         """Return whether callers that connect now are better served by another process."""
         now = self.clock.now()
@@ -222,6 +256,11 @@
             metrics.retry_burst.labels(service).set(self.budget(service).burst or 0.0)
         self.rate_limits.refresh_gauges()
         self.statements.refresh_gauges()
+        if self.region_map.has_several:
+            self.delays.expire(now)
+            metrics.region_ways.clear()
+            for region, way_s in self.delays.measured().items():
+                metrics.region_ways.labels(region).set(way_s)
         suspects, refused = self.parts.count_states()
         metrics.crash_parts.labels("suspect").set(suspects)
         metrics.crash_parts.labels("refused").set(refused)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -105,6 +105,13 @@
         exchange = FeedExchange(rng, Switches(settings.mechanisms_off))
         self._state = ForwarderState(settings, platform_class(address, exchange), clock, rng)
         self._tasks = BackgroundTasks()
+        regions = self._state.region_map
+        if regions.has_several:
+            log_event(
+                Event.REGIONS_SET,
+                region=regions.own_region,
+                regions=",".join(sorted(regions.names)),
+            )
         await self._state.platform.open()
         self._state.connections.open()
         self._ingress = Ingress(self._state)
