Let regions exchange loads and outcomes through one relay each

Cause: the relays of failure domains exchange in pairs; two regions of three domains have nine pairs across, and each carries the changes of one domain. Change: each region has a gateway, the relay of its first domain in an order that all processes compute. It sends the sum of its region, and adds the sums of the others to what it sends within. From protocol version 12; with an older process connected, or one region, the messages are as before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -43,6 +43,7 @@
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
+from ._relay_groups import RelayGroups, group_relays
 from ._retry_after import PeerAvailability, limited_delay_s, rest_delay_s, retry_delay_s
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
@@ -137,7 +138,9 @@
     "is_poller",
     "place_prompt",
     "rank_processes",
+    "RelayGroups",
     "RelaySelector",
+    "group_relays",
     "split_by_domain",
     "request_priority",
     "retry_delay_s",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
@@ -102,16 +103,31 @@
     parts: Mapping[str, Mapping[str, int]]
 
 
+class Ring(enum.IntEnum):
+    """Where a process lies from which a relay receives, or to which it sends."""
+
+    NEAR = 0
+    """In the failure domain of the relay."""
+    FAR = 1
+    """The relay of another failure domain."""
+    ACROSS = 2
+    """The relay of another region, of which only one process of each region receives."""
+
+
 @attrs.define
 class _Source:
     shares: dict[str, LoadShare]
     at: float
-    is_near: bool
+    ring: Ring
+
+    @property
+    def is_near(self) -> bool:
+        return self.ring is Ring.NEAR
 
 
 @attrs.define
 class _Target:
-    is_near: bool
+    ring: Ring
     sent: dict[str, LoadShare] = attrs.field(factory=dict)
     sent_at: float = float("-inf")
     full_sent_at: float = float("-inf")
@@ -124,7 +140,9 @@
     If each process sent its loads to every other one, the number of messages would grow with the
     square of the processes, and loads would be as old as complete answers. Instead, a process sends
     its loads to one relay of its failure domain. The relay sends each process of the domain the sum
-    of all others, and the relays of the other domains the sum of its own domain.
+    of all others, and the relays of the other domains the sum of its own domain. Where regions
+    exchange through one relay each, that relay adds the sums of the other regions to what it sends
+    within its own, and sends the other regions the sum of its own.
 
     Examples
     --------
@@ -142,17 +160,37 @@
         self._targets: dict[str, _Target] = {}
 
     def receive_update(
-        self, source: str, shares: Shares, now: float, is_near: bool, is_whole: bool = True
+        self,
+        source: str,
+        shares: Shares,
+        now: float,
+        is_near: bool,
+        is_whole: bool = True,
+        is_across: bool = False,
     ) -> None:
-        """Apply the loads of a process of this domain, or of the relay of another one."""
+        """Apply the loads of a process of this domain, or of the relay of another one.
+
+        Parameters
+        ----------
+        source : str
+        shares : mapping of str to LoadShare
+        now : float
+        is_near : bool
+            Whether it is a process of this domain.
+        is_whole : bool
+            Whether all upstreams that are not in ``shares`` have no load.
+        is_across : bool
+            Whether it is the relay of another region.
+        """
+        ring = Ring.NEAR if is_near else Ring.ACROSS if is_across else Ring.FAR
         previous = {} if is_whole or source not in self._sources else self._sources[source].shares
-        self._sources[source] = _Source({**previous, **shares}, now, is_near)
+        self._sources[source] = _Source({**previous, **shares}, now, ring)
 
     def receive_parts(self, source: str, upstream: str, parts: Mapping[str, int]) -> None:
         """Queue the prompt parts that a process reports as read at an upstream."""
-        is_near = source in self._sources and self._sources[source].is_near
+        ring = self._sources[source].ring if source in self._sources else Ring.FAR
         for name, target in self._targets.items():
-            if name != source and (is_near or target.is_near):
+            if name != source and passes(ring, target.ring):
                 target.parts[upstream] |= parts
 
     def forget(self, source: str) -> None:
@@ -167,8 +205,10 @@
             if source.is_near and now - source.at <= PEER_LOAD_EXPIRY_S
         ]
 
-    def set_recipients(self, near: Iterable[str], far: Iterable[str]) -> list[str]:
-        """Set the recipients: processes of this domain, and relays of others.
+    def set_recipients(
+        self, near: Iterable[str], far: Iterable[str], across: Iterable[str] = ()
+    ) -> list[str]:
+        """Set the recipients: processes of this domain, relays of others and of other regions.
 
         Returns
         -------
@@ -176,14 +216,15 @@
             The processes of this domain that were not recipients before.
         """
         new = []
-        wanted = dict.fromkeys(far, False) | dict.fromkeys(near, True)
+        wanted = dict.fromkeys(across, Ring.ACROSS) | dict.fromkeys(far, Ring.FAR)
+        wanted |= dict.fromkeys(near, Ring.NEAR)
         for name in self._targets.keys() - wanted.keys():
             del self._targets[name]
-        for name, is_near in wanted.items():
+        for name, ring in wanted.items():
             previous = self._targets.get(name)
-            if previous is None or previous.is_near != is_near:
-                self._targets[name] = _Target(is_near)
-                new += [name] if is_near else []
+            if previous is None or previous.ring is not ring:
+                self._targets[name] = _Target(ring)
+                new += [name] if ring is Ring.NEAR else []
         return new
 
     def add_parts(self, target: str, upstream: str, parts: Mapping[str, int]) -> None:
@@ -196,17 +237,21 @@
             item for item, source in self._sources.items() if now - source.at > PEER_LOAD_EXPIRY_S
         ]:
             del self._sources[name]
-        local_shares = _sum_shares(item.shares for item in self._sources.values() if item.is_near)
-        all_shares = _sum_shares(
-            [local_shares, *(item.shares for item in self._sources.values() if not item.is_near)]
-        )
+        by_ring = {
+            ring: _sum_shares(item.shares for item in self._sources.values() if item.ring is ring)
+            for ring in Ring
+        }
+        views = {
+            target_ring: _sum_shares(
+                by_ring[ring] for ring in Ring if by_ring[ring] and passes(ring, target_ring)
+            )
+            for target_ring in {target.ring for target in self._targets.values()}
+        }
         composed = {}
         for name, target in self._targets.items():
-            view = (
-                _subtract_source(all_shares, self._sources.get(name))
-                if target.is_near
-                else local_shares
-            )
+            view = views[target.ring]
+            if target.ring is Ring.NEAR:
+                view = _subtract_source(view, self._sources.get(name))
             update = _compose(target, view, now)
             if update is not None:
                 composed[name] = update
@@ -217,6 +262,14 @@
         return self.compose_all(now).get(target)
 
 
+def passes(source: Ring, target: Ring) -> bool:
+    """Return whether a relay passes on what it received from a ring.
+
+    Relays of domains hear each other directly, and so do those of regions.
+    """
+    return Ring.NEAR in (source, target) or source is not target
+
+
 def _sum_shares(sources: Iterable[Shares]) -> dict[str, LoadShare]:
     total: dict[str, LoadShare] = {}
     for shares in sources:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_outcome_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_outcome_relay.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from ._load_relay import Ring, passes
+
 
 @attrs.frozen
 class Outcomes:
@@ -62,23 +64,26 @@
     """
 
     def __init__(self):
-        self._near: frozenset[str] = frozenset()
+        self._rings: dict[str, Ring] = {}
         self._unsent: dict[str, dict[str, Outcomes]] = {}
 
-    def set_recipients(self, near: Iterable[str], far: Iterable[str]) -> None:
-        """Set the recipients: processes of this failure domain, and relays of others."""
-        self._near = frozenset(near)
-        wanted = [*self._near, *far]
-        self._unsent = {name: self._unsent.get(name, {}) for name in wanted}
+    def set_recipients(
+        self, near: Iterable[str], far: Iterable[str], across: Iterable[str] = ()
+    ) -> None:
+        """Set the recipients: processes of this failure domain, relays of others and of regions."""
+        self._rings = dict.fromkeys(across, Ring.ACROSS) | dict.fromkeys(far, Ring.FAR)
+        self._rings |= dict.fromkeys(near, Ring.NEAR)
+        self._unsent = {name: self._unsent.get(name, {}) for name in self._rings}
 
     def receive_update(self, source: str, outcomes: OutcomesByUpstream, is_near: bool) -> None:
         """Queue the outcomes of a process of this failure domain, or of the relay of another one.
 
-        Outcomes from another domain are sent within this one only: the relay of that domain sends
-        them to the others.
+        Outcomes from another domain are not sent to a third one: the relay of that domain sends
+        them there. Those from another region are.
         """
+        ring = Ring.NEAR if is_near else self._rings.get(source, Ring.FAR)
         for name, unsent in self._unsent.items():
-            if name != source and (is_near or name in self._near):
+            if name != source and passes(ring, self._rings[name]):
                 add_outcomes(unsent, outcomes)
 
     def has_failures(self, target: str) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_regions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_regions.py
@@ -187,6 +187,8 @@
     other = next(item for item in upstreams if item is not first and item.id[0] in "ab")
     other.memory.record_read("shared-0", 4000)
     model.fetch.offset = 10.0
+    # Waiting there takes longer than reading the part, but not than what a second read costs.
+    other.pending.add("hot", 6500, 0.0)
     assert place(upstreams, model).upstream is other
     other.memory = type(other.memory)()
     far = next(item for item in upstreams if item.id[0] == "c")
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -15,13 +15,14 @@
 
 from ._errors import ErrorKind
 
-PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
+PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
 """Protocol versions that this release supports; version 2 adds :class:`Suspicions`, version 3 the
 messages between forwarders, version 4 :class:`KeysHonoured`, version 5
 :class:`EralessTableChanges`, :class:`LoadsOfDomain`, :class:`LoadsElsewhere` and
 :class:`UpstreamOutcomes`, version 6 :class:`TableChanges` and :class:`NewestConfiguration`, version
 7 :class:`UsageCounts` and :class:`ClockReading`, version 8 :class:`RateNeeds` and
-:class:`RateGrants`, version 9 :class:`StatementReports`."""
+:class:`RateGrants`, version 9 :class:`StatementReports`, version 12 loads of a whole region in
+:class:`LoadsOfDomain`."""
 
 message_types: dict[int, type] = {}
 """Message class by type number."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -15,10 +15,10 @@
     LoadShare,
     LoadUpdate,
     Mechanism,
+    RelayGroups,
     RelaySelector,
     UpstreamRegistry,
-    rank_processes,
-    split_by_domain,
+    group_relays,
 )
 from burdockquay_protocol import (
     LoadsElsewhere,
@@ -55,6 +55,14 @@
 RELAY_SUM_SOURCE = "elsewhere"
 """Source name of the loads that a relay adds up for this process."""
 
+REGION_PREFIX = "region "
+"""Prefix of the name under which the loads of a whole region are sent. No name of a failure domain
+has a space."""
+
+REGION_RELAYS_SINCE = 12
+"""Protocol version from which regions exchange through one relay each. While a process with an
+older one is connected, the relays of all failure domains exchange directly, as it expects."""
+
 Post = Callable[[Iterable[PeerConnection], Any], None]
 
 
@@ -70,11 +78,19 @@
         The processes of its failure domain that use it as their relay, by incarnation.
     far : mapping of str to PeerConnection
         The relays of the other failure domains, if this process is a relay.
+    across : mapping of str to PeerConnection
+        The relays of the other regions, if this process is the relay of its own.
     """
 
     relay: PeerConnection | None
     near: Mapping[str, PeerConnection]
     far: Mapping[str, PeerConnection]
+    across: Mapping[str, PeerConnection] = attrs.field(factory=dict)
+
+    @property
+    def recipients(self) -> dict[str, PeerConnection]:
+        """The peers to which this process sends as a relay."""
+        return {**self.near, **self.far, **self.across}
 
 
 class ChangeRepeater:
@@ -116,8 +132,7 @@
         self._peers: dict[str, PeerConnection] = {}
         self._connected_at: dict[str, float] = {}
         self._started_at = state.clock.now()
-        self._ranked: list[str] = [identity.incarnation]
-        self._ranked_far: dict[str, list[str]] = {}
+        self._groups = RelayGroups([identity.incarnation], {})
         self._legacy_peers: list[PeerConnection] = []
         self._near_watch = RelaySelector()
         self._far_watches: dict[str, RelaySelector] = defaultdict(RelaySelector)
@@ -125,6 +140,7 @@
         self._near: list[str] = []
         self._received_at = float("-inf")
         self._far: list[str] = []
+        self._across: list[str] = []
         self._recent_parts: deque[tuple[float, UpstreamLoad]] = deque(maxlen=200)
         self._repeater = ChangeRepeater()
         self._upstreams_by_source: dict[str, set[str]] = {}
@@ -142,6 +158,7 @@
             None if self.is_relay else peers.get(self._chosen_relay),
             {name: peers[name] for name in self._near if name in peers},
             {name: peers[name] for name in self._far if name in peers},
+            {name: peers[name] for name in self._across if name in peers},
         )
 
     def age(self, now: float) -> float:
@@ -151,7 +168,7 @@
     @property
     def domain_size(self) -> int:
         """Number of connected processes of the failure domain, with this one."""
-        return len(self._ranked)
+        return len(self._groups.own)
 
     @property
     def follower_count(self) -> int:
@@ -172,12 +189,16 @@
             if peer.version >= LoadsOfDomain.since
         }
         self._legacy_peers = [peer for peer in peers.values() if peer.version < LoadsOfDomain.since]
-        by_domain = split_by_domain(with_relays)
-        near = by_domain.pop(self.identity.failure_domain, [])
-        self._ranked = rank_processes("relay", [self.identity.incarnation, *near])
-        self._ranked_far = {
-            domain: rank_processes("relay", names) for domain, names in by_domain.items()
-        }
+        regions = self.state.region_map
+        is_regional = regions.has_several and all(
+            peer.version >= REGION_RELAYS_SINCE for peer in peers.values()
+        )
+        self._groups = group_relays(
+            self.identity.incarnation,
+            self.identity.failure_domain,
+            with_relays,
+            regions if is_regional else None,
+        )
         self._repeater.reset()
 
     def send_loads(self) -> None:
@@ -210,12 +231,13 @@
         self._apply(name, message.loads, is_whole=True)
 
     def receive_domain(self, peer: PeerConnection, message: LoadsOfDomain) -> None:
-        """Apply the loads of another failure domain."""
+        """Apply the loads of another failure domain or region."""
         now = self.state.clock.now()
         self._far_watches[message.domain].record_relay_message(peer.peer.incarnation, now)
         source = f"domain {message.domain}"
         shares = {load.upstream: _load_share(load) for load in message.loads}
-        self.relay.receive_update(source, shares, now, False, message.is_whole)
+        is_across = message.domain.startswith(REGION_PREFIX)
+        self.relay.receive_update(source, shares, now, False, message.is_whole, is_across)
         self._receive_parts(source, message.loads)
         if self.is_relay:
             self._apply(source, message.loads, message.is_whole)
@@ -228,7 +250,7 @@
 
     def _choose_relay(self, now: float) -> None:
         me = self.identity.incarnation
-        chosen = self._near_watch.choose(self._ranked, now, me)
+        chosen = self._near_watch.choose(self._groups.own, now, me)
         if chosen == self._chosen_relay:
             return
         was_relay = self.is_relay
@@ -276,13 +298,16 @@
         """Find the processes that use this one as relay, and the relays of the other domains."""
         me = self.identity.incarnation
         near = [name for name in self.relay.local_sources(now) if name != me]
-        far = []
+        far, across = [], []
         if self.is_relay:
-            for domain, ranked in self._ranked_far.items():
+            for domain, ranked in self._groups.far.items():
                 far.append(self._far_watches[domain].choose(ranked, now))
-        self._near = near
-        self._far = far
-        for name in self.relay.set_recipients(near, far):
+        if self.is_relay and self._groups.is_gateway:
+            for region, ranked in self._groups.across.items():
+                watch = self._far_watches[REGION_PREFIX + region]
+                across.append(watch.choose(ranked, now))
+        self._near, self._far, self._across = near, far, across
+        for name in self.relay.set_recipients(near, far, across):
             if now - self._connected_at.get(name, now) < NEW_PEER_S:
                 self._queue_known_parts(name, now)
 
@@ -290,7 +315,7 @@
         """Send all targets the changes since the last message."""
         for name, changes in self.relay.compose_all(now).items():
             if name in self._peers:
-                self.post([self._peers[name]], self._message(changes, is_far=name in self._far))
+                self.post([self._peers[name]], self._message(changes, name))
 
     def _queue_known_parts(self, target: str, now: float) -> None:
         """Queue for a new process the prompt parts that upstreams have in memory.
@@ -305,13 +330,17 @@
             if parts:
                 self.relay.add_parts(target, upstream.incarnation, parts)
 
-    def _message(self, changes: LoadUpdate, is_far: bool) -> LoadsOfDomain | LoadsElsewhere:
+    def _message(self, changes: LoadUpdate, target: str) -> LoadsOfDomain | LoadsElsewhere:
         loads = [
             _make_load(name, share, changes.parts.get(name, {}))
             for name, share in changes.shares.items()
         ]
-        if is_far:
-            return LoadsOfDomain(self.identity.failure_domain, changes.is_whole, loads)
+        domain = self.identity.failure_domain
+        if target in self._across:
+            region = self.state.region_map.region_of(domain) or f"of {domain}"
+            return LoadsOfDomain(REGION_PREFIX + region, changes.is_whole, loads)
+        if target in self._far:
+            return LoadsOfDomain(domain, changes.is_whole, loads)
         return LoadsElsewhere(changes.is_whole, loads)
 
     def _apply(self, source: str, loads: list[UpstreamLoad], is_whole: bool) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_outcome_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_outcome_sharing.py
@@ -49,9 +49,9 @@
         is_due = now - self._sent_at >= SUCCESS_INTERVAL_S
         if is_due:
             self._sent_at = now
-        self._outcome_relay.set_recipients(targets.near, targets.far)
+        self._outcome_relay.set_recipients(targets.near, targets.far, targets.across)
         self._send_own(targets.relay, is_due)
-        for name, peer in {**targets.near, **targets.far}.items():
+        for name, peer in targets.recipients.items():
             if is_due or self._outcome_relay.has_failures(name):
                 self._send_to(peer, self._outcome_relay.take(name))
 
