--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -101,6 +101,7 @@
         "Statements",
         "statement_kinds",
     ),
+    ".regions": ("Homes", "RegionDelays", "RegionMap"),
     "._retries": (
         "RetryDecision",
         "RetryRule",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -44,6 +44,7 @@
 )
 from ._config_versions import ConfigVersionTracker
 from ._crowding import Crowding
+from ._demand import Demand, Placement
 from ._directory import ConfigDirectory, pick_service, request_priority
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
@@ -54,11 +55,12 @@
 from ._mechanisms import Mechanism, Switches
 from ._outcome_relay import OutcomeRelay, Outcomes, OutcomesByUpstream, add_outcomes
 from ._pending import NO_LOAD, LoadShare, PendingPrompts
-from ._placing import LARGE_FLEET_PROCESSES, Demand, Placement, place_prompt
+from ._placing import LARGE_FLEET_PROCESSES, place_prompt
 from ._polling import ChangeContinuity, PollSchedule, is_poller
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
+from ._relay_groups import RelayGroups, group_relays
 from ._retry_after import PeerAvailability, limited_delay_s, rest_delay_s, retry_delay_s
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
@@ -165,7 +167,9 @@
     "is_poller",
     "place_prompt",
     "rank_processes",
+    "RelayGroups",
     "RelaySelector",
+    "group_relays",
     "split_by_domain",
     "request_priority",
     "retry_delay_s",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -284,35 +284,45 @@
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration is invalid and is ignored.")
     SERVICE_FAULT = (1914, "ERROR", "The configuration of a service is invalid.")
     HOMES_FAULT = (
-        1944,
+        1970,
         "ERROR",
-        "The homes of a route or an organisation cannot be read, or name no region: none of its "
-        "requests is served until they can.",
+        "The homes of a route or an organisation cannot be read, or name no known region: none of "
+        "its requests is served until they do. Once for each version of the configuration.",
+    )
+    REGIONS_SET = (
+        1959,
+        "INFO",
+        "The settings name several regions: the one of this process, and all of them.",
+    )
+    REGION_WAY_CHANGED = (
+        1960,
+        "NOTICE",
+        "The measured round trip to another region has changed; placement adds it to predictions.",
     )
     UPSTREAM_COLD = (
-        1945,
+        1971,
         "NOTICE",
         "An upstream is cold: it gets at most ``per_s`` requests a second from all processes until "
         "``remaining_s`` have passed. ``source`` is the list, an answer, the VM of a peer, or "
         "``unknown`` where nothing shows that it is warm.",
     )
-    UPSTREAM_WARM = (1946, "INFO", "An upstream is not cold any more, after ``cold_s``.")
+    UPSTREAM_WARM = (1972, "INFO", "An upstream is not cold any more, after ``cold_s``.")
     EVACUATION_BEGAN = (
-        1947,
+        1973,
         "NOTICE",
         "The operator has evacuated a failure domain: its upstreams get no requests. ``age_s`` is "
         "the age of the reading that shows it.",
     )
     EVACUATION_ENDED = (
-        1948,
+        1974,
         "NOTICE",
         "The operator has taken back the evacuation of a failure domain, after ``lasted_s``.",
     )
     EVACUATION_KEPT = (
-        1949,
+        1975,
         "WARNING",
         "A store that was restored from a copy lacks the evacuation of a failure domain. It stays "
-        "in force until the operator writes it again or removes it.",
+        "in force for some seconds, in which the operator can write it again.",
     )
     CALL_SENT = (
         1911,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -39,12 +39,14 @@
     EvacuatedError,
     HeldBackError,
     NotSentError,
+    OtherHeldBackError,
     Send,
     accepts_connections,
 )
 from ._platform import SendTerms
 from ._send_conditions import (
     check_cold,
+    check_homes,
     check_named_upstreams,
     check_statements,
     check_version,
@@ -163,9 +165,13 @@
             now,
             state.rng,
             state.switches,
+            state.delays,
+            call.round_trips,
         )
         is_restricted = chosen is not None and chosen.is_restricted(now)
-        return None if is_restricted and state.held_calls.has_earlier_waiting(call) else chosen
+        return (
+            None if is_restricted and state.held_calls.has_earlier_waiting(call, chosen) else chosen
+        )
 
     def _can_continue_from_copy(self, call: ForwardCall) -> bool:
         """Return whether a run can continue from the copy of its memory at another upstream.
@@ -173,12 +179,15 @@
         Only called once the upstream that ran it is down, so that it does not run twice. The copy
         holds what was generated, so that no event is generated again.
         """
-        backup = call.backup
-        if backup is None or call.last_event is None or not backup.accepts_work():
+        if call.backup is None or call.last_event is None:
             return False
-        if not call.accepts(backup):
+        return self._may_continue_at(call, call.backup)
+
+    def _may_continue_at(self, call: ForwardCall, upstream: Upstream) -> bool:
+        """Return whether an upstream that has a copy of a run may continue it now."""
+        if not (upstream.accepts_work() and call.accepts(upstream) and call.is_inside(upstream)):
             return False
-        return backup.may_start(self.state.clock.now())
+        return upstream.may_start(self.state.clock.now())
 
     async def _record_outcome(self, call: ForwardCall, outcome: Outcome) -> bool:
         """Record an outcome at its upstream; return whether the upstream is down."""
@@ -221,8 +230,8 @@
 
     def _may_retry(self, call: ForwardCall, outcome: Outcome) -> bool:
         if isinstance(outcome, HeldBack):
-            # The copy from which the run would continue is at this upstream only.
-            return call.continue_at is not outcome.upstream or not outcome.upstream.is_evacuated
+            # A run continues only where its copy is.
+            return call.continue_at is None or self._may_continue_at(call, call.continue_at)
         if isinstance(outcome, NotSent):
             return call.unreachable < MAX_UNREACHABLE_UPSTREAMS
         if call.sends >= call.route.max_attempts:
@@ -314,8 +323,9 @@
                 call.sends += 1
                 return await self._answer_handler.handle(call, upstream, response)
         except HeldBackError as error:
-            if isinstance(error, EvacuatedError) and not was_tried:
-                # Nothing was sent there, and it is free again when the evacuation ends.
+            is_free = isinstance(error, EvacuatedError | OtherHeldBackError)
+            if is_free and not was_tried:
+                # Nothing was sent there, and it is no fault of this upstream.
                 call.tried.discard(upstream.id)
             return HeldBack(upstream, str(error))
         except NotSentError as error:
@@ -359,6 +369,7 @@
             service=call.service,
             upstream=upstream.id,
             software=upstream.entry.software_version or None,
+            region=self._describe_region(upstream),
             sends=call.sends,
             waited_s=now - call.started,
             remaining_s=call.deadline - now,
@@ -384,6 +395,11 @@
             config_age_s=self.state.lease.age(now),
         )
 
+    def _describe_region(self, upstream: Upstream) -> str | None:
+        """Return the region of an upstream where there are several."""
+        regions = self.state.region_map
+        return regions.region_of(upstream.entry.failure_domain) if regions.has_several else None
+
     def _describe_listing(self, upstream: Upstream) -> str | None:
         """Return why a usable upstream is not listed as ready, None if it is."""
         if upstream.id in self.state.upstream_registry.missing:
@@ -420,10 +436,16 @@
         answer_s = call.sent.placement.answer_s
         if state.losses(call.service).is_copy_worthwhile(answer_s, len(others), now):
             version = upstream.entry.software_version
-            fitting = [item for item in others if item.entry.software_version == version]
-            call.backup = choose_backup(fitting, upstream, now, state.rng)
+            fitting = [
+                item
+                for item in others
+                if item.entry.software_version == version and call.is_inside(item)
+            ]
+            call.backup = choose_backup(fitting, upstream, now, state.rng, state.region_map)
 
     def _compose(self, call: ForwardCall, upstream: Upstream) -> Send:
+        if call.backup is not None and not call.is_inside(call.backup):
+            call.backup = None
         self._choose_backup(call, upstream)
         terms = SendTerms(
             upstream.id,
@@ -441,6 +463,7 @@
             self.check_key(call)
             self._check_parts(call)
             check_version(call, upstream)
+            check_homes(call, upstream)
             check_statements(upstream, self.state.clock.now())
             check_cold(call, upstream, self.state.clock.now())
             check_named_upstreams(call)
--- a/packages/burdockquay/src/burdockquay/_explain.py
+++ b/packages/burdockquay/src/burdockquay/_explain.py
@@ -240,7 +240,9 @@
     """Count the failed sends of other requests at each upstream of a timeline, during its time."""
     if not timeline:
         return {}
-    earlier_events = STORE_RESTORE_EVENTS | EVACUATION_EVENTS
+    earlier_events = (
+        STORE_RESTORE_EVENTS | LASTING_EVENTS.keys() | _ENDS.keys() | {"evacuation_kept"}
+    )
     included_times = [line.time for line in timeline if line.name not in earlier_events]
     first, last = included_times[0], included_times[-1]
     own = {line.request for line in timeline} - {None}
--- a/packages/burdockquay/src/burdockquay/tests/test_explain.py
+++ b/packages/burdockquay/src/burdockquay/tests/test_explain.py
@@ -130,13 +130,15 @@
     timeline = collect_timeline(read_lines(lines), "r1")
     assert [item.name for item in timeline] == ["upstream_cold", name]
     assert "cold" in describe_cold_wait(timeline, "r1")
+
+
 def test_timeline_of_an_entry_names_the_evacuation_that_is_in_force():
     """Guards against a refusal whose cause is not shown since the evacuation began long before."""
     log = [
         "2026-03-01T08:00:00.000000Z INFO E1002 process_listening role=entry vm=edge-1 port=1",
-        "2026-03-01T08:01:00.000000Z NOTICE E1947 evacuation_began domain=north revision=7",
-        "2026-03-01T08:02:00.000000Z NOTICE E1948 evacuation_ended domain=north revision=8",
-        "2026-03-01T08:03:00.000000Z NOTICE E1947 evacuation_began domain=south revision=9",
+        "2026-03-01T08:01:00.000000Z NOTICE E1973 evacuation_began domain=north revision=7",
+        "2026-03-01T08:02:00.000000Z NOTICE E1974 evacuation_ended domain=north revision=8",
+        "2026-03-01T08:03:00.000000Z NOTICE E1973 evacuation_began domain=south revision=9",
         "2026-03-01T08:30:00.000000Z DEBUG E1964 refused_evacuated request=r1 domains=south",
     ]
     timeline = collect_timeline(read_lines(log), "r1")
