Decode and encode loads and outcomes without the general converter

Change: functions for loads, prompt parts and outcomes, as there is one for frames. The bytes and the rejected values are the same.

--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
@@ -15,6 +15,7 @@
 
 from . import _forwarder_messages, _messages
 from ._errors import ErrorKind
+from ._forwarder_messages import PromptPart, UpstreamLoad, UpstreamOutcome
 from ._messages import Frame, Frames, message_types
 
 MAX_FRAME_BYTES = 1 << 22
@@ -105,6 +106,53 @@
 _converter.register_unstructure_hook(Frames, _unstructure_frames)
 
 
+# Loads and outcomes are most of what forwarders exchange. The general functions of the converter,
+# which look up the type of each field, take twice as long to decode a message with six loads.
+
+
+def _structure_part(value: Any, _: type = PromptPart) -> PromptPart:
+    id_, tokens, *_rest = value
+    if not (type(id_) is str and type(tokens) is int):
+        raise TypeError("expected PromptPart(str, int)")
+    return PromptPart(id_, tokens)
+
+
+def _structure_load(value: Any, _: type = UpstreamLoad) -> UpstreamLoad:
+    upstream, tokens, running, parts, *_rest = value
+    if not (type(upstream) is str and type(tokens) is int and type(running) is int):
+        raise TypeError("expected UpstreamLoad(str, int, int, list)")
+    return UpstreamLoad(upstream, tokens, running, [_structure_part(part) for part in parts])
+
+
+def _structure_outcome(value: Any, _: type = UpstreamOutcome) -> UpstreamOutcome:
+    upstream, whole, failed, unreachable, *_rest = value
+    if not (
+        type(upstream) is str
+        and type(whole) is int
+        and type(failed) is int
+        and type(unreachable) is int
+    ):
+        raise TypeError("expected UpstreamOutcome(str, int, int, int)")
+    return UpstreamOutcome(upstream, whole, failed, unreachable)
+
+
+def _unstructure_load(load: UpstreamLoad) -> tuple:
+    parts = [(part.id, part.tokens) for part in load.parts]
+    return (load.upstream, load.prompt_tokens, load.running, parts)
+
+
+def _unstructure_outcome(outcome: UpstreamOutcome) -> tuple:
+    return (outcome.upstream, outcome.whole, outcome.failed, outcome.unreachable)
+
+
+_converter.register_structure_hook(PromptPart, _structure_part)
+_converter.register_structure_hook(UpstreamLoad, _structure_load)
+_converter.register_structure_hook(UpstreamOutcome, _structure_outcome)
+_converter.register_unstructure_hook(PromptPart, lambda part: (part.id, part.tokens))
+_converter.register_unstructure_hook(UpstreamLoad, _unstructure_load)
+_converter.register_unstructure_hook(UpstreamOutcome, _unstructure_outcome)
+
+
 def encode(message: Any) -> bytes:
     """Return the encoded message.
 
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/tests/test_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/tests/test_codec.py
@@ -40,6 +40,11 @@
         ([11, "r", 1, "no_such_kind", "", 0], FaultKind.MALFORMED),
         ([10, [["r", 1, 0]]], FaultKind.MALFORMED),
         ([10, 5], FaultKind.MALFORMED),
+        ([30, [["u", 1, True, []]]], FaultKind.MALFORMED),
+        ([30, [["u", 1, 1]]], FaultKind.MALFORMED),
+        ([30, [["u", 1, 1, [["p", 1.0]]]]], FaultKind.MALFORMED),
+        ([30, [["u", 1, 1, 5]]], FaultKind.MALFORMED),
+        ([36, [["u", 1, 1, "1"]]], FaultKind.MALFORMED),
     ],
 )
 def test_invalid_message_gives_its_fault_kind(items, kind):
