Keep the sums of a load relay between its updates

Cause: with each tick of 10 ms a relay summed the loads of all sources, subtracted the share of each recipient and compared all upstreams with what the recipient has. Change: the sums change with each received load; a recipient is compared only at the upstreams that changed. Plain calls that wait are only woken where there are some.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -116,6 +116,8 @@
     sent_at: float = float("-inf")
     full_sent_at: float = float("-inf")
     parts: Parts = attrs.field(factory=lambda: defaultdict(dict))
+    # Upstreams whose load may differ from what was sent, in the order in which they changed.
+    changed: dict[str, None] = attrs.field(factory=dict)
 
 
 class LoadRelay:
@@ -140,13 +142,38 @@
     def __init__(self):
         self._sources: dict[str, _Source] = {}
         self._targets: dict[str, _Target] = {}
+        # Sums over the sources, updated with each change: a relay receives some hundred updates per
+        # second that change a few upstreams each.
+        self._local_sums: dict[str, LoadShare] = {}
+        self._all_sums: dict[str, LoadShare] = {}
 
     def receive_update(
         self, source: str, shares: Shares, now: float, is_near: bool, is_whole: bool = True
     ) -> None:
         """Apply the loads of a process of this domain, or of the relay of another one."""
-        previous = {} if is_whole or source not in self._sources else self._sources[source].shares
-        self._sources[source] = _Source({**previous, **shares}, now, is_near)
+        known = self._sources.get(source)
+        previous: Shares = {} if known is None else known.shares
+        current = dict(shares) if is_whole else {**previous, **shares}
+        if known is not None and known.is_near != is_near:
+            self.forget(source)
+            previous = {}
+        self._sources[source] = _Source(current, now, is_near)
+        self._update_sums(source, previous, current, is_near)
+
+    def _update_sums(self, source: str, before: Shares, after: Shares, is_near: bool) -> None:
+        """Replace the loads of one source in the sums, and note what changed for each recipient."""
+        changed = {name: None for name, share in after.items() if before.get(name) != share}
+        changed |= {name: None for name in before if name not in after}
+        if not changed:
+            return
+        for name in changed:
+            old, new = before.get(name, NO_LOAD), after.get(name, NO_LOAD)
+            _add_difference(self._all_sums, name, old, new)
+            if is_near:
+                _add_difference(self._local_sums, name, old, new)
+        for name, target in self._targets.items():
+            if name != source if target.is_near else is_near:
+                target.changed |= changed
 
     def receive_parts(self, source: str, upstream: str, parts: Mapping[str, int]) -> None:
         """Queue the prompt parts that a process reports as read at an upstream."""
@@ -157,7 +184,9 @@
 
     def forget(self, source: str) -> None:
         """Remove a process that has disconnected."""
-        self._sources.pop(source, None)
+        known = self._sources.pop(source, None)
+        if known is not None:
+            self._update_sums(source, known.shares, {}, known.is_near)
 
     def local_sources(self, now: float) -> list[str]:
         """Return the processes of this domain that send their loads to this one."""
@@ -175,7 +204,7 @@
         list of str
             The processes of this domain that were not recipients before.
         """
-        new = []
+        new: list[str] = []
         wanted = dict.fromkeys(far, False) | dict.fromkeys(near, True)
         for name in self._targets.keys() - wanted.keys():
             del self._targets[name]
@@ -195,68 +224,73 @@
         for name in [
             item for item, source in self._sources.items() if now - source.at > PEER_LOAD_EXPIRY_S
         ]:
-            del self._sources[name]
-        local_shares = _sum_shares(item.shares for item in self._sources.values() if item.is_near)
-        all_shares = _sum_shares(
-            [local_shares, *(item.shares for item in self._sources.values() if not item.is_near)]
-        )
+            self.forget(name)
         composed = {}
         for name, target in self._targets.items():
-            view = (
-                _subtract_source(all_shares, self._sources.get(name))
-                if target.is_near
-                else local_shares
-            )
-            update = _compose(target, view, now)
+            update = self._compose(name, target, now)
             if update is not None:
                 composed[name] = update
         return composed
 
+    def _compose(self, name: str, target: _Target, now: float) -> LoadUpdate | None:
+        is_whole = now - target.full_sent_at >= FULL_UPDATE_INTERVAL_S
+        is_heartbeat_due = now - target.sent_at >= HEARTBEAT_INTERVAL_S
+        if not (target.changed or target.parts or is_whole or is_heartbeat_due):
+            return None
+        sums = self._all_sums if target.is_near else self._local_sums
+        own = self._sources.get(name) if target.is_near else None
+        # A process knows its own share sooner.
+        own_shares: Shares = {} if own is None else own.shares
+        if is_whole:
+            view = {item: _subtract_share(sums, own_shares, item) for item in sums}
+            shares = {item: share for item, share in view.items() if share != NO_LOAD}
+            target.sent = {}
+        else:
+            view = {item: _subtract_share(sums, own_shares, item) for item in target.changed}
+            sent = target.sent
+            shares = {
+                item: share for item, share in view.items() if sent.get(item, NO_LOAD) != share
+            }
+        target.changed = {}
+        parts = _take_parts(target.parts)
+        # An upstream that is named only for its parts must not appear idle.
+        named = {item: _subtract_share(sums, own_shares, item) for item in parts}
+        shares = {**named, **shares}
+        if not (shares or parts or is_whole or is_heartbeat_due):
+            return None
+        for item, share in shares.items():
+            if share == NO_LOAD:
+                target.sent.pop(item, None)
+            else:
+                target.sent[item] = share
+        target.sent_at = now
+        if is_whole:
+            target.full_sent_at = now
+        return LoadUpdate(is_whole, shares, parts)
+
     def compose(self, target: str, now: float) -> LoadUpdate | None:
         """Return the update for one recipient, None if none is due."""
         return self.compose_all(now).get(target)
 
 
-def _sum_shares(sources: Iterable[Shares]) -> dict[str, LoadShare]:
-    total: dict[str, LoadShare] = {}
-    for shares in sources:
-        for upstream, share in shares.items():
-            previous = total.get(upstream)
-            total[upstream] = share if previous is None else _add_shares(previous, share)
-    return total
-
-
-def _add_shares(one: LoadShare, other: LoadShare) -> LoadShare:
-    return LoadShare(one.tokens + other.tokens, one.running + other.running)
-
-
-def _subtract_source(every: Shares, own: _Source | None) -> Shares:
-    """Return loads without the share of one process, which has its own sooner."""
-    if own is None:
-        return every
-    rest = dict(every)
-    for upstream, share in own.shares.items():
-        previous = rest[upstream]
-        rest[upstream] = LoadShare(previous.tokens - share.tokens, previous.running - share.running)
-    return rest
-
-
-def _compose(target: _Target, view: Shares, now: float) -> LoadUpdate | None:
-    view = {upstream: share for upstream, share in view.items() if share != NO_LOAD}
-    is_whole = now - target.full_sent_at >= FULL_UPDATE_INTERVAL_S
-    shares: Shares = view if is_whole else _changed(target.sent, view)
-    parts = _take_parts(target.parts)
-    # An upstream that is named only for its parts must not appear idle.
-    shares = {**{name: view.get(name, NO_LOAD) for name in parts}, **shares}
-    is_due = shares or parts or now - target.sent_at >= HEARTBEAT_INTERVAL_S
-    if not (is_due or is_whole):
-        return None
-    update = LoadUpdate(is_whole, shares, parts)
-    target.sent = view
-    target.sent_at = now
-    if is_whole:
-        target.full_sent_at = now
-    return update
+def _add_difference(sums: dict[str, LoadShare], name: str, old: LoadShare, new: LoadShare) -> None:
+    """Replace a share in the sum of an upstream; a sum of zero is left out."""
+    total = sums.get(name, NO_LOAD)
+    tokens = total.tokens + new.tokens - old.tokens
+    running = total.running + new.running - old.running
+    if tokens or running:
+        sums[name] = LoadShare(tokens, running)
+    else:
+        sums.pop(name, None)
+
+
+def _subtract_share(sums: Shares, own: Shares, name: str) -> LoadShare:
+    """Return the sum of an upstream without the share of one process."""
+    total = sums.get(name, NO_LOAD)
+    share = own.get(name)
+    if share is None:
+        return total
+    return LoadShare(total.tokens - share.tokens, total.running - share.running)
 
 
 def _take_parts(parts: Parts) -> Parts:
@@ -273,12 +307,6 @@
     return taken
 
 
-def _changed(before: Shares, now: Shares) -> dict[str, LoadShare]:
-    """Return the loads that differ from those sent before."""
-    changed = {name: share for name, share in now.items() if before.get(name) != share}
-    return changed | dict.fromkeys(before.keys() - now.keys(), NO_LOAD)
-
-
 def split_by_domain(domains: Mapping[str, str]) -> dict[str, Collection[str]]:
     """Group processes by failure domain."""
     found: dict[str, list[str]] = defaultdict(list)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
@@ -189,3 +189,65 @@
             received.append(sum(map(len, update.parts.values())))
     assert max(received) <= 100
     assert sum(received) == 900
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_sums_kept_between_updates_match_the_loads_of_all_sources(seed):
+    """With a change missing in the kept sums, recipients would see a wrong load until the source
+    ends."""
+    rng = random.Random(seed)
+    relay = LoadRelay()
+    sources = {}
+    views = {}
+    now = 0.0
+    for _ in range(400):
+        now += rng.choice((0.0, 0.01, 0.3, 1.2))
+        name = rng.choice("abcde")
+        known = sources.get(name)
+        if rng.random() < 0.1:
+            relay.forget(name)
+            sources.pop(name, None)
+        else:
+            is_whole = rng.random() < 0.5
+            is_near = rng.random() < 0.8
+            shares = {
+                item: LoadShare(100 * rng.randrange(3), rng.randrange(3))
+                for item in rng.sample("uvwxyz", rng.randrange(5))
+            }
+            relay.receive_update(name, shares, now, is_near, is_whole)
+            merged = shares if is_whole or known is None else {**known[0], **shares}
+            sources[name] = (merged, now, is_near)
+        if rng.random() < 0.2:
+            targets = {item: rng.random() < 0.7 for item in rng.sample("abcdex", 3)}
+            before = {item: view for item, view in views.items() if item in targets}
+            relay.set_recipients(
+                [item for item, is_near in targets.items() if is_near],
+                [item for item, is_near in targets.items() if not is_near],
+            )
+            views = {
+                item: (
+                    before.get(item, (None, {}))
+                    if before.get(item, (None,))[0] == is_near
+                    else (is_near, {})
+                )
+                for item, is_near in targets.items()
+            }
+        updates = relay.compose_all(now)
+        sources = {item: known for item, known in sources.items() if now - known[1] <= 2.5}
+        for item, (is_near, view) in views.items():
+            update = updates.get(item)
+            if update is not None:
+                view = {**({} if update.is_whole else view), **update.shares}
+                views[item] = (is_near, view)
+            for upstream in "uvwxyz":
+                counted = [
+                    shares[upstream]
+                    for source, (shares, _, source_is_near) in sources.items()
+                    if upstream in shares
+                    and (source_is_near or is_near)
+                    and not (is_near and source == item)
+                ]
+                expected = LoadShare(
+                    sum(share.tokens for share in counted), sum(share.running for share in counted)
+                )
+                assert view.get(upstream, LoadShare(0, 0)) == expected
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -167,8 +167,9 @@
 
     def wake(self) -> None:
         """Let plain requests that wait try again."""
-        for service in self._waiting:
-            self._wake_next(service)
+        for service, queue in self._waiting.items():
+            if queue:
+                self._wake_next(service)
 
     def _wake_next(self, service: str) -> None:
         """Let the first plain requests that wait try again, one for each upstream with a start.
