Send loads after changes instead of looking every ten milliseconds

Cause: each process with requests, and each relay, looked a hundred times a second for loads, outcomes and keys to send, most times in vain. Change: a change of a load, an outcome, a key or a peer schedules the next send, 5 ms later (the mean of the former delay) and at most once in the former interval. What is due by time alone (heartbeats, whole updates, the replacement of a relay, the end of the lease) has its own time.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_load_relay.py
@@ -50,12 +50,18 @@
         self._chosen: str | None = None
         self._received_at = 0.0
         self._avoided_until: dict[str, float] = {}
+        self._awaits_messages = False
 
     def record_relay_message(self, relay: str, now: float) -> None:
         """Record that a message was received from a process as relay."""
         if relay == self._chosen:
             self._received_at = now
 
+    def due_in_s(self, now: float) -> float:
+        """Return the time until the relay may be replaced, seconds."""
+        left_s = self._received_at + RELAY_TIMEOUT_S - now
+        return left_s if self._awaits_messages and left_s > 0.0 else float("inf")
+
     def choose(self, ranked: Sequence[str], now: float, me: str | None = None) -> str | None:
         """Return the relay, None if there are no processes.
 
@@ -79,6 +85,7 @@
             elif name != me and now - self._received_at > RELAY_TIMEOUT_S:
                 self._avoided_until[name] = now + RELAY_RETRY_S
                 continue
+            self._awaits_messages = name != me
             return name
         return ranked[0] if ranked else None
 
@@ -147,6 +154,19 @@
         self._local_sums: dict[str, LoadShare] = {}
         self._all_sums: dict[str, LoadShare] = {}
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is a change for any recipient."""
+        return any(target.changed or target.parts for target in self._targets.values())
+
+    def due_in_s(self, now: float) -> float:
+        """Return the time until an update is due without a change, seconds."""
+        due_at = [
+            min(target.sent_at + HEARTBEAT_INTERVAL_S, target.full_sent_at + FULL_UPDATE_INTERVAL_S)
+            for target in self._targets.values()
+        ]
+        return min(due_at, default=float("inf")) - now
+
     def receive_update(
         self, source: str, shares: Shares, now: float, is_near: bool, is_whole: bool = True
     ) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -9,7 +9,7 @@
 import asyncio
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -359,6 +359,13 @@
         return Frames(frames)
 
 
+def post_all(peers: Iterable[PeerConnection], message: Any) -> None:
+    """Queue a message on some connections; it is encoded only once."""
+    encoded = EncodedMessage(message)
+    for peer in peers:
+        peer.post(encoded)
+
+
 _FAULT_EVENTS = {
     FaultKind.MALFORMED: Event.PEER_MALFORMED,
     FaultKind.OVERSIZED: Event.PEER_OVERSIZED,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -67,6 +67,8 @@
     held_calls : HeldCalls
     may_crash : callable
         Returns whether a call may crash the upstream that begins to answer it.
+    note_change : callable
+        Called after each change of the load of this process at an upstream.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         switches: Switches,
         held_calls: HeldCalls,
         may_crash: Callable[[ForwardCall], bool],
+        note_change: Callable[[], None] = lambda: None,
     ):
         self.service = service
         self.upstream_registry = upstream_registry
@@ -88,6 +91,7 @@
         self.rate_limits = held_calls.rate_limits
         self.held_calls = held_calls
         self.may_crash = may_crash
+        self.note_change = note_change
         self.model = EngineModel(switches)
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
@@ -170,6 +174,7 @@
 
     def _remove(self, sent: SentPrompt) -> None:
         sent.placement.upstream.pending.remove(sent.call)
+        self.note_change()
         self.evaluate()
 
     def evaluate(self) -> None:
@@ -309,6 +314,7 @@
         sent = SentPrompt(call.request.id, prompt, placement, ahead, now)
         upstream.pending.add(sent.call, placement.tokens, now)
         upstream.record_sent(prompt)
+        self.note_change()
         return sent
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -92,6 +92,10 @@
         self._sent_at = now
         return True
 
+    def due_in_s(self, now: float) -> float:
+        """Return the time until the value is sent again without a change, seconds."""
+        return self._sent_at + REPEAT_INTERVAL_S - now
+
     def reset(self) -> None:
         """Make the value due: a process that has just connected has not received it."""
         self._sent_at = float("-inf")
@@ -180,6 +184,14 @@
         }
         self._repeater.reset()
 
+    def due_in_s(self, now: float) -> float:
+        """Return the time until something is to be sent or decided without a change, seconds."""
+        watches = (self._near_watch, *self._far_watches.values())
+        due_s = [self.relay.due_in_s(now), *(watch.due_in_s(now) for watch in watches)]
+        if not self.is_relay and self._chosen_relay in self._peers:
+            due_s.append(self._repeater.due_in_s(now))
+        return min(due_s)
+
     def send_loads(self) -> None:
         """Send own loads to the relay, and as a relay pass on those of others."""
         now = self.state.clock.now()
@@ -204,6 +216,8 @@
         name = peer.peer.incarnation
         if peer.version >= LoadsOfDomain.since:
             self._receive_for_relaying(name, message.loads, self.state.clock.now())
+            if self.relay.has_changes or name not in self._near:
+                self.state.note_change()
             if not self.is_relay:
                 # The relay of this process sends the same loads.
                 return
@@ -217,6 +231,8 @@
         shares = {load.upstream: _load_share(load) for load in message.loads}
         self.relay.receive_update(source, shares, now, False, message.is_whole)
         self._receive_parts(source, message.loads)
+        if self.relay.has_changes:
+            self.state.note_change()
         if self.is_relay:
             self._apply(source, message.loads, message.is_whole)
 
@@ -271,6 +287,7 @@
             upstream.unsent_parts |= parts
             for part, tokens in parts.items():
                 upstream.memory.record_read(part, tokens)
+            self.state.note_change()
 
     def _choose_targets(self, now: float) -> None:
         """Find the processes that use this one as relay, and the relays of the other domains."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_outcome_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_outcome_sharing.py
@@ -55,11 +55,16 @@
             if is_due or self._outcome_relay.has_failures(name):
                 self._send_to(peer, self._outcome_relay.take(name))
 
+    def due_in_s(self, now: float) -> float:
+        """Return the time until complete answers alone are sent, seconds."""
+        return self._sent_at + SUCCESS_INTERVAL_S - now
+
     def receive(self, peer: PeerConnection, message: UpstreamOutcomes) -> None:
         """Apply the outcomes of requests of others."""
         received = {item.upstream: _decode(item) for item in message.outcomes}
         is_near = peer.peer.failure_domain == self.identity.failure_domain
         self._outcome_relay.receive_update(peer.peer.incarnation, received, is_near)
+        self.state.note_change()
         if not self.state.switches.uses(Mechanism.SHARED_OUTCOMES):
             return
         now = self.state.clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -49,6 +49,7 @@
     PeerConnection,
     TrafficCounts,
     initiate_handshake,
+    post_all,
 )
 from .._peer_server import PeerServer
 from ._known_members import KnownMembers
@@ -57,22 +58,11 @@
 from ._part_sharing import PartSharing
 from ._platform import Member, MemberChanges, MemberRegistry
 from ._rate_sharing import RateSharing
+from ._send_schedule import SendSchedule, loads_interval_s
 from ._state import ForwarderState
 from ._statement_sharing import StatementSharing
 from ._stream_sharing import StreamSharing
 
-LOADS_INTERVAL_S = 0.01
-"""Shortest time between two messages about loads, seconds. A prompt waits some tenths of a second
-before an upstream reads it: peers that receive its load later than that send theirs to the same
-upstream."""
-
-IDLE_LOADS_INTERVAL_S = 0.1
-"""The same for a process that has no requests at the upstreams, seconds: it wakes less often."""
-
-MAX_MESSAGES_PER_S = 500
-"""Total rate of messages about loads between a relay and the processes of its failure domain, in
-each direction; the more processes there are, the less often each of them sends or receives one."""
-
 KEY_STATUS_RECIPIENTS = 8
 """Number of peers to which a process sends whether it honours API keys: enough that each process
 receives it from some."""
@@ -141,6 +131,10 @@
         self._streams = StreamSharing(state.streams, identity.incarnation, state.clock)
         state.send_stream_starts = self._streams.send
         state.ask_stream_origin = self._streams.ask
+        self._schedule = SendSchedule(
+            self._send_due, lambda: loads_interval_s(self._loads.domain_size, is_busy=True)
+        )
+        state.note_change = self._schedule.note_change
         self._key_repeater = ChangeRepeater()
         self._configuration_repeater = ChangeRepeater()
         self._key_status_recipients: list[PeerConnection] = []
@@ -189,11 +183,11 @@
         """Register with the members, and stay connected to them until cancelled."""
         self._bound = bind_socket(*split_address(self.listen))
         await self._join(self._bound)
-        sending = asyncio.create_task(self._keep_sending())
+        self._schedule.start()
         try:
             await self._follow_members()
         finally:
-            sending.cancel()
+            self._schedule.stop()
             self._stop_rejoining()
 
     async def leave(self) -> None:
@@ -234,7 +228,7 @@
 
     def broadcast_crash(self, incarnation: str, digests: list[str]) -> None:
         """Send all peers the digests of the requests that ran at an upstream that went down."""
-        self._post(UpstreamCrash(incarnation, digests))
+        post_all(self._peer_connections.values(), UpstreamCrash(incarnation, digests))
 
     async def _join(self, bound: socket.socket) -> None:
         me = Member(self.identity.vm, self.identity.incarnation, bound_address(bound))
@@ -421,6 +415,7 @@
         ]
         exchange.choose_pollers(self.identity.incarnation, others)
         self._loads.set_peers(self._peer_connections)
+        self._schedule.note_change()
         self._rates.set_peers(self._peer_connections)
         self._streams.set_peers(self._peer_connections)
         self._parts.set_peers(self._peer_connections)
@@ -430,13 +425,18 @@
         ]
         self._key_status_recipients = [self._peer_connections[name] for name in near]
 
-    async def _keep_sending(self) -> None:
-        while True:
-            is_busy = self.state.upstream_registry.in_use() or self._loads.is_relay
-            await asyncio.sleep(loads_interval_s(self._loads.domain_size, is_busy))
-            self._loads.send_loads()
-            self._outcomes.send(self._loads.targets)
-            self._send_key_status()
+    def _send_due(self) -> float:
+        """Send what is due now; return the time until something is due without a change."""
+        self._loads.send_loads()
+        self._outcomes.send(self._loads.targets)
+        self._send_key_status()
+        now = self.state.clock.now()
+        return min(
+            loads_interval_s(self._loads.domain_size, is_busy=False),
+            self._loads.due_in_s(now),
+            self._outcomes.due_in_s(now),
+            self.state.keys_due_in_s(now),
+        )
 
     def _send_key_status(self) -> None:
         now = self.state.clock.now()
@@ -448,9 +448,6 @@
         if newest and self._configuration_repeater.is_due(newest, now):
             post_all(self._key_status_recipients, NewestConfiguration(newest))
 
-    def _post(self, message: Any) -> None:
-        post_all(self._peer_connections.values(), message)
-
     def _broadcast_changes(self, message: TableChanges) -> None:
         """Send changes of a table to all peers.
 
@@ -482,32 +479,12 @@
 
     def _receive_configuration(self, peer: PeerConnection, message: NewestConfiguration) -> None:
         self.state.config_versions.record_peer_confirmation(message.version, self.state.clock.now())
+        self._schedule.note_change()
 
     def _receive_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
         self.state.receive_crash(message.upstream, message.digests, peer.peer.vm)
 
 
-def loads_interval_s(domain_size: int, is_busy: bool) -> float:
-    """Return the time until the next message about loads, seconds.
-
-    Parameters
-    ----------
-    domain_size : int
-        Number of processes of the failure domain.
-    is_busy : bool
-        Whether the process has requests at upstreams or is a relay.
-    """
-    shortest_s = LOADS_INTERVAL_S if is_busy else IDLE_LOADS_INTERVAL_S
-    return max(shortest_s, domain_size / MAX_MESSAGES_PER_S)
-
-
-def post_all(peers: Iterable[PeerConnection], message: Any) -> None:
-    """Queue a message on some connections; it is encoded only once."""
-    encoded = EncodedMessage(message)
-    for peer in peers:
-        peer.post(encoded)
-
-
 def _abort_open(peers: Iterable[PeerConnection]) -> None:
     for peer in peers:
         if peer.websocket.state is not State.CLOSED:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -198,6 +198,7 @@
             upstream.health.record_unreachable(now)
             self.state.losses(call.service).record_loss(upstream.incarnation, now)
             self.state.record_down(upstream.incarnation)
+        self.state.note_change()
         return is_down
 
     async def _went_down(self, call: ForwardCall, outcome: Outcome) -> bool:
@@ -296,6 +297,7 @@
         call.has_begun = False
         call.sent_version = upstream.entry.software_version
         upstream.outstanding += 1
+        self.state.note_change()
         response: aiohttp.ClientResponse | None = None
         try:
             async with timeout_on_restart(upstream):
@@ -324,6 +326,7 @@
             raise
         finally:
             upstream.outstanding -= 1
+            self.state.note_change()
             if response is not None:
                 # Closes the connection unless the body was read completely.
                 response.close()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -111,6 +111,8 @@
         self.send_stream_starts: SendStarts = lambda starts: None
         self.ask_stream_origin: AskPeers = _ask_nobody
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
+        # Called after each change of what this process sends to others.
+        self.note_change: Callable[[], None] = lambda: None
         self._unread = set(REQUIRED_READS)
         self._required_reads_done = asyncio.Event()
         self._dispatchers: dict[str, PromptDispatcher] = {}
@@ -159,6 +161,7 @@
         """
         if not self.config_versions.is_behind:
             self.lease.confirm(as_of)
+        self.note_change()
 
     def dispatcher(self, service: str) -> PromptDispatcher:
         """Return the dispatcher of the prompts of a service."""
@@ -173,6 +176,7 @@
                 self.switches,
                 self.held_calls,
                 self.may_crash,
+                lambda: self.note_change(),
             )
             self._dispatchers[service] = found
         return found
@@ -298,6 +302,15 @@
             return False
         return self.lease.is_fresh(now)
 
+    def keys_due_in_s(self, now: float) -> float:
+        """Return the time until ``keys_trusted`` may change by time alone, seconds."""
+        versions = self.config_versions
+        if versions.is_behind or versions.is_unverified(now):
+            return 0.0
+        age_s = self.lease.age(now)
+        left_s = float("inf") if age_s is None else self.lease.limit_s - age_s
+        return left_s if left_s > 0.0 else float("inf")
+
     def observe_versions(self, service: str) -> None:
         """Record the software versions of the upstreams of a service, as they are listed now."""
         versions = [
