Shorten what each decision about upstreams computes

Cause: a decision asks each upstream for its statements, its failure share and its speed, and the switches some hundred times; most upstreams have stated nothing and failed nothing. Change: these cases return at once; the hash of a mechanism is only computed where one is off; the log lines share one JSON encoder. Values and lines are the same.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_linear.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_linear.py
@@ -85,6 +85,8 @@
 
     def value(self, now: float) -> float:
         """Return the factor, which decays to 1 while there are no samples."""
+        if self._factor == 1.0:
+            return 1.0
         return 1 + (self._factor - 1) * 0.5 ** ((now - self._at) / FACTOR_HALF_LIFE_S)
 
     def add_sample(self, ratio: float, now: float) -> None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_mechanisms.py
@@ -82,7 +82,8 @@
 
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is on."""
-        return mechanism not in self._off
+        # A decision asks some hundred times, and the hash of a member is computed in Python.
+        return not self._off or mechanism not in self._off
 
 
 ALL_ON = Switches()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -178,7 +178,10 @@
         there.
         """
         prompt = demand.prompt
-        holders = find_holders(filter(demand.accepts, self.upstreams), prompt, self.now)
+        fitting: Iterable[Upstream] = self.upstreams
+        if demand.software_version is not None:
+            fitting = filter(demand.accepts, fitting)
+        holders = find_holders(fitting, prompt, self.now)
         best: Placement | None = None
         best_cost = float("inf")
         for rank, upstream in enumerate(self._list_candidates(demand, holders, tried)):
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstream_health.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstream_health.py
@@ -111,6 +111,8 @@
 
     def is_degraded(self, now: float) -> bool:
         """Return whether the upstream is degraded: it fails too many requests."""
+        if not self._failure_share:
+            return False
         return self.failure_share(now) > self._degraded_limit
 
     def is_avoided(self, now: float) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -117,11 +117,13 @@
 
     def accepts_work(self) -> bool:
         """Return whether new requests may be sent, now or later."""
-        return not (self.is_removed or self.is_leaving)
+        leaving = self.entry.leaving or self.statements.leaving.in_force
+        return not (self.is_removed or leaving)
 
     def may_start(self, now: float) -> bool:
         """Return whether its limit and its rest allow this process to send a request now."""
-        return self.limit.may_start(now) and self.statements.rest.may_send(now)
+        statements = self.statements
+        return statements.limit.may_start(now) and statements.rest.may_send(now)
 
     def is_restricted(self, now: float) -> bool:
         """Return whether it limits its requests, rests, or recovers from a rest."""
@@ -129,11 +131,12 @@
 
     def held_back_by(self, now: float) -> str | None:
         """Return the statement that allows no request of this process now, None if all do."""
-        if self.statements.leaving.in_force:
+        statements = self.statements
+        if statements.leaving.in_force:
             return "leaving"
-        if not self.statements.rest.may_send(now):
+        if not statements.rest.may_send(now):
             return "rest"
-        return None if self.limit.may_start(now) else "request_rate"
+        return None if statements.limit.may_start(now) else "request_rate"
 
     def take_start(self, rank: int, now: float) -> None:
         """Count a request that is sent to it.
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_rest.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_rest.py
@@ -110,7 +110,7 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether a request may be sent now."""
-        return self.available(now) >= 1.0
+        return now >= self._recovered_at or self.available(now) >= 1.0
 
     def wait_s(self, now: float) -> float:
         """Return the time until a request may be sent, seconds."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
@@ -189,7 +189,7 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether this process may send a request now."""
-        return self.per_s is None or self._account.may_start(now)
+        return self._limit.per_s is None or self._account.may_start(now)
 
     def take(self, rank: int, now: float) -> None:
         """Count a request that is sent.
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -60,6 +60,8 @@
 MAX_ITEMS = 100
 """Limit on the items of a list that are written."""
 
+# With separators, ``json.dumps`` makes an encoder for each line.
+_json_encoder = json.JSONEncoder(separators=(",", ":"))
 _UNQUOTED = re.compile(r"[A-Za-z0-9_.:/@+*,()\[\]#%-]+")
 _FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
 
@@ -550,7 +552,7 @@
     for name, value in fields.items():
         if value is not None:
             line[f"peer_{name}" if name in _line_format.common else name] = _to_json_value(value)
-    return json.dumps(line, separators=(",", ":"))
+    return _json_encoder.encode(line)
 
 
 def describe_fault(error: BaseException) -> str:
