--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -117,8 +117,7 @@
 
     def accepts_work(self) -> bool:
         """Return whether new requests may be sent, now or later."""
-        leaving = self.entry.leaving or self.statements.leaving.in_force
-        return not (self.is_removed or leaving)
+        return not (self.is_removed or self.is_leaving)
 
     def may_start(self, now: float) -> bool:
         """Return whether its limit and its rest allow this process to send a request now."""
