--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -117,7 +117,10 @@
         there.
         """
         prompt = demand.prompt
-        holders = find_holders(filter(demand.accepts, self.upstreams), prompt, self.now)
+        fitting: Iterable[Upstream] = self.upstreams
+        if demand.software_version is not None or demand.homes is not None:
+            fitting = filter(demand.accepts, fitting)
+        holders = find_holders(fitting, prompt, self.now)
         if self.model.region_map.has_several:
             return self._place_over_regions(demand, holders, tried)
         best: Placement | None = None
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -146,7 +146,8 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether its limit and its rest allow this process to send a request now."""
-        return self.limit.may_start(now) and self.statements.rest.may_send(now)
+        statements = self.statements
+        return statements.limit.may_start(now) and statements.rest.may_send(now)
 
     def is_restricted(self, now: float) -> bool:
         """Return whether it limits its requests, is cold, rests, or recovers from a rest."""
@@ -156,11 +157,12 @@
         """Return what allows no request of this process now, None if nothing does."""
         if self.is_evacuated:
             return "evacuation"
-        if self.statements.leaving.in_force:
+        statements = self.statements
+        if statements.leaving.in_force:
             return "leaving"
-        if not self.statements.rest.may_send(now):
+        if not statements.rest.may_send(now):
             return "rest"
-        if self.limit.may_start(now):
+        if statements.limit.may_start(now):
             return None
         return "cold_start" if self.cold.binds(now) else "request_rate"
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -70,6 +70,8 @@
         Returns whether a call may crash the upstream that begins to answer it.
     delays : RegionDelays or None
         Distances of the regions; None where the settings name none.
+    note_change : callable
+        Called after each change of the load of this process at an upstream.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         held_calls: HeldCalls,
         may_crash: Callable[[ForwardCall], bool],
         delays: RegionDelays | None = None,
+        note_change: Callable[[], None] = lambda: None,
     ):
         self.service = service
         self.upstream_registry = upstream_registry
@@ -92,6 +95,7 @@
         self.rate_limits = held_calls.rate_limits
         self.held_calls = held_calls
         self.may_crash = may_crash
+        self.note_change = note_change
         self.model = EngineModel(switches, delays)
         self.queue = PromptQueue()
         self._timer: asyncio.TimerHandle | None = None
@@ -175,6 +179,7 @@
 
     def _remove(self, sent: SentPrompt) -> None:
         sent.placement.upstream.pending.remove(sent.call)
+        self.note_change()
         self.evaluate()
 
     def evaluate(self) -> None:
@@ -350,6 +355,7 @@
         sent = SentPrompt(call.request.id, prompt, placement, ahead, now)
         upstream.pending.add(sent.call, placement.tokens, now)
         upstream.record_sent(prompt)
+        self.note_change()
         return sent
 
 
