--- a/benchmarks/_forwarder_path.py
+++ b/benchmarks/_forwarder_path.py
@@ -7,9 +7,9 @@
 import aiohttp
 
 from burdockquay_platform.tests.emulator import PlatformCluster, make_route, serve
-from burdockquay_platform.tests.experiment import (
-    Experiment,
-    Service,
+from burdockquay_platform.tests.experiment import Experiment, Service
+from burdockquay_platform.tests.experiment_processes import (
+    prepare_forwarders,
     start_forwarder,
     stop_forwarders,
 )
@@ -34,6 +34,7 @@
         experiment = Experiment([Service(ROUTE, "safe", 1)], cluster=cluster)
         upstream = await cluster.add_upstream(f"{ROUTE}-service", serve)
         try:
+            prepare_forwarders(experiment)
             await start_forwarder(experiment, 0)
             ports = (upstream.port, experiment.ports[0])
             timed = [
