Ask for starts only at upstreams inside the homes of a request

Cause: RateLimits.want asked at all limited and cold upstreams of a service. Starts outside the homes lapsed unused, while requests of other processes waited for them. Change: wants of new and waiting requests are grouped by homes and asked for inside only.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Any
 
 import attrs
 
+from ..regions import Homes
 from ._config import ServiceTargets
 from ._demand import Demand, Placement
 from ._engine_model import EngineModel
@@ -129,9 +130,12 @@
         if waiting in self._waiting:
             self._waiting.remove(waiting)
 
-    def counts_by_rank(self) -> Counter[int]:
-        """Return the number of waiting requests of each rank."""
-        return Counter(item.rank for item in self._waiting)
+    def counts_by_homes(self) -> dict[Homes | None, Counter[int]]:
+        """Return the number of waiting requests of each rank, by their homes."""
+        counts: dict[Homes | None, Counter[int]] = defaultdict(Counter)
+        for item in self._waiting:
+            counts[item.demand.homes][item.rank] += 1
+        return counts
 
     def take_all(self) -> list[WaitingPrompt]:
         """Remove and return all requests."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -106,7 +106,7 @@
         CallError
             If it has waited too long.
         """
-        self.rate_limits.want(self.service, call.rank)
+        self.rate_limits.want(self.service, call.rank, call.homes)
         if call.sends or call.unreachable:
             # A retry does not queue again, since the call has waited before its first send, unless
             # all upstreams that are left are held back.
@@ -202,7 +202,7 @@
 
     def _start_and_refuse_due(self, now: float) -> None:
         upstreams = self._upstreams()
-        self.rate_limits.want_waiting(self.service, self.queue.counts_by_rank())
+        self.rate_limits.want_waiting(self.service, self.queue.counts_by_homes())
         self.model.processes = self.upstream_registry.processes
         if not upstreams:
             self._resolve_all(None)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from burdockquay_coordination import Homes
 from burdockquay_coordination.forwarding import (
     Upstream,
     UpstreamRegistry,
@@ -128,7 +129,10 @@
         woken = asyncio.get_running_loop().create_future()
         entry = _WaitingCall((call.rank, call.started), next(self._numbers), woken, call)
         heapq.heappush(queue, entry)
-        self.rate_limits.want_waiting(call.service, Counter(item.key[0] for item in queue))
+        counts: dict[Homes | None, Counter[int]] = defaultdict(Counter)
+        for item in queue:
+            counts[item.call.homes][item.key[0]] += 1
+        self.rate_limits.want_waiting(call.service, counts)
         try:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(until - now, slice_s)):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from burdockquay_coordination import StatementChange, StatementChangeKind
+from burdockquay_coordination import Homes, StatementChange, StatementChangeKind
 from burdockquay_coordination.forwarding import (
     ColdMessage,
     Fleet,
@@ -73,7 +73,7 @@
         self._me = ""
         self._vms: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
-        self._asks: dict[str, StartAsks] = {}
+        self._asks: dict[tuple[str, frozenset[str] | None], StartAsks] = {}
         self._held_back: dict[str, _HeldBack] = defaultdict(_HeldBack)
         self._evacuated: dict[str, _HeldBack] = defaultdict(_HeldBack)
         self._send: Callable[[Iterable[tuple[str, LimitMessage]]], None] = lambda messages: None
@@ -104,7 +104,7 @@
         self._vms = dict(vms)
         self._rankings.clear()
 
-    def want(self, service: str, rank: int) -> None:
+    def want(self, service: str, rank: int, homes: Homes | None = None) -> None:
         """Ask for a start at the limited upstreams of a service, for a new request.
 
         Parameters
@@ -112,11 +112,13 @@
         service : str
         rank : int
             Rank of the request; 0 is the most urgent.
+        homes : Homes or None
+            Regions in which it may be served; starts elsewhere would lapse.
         """
-        self._ask(service, {rank: 1}, is_waiting=False)
+        self._ask(service, {rank: 1}, homes, is_waiting=False)
         now = self.clock.now()
         evacuated = set()
-        for upstream in held_back_upstreams(self.upstream_registry.of_service(service), (), now):
+        for upstream in held_back_upstreams(self._inside(service, homes), (), now):
             if upstream.is_evacuated:
                 evacuated.add(upstream.entry.failure_domain)
             else:
@@ -124,14 +126,24 @@
         for domain in evacuated:
             self._count_evacuated(domain, now)
 
-    def want_waiting(self, service: str, counts: Mapping[int, int]) -> None:
-        """Ask for starts for the requests that wait, by rank."""
-        self._ask(service, counts, is_waiting=True)
+    def want_waiting(self, service: str, counts: Mapping[Homes | None, Mapping[int, int]]) -> None:
+        """Ask for starts for the requests that wait, by homes and rank."""
+        for homes, by_rank in counts.items():
+            self._ask(service, by_rank, homes, is_waiting=True)
 
-    def _ask(self, service: str, counts: Mapping[int, int], is_waiting: bool) -> None:
+    def _inside(self, service: str, homes: Homes | None) -> list[Upstream]:
+        """Return the upstreams of a service that lie in some homes."""
+        found = self.upstream_registry.of_service(service)
+        if homes is None:
+            return found
+        return [item for item in found if homes.allows_domain(item.entry.failure_domain)]
+
+    def _ask(
+        self, service: str, counts: Mapping[int, int], homes: Homes | None, is_waiting: bool
+    ) -> None:
         """Ask for starts at the limited upstreams of a service."""
         now = self.clock.now()
-        upstreams = self.upstream_registry.of_service(service)
+        upstreams = self._inside(service, homes)
         limited = [item for item in self._limited(upstreams, now) if not item.is_evacuated]
         if not limited:
             return
@@ -141,9 +153,10 @@
                 for rank, count in counts.items():
                     upstream.limit.want(rank, count, now)
         if cold:
-            if service not in self._asks:
-                self._asks[service] = StartAsks(self.rng)
-            for upstream, rank, count in self._asks[service].spread(cold, counts, is_waiting, now):
+            key = (service, None if homes is None else homes.regions)
+            if key not in self._asks:
+                self._asks[key] = StartAsks(self.rng)
+            for upstream, rank, count in self._asks[key].spread(cold, counts, is_waiting, now):
                 upstream.limit.want(rank, count, now)
         self._step(limited, now)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -147,7 +147,7 @@
             If there is no upstream, or no start in time.
         """
         held = self.state.held_calls
-        self.state.rate_limits.want(call.service, call.rank)
+        self.state.rate_limits.want(call.service, call.rank, call.homes)
         while (upstream := self._choose(call)) is None:
             if not await held.wait(call):
                 raise CallError(held.refusal(call) or failure_of(call))
