Add up the starts that requests of several homes ask for

Cause: a number of wanted starts replaces the previous one of its rank, so that requests of one group of homes would have hidden those of all others at an upstream. Change: the wants of all groups are added up for each upstream before it is asked.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import random
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 import attrs
 
@@ -115,7 +115,7 @@
         homes : Homes or None
             Regions in which it may be served; starts elsewhere would lapse.
         """
-        self._ask(service, {rank: 1}, homes, is_waiting=False)
+        self._ask(service, {homes: {rank: 1}}, is_waiting=False)
         now = self.clock.now()
         evacuated = set()
         for upstream in held_back_upstreams(self._inside(service, homes), (), now):
@@ -128,8 +128,7 @@
 
     def want_waiting(self, service: str, counts: Mapping[Homes | None, Mapping[int, int]]) -> None:
         """Ask for starts for the requests that wait, by homes and rank."""
-        for homes, by_rank in counts.items():
-            self._ask(service, by_rank, homes, is_waiting=True)
+        self._ask(service, counts, is_waiting=True)
 
     def _inside(self, service: str, homes: Homes | None) -> list[Upstream]:
         """Return the upstreams of a service that lie in some homes."""
@@ -139,26 +138,45 @@
         return [item for item in found if homes.allows_domain(item.entry.failure_domain)]
 
     def _ask(
-        self, service: str, counts: Mapping[int, int], homes: Homes | None, is_waiting: bool
+        self, service: str, counts: Mapping[Homes | None, Mapping[int, int]], is_waiting: bool
     ) -> None:
-        """Ask for starts at the limited upstreams of a service."""
+        """Ask for starts at the limited upstreams of a service.
+
+        What requests of several homes want of an upstream is added up, since each number that is
+        asked for replaces the previous one.
+        """
         now = self.clock.now()
-        upstreams = self._inside(service, homes)
-        limited = [item for item in self._limited(upstreams, now) if not item.is_evacuated]
-        if not limited:
-            return
-        cold = [item for item in limited if item.cold.binds(now) and item.accepts_work()]
+        wants: dict[Upstream, Counter[int]] = {}
+        for homes, by_rank in counts.items():
+            inside = self._limited(self._inside(service, homes), now)
+            limited = [item for item in inside if not item.is_evacuated]
+            wants |= {item: Counter() for item in limited if item not in wants}
+            key = (service, None if homes is None else homes.regions)
+            for upstream, rank, count in self._spread(key, limited, by_rank, is_waiting, now):
+                wants[upstream][rank] += count
+        for upstream, wanted in wants.items():
+            for rank, count in wanted.items():
+                upstream.limit.want(rank, count, now)
+        if wants:
+            self._step(list(wants), now)
+
+    def _spread(
+        self,
+        key: tuple[str, frozenset[str] | None],
+        limited: Sequence[Upstream],
+        counts: Mapping[int, int],
+        is_waiting: bool,
+        now: float,
+    ) -> Iterator[tuple[Upstream, int, int]]:
+        """Yield the upstreams to ask, each with the rank and the number of starts."""
         for upstream in limited:
             if not upstream.cold.binds(now):
-                for rank, count in counts.items():
-                    upstream.limit.want(rank, count, now)
+                yield from ((upstream, rank, count) for rank, count in counts.items())
+        cold = [item for item in limited if item.cold.binds(now) and item.accepts_work()]
         if cold:
-            key = (service, None if homes is None else homes.regions)
             if key not in self._asks:
                 self._asks[key] = StartAsks(self.rng)
-            for upstream, rank, count in self._asks[key].spread(cold, counts, is_waiting, now):
-                upstream.limit.want(rank, count, now)
-        self._step(limited, now)
+            yield from self._asks[key].spread(cold, counts, is_waiting, now)
 
     def apply_cold_starts(self) -> None:
         """Apply what was learnt of cold starts, from the list or otherwise."""
