--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -62,11 +62,6 @@
 """Other regions of which one decision evaluates an upstream, the nearest ones. One upstream of
 each: the processes of a hot region would fall upon all idle ones of a cool region at once."""
 
-CUT_OFF_SHARE, MIN_CUT_OFF = 0.5, 2
-"""Share and least number of the upstreams of another region that are suspended from which on no
-work spills over to it: the link is probably cut. Otherwise each of the others there would make a
-request of each process wait for a connection, again and again."""
-
 NEARLY_EQUAL_SHARE = 0.05
 """Difference between costs up to which the nearer upstream is used, as a share of the target."""
 
@@ -93,7 +88,6 @@
         self._usable = usable_upstreams(upstreams, (), now, model.switches)
         self._is_restricted = any(item.is_restricted(now) for item in upstreams)
         self._usable_inside: dict[Homes, Sequence[Upstream]] = {}
-        self._cut_off: dict[str | None, bool] = {}
         self._reserved: frozenset[str] = frozenset()
         if model.switches.uses(Mechanism.SET_APART):
             # Healthy or not, all that accept work: the choice must not change with each failure.
@@ -192,21 +186,9 @@
         if demand.is_suspect:
             return primary, self._least_needed(by_region[primary])
         found = self._rank_candidates(demand, by_region[primary])
-        reached = [region for region in others if not self._is_cut_off(region)]
-        for region in reached[:SPILL_REGIONS]:
+        for region in others[:SPILL_REGIONS]:
             found += self._rank_candidates(demand, by_region[region], 1)
-        near = [item for region in (primary, *reached) for item in by_region[region]]
-        return primary, self._add_holders(found, holders, near)
-
-    def _is_cut_off(self, region: str | None) -> bool:
-        """Return whether so many upstreams of a region are suspended that no work spills over."""
-        if region not in self._cut_off:
-            region_of = self.model.region_map.region_of
-            there = [item for item in self.upstreams if region_of(_domain(item)) == region]
-            able = [item for item in there if item.accepts_work()]
-            suspended = sum(item.health.suspended(self.now) for item in able)
-            self._cut_off[region] = suspended >= max(MIN_CUT_OFF, CUT_OFF_SHARE * len(able))
-        return self._cut_off[region]
+        return primary, self._add_holders(found, holders, usable)
 
     def _list_usable(self, demand: Demand, tried: Collection[str]) -> Sequence[Upstream]:
         """Return the upstreams that a request may be sent to."""
