Ask again for nothing once no request waits at a cold upstream

Owners granted starts for requests that had gone elsewhere, and a process that had not heard from its owner lent its share only at the next renewal.

--- a/benchmarks/_simulated_fleet.py
+++ b/benchmarks/_simulated_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -13,7 +14,14 @@
 
 import attrs
 
-from burdockquay_coordination.forwarding import ForwardRoute, RouteKind, ServiceShare, Switches
+from burdockquay_coordination.forwarding import (
+    ForwardRoute,
+    RouteKind,
+    ServiceShare,
+    Switches,
+    Upstream,
+    is_poller,
+)
 from burdockquay_platform.tests.simulation import SimulatedClock, SimulatedLoop, SimulatedTime
 from burdockquay_protocol import (
     PROTOCOL_VERSIONS,
@@ -29,8 +37,10 @@
     ForwarderSettings,
 )
 from burdockquay_transport.forwarding._call import ForwardCall
+from burdockquay_transport.forwarding._connections import HeldBackError
 from burdockquay_transport.forwarding._rate_sharing import RateSharing
 from burdockquay_transport.forwarding._relay import Relay
+from burdockquay_transport.forwarding._send_conditions import check_cold, check_statements
 from burdockquay_transport.forwarding._state import ForwarderState
 
 SERVICE = "s"
@@ -44,6 +54,9 @@
 MESSAGE_LOSS = 0.002
 """Share of the messages that are lost, as with a connection that breaks while they are queued."""
 
+CONNECT_SHARE = 0.2
+"""Share of the requests for which a connection is opened first, which takes two ways more."""
+
 DISCONNECT_S = 1.0
 """Time after which both sides of a cut drop the connection, seconds."""
 
@@ -63,7 +76,8 @@
 
     def _run_once(self) -> None:
         if not self._ready and self._scheduled:
-            self._time.now = max(self._time.now, self._scheduled[0]._when)
+            # A little later, or rounding could let a wait end just before its time again and again.
+            self._time.now = max(self._time.now, self._scheduled[0]._when) + 1e-7
         super()._run_once()
 
 
@@ -122,6 +136,9 @@
         self.name = name
         self.domain = domain
         self.is_up = True
+        self.started_at, self.ended_at = fleet.loop.time(), float("inf")
+        self.thawed_at = float("-inf")
+        self.was_split = False
         self.links: dict[str, Link] = {}
         self._held: list[tuple[Callable[..., None], tuple]] | None = None
         rng = random.Random(fleet.rng.random())
@@ -148,6 +165,7 @@
     def freeze(self, for_s: float) -> None:
         """Freeze the process for a time."""
         self._held = []
+        self.thawed_at = self.fleet.loop.time() + for_s
         self.fleet.loop.call_later(for_s, self._thaw)
 
     def _thaw(self) -> None:
@@ -183,11 +201,45 @@
         self.sharing.set_peers(self.links)
         self.exchange.choose_pollers(self.name, list(self.links))
 
+    def is_poller(self, table: str) -> bool:
+        """Return whether the process polls the store for the changes of a table."""
+        return is_poller(table, self.name, list(self.links))
+
     def make_call(self, rank: int, patience_s: float) -> ForwardCall:
         """Return a plain request that arrives now."""
         now = self.clock.now()
         return ForwardCall(None, None, ROUTE, SERVICE, None, 1, b"", now, now + patience_s, rank)
 
+    async def choose(self, call: ForwardCall) -> Upstream | None:
+        """Return the upstream for a call as :class:`Relay` does.
+
+        None if the call is refused, or if the process ends.
+        """
+        held = self.state.held_calls
+        self.state.rate_limits.want(SERVICE, call.rank)
+        while (chosen := self.relay._choose(call)) is None:
+            if not await held.wait(call):
+                return None
+            await self.thawed()
+            if not self.is_up:
+                return None
+        held.take(chosen, call.rank)
+        call.sent_at = self.clock.now()
+        return chosen
+
+    async def connect(self, call: ForwardCall, upstream: Upstream) -> bool:
+        """Open a connection if none is idle; return whether the request may be sent then."""
+        if self.fleet.rng.random() < CONNECT_SHARE:
+            await asyncio.sleep(2 * self.fleet.delay_s())
+            await self.thawed()
+        try:
+            check_statements(upstream, self.clock.now())
+            check_cold(call, upstream, self.clock.now())
+        except HeldBackError:
+            return False
+        call.tried.add(upstream.id)
+        return self.is_up
+
 
 class Fleet:
     """All processes, and the links between them.
@@ -208,6 +260,7 @@
         self.bytes: dict[str, int] = defaultdict(int)
         self.domains = tuple(domains)
         self.hosts: list[Host] = []
+        self.all_hosts: list[Host] = []
         self._sides: list[frozenset[str]] = []
         self._generation = 0
 
@@ -219,8 +272,13 @@
         """End all processes."""
         for host in self.hosts:
             host.is_up = False
+            host.ended_at = self.loop.time()
         self.hosts = []
 
+    def hosts_at(self, moment: float) -> list[Host]:
+        """Return the processes that ran at a moment."""
+        return [item for item in self.all_hosts if item.started_at <= moment < item.ended_at]
+
     def start(self) -> None:
         """Start as many processes as belong to the fleet."""
         self._generation += 1
@@ -228,10 +286,14 @@
             Host(self, f"p{number}.{self._generation}", self.domains[number % len(self.domains)])
             for number in range(self.size)
         ]
+        self.all_hosts += self.hosts
         self._connect()
 
     def split(self, hosts: Iterable[Host], for_s: float) -> None:
         """Cut all links between some processes and the others."""
+        hosts = list(hosts)
+        for host in hosts:
+            host.was_split = True
         side = frozenset(host.name for host in hosts)
         self._sides.append(side)
         self.loop.call_later(DISCONNECT_S, self._connect)
--- a/benchmarks/bench_cold_starts.py
+++ b/benchmarks/bench_cold_starts.py
@@ -15,11 +15,12 @@
 import random
 import sys
 import time
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
+from _cold_service import COLD_PER_S, PATIENCE_S, TICK_S, WARM_PER_S, Server, serve_ideally
 from _report import print_load_average, print_result, print_table
 from _simulated_fleet import SERVICE, Fleet, Host
 
@@ -31,26 +32,17 @@
     UpstreamChanges,
 )
 from burdockquay_transport.forwarding._call import ForwardCall
-from burdockquay_transport.forwarding._connections import HeldBackError
-from burdockquay_transport.forwarding._send_conditions import check_cold, check_statements
 
 SIZES = (4, 28, 100, 300)
 SEED = 1
 UPSTREAMS = 8
-COLD_S, COLD_PER_S, OVERAGE, SLACK = 10.0, 11.0, 1.5, 5.0
+COLD_S, OVERAGE, SLACK = 10.0, 1.5, 5.0
 BOUND = COLD_PER_S * OVERAGE + SLACK
 CRASH_FACTOR = 2.0
-WARM_PER_S = 20.0
-"""Requests per second that a warm upstream serves."""
-
 DEMAND = 0.9
 """Requests that arrive, as a share of what all upstreams serve when they are warm."""
 
-PATIENCE_S = 5.0
 URGENT_SHARE = 0.1
-CONNECT_SHARE = 0.2
-"""Share of the requests for which a connection is opened first, which takes two ways more."""
-
 LOSS, LOSS_TIMEOUT_S = 0.005, 0.3
 READ_S = (0.01, 0.15)
 """Range of the time until a process has read a change of the list, seconds."""
@@ -60,7 +52,6 @@
 
 BACK_AT, TURN_AT, RESTART_AT, SPLIT_AT, PROCESSES_AT, END = 1.0, 4.0, 14.0, 16.0, 20.0, 28.0
 TURN_S, CUT_S, FREEZE_S, SPLIT_S, DOWN_S = 4.0, 5.0, 1.5, 4.0, 0.3
-TICK_S = 0.05
 SETTLE_S = 1.0
 """Time after an upstream has turned cold, or the processes have started, in which use is not
 judged, seconds."""
@@ -85,35 +76,6 @@
     cpu_share: float
 
 
-class Server:
-    """An upstream: its run, until when it is cold, and what arrives."""
-
-    def __init__(self, number: int):
-        self.id = f"u{number}"
-        self.run = 0
-        self.entry: ListedUpstream | None = None
-        self.listed_at = float("inf")
-        self.spells: list[tuple[float, float]] = []
-        self.free_at = 0.0
-        self.arrivals: list[float] = []
-        self.cold_arrivals: list[float] = []
-
-    @property
-    def incarnation(self) -> str:
-        """Name of its run."""
-        return f"{self.id}@{self.run}"
-
-    def cold_s(self, now: float) -> float:
-        """Return how long it is cold from a time on, seconds."""
-        return max((end - now for begin, end in self.spells if begin <= now < end), default=0.0)
-
-    def seconds_over(self, bound: float) -> int:
-        """Return the seconds in which more arrived within a second, while cold, than a bound."""
-        times = self.cold_arrivals
-        first = [bisect.bisect_right(times, at - 1.0) for at in times]
-        return len({int(at) for n, at in enumerate(times) if n + 1 - first[n] > bound})
-
-
 class Simulation:
     """One run at one size."""
 
@@ -146,7 +108,7 @@
             sum(item.seconds_over(BOUND) for item in servers),
             sum(item.seconds_over(CRASH_FACTOR * COLD_PER_S) > 0 for item in servers),
             min(shares, default=1.0),
-            self.served / self._ideal(),
+            self.served / serve_ideally(servers, self.moments, self.begun, END, self._is_down),
             self.wrongly_refused,
             sum(self.fleet.bytes.values()) / (self.fleet.size * END),
             cpu / (self.fleet.size * END),
@@ -266,26 +228,14 @@
         await host.thawed()
         call = host.make_call(rank, PATIENCE_S - (self.loop.time() - moment))
         while host.is_up and self.loop.time() - moment < PATIENCE_S:
-            upstream = await self._choose(host, call)
-            if host.is_up and (upstream is None or await self._send(host, call, upstream, moment)):
+            upstream = await host.choose(call)
+            if upstream is None and host.is_up:
+                self.wrongly_refused += self._has_place()
+                return
+            if upstream is not None and await self._send(host, call, upstream, moment):
                 return
         await self._come_back(moment, rank)
 
-    async def _choose(self, host: Host, call: ForwardCall) -> Upstream | None:
-        """Return the upstream for a call as :class:`Relay` does, None if it is refused."""
-        held = host.state.held_calls
-        host.state.rate_limits.want(SERVICE, call.rank)
-        while (chosen := host.relay._choose(call)) is None:
-            if not await held.wait(call):
-                self.wrongly_refused += self._has_place()
-                return None
-            await host.thawed()
-            if not host.is_up:
-                return None
-        held.take(chosen, call.rank)
-        call.sent_at = host.clock.now()
-        return chosen
-
     def _has_place(self) -> bool:
         """Return whether an upstream has been warm for a while and has little to do."""
         now = self.loop.time()
@@ -300,15 +250,8 @@
         """Send a call; return whether it needs no further send."""
         upstream.outstanding += 1
         try:
-            if self.rng.random() < CONNECT_SHARE:
-                await asyncio.sleep(2 * self.fleet.delay_s())
-                await host.thawed()
-            try:
-                check_statements(upstream, host.clock.now())
-                check_cold(call, upstream, host.clock.now())
-            except HeldBackError:
+            if not await host.connect(call, upstream):
                 return False
-            call.tried.add(upstream.id)
             if self.rng.random() < LOSS:
                 await asyncio.sleep(LOSS_TIMEOUT_S)
                 return False
@@ -344,6 +287,9 @@
         await asyncio.sleep(server.free_at - now)
         return int(server.incarnation == incarnation)
 
+    def _is_down(self, now: float) -> bool:
+        return PROCESSES_AT <= now - self.begun < PROCESSES_AT + DOWN_S
+
     def _judge(self, _: None) -> None:
         """Count what cold upstreams got in the last tick if enough requests wait for each."""
         now = self.loop.time()
@@ -360,28 +306,6 @@
                     counts[0] += 1
                     counts[1] += len(server.arrivals) - bisect.bisect(server.arrivals, now - TICK_S)
 
-    def _ideal(self) -> int:
-        """Return what one queue that knows all would have served."""
-        waiting: deque[float] = deque()
-        credits = dict.fromkeys(self.servers, 0.0)
-        arrivals = deque(self.moments)
-        served, now = 0, self.begun
-        while (now := now + TICK_S) < self.begun + END:
-            while arrivals and arrivals[0] <= now:
-                waiting.append(arrivals.popleft())
-            if PROCESSES_AT <= now - self.begun < PROCESSES_AT + DOWN_S:
-                continue
-            for name, server in self.servers.items():
-                if now < server.listed_at:
-                    continue
-                per_s = COLD_PER_S if server.cold_s(now) else WARM_PER_S
-                credits[name] = min(credits[name] + per_s * TICK_S, 1.0 + per_s * TICK_S)
-                while waiting and credits[name] >= 1.0:
-                    if now - waiting.popleft() <= PATIENCE_S:
-                        credits[name] -= 1.0
-                        served += 1
-        return served
-
 
 def main() -> None:
     names = list(attrs.fields_dict(Outcome))
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_cold_starts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_cold_starts.py
@@ -11,8 +11,12 @@
     ColdReport,
     ColdStartTerms,
     ColdTerms,
+    Fleet,
+    GrantMessage,
     ListedUpstream,
+    NeedMessage,
     SharedLimit,
+    StartNeed,
     UpstreamChanges,
     UpstreamRegistry,
     granted_rate,
@@ -150,6 +154,35 @@
     assert not any(item.limit.binds(item.now) for item in cluster.processes.values())
 
 
+def test_owner_answers_at_once_a_process_that_has_not_heard_from_it():
+    """Guards against shares that are lent only after the next renewal, which takes seconds."""
+    limit, fleet = make_limit(), Fleet("a", ["a", "b"], 300)
+    limit.learn_listed(DURATION_S, 1, 0.0)
+    limit.step(fleet, 0.0)
+    for answers, expected in ((0.0, ["b"]), (0.1, [])):
+        need = StartNeed({1: 1}, 5.0, 0.0, answers, 300)
+        limit.receive_need("b", NeedMessage("a", None, False, need), 0.1)
+        messages = limit.step(fleet, 0.1).messages
+        assert [item.to for item in messages if isinstance(item, GrantMessage)] == expected
+
+
+def test_owner_is_told_that_no_request_waits_any_more():
+    """Guards against starts for requests that another upstream has taken meanwhile."""
+    limit, fleet = make_limit(), Fleet("b", ["a", "b"], 2)
+    limit.learn_listed(DURATION_S, 1, 0.0)
+    limit.want(1, 1, 0.0)
+    assert [item.need.wanted for item in needs_of(limit, fleet, 0.0)] == [{1: 1}]
+    limit.drop_wants(0.01)
+    assert [item.need.wanted for item in needs_of(limit, fleet, 0.01)] == [{}]
+    assert needs_of(limit, fleet, 0.02) == []
+
+
+def needs_of(limit, fleet, now):
+    """Return the needs that a step sends."""
+    messages = limit.step(fleet, now).messages
+    return [item for item in messages if isinstance(item, NeedMessage)]
+
+
 def row(cold_s, revision=1, sequence=1, started_ms=5, id_="i-1", domain="a"):
     """Return an entry of the list."""
     return ListedUpstream(
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
@@ -263,6 +263,11 @@
         if self.per_s(now) is not None:
             self._account.want(rank, count, now)
 
+    def drop_wants(self, now: float) -> None:
+        """Record that no request waits any more for a start at this upstream, if it is cold."""
+        if self.cold.binds(now):
+            self._account.drop_wants()
+
     def record_answer(
         self, reading: StatementReading, sent_at: float, now: float
     ) -> StatementChange | None:
@@ -284,6 +289,10 @@
                 self._on_change(now)
         elif is_unknown:
             self._corrected.add(member)
+        if not message.need.answers and self.cold.binds(now):
+            # The sender has not heard from this process since it learnt that the upstream is cold,
+            # and cannot lend its share before; the next renewal may be seconds away.
+            self._corrected.add(member)
         self._open_pool(now).receive_need(member, message.need, now)
         return change
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_pool.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_start_pool.py
@@ -115,6 +115,7 @@
         self._lent_until = float("-inf")
         self._need_due_at = float("-inf")
         self._has_unsent_want = False
+        self._has_unsent_end = False
 
     def may_start(self, now: float) -> bool:
         """Return whether this process holds a start."""
@@ -145,6 +146,16 @@
             self._has_unsent_want = True
         self._wanted[rank] = (count, now + WANT_S)
 
+    def drop_wants(self) -> None:
+        """Forget the wants, since nothing waits any more; the next need says so at once.
+
+        The owner would otherwise grant starts that nobody uses until the need is not valid any
+        more, which with many processes takes longer than most requests wait.
+        """
+        self._has_unsent_end = bool(self._wanted)
+        self._has_unsent_want = False
+        self._wanted.clear()
+
     def wanted(self, now: float) -> dict[int, int]:
         """Return the number of requests that want a start, by rank."""
         return {rank: count for rank, (count, until) in self._wanted.items() if now < until}
@@ -158,7 +169,7 @@
 
     def need_due_at(self, now: float) -> float:
         """Return when the next need is due."""
-        return now if self._has_unsent_want else self._need_due_at
+        return now if self._has_unsent_want or self._has_unsent_end else self._need_due_at
 
     def compose_need(
         self, processes: int | None, now: float, is_forced: bool = False
@@ -180,7 +191,7 @@
         count = processes or 1
         interval_s = need_interval_s(count) if wanted else share_interval_s(count)
         self._need_due_at = now + interval_s
-        self._has_unsent_want = False
+        self._has_unsent_want = self._has_unsent_end = False
         share = 0.0 if processes is None else self._lend(processes, now)
         return StartNeed(wanted, now, share, self._owner_sent_at or 0.0, count)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -128,6 +128,14 @@
         """Ask for starts for the requests that wait, by rank."""
         self._ask(service, counts, is_waiting=True)
 
+    def drop_wants(self, service: str) -> None:
+        """Ask for no more starts at the cold upstreams of a service, since no request waits."""
+        now = self.clock.now()
+        cold = [i for i in self.upstream_registry.of_service(service) if i.cold.binds(now)]
+        for upstream in cold:
+            upstream.limit.drop_wants(now)
+        self._step(cold, now)
+
     def _ask(self, service: str, counts: Mapping[int, int], is_waiting: bool) -> None:
         """Ask for starts at the limited upstreams of a service."""
         now = self.clock.now()
