--- a/benchmarks/_simulated_fleet.py
+++ b/benchmarks/_simulated_fleet.py
@@ -264,9 +264,10 @@
         self._sides: list[frozenset[str]] = []
         self._generation = 0
 
-    def delay_s(self) -> float:
+    def delay_s(self, rng: random.Random | None = None) -> float:
         """Return the delay of one message or request, seconds."""
-        return self.rng.uniform(*(SLOW_S if self.rng.random() < SLOW_SHARE else FAST_S))
+        rng = rng or self.rng
+        return rng.uniform(*(SLOW_S if rng.random() < SLOW_SHARE else FAST_S))
 
     def end(self) -> None:
         """End all processes."""
--- a/benchmarks/_simulated_store.py
+++ b/benchmarks/_simulated_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Iterable
 from typing import Any
 
@@ -60,6 +61,8 @@
         self.store = store
         self.host = host
         self.clock = StoreClock()
+        # Waiting queries wake in no fixed order; with a common generator, runs would differ.
+        self.rng = random.Random(host.name)
 
     def now(self) -> float:
         """Return the time on the clock of the process."""
@@ -88,7 +91,7 @@
 
     async def _ask(self, content: Any) -> Result[TableReading, TableError]:
         store, sent = self.store, self.now()
-        await asyncio.sleep(store.fleet.delay_s())
+        await asyncio.sleep(store.fleet.delay_s(self.rng))
         if not store.reaches(self.host):
             return Err(UNAVAILABLE)
         answer = asyncio.ensure_future(content())
@@ -105,7 +108,7 @@
             return Err(UNAVAILABLE)
         position = Position(store.feeds.era, store.feeds.revision)
         store_s = store.loop.time()
-        await asyncio.sleep(store.fleet.delay_s())
+        await asyncio.sleep(store.fleet.delay_s(self.rng))
         await self.host.thawed()
         as_of = self.clock.as_of(sent, self.now(), store_s, position.era)
         return Ok(TableReading(tuple(rows), position, as_of, store_s))
