--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_rate_limits.py
@@ -130,6 +130,15 @@
         """Ask for starts for the requests that wait, by homes and rank."""
         self._ask(service, counts, is_waiting=True)
 
+    def drop_wants(self, service: str) -> None:
+        """Ask for no more starts at the cold upstreams of a service, since no request waits."""
+        now = self.clock.now()
+        cold = [i for i in self.upstream_registry.of_service(service) if i.cold.binds(now)]
+        for upstream in cold:
+            upstream.limit.drop_wants(now)
+        if cold:
+            self._step(cold, now)
+
     def _inside(self, service: str, homes: Homes | None) -> list[Upstream]:
         """Return the upstreams of a service that lie in some homes."""
         found = self.upstream_registry.of_service(service)
