Drop the wants of plain requests only

Cause: the wants for starts were dropped with each start, also of prompts whose queue is elsewhere; they were asked for again some milliseconds later, at two messages for each start at a cold upstream. Change: only a plain request that starts or gives up drops them.

--- a/benchmarks/_simulated_fleet.py
+++ b/benchmarks/_simulated_fleet.py
@@ -224,6 +224,7 @@
             if not self.is_up:
                 return None
         held.take(chosen, call.rank)
+        held.drop_unneeded_wants(call.service)
         call.sent_at = self.clock.now()
         return chosen
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_held_calls.py
@@ -88,8 +88,11 @@
         upstream.take_start(rank, self.clock.now())
         if self._waiting.get(upstream.entry.service):
             self._wake_next(upstream.entry.service)
-        else:
-            self.rate_limits.drop_wants(upstream.entry.service)
+
+    def drop_unneeded_wants(self, service: str) -> None:
+        """Ask for no more starts once no plain request of a service waits."""
+        if not self._waiting.get(service):
+            self.rate_limits.drop_wants(service)
 
     def has_earlier_waiting(self, call: ForwardCall, upstream: Upstream) -> bool:
         """Return whether plain requests wait that go before a new one at an upstream."""
@@ -125,11 +128,10 @@
             slice_s = SUCCESSOR_SLICE_S
         else:
             return False
-        queue = self._waiting[call.service]
         if now >= until:
-            if not queue:
-                self.rate_limits.drop_wants(call.service)
+            self.drop_unneeded_wants(call.service)
             return False
+        queue = self._waiting[call.service]
         woken = asyncio.get_running_loop().create_future()
         entry = _WaitingCall((call.rank, call.started), next(self._numbers), woken, call)
         heapq.heappush(queue, entry)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -152,6 +152,7 @@
             if not await held.wait(call):
                 raise CallError(held.refusal(call) or failure_of(call))
         held.take(upstream, call.rank)
+        held.drop_unneeded_wants(call.service)
         return upstream
 
     def _choose(self, call: ForwardCall) -> Upstream | None:
