--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -75,7 +75,8 @@
     stream_digest,
 )
 from ._suspects import CrashSuspects, Interruption
-from ._upstreams import Upstream, UpstreamRegistry
+from ._upstream import Upstream
+from ._upstreams import UpstreamRegistry
 from ._urgency import SHORT_READING_SHARE, UrgencyScale
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -10,7 +10,7 @@
 
 from ..regions import SINGLE_REGION, RegionDelays, RegionMap
 from ._mechanisms import ALL_ON, Mechanism, Switches
-from ._upstreams import Upstream
+from ._upstream import Upstream
 
 REMOTE_DOMAIN_COST = 0.3
 """Added to the number of outstanding requests of an upstream in another failure domain. It is below
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_demand.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_demand.py
@@ -6,7 +6,7 @@
 
 from ..regions import Homes
 from ._prompts import Prompt
-from ._upstreams import Upstream
+from ._upstream import Upstream
 
 
 @attrs.frozen
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_engine_model.py
@@ -7,7 +7,7 @@
 from ._mechanisms import ALL_ON, Mechanism, Switches
 from ._reading import FirstTokenModel
 from ._steady_reservation import SteadyReservation
-from ._upstreams import Upstream
+from ._upstream import Upstream
 
 FIRST_S = 0.03
 TOKEN_S = 1 / 50_000
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -13,7 +13,7 @@
 from ._engine_model import EngineModel
 from ._mechanisms import Mechanism
 from ._prompts import Prompt
-from ._upstreams import Upstream
+from ._upstream import Upstream
 
 SHARED_READ_COST_PER_RUNNING = 0.7
 """Cost of reading shared tokens a second time, per running request at the upstream, as a multiple
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_steady_reservation.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_steady_reservation.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from hashlib import blake2b
 
-from ._upstreams import Upstream
+from ._upstream import Upstream
 
 PAUSE_WEIGHT = 0.03
 """Weight of the newest stream in the share of streams with a long pause: about the last thirty
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -15,7 +15,7 @@
 from ._engine_model import EngineModel
 from ._mechanisms import Mechanism
 from ._placing import LARGE_FLEET_PROCESSES, PlacementRound
-from ._upstreams import Upstream
+from ._upstream import Upstream
 
 BACKLOG_WINDOW_SHARE = 0.6
 """Share of the tightest target of a service that the unread prompts of an upstream may take before
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -462,11 +462,7 @@
         ]
         post_all(current, message)
         if message.era == 0 and len(current) < len(self._peer_connections):
-            former = [
-                peer
-                for peer in self._peer_connections.values()
-                if peer.version < TableChanges.since
-            ]
+            former = [peer for peer in self._peer_connections.values() if peer not in current]
             post_all(former, message.without_era())
 
     def _receive_keys(self, peer: PeerConnection, message: KeysHonoured) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -13,7 +13,6 @@
     Upstream,
     choose_backup,
     choose_upstream,
-    held_back_upstreams,
     spare_upstreams,
     usable_upstreams,
 )
@@ -54,6 +53,7 @@
     timeout_on_restart,
     withheld_error,
 )
+from ._send_log import log_send
 from ._state import ForwarderState
 from ._stream_origins import find_origin
 
@@ -65,9 +65,6 @@
 """Share of the remaining time that one upstream has to answer a plain request which can still be
 retried at another, so that an upstream that hangs leaves time for the retry."""
 
-MAX_NAMED_UPSTREAMS = 5
-"""Most upstreams that a line names as held back by what they have stated or by an evacuation."""
-
 MIN_ATTEMPT_S = 0.25
 """Lower limit of that time, seconds; about ten times the duration of a plain request."""
 
@@ -310,7 +307,7 @@
         if not self._withdraw_retry(call):
             return RetryDenied(upstream)
         send = self._compose(call, upstream)
-        self._log_send(call, upstream)
+        log_send(self.state, call, upstream, self._sent_urgency(call))
         was_tried = upstream.id in call.tried
         call.tried.add(upstream.id)
         call.sent_at = self.state.clock.now()
@@ -358,65 +355,6 @@
                 # Closes the connection unless the body was read completely.
                 response.close()
 
-    def _log_send(self, call: ForwardCall, upstream: Upstream) -> None:
-        now = self.state.clock.now()
-        placement = call.sent.placement if call.sent else None
-        directory = self.state.directory
-        if upstream.limit.binds(now):
-            self.state.metrics.limited_sends.labels(upstream.id).inc()
-        if not call.sends:
-            self.state.metrics.waited.labels(*call.class_labels).observe(now - call.started)
-        log_event(
-            Event.CALL_SENT,
-            request=call.request.id,
-            route=call.route.name,
-            service=call.service,
-            upstream=upstream.id,
-            software=upstream.entry.software_version or None,
-            region=self._describe_region(upstream),
-            sends=call.sends,
-            waited_s=now - call.started,
-            remaining_s=call.deadline - now,
-            urgency=call.urgency,
-            sent_urgency=self._sent_urgency(call),
-            running=upstream.running(now),
-            rate_limit=upstream.limit.stated_per_s,
-            cold_s=upstream.cold.remaining_s(now) or None,
-            leaving_s=upstream.statements.leaving.age_s(now),
-            rest_s=upstream.statements.rest.remaining_s(now) or None,
-            listed=self._describe_listing(upstream),
-            held_back=self._describe_held_back(call, now),
-            predicted_s=placement.first_token_s if placement else None,
-            backlog_s=placement.backlog_s if placement else None,
-            missing_tokens=placement.tokens if placement else None,
-            fetched_tokens=placement.fetched_tokens if placement else None,
-            source=placement.source.id if placement and placement.source else None,
-            resume_after=call.last_event or call.request.resume_after,
-            resumes=call.request.resumed_attempt,
-            backup=call.backup.id if call.backup else None,
-            goes_on=call.continue_at is upstream or None,
-            revision=directory.config.version if directory else None,
-            config_age_s=self.state.lease.age(now),
-        )
-
-    def _describe_region(self, upstream: Upstream) -> str | None:
-        """Return the region of an upstream where there are several."""
-        regions = self.state.region_map
-        return regions.region_of(upstream.entry.failure_domain) if regions.has_several else None
-
-    def _describe_listing(self, upstream: Upstream) -> str | None:
-        """Return why a usable upstream is not listed as ready, None if it is."""
-        if upstream.id in self.state.upstream_registry.missing:
-            return "missing"
-        return "leaving" if upstream.entry.leaving else None
-
-    def _describe_held_back(self, call: ForwardCall, now: float) -> str | None:
-        """Return the upstreams that a call was not sent to, with the reason."""
-        candidates = call.candidates(self.state.upstream_registry)
-        found = held_back_upstreams(candidates, call.tried, now)
-        named = [f"{item.id}:{item.held_back_by(now)}" for item in found[:MAX_NAMED_UPSTREAMS]]
-        return ",".join(named) or None
-
     def _remaining(self, call: ForwardCall) -> float:
         return call.deadline - self.state.clock.now()
 
