--- a/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/sending/_shared_limit.py
@@ -290,8 +290,8 @@
         elif is_unknown:
             self._corrected.add(member)
         if not message.need.answers and self.cold.binds(now):
-            # The sender has not heard from this process since it learnt that the upstream is cold,
-            # and cannot lend its share before; the next renewal may be seconds away.
+            # A process lends its share only to an owner that has answered since the upstream turned
+            # cold. The next renewal may be seconds away.
             self._corrected.add(member)
         self._open_pool(now).receive_need(member, message.need, now)
         return change
