Report the sizes of two benches, and name the upstreams of a send, in one place each

Cause: the benches of cold starts and of evacuations had the same main loop, and two conditions of a send found the fetch source and the backup by the same lines. Change: report_sizes prints the outcomes of a simulation by size; _named_upstreams returns those that headers name. Behaviour is unchanged.

--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -4,9 +4,12 @@
 
 import json
 import os
-from collections.abc import Mapping, Sequence
+import time
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any
 
+import attrs
+
 
 def print_table(title: str, header: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
     """Print rows in aligned columns."""
@@ -52,3 +55,33 @@
     if isinstance(value, Mapping):
         return {key: _round(part) for key, part in value.items()}
     return value
+
+
+def report_sizes(
+    title: str,
+    kind: type,
+    outcomes: Iterable[tuple[int, Callable[[], Any]]],
+    lowest: Collection[str],
+) -> None:
+    """Print the outcome of a simulation at several numbers of processes, and the worst figures.
+
+    Parameters
+    ----------
+    title : str
+    kind : type
+        The attrs class of the outcomes.
+    outcomes : iterable of (int, callable)
+        The number of processes, and a function that returns their outcome.
+    lowest : collection of str
+        Figures whose lowest value is the worst; of all others it is the highest.
+    """
+    names = list(attrs.fields_dict(kind))
+    rows, found = [], []
+    for size, run in outcomes:
+        begun = time.monotonic()
+        found.append(run())
+        rows.append((size, *attrs.astuple(found[-1]), time.monotonic() - begun))
+    print_table(title, ["processes", *names, "took_s"], rows)
+    print_load_average()
+    worst = dict.fromkeys(names, max) | dict.fromkeys(lowest, min)
+    print_result({name: worst[name](getattr(item, name) for item in found) for name in names})
--- a/benchmarks/bench_cold_starts.py
+++ b/benchmarks/bench_cold_starts.py
@@ -21,7 +21,7 @@
 
 import attrs
 from _cold_service import COLD_PER_S, PATIENCE_S, TICK_S, WARM_PER_S, Server, serve_ideally
-from _report import print_load_average, print_result, print_table
+from _report import report_sizes
 from _simulated_fleet import SERVICE, Fleet, Host
 
 from burdockquay_coordination.forwarding import (
@@ -308,18 +308,10 @@
 
 
 def main() -> None:
-    names = list(attrs.fields_dict(Outcome))
-    rows, found = [], []
-    for size in map(int, sys.argv[1:] or SIZES):
-        begun = time.monotonic()
-        found.append(Simulation(size, SEED).run())
-        rows.append((size, *attrs.astuple(found[-1]), time.monotonic() - begun))
-    print_table(f"Cold starts, seed {SEED}", ["processes", *names, "took_s"], rows)
-    print_load_average()
-    lowest = ("used_at_worst", "served_of_ideal")
-    print_result(
-        {name: (min if name in lowest else max)(getattr(o, name) for o in found) for name in names}
-    )
+    sizes = map(int, sys.argv[1:] or SIZES)
+    outcomes = ((size, lambda size=size: Simulation(size, SEED).run()) for size in sizes)
+    lowest = {"used_at_worst", "served_of_ideal"}
+    report_sizes(f"Cold starts, seed {SEED}", Outcome, outcomes, lowest)
 
 
 if __name__ == "__main__":
--- a/benchmarks/bench_evacuation.py
+++ b/benchmarks/bench_evacuation.py
@@ -12,12 +12,11 @@
 import json
 import random
 import sys
-import time
 from collections.abc import Callable
 from typing import Any
 
 import attrs
-from _report import print_load_average, print_result, print_table, quantile
+from _report import quantile, report_sizes
 from _simulated_fleet import SERVICE, Fleet, Host
 from _simulated_store import Store, StoreReader
 
@@ -266,16 +265,9 @@
 
 
 def main() -> None:
-    names = list(attrs.fields_dict(Outcome))
-    rows, found = [], []
-    for size in map(int, sys.argv[1:] or SIZES):
-        begun = time.monotonic()
-        found.append(Simulation(size, SEED).run())
-        rows.append((size, *attrs.astuple(found[-1]), time.monotonic() - begun))
-    print_table(f"Evacuations, seed {SEED}", ["processes", *names, "took_s"], rows)
-    print_load_average()
-    worst = dict.fromkeys(names, max) | {"served_of_ideal": min}
-    print_result({name: worst[name](getattr(item, name) for item in found) for name in names})
+    sizes = map(int, sys.argv[1:] or SIZES)
+    outcomes = ((size, lambda size=size: Simulation(size, SEED).run()) for size in sizes)
+    report_sizes(f"Evacuations, seed {SEED}", Outcome, outcomes, {"served_of_ideal"})
 
 
 if __name__ == "__main__":
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_send_conditions.py
@@ -42,11 +42,10 @@
     """
     if call.homes is None:
         return
-    source = call.sent.placement.source if call.sent else None
     if not call.is_inside(upstream):
         raise HeldBackError(f"upstream {upstream.id} lies outside the homes of the request")
-    for item in (source, call.backup):
-        if item is not None and not call.is_inside(item):
+    for item in _named_upstreams(call):
+        if not call.is_inside(item):
             raise OtherHeldBackError(f"{item.id} lies outside the homes of the request")
 
 
@@ -96,12 +95,17 @@
     ------
     OtherHeldBackError
     """
-    source = call.sent.placement.source if call.sent else None
-    for named in (source, call.backup):
-        if named is not None and named.is_evacuated:
+    for named in _named_upstreams(call):
+        if named.is_evacuated:
             raise OtherHeldBackError(f"{named.id} is in an evacuated failure domain")
 
 
+def _named_upstreams(call: ForwardCall) -> list[Upstream]:
+    """Return the upstreams that the headers of a send name: the fetch source and the backup."""
+    source = call.sent.placement.source if call.sent else None
+    return [item for item in (source, call.backup) if item is not None]
+
+
 @contextlib.asynccontextmanager
 async def timeout_on_restart(upstream: Upstream) -> AsyncIterator[None]:
     """Raise TimeoutError in the body once the upstream has restarted."""
