--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -213,7 +213,9 @@
         self.event_s = event_s
         self.work_s = work_s
         self.runs: list[dict] = []
+        self.exiting: asyncio.Task | None = None
         self._sequence = 0
+        self._connections: set[asyncio.Task] = set()
 
     async def open(self) -> None:
         """Listen on a free port."""
@@ -234,7 +236,17 @@
             "sequence": self._sequence,
         }
 
+    async def exit(self) -> None:
+        """Stop listening and break off what runs, as the end of the engine's process does."""
+        self.record.write(f"engine {self.name} exits")
+        self._server.close()
+        for task in self._connections:
+            task.cancel()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self._connections.add(task)
+        task.add_done_callback(self._connections.discard)
         try:
             while (message := await read_message(reader)) is not None:
                 first, headers, body = message
