--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,7 @@
 
 KEY = "key-of-huka270"
 MACHINES = 6
-DARK_S = 4.5
+DARK_S = 3.5
 DRAIN_S = 2.0
 LINGER_S = 0.5
 """Time for which the engine serves beyond ``drainMs`` before it exits."""
