Add review case 1: streams go on at another version after the loss of all processes

All forwarders are killed just after the last engines of a version have left the list.

The other two cases are now numbers 2 and 3, the gravest first.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,98 +1,145 @@
-"""LOST: a forwarder that has got SIGTERM passes on a late first request and cuts its stream."""
+"""ORDER: after the loss of all processes, streams go on at another software version."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import re
 import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
 
-from lab import LOOPBACK, Lab, make_route, read_answer, request_bytes, run_case
+from lab import LOOPBACK, Answer, Forwarder, Lab, make_route, read_answer, request_bytes, run_case
 
 KEY = "key-of-huka270"
-DEADLINE_MS = 12_000
-EVENTS = 49
-EVENT_S = 0.12
-GRACE_S = 8.0
-SENT_NO_LATER_S = 3.0
-FIRST_USED_S = (3.3, 3.8, 4.5, 5.5)
-"""When the connections that were opened in advance carry their first request, after SIGTERM."""
+MACHINES = 4
+STREAMS = 24
+EVENTS = 9
+EVENT_S = 0.2
+DEADLINE_S = 4.0
+RESTART_S = 1.0
+"""Time until the platform starts a killed process again."""
+
+RETRY_S = 1.4
+"""Time after which a client takes its stream up again."""
+
+MOST_MIXED = 2
+
+
+def events_of(answer: Answer) -> list[tuple[int, str]]:
+    """Return the number and the version of each event that a client has received whole."""
+    found = re.findall(rb"id: (\d+)\ndata: piece \d+ of \w+ by (\w+)\n\n", answer.body)
+    return [(int(number), version.decode()) for number, version in found]
+
+
+class Client:
+    """Asks for one stream, and takes it up once if its connection breaks."""
+
+    def __init__(self, lab: Lab, number: int):
+        self.lab = lab
+        self.number = number
+        self.events: list[tuple[int, str]] = []
+
+    async def run(self, forwarders: list[Forwarder]) -> None:
+        """Ask for the stream at one forwarder, and take it up at the next one."""
+        begun = self.lab.record.now()
+        first = f"first{self.number:011d}"
+        answer = await self._ask(forwarders[self.number % MACHINES], first, DEADLINE_S)
+        self.events = events_of(answer)
+        if answer.complete or not self.events:
+            return
+        await asyncio.sleep(RETRY_S)
+        last = self.events[-1][0]
+        left_s = DEADLINE_S - (self.lab.record.now() - begun)
+        forwarder = forwarders[(self.number + 1) % MACHINES]
+        more = {"Last_Event_Id": str(last), "Resumes": first}
+        answer = await self._ask(forwarder, f"again{self.number:011d}", left_s, **more)
+        self.events += events_of(answer)
+
+    async def _ask(self, forwarder: Forwarder, attempt: str, left_s: float, **more: str) -> Answer:
+        answer = Answer()
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, forwarder.port)
+            deadline_ms = round(left_s * 1000)
+            request = request_bytes(attempt, "/lohu930/2f", "POST", KEY, deadline_ms, **more)
+            writer.write(request)
+            answer = await read_answer(reader, left_s)
+            writer.close()
+        except OSError as error:
+            answer.error = type(error).__name__
+        self.lab.record.write(f"client has for {attempt} from {forwarder.vm}: {answer}")
+        return answer
+
+
+async def add_engines(lab: Lab, numbers: tuple[int, ...], version: str) -> None:
+    """Start engines of a software version."""
+    for number in numbers:
+        name = f"i-{number}"
+        await lab.add_engine(name, "huvo11a", events=EVENTS, event_s=EVENT_S, version=version)
+        lab.record.write(f"engine {name} of version {version} is ready")
+
+
+async def release(lab: Lab) -> None:
+    """Replace the two engines of version v1: the new ones start first, then the old ones leave."""
+    await add_engines(lab, (5, 6), "v2")
+    await asyncio.sleep(0.3)
+    for name in ("i-3", "i-4"):
+        await lab.store.put("servers", name, None)
+        lab.record.write(f"the entry of {name} of version v1 is removed; it goes on serving")
+
+
+async def lose_all(lab: Lab) -> None:
+    """Kill all processes at once, and start them again."""
+    lost = list(lab.forwarders)
+    for item in lost:
+        item.send_signal(signal.SIGKILL)
+    await asyncio.gather(*(item.process.wait() for item in lost))
+    await asyncio.sleep(RESTART_S)
+    started = [Forwarder(lab, item.vm, item.port) for item in lost]
+    lab.started += started
+    doors = [lab.doors[item.vm] for item in started]
+    await asyncio.gather(*(item.start(door) for item, door in zip(started, doors, strict=True)))
+    lab.forwarders[:] = started
+    lab.record.write("all forwarders listen again")
 
 
 async def play(lab: Lab, trouble: bool) -> bool:
-    """Return whether a request was passed on and its connection ended without a whole answer."""
+    """Return whether more than two streams hold events of two versions."""
     record = lab.record
     route = make_route(
-        "/pufi791/",
+        "/lohu930/",
         "streaming",
         "huvo11a",
-        timeoutMs=DEADLINE_MS,
-        targetLatencyMs=250,
-        gapTargetMs=200,
-        priority=0,
+        timeoutMs=round(DEADLINE_S * 1000),
+        targetLatencyMs=500,
+        gapTargetMs=300,
+        priority=1,
+        maxAttempts=2,
+        streamResume=True,
     )
     await lab.publish([route], {"huka270": [KEY]})
-    for number in (1, 2, 3):
-        await lab.add_engine(f"i-{number}", "huvo11a", events=EVENTS, event_s=EVENT_S)
-    await lab.start_forwarders(2)
-    stopped = lab.forwarders[0]
-
-    async def send(attempt: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
-        record.write(f"client sends {attempt} to {stopped.vm}")
-        writer.write(request_bytes(attempt, "/pufi791/2f", "POST", KEY, DEADLINE_MS))
-        sent = record.now()
-        answer = await read_answer(reader, DEADLINE_MS / 1000)
-        record.write(f"client has for {attempt}: {answer}, after {record.now() - sent:.3f} s")
-        writer.close()
-        return attempt, sent, record.now(), answer
-
-    async def use_later(attempt: str, after_s: float, opened):
-        await asyncio.sleep(after_s)
-        return await send(attempt, *opened)
-
-    # Ordinary streams, which the process completes before it ends.
-    before = []
-    for number in range(3):
-        opened = await asyncio.open_connection(LOOPBACK, stopped.port)
-        before.append(asyncio.create_task(send(f"before{number:010d}", *opened)))
-        await asyncio.sleep(0.3)
-    # Connections that clients open now and use a little later.
-    spare = [await asyncio.open_connection(LOOPBACK, stopped.port) for _ in FIRST_USED_S]
-    record.write(f"{len(spare)} clients have opened a connection to {stopped.vm}")
+    # An earlier release has replaced one half of the engines.
+    await add_engines(lab, (1, 2), "v2")
+    await add_engines(lab, (3, 4), "v1")
+    await lab.start_forwarders(MACHINES)
     await asyncio.sleep(1.0)
+    clients = [Client(lab, number) for number in range(STREAMS)]
+    running = [asyncio.create_task(client.run(lab.forwarders)) for client in clients]
+    await asyncio.sleep(0.3)
+    await release(lab)
+    await asyncio.sleep(0.3)
     if trouble:
-        stopped.send_signal(signal.SIGTERM)
-    signalled = record.now()
-    later = [
-        asyncio.create_task(use_later(f"later{number:011d}", after_s, opened))
-        for number, (after_s, opened) in enumerate(zip(FIRST_USED_S, spare, strict=True))
-    ]
-    results = await asyncio.gather(*before, *later, return_exceptions=True)
-    broken = 0
-    for result in results:
-        if isinstance(result, BaseException):
-            # The connection was closed before the request was written: nothing was accepted.
-            record.write(f"a client could not send: {type(result).__name__}")
-            continue
-        attempt, sent, ended, answer = result
-        run = next((run for item in lab.engines for run in item.runs if run["id"] == attempt), None)
-        if answer.complete or run is None:
-            continue
-        if ended - sent >= DEADLINE_MS / 1000 - 0.2 or ended - signalled > GRACE_S + 1.0:
-            continue
-        if sent - signalled <= SENT_NO_LATER_S:
-            # Excused: the engine was still at work in the last sixth of graceS.
-            record.write(f"{attempt} was cut, sent {sent - signalled:.3f} s after SIGTERM: excused")
-            continue
-        broken += 1
-        record.write(
-            f"LOST {attempt}: sent {sent - signalled:.3f} s after SIGTERM, passed on to an engine, "
-            f"cut {ended - signalled:.3f} s after SIGTERM, {(ended - sent):.3f} s of its "
-            f"{DEADLINE_MS / 1000:.0f} s used"
-        )
-    return broken > 0
+        await lose_all(lab)
+    await asyncio.gather(*running)
+    mixed = 0
+    for client in clients:
+        versions = sorted({version for _, version in client.events})
+        numbers = [number for number, _ in client.events]
+        record.write(f"stream {client.number}: {len(numbers)} events by {', '.join(versions)}")
+        mixed += len(versions) > 1
+    record.write(f"{mixed} of {STREAMS} streams hold events of two software versions")
+    return mixed > MOST_MIXED
 
 
 run_case(__file__, play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""DRAIN: forwarders go on sending to an engine that leaves while the pollers are dark."""
+"""LOST: a forwarder that has got SIGTERM passes on a late first request and cuts its stream."""
 
 from __future__ import annotations
 
@@ -9,142 +9,90 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
 
-from lab import (
-    LOOPBACK,
-    CouldNotRunError,
-    Engine,
-    Forwarder,
-    Lab,
-    make_route,
-    read_answer,
-    request_bytes,
-    run_case,
-)
+from lab import LOOPBACK, Lab, make_route, read_answer, request_bytes, run_case
 
 KEY = "key-of-huka270"
-MACHINES = 6
-DARK_S = 3.5
-DRAIN_S = 2.0
-LINGER_S = 0.5
-"""Time for which the engine serves beyond ``drainMs`` before it exits."""
-
-WORK_S = 0.0225
-STABLE_S = 3.0
-INTERVAL_S = 0.02
-
-
-class Traffic:
-    """Sends requests of two kinds to some forwarders, one by one at a steady rate."""
-
-    def __init__(self, lab: Lab, forwarders: list[Forwarder]):
-        self.lab = lab
-        self.forwarders = forwarders
-        self.sent: dict[str, Forwarder] = {}
-        self.failed: list[str] = []
-        self._tasks: list[asyncio.Task] = []
-
-    async def run(self, until_s: float) -> None:
-        """Send until a time and wait for all answers."""
-        number = 0
-        while self.lab.record.now() < until_s:
-            for forwarder in self.forwarders:
-                number += 1
-                kind = ("unsafe", "safe")[number % 2]
-                self._tasks.append(
-                    asyncio.create_task(self._send(f"{kind}{number:010d}", forwarder))
-                )
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*self._tasks)
-
-    async def _send(self, attempt: str, forwarder: Forwarder) -> None:
-        self.sent[attempt] = forwarder
-        is_unsafe = attempt.startswith("unsafe")
-        path, method = ("/pule252/2f", "POST") if is_unsafe else ("/puxa403/2f", "GET")
-        try:
-            reader, writer = await asyncio.open_connection(LOOPBACK, forwarder.port)
-            writer.write(request_bytes(attempt, path, method, KEY, 1000))
-            answer = await read_answer(reader, 1.5)
-            writer.close()
-        except OSError as error:
-            self.lab.record.write(f"client cannot reach {forwarder.vm}: {type(error).__name__}")
-            return
-        if answer.status != 200 or not answer.complete:
-            self.failed.append(attempt)
-            self.lab.record.write(f"client has for {attempt} from {forwarder.vm}: {answer}")
-
-
-async def find_pollers(lab: Lab) -> list[Forwarder]:
-    """Return the forwarders that hold a call for changes of the list of engines."""
-    for _ in range(50):
-        names = lab.store.pollers("servers")
-        if len(names) == 3:
-            break
-        await asyncio.sleep(0.1)
-    else:
-        raise CouldNotRunError(f"the store doesn't see three pollers but {sorted(names)}")
-    lab.record.write(f"the list of engines is polled by {', '.join(sorted(names))}")
-    return [item for item in lab.forwarders if item.vm in names]
-
-
-async def leave(lab: Lab, engine: Engine) -> float:
-    """Let an engine report that it drains and exit later; return when that was acknowledged."""
-    await lab.store.put("servers", engine.name, engine.entry("draining"))
-    acknowledged = lab.record.now()
-    lab.record.write(f"the store has acknowledged that {engine.name} is draining")
-
-    async def exit_later() -> None:
-        await asyncio.sleep(DRAIN_S + LINGER_S)
-        await engine.exit()
-        await lab.store.put("servers", engine.name, None)
-
-    engine.exiting = asyncio.create_task(exit_later())
-    return acknowledged
+DEADLINE_MS = 12_000
+EVENTS = 49
+EVENT_S = 0.12
+GRACE_S = 8.0
+SENT_NO_LATER_S = 3.0
+FIRST_USED_S = (3.3, 3.8, 4.5, 5.5)
+"""When the connections that were opened in advance carry their first request, after SIGTERM."""
 
 
 async def play(lab: Lab, trouble: bool) -> bool:
-    """Return whether a request reached the engine too late."""
+    """Return whether a request was passed on and its connection ended without a whole answer."""
     record = lab.record
-    routes = [
-        make_route("/pule252/", "unsafe", "wuno96b"),
-        make_route("/puxa403/", "safe", "wuno96b", maxAttempts=2),
-    ]
-    await lab.publish(routes, {"huka270": [KEY]})
-    engines = [await lab.add_engine(f"i-{n}", "wuno96b", work_s=WORK_S) for n in (1, 2, 3)]
-    await lab.start_forwarders(MACHINES)
-    await asyncio.sleep(STABLE_S + 0.5)
-    pollers = await find_pollers(lab)
-    others = [item for item in lab.forwarders if item not in pollers]
-    traffic = Traffic(lab, others)
-    sending = asyncio.create_task(traffic.run(record.now() + 6.0))
-    await asyncio.sleep(0.5)
-    # A release: the new engine starts first, the old one drains.
-    await lab.add_engine("i-4", "wuno96b", work_s=WORK_S)
-    record.write("the new engine i-4 is ready")
-    await asyncio.sleep(0.4)
-    if trouble:
-        for item in pollers:
-            item.send_signal(signal.SIGSTOP)
-    dark_since = record.now()
-    await asyncio.sleep(0.3)
-    acknowledged = await leave(lab, engines[0])
-    await asyncio.sleep(dark_since + DARK_S - record.now())
+    route = make_route(
+        "/pufi791/",
+        "streaming",
+        "huvo11a",
+        timeoutMs=DEADLINE_MS,
+        targetLatencyMs=250,
+        gapTargetMs=200,
+        priority=0,
+    )
+    await lab.publish([route], {"huka270": [KEY]})
+    for number in (1, 2, 3):
+        await lab.add_engine(f"i-{number}", "huvo11a", events=EVENTS, event_s=EVENT_S)
+    await lab.start_forwarders(2)
+    stopped = lab.forwarders[0]
+
+    async def send(attempt: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        record.write(f"client sends {attempt} to {stopped.vm}")
+        writer.write(request_bytes(attempt, "/pufi791/2f", "POST", KEY, DEADLINE_MS))
+        sent = record.now()
+        answer = await read_answer(reader, DEADLINE_MS / 1000)
+        record.write(f"client has for {attempt}: {answer}, after {record.now() - sent:.3f} s")
+        writer.close()
+        return attempt, sent, record.now(), answer
+
+    async def use_later(attempt: str, after_s: float, opened):
+        await asyncio.sleep(after_s)
+        return await send(attempt, *opened)
+
+    # Ordinary streams, which the process completes before it ends.
+    before = []
+    for number in range(3):
+        opened = await asyncio.open_connection(LOOPBACK, stopped.port)
+        before.append(asyncio.create_task(send(f"before{number:010d}", *opened)))
+        await asyncio.sleep(0.3)
+    # Connections that clients open now and use a little later.
+    spare = [await asyncio.open_connection(LOOPBACK, stopped.port) for _ in FIRST_USED_S]
+    record.write(f"{len(spare)} clients have opened a connection to {stopped.vm}")
+    await asyncio.sleep(1.0)
     if trouble:
-        for item in pollers:
-            item.send_signal(signal.SIGKILL)
-    await sending
-    await engines[0].exiting
-    late = [run for run in engines[0].runs if run["at"] - acknowledged > DRAIN_S]
-    for run in late:
+        stopped.send_signal(signal.SIGTERM)
+    signalled = record.now()
+    later = [
+        asyncio.create_task(use_later(f"later{number:011d}", after_s, opened))
+        for number, (after_s, opened) in enumerate(zip(FIRST_USED_S, spare, strict=True))
+    ]
+    results = await asyncio.gather(*before, *later, return_exceptions=True)
+    broken = 0
+    for result in results:
+        if isinstance(result, BaseException):
+            # The connection was closed before the request was written: nothing was accepted.
+            record.write(f"a client could not send: {type(result).__name__}")
+            continue
+        attempt, sent, ended, answer = result
+        run = next((run for item in lab.engines for run in item.runs if run["id"] == attempt), None)
+        if answer.complete or run is None:
+            continue
+        if ended - sent >= DEADLINE_MS / 1000 - 0.2 or ended - signalled > GRACE_S + 1.0:
+            continue
+        if sent - signalled <= SENT_NO_LATER_S:
+            # Excused: the engine was still at work in the last sixth of graceS.
+            record.write(f"{attempt} was cut, sent {sent - signalled:.3f} s after SIGTERM: excused")
+            continue
+        broken += 1
         record.write(
-            f"DRAIN {run['id']} from {traffic.sent[run['id']].vm} reached i-1 "
-            f"{run['at'] - acknowledged:.3f} s after the acknowledgement"
+            f"LOST {attempt}: sent {sent - signalled:.3f} s after SIGTERM, passed on to an engine, "
+            f"cut {ended - signalled:.3f} s after SIGTERM, {(ended - sent):.3f} s of its "
+            f"{DEADLINE_MS / 1000:.0f} s used"
         )
-    cut = [run["id"] for run in late if run["id"] in traffic.failed]
-    record.write(
-        f"{len(late)} requests reached i-1 later than {DRAIN_S} s after the acknowledgement; "
-        f"{len(cut)} of them were cut off by its exit and failed: {', '.join(cut) or 'none'}"
-    )
-    return bool(late)
+    return broken > 0
 
 
 run_case(__file__, play)
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -205,6 +205,7 @@
         events: int = 0,
         event_s: float = 0.0,
         work_s: float = 0.02,
+        version: str = "v1",
     ):
         self.record = record
         self.name = name
@@ -212,6 +213,7 @@
         self.events = events
         self.event_s = event_s
         self.work_s = work_s
+        self.version = version
         self.runs: list[dict] = []
         self.exiting: asyncio.Task | None = None
         self._sequence = 0
@@ -229,7 +231,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "praha-hall",
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": state,
             "coldRemainingMs": 0,
@@ -285,7 +287,8 @@
         lines = [f"{name}: {value}" for name, value in head.items()]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)).encode())
-        for number in range(1, self.events + 1):
+        done = int(headers.get("last-event-id", "0"))
+        for number in range(done + 1, self.events + 1):
             await asyncio.sleep(self.event_s)
             if reader.at_eof() or writer.transport.is_closing():
                 self.record.write(
@@ -293,7 +296,8 @@
                 )
                 run["dropped"] = self.record.now()
                 raise ConnectionError
-            event = f"id: {number}\ndata: piece {number} of {attempt}\n\n".encode()
+            text = f"piece {number} of {attempt} by {self.version}"
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -367,10 +371,11 @@
 class Forwarder:
     """One forwarder process, started with the command of the deploy file."""
 
-    def __init__(self, lab: Lab, vm: str):
+    def __init__(self, lab: Lab, vm: str, port: int = 0):
         self.lab = lab
         self.vm = vm
-        self.port = self.status_port = 0
+        self.port = port
+        self.status_port = 0
         self.process: asyncio.subprocess.Process | None = None
         self._listening = asyncio.Event()
 
@@ -379,7 +384,7 @@
         settings = {
             "vm": self.vm,
             "failure_domain": "praha-hall",
-            "listen": f"{LOOPBACK}:0",
+            "listen": f"{LOOPBACK}:{self.port}",
             "status_listen": f"{LOOPBACK}:0",
             "peer_listen": f"{LOOPBACK}:0",
             "regions": {"praha-hall": "bohemia"},
@@ -484,9 +489,11 @@
         self.store = Store(self.record)
         self.engines: list[Engine] = []
         self.forwarders: list[Forwarder] = []
+        self.started: list[Forwarder] = []
+        self.doors: dict[str, str] = {}
         self.version = 0
 
-    async def add_engine(self, name: str, service: str, **options: float) -> Engine:
+    async def add_engine(self, name: str, service: str, **options: float | str) -> Engine:
         """Start an engine and write its entry."""
         engine = Engine(self.record, name, service, **options)
         await engine.open()
@@ -523,12 +530,10 @@
         """Start forwarders and wait until all are ready and connected to each other."""
         for number in range(1, count + 1):
             self.forwarders.append(Forwarder(self, f"edge-{number}"))
-        await asyncio.gather(
-            *[
-                forwarder.start(await self.store.open_door(forwarder.vm))
-                for forwarder in self.forwarders
-            ]
-        )
+        for forwarder in self.forwarders:
+            self.doors[forwarder.vm] = await self.store.open_door(forwarder.vm)
+        self.started += self.forwarders
+        await asyncio.gather(*(item.start(self.doors[item.vm]) for item in self.forwarders))
         until = time.monotonic() + 20
         while time.monotonic() < until:
             seen = await asyncio.gather(*(item.status() for item in self.forwarders))
@@ -541,7 +546,7 @@
 
     async def close(self) -> None:
         """End all processes and remove the temporary folder."""
-        await asyncio.gather(*(item.end() for item in self.forwarders))
+        await asyncio.gather(*(item.end() for item in self.started))
         if os.environ.get("KEEP"):
             print(self.folder, file=sys.stderr)
         else:
