--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,6 +23,9 @@
 
 KEY = "key-of-huka270"
 MACHINES = 6
+MOST_DARK = 4
+"""Machines that ``herd_kill`` takes of six, as the bench plays its share of 0.6."""
+
 DARK_S = 3.5
 DRAIN_S = 2.0
 LINGER_S = 0.5
@@ -74,15 +77,14 @@
 
 
 async def find_pollers(lab: Lab) -> list[Forwarder]:
-    """Return the forwarders that hold a call for changes of the list of engines."""
-    for _ in range(50):
-        names = lab.store.pollers("servers")
-        if len(names) == 3:
-            break
-        await asyncio.sleep(0.1)
-    else:
-        raise CouldNotRunError(f"the store doesn't see three pollers but {sorted(names)}")
+    """Return the forwarders that hold a call for changes of the list of engines now."""
+    names: set[str] = set()
+    for _ in range(10):
+        names |= lab.store.pollers("servers")
+        await asyncio.sleep(0.01)
     lab.record.write(f"the list of engines is polled by {', '.join(sorted(names))}")
+    if len(names) > MOST_DARK:
+        raise CouldNotRunError("more machines poll than may be dark")
     return [item for item in lab.forwarders if item.vm in names]
 
 
@@ -112,15 +114,15 @@
     engines = [await lab.add_engine(f"i-{n}", "wuno96b", work_s=WORK_S) for n in (1, 2, 3)]
     await lab.start_forwarders(MACHINES)
     await asyncio.sleep(STABLE_S + 0.5)
-    pollers = await find_pollers(lab)
-    others = [item for item in lab.forwarders if item not in pollers]
-    traffic = Traffic(lab, others)
+    traffic = Traffic(lab, list(lab.forwarders))
     sending = asyncio.create_task(traffic.run(record.now() + 6.0))
     await asyncio.sleep(0.5)
     # A release: the new engine starts first, the old one drains.
     await lab.add_engine("i-4", "wuno96b", work_s=WORK_S)
     record.write("the new engine i-4 is ready")
-    await asyncio.sleep(0.4)
+    await asyncio.sleep(0.3)
+    pollers = await find_pollers(lab)
+    traffic.forwarders = [item for item in lab.forwarders if item not in pollers]
     if trouble:
         for item in pollers:
             item.send_signal(signal.SIGSTOP)
