Record where the streams of a route begin, and read that before an unknown one is resumed

Cause: for a stream that nobody knows, a process took the only version it had seen since its start for the only one there was. While it had not read the members, it also counted itself as the only process and asked nobody.

Change: a row per route in the platform's table names the services and versions at which its streams have begun. It is written before a caller gets the first event, and read when a stream is resumed that no peer knows. One origin is answered, several are refused as not run. A process that has just started waits up to 0.5 s for its peers first. Without the table, a process answers only after it has watched the service for a minute, and so must its peers.

The same cause on related paths: a route that was moved or split resumed unknown streams of the former service at the new one; a route to two services guessed one of them; a version that was listed unchanged for over a minute counted as not seen when it left (found by the state machine).

Two tests are replaced. "...though_nobody_knows_it" resumed streams of a route on which none had begun; it now begins one and loses its process. "...without_contact" had a process that could still read the store; the store is now out of reach, too.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -53,6 +53,15 @@
 from ._load_relay import LoadRelay, LoadUpdate, RelaySelector, split_by_domain
 from ._losses import LossRate
 from ._mechanisms import Mechanism, Switches
+from ._origin_records import (
+    FIRST_ERA,
+    OriginRecord,
+    OriginRecords,
+    RouteKey,
+    extend_record,
+    possible_origins,
+)
+from ._origin_records import KEY_PREFIX as ORIGIN_KEY_PREFIX
 from ._outcome_relay import OutcomeRelay, Outcomes, OutcomesByUpstream, add_outcomes
 from ._pending import NO_LOAD, LoadShare, PendingPrompts
 from ._placing import LARGE_FLEET_PROCESSES, place_prompt
@@ -81,6 +90,13 @@
 from ._waiting import PromptQueue, Start, WaitingPrompt
 
 __all__ = [
+    "FIRST_ERA",
+    "ORIGIN_KEY_PREFIX",
+    "OriginRecord",
+    "OriginRecords",
+    "RouteKey",
+    "extend_record",
+    "possible_origins",
     "ASKED_PROCESSES",
     "DIGEST_BYTES",
     "RECORD_OWNERS",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -70,6 +70,10 @@
                 return route
         return None
 
+    def route_at(self, host: str, prefix: str) -> ForwardRoute | None:
+        """Return the route of exactly a host and a prefix."""
+        return self._routes.get((host, prefix))
+
     def targets(self, service: str) -> ServiceTargets:
         """Return the combined targets of the routes to a service."""
         return self._targets.get(service, ServiceTargets())
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from hashlib import blake2b
 
 import attrs
@@ -91,12 +91,18 @@
     StreamOrigin(service='chat', version='v2')
     >>> streams.only_version("chat", now=4.0), streams.only_version("chat", now=70.0)
     (None, None)
+    >>> streams.observe("chat", ["v2"], now=70.0)
+    ()
+    >>> streams.only_version("chat", now=70.0), streams.only_version("chat", now=131.0)
+    (None, 'v2')
     """
 
     def __init__(self):
         self._begun: OrderedDict[bytes, _Begun] = OrderedDict()
         self._received: OrderedDict[bytes, _Begun] = OrderedDict()
         self._seen_at: dict[str, dict[str, float]] = {}
+        self._present: dict[str, frozenset[str]] = {}
+        self._watched_since: dict[str, float] = {}
 
     def observe(
         self, service: str, versions: Iterable[str], now: float
@@ -109,18 +115,28 @@
             Streams that this process began and that others must know from now on, with origins.
         """
         seen = self._seen_at.setdefault(service, {})
+        self._watched_since.setdefault(service, now)
         was_single = len(seen) < 2
-        for version in versions:
+        present = frozenset(versions)
+        # Those listed last time were so until now: the list is observed when it changes.
+        for version in present | self._present.get(service, frozenset()):
             seen[version] = now
+        self._present[service] = present
         for version in [item for item, at in seen.items() if now > at + STREAM_MEMORY_S]:
             del seen[version]
         if not was_single or len(seen) < 2:
             return ()
+        return self.begun_at({service}, now)
+
+    def begun_at(
+        self, services: Collection[str], now: float
+    ) -> tuple[tuple[bytes, StreamOrigin], ...]:
+        """Return the streams that this process began at some services, with their origins."""
         _forget(self._begun, now)
         return tuple(
             (digest, item.origin)
             for digest, item in self._begun.items()
-            if item.origin.service == service
+            if item.origin.service in services
         )
 
     def record(self, digest: bytes, origin: StreamOrigin, now: float) -> bool:
@@ -138,9 +154,21 @@
         return None if found is None or now > found.at + STREAM_MEMORY_S else found.origin
 
     def only_version(self, service: str, now: float) -> str | None:
-        """Return the version of all streams of a service, None if it has shown several."""
+        """Return the version of all streams of a service that callers may resume.
+
+        Returns
+        -------
+        str or None
+            None if the service has shown several, or may have: a process that has watched it for a
+            shorter time than streams are kept does not know what it showed before.
+        """
+        if now - self._watched_since.get(service, now) < STREAM_MEMORY_S:
+            return None
         seen = self._seen_at.get(service, {})
-        current = [item for item, at in seen.items() if now <= at + STREAM_MEMORY_S]
+        present = self._present.get(service, frozenset())
+        current = [
+            item for item, at in seen.items() if item in present or now <= at + STREAM_MEMORY_S
+        ]
         return current[0] if len(current) == 1 else None
 
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
@@ -1,7 +1,7 @@
 """Simulated processes that begin streams at upstreams of several versions, and resume them.
 
-The records are the real ones. Messages between processes take a moment; a process that is cut off
-or has ended receives none.
+What processes know is real; the record in the table is a set. Messages between processes take a
+moment; a process that is cut off or has ended receives none.
 """
 
 from __future__ import annotations
@@ -62,6 +62,8 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.versions = ["v1"]
+        self.recorded: set[str] = set()
+        self.is_store_down = False
         self.processes: dict[str, Process] = {}
         self.sent_bytes = 0
         self.joined = 0
@@ -83,8 +85,20 @@
         """End a process with all that it knows."""
         del self.processes[name]
 
+    def lose_all(self) -> None:
+        """End all processes at once, and start as many new ones."""
+        count = len(self.processes)
+        self.processes.clear()
+        for _ in range(count):
+            self.start()
+
     def set_versions(self, versions: list[str]) -> None:
-        """Change the versions that serve; processes that are cut off do not learn of it."""
+        """Change the versions that serve; processes that are cut off do not learn of it.
+
+        Processes that are not record versions that appear while the table answers.
+        """
+        if self.recorded:
+            self.recorded.update(versions)
         self.versions = versions
         for process in self.processes.values():
             if not process.is_cut:
@@ -115,6 +129,8 @@
         stream = Stream(f"r{next(self._numbers)}", self.rng.choice(process.versions))
         origin = StreamOrigin(SERVICE, stream.version)
         self._observe(process)
+        if not (self.is_store_down or process.is_cut):
+            self.recorded.add(stream.version)
         digest = stream_digest(stream.request, None)
         if process.streams.record(digest, origin, self.now):
             self._tell(process, digest, origin)
@@ -147,10 +163,17 @@
             if known is not None:
                 return known.version
             only_versions.add(peer.only_version(SERVICE, self.now))
+        if not (self.is_store_down or process.is_cut):
+            possible = self.possible_versions(process)
+            is_only = len(possible) == 1 and set(process.versions) <= possible
+            return next(iter(possible)) if is_only else None
         self._observe(process)
         version = process.streams.only_version(SERVICE, self.now)
-        agrees = only_versions == {version} or len(self.processes) == 1
-        return version if agrees else None
+        return version if only_versions == {version} else None
+
+    def possible_versions(self, process: Process) -> set[str]:
+        """Return the versions that may have begun a stream, as a process reads the record."""
+        return self.recorded
 
     def _observe(self, process: Process) -> None:
         for digest, origin in process.streams.observe(SERVICE, process.versions, self.now):
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
@@ -57,10 +57,55 @@
         for stream in self.streams[-4:]:
             self.fleet.resume(self.pick(number), stream)
 
+    @rule()
+    def watch(self):
+        """Let the processes watch the service for longer than streams are kept."""
+        self.fleet.advance(61.0)
+        self.streams = []
+
+    @rule(number=PICKS, is_down=st.booleans())
+    def set_store_down(self, number, is_down):
+        """Let streams have begun at all versions before the store is out of reach."""
+        if not self.fleet.is_store_down:
+            self.fleet.recorded.update(self.fleet.versions)
+        self.fleet.is_store_down = is_down
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(number=PICKS)
+    def lose_all(self, number):
+        """Lose all processes, and let callers resume at one that has just started."""
+        self.fleet.lose_all()
+        for stream in self.streams[-4:]:
+            self.fleet.resume(self.pick(number), stream)
+        self.streams = []
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(number=PICKS)
+    def lose_all_after_release(self, number):
+        """Lose all processes when the version that began the streams has just left."""
+        self.fleet.set_versions(VERSIONS[:1])
+        self.streams = [self.fleet.begin(self.pick(number))]
+        self.fleet.set_versions(VERSIONS[1:2])
+        self.lose_all(number)
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(number=PICKS)
+    def lose_store_after_release(self, number):
+        """Lose the store when the version that began the streams has just been replaced."""
+        self.fleet.set_versions(VERSIONS[:1])
+        self.watch()
+        self.streams = [self.fleet.begin(self.pick(number))]
+        self.fleet.set_versions(VERSIONS[1:2])
+        self.fleet.is_store_down = True
+        self.fleet.advance(0.03)
+        self.fleet.resume(self.pick(number + 1), self.streams[0])
+
+    @precondition(lambda self: not self.fleet.is_store_down)
     @rule(count=st.integers(1, 3))
     def release(self, count):
         self.fleet.set_versions(VERSIONS[:count])
 
+    @precondition(lambda self: not self.fleet.is_store_down)
     @rule(which=st.integers(0, 2))
     def replace_version(self, which):
         """Let another version serve alone at once, and a process start that knows no other."""
@@ -70,6 +115,7 @@
         for stream in self.streams[-4:]:
             self.fleet.resume(self.pick(0), stream)
 
+    @precondition(lambda self: not self.fleet.is_store_down)
     @rule()
     def finish_release(self):
         """Let only the newest version serve; others were beside it before."""
@@ -118,6 +164,7 @@
 
     def observe(self, service, versions, now):
         self._seen_at.pop(service, None)
+        self._present.pop(service, None)
         return original(self, service, versions, now)
 
     monkeypatch.setattr(StreamVersions, "observe", observe)
@@ -138,7 +185,14 @@
     monkeypatch.setattr(StreamFleet, "_find", find)
 
 
+def trust_the_present_list(monkeypatch):
+    monkeypatch.setattr(
+        StreamFleet, "possible_versions", lambda self, process: set(process.versions)
+    )
+
+
 FAULTS = [
+    trust_the_present_list,
     forget_versions_at_an_update,
     resume_anywhere,
     trust_the_list_without_contact,
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -34,6 +34,7 @@
         "LoadsOfDomain",
         "NewestConfiguration",
         "PromptPart",
+        "RecordedOrigins",
         "TableChanges",
         "UpstreamCrash",
         "UpstreamLoad",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -438,10 +438,31 @@
         None if the sender does not know the stream.
     only_version : str or None
         The version that all streams of the service named in the question have begun at; None if
-        the sender has seen several.
+        the sender has seen several, or has not watched the service for long enough.
     """
 
     question: int
     service: str | None
     version: str | None
     only_version: str | None
+
+
+@message(48, since=13)
+@attrs.frozen
+class RecordedOrigins:
+    """Where the streams of a route may have begun, as a row of the platform's table records it.
+
+    Parameters
+    ----------
+    host, prefix : str
+        The route.
+    row : int
+        Version of the row, which includes the era of the table.
+    origins : dict of str to list of str
+        Software versions by service.
+    """
+
+    host: str
+    prefix: str
+    row: int
+    origins: dict[str, list[str]]
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -15,7 +15,7 @@
 
 from ._errors import ErrorKind
 
-PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
+PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13)
 """Protocol versions that this release supports; version 2 adds :class:`Suspicions`, version 3 the
 messages between forwarders, version 4 :class:`KeysHonoured`, version 5
 :class:`EralessTableChanges`, :class:`LoadsOfDomain`, :class:`LoadsElsewhere` and
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -496,8 +496,15 @@
         1943,
         "INFO",
         "A caller resumes a stream. ``software`` is the version that began it; ``source`` is how "
-        "it was found: it is the only one (``only``), or this process (``own``) or a peer knows "
-        "it. If it is ``unknown``, the stream is not resumed.",
+        "it was found: this process (``own``) or a peer knows it, or it is the only one by the "
+        "record in the table (``record``) or, without the table, by what all processes have seen "
+        "(``only``). If it is ``unknown``, the stream is not resumed.",
+    )
+    ORIGIN_NOT_RECORDED = (
+        1976,
+        "WARNING",
+        "The first event of a stream was passed on before its service and version were recorded, "
+        "because the table did not answer in time.",
     )
 
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -148,7 +148,7 @@
         # The library buffers the events before it waits for a slow caller. A run that ends during
         # that wait continues at another upstream and must not repeat the buffered events.
         if call.software_version is None:
-            record_origin(self.state, call)
+            await record_origin(self.state, call)
         for event in fresh:
             call.last_event = event.id or call.last_event
         await call.answer.write(b"".join(event.data for event in fresh))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -6,20 +6,23 @@
 
 from result import Err
 
-from burdockquay_coordination.forwarding import ForwardConfig, UpstreamChanges, UpstreamRegistry
+from burdockquay_coordination.forwarding import (
+    FIRST_ERA,
+    ForwardConfig,
+    UpstreamChanges,
+    UpstreamRegistry,
+)
 from burdockquay_state import TableError
 
 from .._events import Event, log_event
 from ._evacuation import apply_evacuations
 from ._state import ForwarderState
+from ._stream_origins import observe_origins
 
 CONFIG_LONG_POLL_S = 1.7
 """How long the platform may hold a query for changes of the configuration, seconds. Each answer
 confirms the known configuration, so this is also the age that it reaches in normal operation."""
 
-FIRST_ERA = 1
-"""Era of a store that has never been restored from a copy."""
-
 UPSTREAMS_LONG_POLL_S = 2.5
 """The same for the list of upstreams, seconds. Nothing expires here; the answer at the end only
 shows that the connection still works."""
@@ -143,6 +146,7 @@
             )
             for service in state.upstream_registry.services:
                 state.observe_versions(service)
+            observe_origins(state)
             await asyncio.sleep(BATCH_PAUSE_S)
 
 
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -0,0 +1,230 @@
+"""Keep in the platform's table where the streams of each route may have begun."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from burdockquay_coordination.forwarding import (
+    ORIGIN_KEY_PREFIX,
+    OriginRecord,
+    OriginRecords,
+    RouteKey,
+    StreamOrigin,
+    extend_record,
+    possible_origins,
+)
+from burdockquay_state import Delete, Put, Row, TableError, TableErrorKind, TableService, era_of
+
+from .._events import Event, log_event
+
+RECORD_WAIT_S = 0.5
+"""Longest time for which the first event of a stream is held until its origin is recorded, seconds:
+shorter than the silence that callers tolerate."""
+
+FAILED_WAIT_S = 2.0
+"""Time after a failed write for which no other stream is held, seconds."""
+
+RETRY_PAUSES_S = (0.1, 2.0)
+"""First and longest pause between two attempts to write a record, seconds."""
+
+SCANNED_ROWS = 500
+"""Most rows of one query; the platform returns no more."""
+
+STAGGER_PER_PROCESS_S = 0.002
+MAX_STAGGER_S = 0.3
+"""Spread of the writes of all processes when a version appears, seconds. The first one to write
+tells the others."""
+
+
+class OriginKeeper:
+    """Records the origins of streams before callers get their first events, and reads the record.
+
+    A process that has just started knows only the present list of upstreams. The record tells it
+    where streams that are resumed may have begun, also if all processes were lost.
+
+    Parameters
+    ----------
+    table : TableService or None
+        None if the platform has no table; nothing is then recorded.
+    now : callable
+        Returns the time on the clock of the process, seconds.
+    rng : random.Random
+    processes : callable
+        Returns the number of processes that may write the same record.
+    """
+
+    def __init__(
+        self,
+        table: TableService | None,
+        now: Callable[[], float],
+        rng: random.Random,
+        processes: Callable[[], int],
+    ):
+        self.table = table
+        self.now = now
+        self.rng = rng
+        self.processes = processes
+        self.records = OriginRecords()
+        self.spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task] = asyncio.ensure_future
+        self.share: Callable[[OriginRecord], None] = lambda record: None
+        self.on_several: Callable[[OriginRecord], None] = lambda record: None
+        self._era = 0
+        self._writing: dict[tuple[RouteKey, StreamOrigin], asyncio.Task] = {}
+        self._reading: asyncio.Task | None = None
+        self._malformed: set[str] = set()
+        self._failed_at = float("-inf")
+
+    def has(self, route: RouteKey, origin: StreamOrigin) -> bool:
+        """Return whether an origin is recorded, or need not be."""
+        if self.table is None:
+            return True
+        self._check_era()
+        return self.records.has(route, origin)
+
+    def begin(self, route: RouteKey, origin: StreamOrigin) -> None:
+        """Begin to record an origin, if that is needed."""
+        item = (route, origin)
+        if not self.has(route, origin) and item not in self._writing:
+            task = self._writing[item] = self.spawn(self._record(route, origin))
+            task.add_done_callback(lambda _: self._writing.pop(item, None))
+
+    async def ensure(self, route: RouteKey, origin: StreamOrigin) -> None:
+        """Wait until an origin is recorded, or for a short time while the table is unavailable."""
+        self.begin(route, origin)
+        task = self._writing.get((route, origin))
+        if task is None or self.now() - self._failed_at < FAILED_WAIT_S:
+            return
+        # The task goes on if the stream that waits for it ends.
+        await asyncio.wait([task], timeout=RECORD_WAIT_S)
+        if not self.has(route, origin):
+            self._failed_at = self.now()
+            log_event(
+                Event.ORIGIN_NOT_RECORDED,
+                prefix=route.prefix,
+                service=origin.service,
+                software=origin.version,
+            )
+
+    async def find_possible(self, route: RouteKey) -> frozenset[StreamOrigin] | None:
+        """Return where a stream that is resumed now may have begun, None if that is unknown.
+
+        Requests at the same time share a query that begins after all of them.
+        """
+        if self.table is None:
+            return None
+        if self._reading is not None:
+            # It began before this request, so it may lack the origin of the stream.
+            await asyncio.wait([self._reading])
+        if self._reading is None or self._reading.done():
+            self._reading = self.spawn(self._scan())
+        read = await asyncio.shield(self._reading)
+        return None if isinstance(read, Err) else possible_origins(route, read.ok())
+
+    def receive(self, record: OriginRecord) -> None:
+        """Apply a record that another process has read or written."""
+        self._check_era()
+        if era_of(record.version) == self._era:
+            self._learn(record)
+
+    def observe(self, route: RouteKey, present: Iterable[StreamOrigin], now: float) -> None:
+        """Record at which origins streams of a route may begin at present."""
+        present = frozenset(present)
+        self.records.observe(route, present, now)
+        for origin in present if route in self.records.routes else ():
+            self.begin(route, origin)
+
+    async def remove_expired(self, now: float) -> None:
+        """Remove the origins from the record at which no stream has begun for long."""
+        if self.table is None:
+            return
+        self._check_era()
+        for record in list(self.records.all()):
+            expired = self.records.expired(record.route, now)
+            if not expired:
+                continue
+            left = OriginRecord(record.route, record.origins - expired, record.version)
+            written = await (self._write(left) if left.origins else self._remove(left))
+            if isinstance(written, Err):
+                # The row may have changed; it is read again before the next write.
+                self.records.forget(record.route)
+
+    async def _record(self, route: RouteKey, origin: StreamOrigin) -> None:
+        await asyncio.sleep(self._stagger_s())
+        pause_s = RETRY_PAUSES_S[0]
+        while not self.has(route, origin):
+            written = await self._extend(route, origin)
+            if isinstance(written, Err) and written.err().kind is not TableErrorKind.CONFLICT:
+                self._failed_at = self.now()
+                await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
+                pause_s = min(2 * pause_s, RETRY_PAUSES_S[1])
+
+    def _stagger_s(self) -> float:
+        limit_s = min(MAX_STAGGER_S, STAGGER_PER_PROCESS_S * self.processes())
+        return self.rng.uniform(0.0, limit_s)
+
+    async def _extend(self, route: RouteKey, origin: StreamOrigin) -> Result[None, TableError]:
+        read = await self._scan()
+        if isinstance(read, Err):
+            return read
+        record = extend_record(route, read.ok(), origin, self.table.era)
+        if self.has(route, origin):
+            self.share(self.records.get(route))
+            return Ok(None)
+        return await self._write(record)
+
+    async def _scan(self) -> Result[tuple[OriginRecord, ...], TableError]:
+        """Return all records, which this process then knows."""
+        rows: list[Row] = []
+        while True:
+            after = rows[-1].key if rows else ""
+            page = await self.table.scan(ORIGIN_KEY_PREFIX, after, SCANNED_ROWS)
+            if isinstance(page, Err):
+                return page
+            rows += page.ok()
+            if len(page.ok()) < SCANNED_ROWS:
+                break
+        era = self.table.era
+        found = {row.key: OriginRecord.decode(row.value, row.version, era) for row in rows}
+        self._malformed = {key for key, record in found.items() if record is None}
+        records = tuple(record for record in found.values() if record is not None)
+        self._check_era()
+        for record in records:
+            self._learn(record)
+        return Ok(records)
+
+    async def _write(self, record: OriginRecord) -> Result[None, TableError]:
+        value = record.encode(self.table.era)
+        expected = record.version or self.table.absent
+        if record.route.row_key in self._malformed:
+            expected = None
+        written = await self.table.transact([Put(record.route.row_key, value, expected)])
+        if isinstance(written, Err):
+            return written
+        stored = OriginRecord(record.route, record.origins, written.ok()[0])
+        self._check_era()
+        self._learn(stored)
+        self.share(stored)
+        return Ok(None)
+
+    async def _remove(self, record: OriginRecord) -> Result[None, TableError]:
+        removed = await self.table.transact([Delete(record.route.row_key, record.version)])
+        if isinstance(removed, Err):
+            return removed
+        self.records.forget(record.route)
+        return Ok(None)
+
+    def _learn(self, record: OriginRecord) -> None:
+        was_single = len(self.records.get(record.route).origins) < 2
+        if self.records.learn(record) and was_single and len(record.origins) > 1:
+            self.on_several(record)
+
+    def _check_era(self) -> None:
+        """Forget what was recorded in a table that has been restored from a copy since."""
+        if self.table is not None and self.table.era != self._era:
+            self._era = self.table.era
+            self.records.forget_all()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -27,6 +27,7 @@
     PartReports,
     RateGrants,
     RateNeeds,
+    RecordedOrigins,
     StatementReports,
     StreamAnswer,
     StreamQuestion,
@@ -91,6 +92,9 @@
 """Longest pause between two attempts to register this process again after the store was restored
 from a copy, seconds: the others keep it for a few seconds without its entry."""
 
+CONNECTED_POLL_S = 0.02
+"""Poll interval while a process that has just started waits for its connections, seconds."""
+
 UNREACHABLE_REMOVAL_S = 120.0
 """Time after which an unreachable peer is removed from the members, seconds: far longer than a
 restart or a temporary network partition."""
@@ -115,6 +119,7 @@
         self._registry: MemberRegistry = state.platform.members()
         self._links: dict[str, asyncio.Task] = {}
         self._members = KnownMembers()
+        self._has_read = False
         self._peer_connections: dict[str, PeerConnection] = {}
         self._bound: socket.socket | None = None
         self._server: PeerServer | None = None
@@ -129,9 +134,13 @@
         self._rates = RateSharing(state.rate_limits, identity.incarnation)
         self._statements = StatementSharing(state.statements, post_all)
         self._parts = PartSharing(state.parts, identity.incarnation, post_all)
-        self._streams = StreamSharing(state.streams, identity.incarnation, state.clock)
+        self._streams = StreamSharing(
+            state.streams, state.origins, identity.incarnation, state.clock
+        )
         state.send_stream_starts = self._streams.send
         state.ask_stream_origin = self._streams.ask
+        state.wait_for_peers = self.wait_until_connected
+        state.is_first_of = self._is_first_of
         self._schedule = SendSchedule(
             self._send_due, lambda: loads_interval_s(self._loads.domain_size, is_busy=True)
         )
@@ -154,6 +163,7 @@
             ColdStartReports: self._rates.receive_cold,
             StatementReports: self._statements.receive,
             PartReports: self._parts.receive,
+            RecordedOrigins: self._streams.receive_record,
             StreamStarts: self._streams.receive_starts,
             StreamQuestion: self._streams.receive_question,
             StreamAnswer: self._streams.receive_answer,
@@ -192,6 +202,21 @@
             self._schedule.stop()
             self._stop_rejoining()
 
+    async def wait_until_connected(self, limit_s: float) -> bool:
+        """Wait until all known members are connected; return whether that took any time."""
+        waited = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while not self._has_read or self.connected < len(self._members) - 1:
+                    waited = True
+                    await asyncio.sleep(CONNECTED_POLL_S)
+        return waited
+
+    def _is_first_of(self, name: str) -> bool:
+        """Return whether a duty that one process at a time carries out falls to this one."""
+        ranked = rank_processes(name, [self.identity.incarnation, *self._peer_connections])
+        return ranked[0] == self.identity.incarnation
+
     async def leave(self) -> None:
         """Remove this process from the members, once it has sent its last request.
 
@@ -254,7 +279,6 @@
         await self._server.listen(bound)
 
     async def _follow_members(self) -> None:
-        has_read = False
         while True:
             self._store_restored.clear()
             read = await self._registry.next(MEMBERS_LONG_POLL_S)
@@ -266,9 +290,9 @@
             self._apply_members(changes)
             # The store may also have been restored between joining and the first reading, and
             # another process removes an entry that it cannot reach for long.
-            if changes.after_restore or not has_read or self._me.vm in changes.removed:
+            if changes.after_restore or not self._has_read or self._me.vm in changes.removed:
                 self._start_rejoining(changes)
-            has_read = True
+            self._has_read = True
             await self._pause(MEMBERS_BATCH_PAUSE_S)
 
     async def _pause(self, limit_s: float) -> None:
@@ -393,6 +417,7 @@
         self._statements.greet(peer)
         self._rates.greet(peer)
         self._parts.greet(peer)
+        self._streams.greet(peer)
         newest = self.state.config_versions.newest
         if newest:
             # The peer may have started with an older configuration from a store that was restored.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -333,6 +333,10 @@
         """Return the table that holds the refused prompt parts; None if the platform has none."""
         return None
 
+    def origin_table(self) -> TableService | None:
+        """Return the table that records where streams began; None if the platform has none."""
+        return None
+
     def duty_table(self) -> TableService:
         """Return the table that holds the lease and the state of a duty.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -55,7 +55,7 @@
 )
 from ._send_log import log_send
 from ._state import ForwarderState
-from ._stream_origins import find_origin
+from ._stream_origins import begin_recording, find_origin
 
 MAX_UNREACHABLE_UPSTREAMS = 4
 """Number of unreachable upstreams after which a request fails: with a connect timeout of 0.4 s,
@@ -313,6 +313,7 @@
         call.sent_at = self.state.clock.now()
         call.has_begun = False
         call.sent_version = upstream.entry.software_version
+        begin_recording(self.state, call)
         upstream.outstanding += 1
         self.state.note_change()
         response: aiohttp.ClientResponse | None = None
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -25,6 +25,7 @@
     Interruption,
     LossRate,
     Mechanism,
+    OriginRecord,
     PeerAvailability,
     PeerKnowledge,
     StreamOrigin,
@@ -41,6 +42,7 @@
 from ._dispatch import PromptDispatcher
 from ._forwarder_metrics import ForwarderMetrics
 from ._held_calls import HeldCalls
+from ._origin_keeper import OriginKeeper
 from ._platform import ForwardingPlatform
 from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
@@ -69,6 +71,7 @@
 """When a caller may return whose request has a refused prompt part, seconds."""
 
 AskPeers = Callable[[bytes, str], Awaitable[PeerKnowledge]]
+WaitForPeers = Callable[[float], Awaitable[bool]]
 SendStarts = Callable[[Iterable[tuple[bytes, StreamOrigin]]], None]
 
 
@@ -105,6 +108,8 @@
         self.connected_peers: Callable[[], int] = lambda: 0
         self.upstream_list_age_s: Callable[[float], float] = lambda now: 0.0
         self.streams = StreamVersions()
+        self.origins = OriginKeeper(None, clock.now, rng, lambda: self.upstream_registry.processes)
+        self.origins.on_several = self._send_begun
         self.others = PeerAvailability()
         self.region_map = RegionMap(settings.regions, settings.failure_domain)
         self.delays = RegionDelays(self.region_map)
@@ -125,6 +130,9 @@
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self.send_stream_starts: SendStarts = lambda starts: None
         self.ask_stream_origin: AskPeers = _ask_nobody
+        self.wait_for_peers: WaitForPeers = _wait_for_nobody
+        # Whether a duty with this name, which one process at a time carries out, falls to this one.
+        self.is_first_of: Callable[[str], bool] = lambda name: True
         self.count_usage: Callable[[str | None, float], None] = lambda organisation, begun_at: None
         # Called after each change of what this process sends to others.
         self.note_change: Callable[[], None] = lambda: None
@@ -386,6 +394,13 @@
         if starts:
             self.send_stream_starts(starts)
 
+    def _send_begun(self, record: OriginRecord) -> None:
+        """Send the streams of a route whose streams no longer have a single origin."""
+        services = {origin.service for origin in record.origins}
+        starts = self.streams.begun_at(services, self.clock.now())
+        if starts:
+            self.send_stream_starts(starts)
+
     def refers_callers(self, now: float) -> bool:
         """Return whether callers should be referred to another process."""
         if not self.switches.uses(Mechanism.REFERRAL):
@@ -402,3 +417,8 @@
 async def _ask_nobody(digest: bytes, service: str) -> PeerKnowledge:
     """Return that nobody else knows a stream: the process connects to no others."""
     return PeerKnowledge(None)
+
+
+async def _wait_for_nobody(limit_s: float) -> bool:
+    """Return that no peer has connected: the process connects to no others."""
+    return False
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from burdockquay_coordination.forwarding import PeerKnowledge, StreamOrigin, stream_digest
+import asyncio
+
+from burdockquay_coordination.forwarding import (
+    ForwardRoute,
+    PeerKnowledge,
+    RouteKey,
+    StreamOrigin,
+    stream_digest,
+)
 from burdockquay_protocol import ErrorKind, RequestError
 
 from .._call_error import CallError
@@ -10,8 +18,27 @@
 from ._call import ForwardCall
 from ._state import ForwarderState
 
+OBSERVE_INTERVAL_S = 1.0
+"""Time between two checks of the recorded origins, seconds."""
+
+PEERS_WAIT_S = 0.5
+"""Longest time for which a process that has just started waits for the processes that may know a
+stream, seconds."""
+
+STARTING_S = 3.0
+"""Time after its start within which a process may still be about to connect to others, seconds."""
+
+SINGLE_SERVICE = 1
+"""Number of services of a route that does not divide its requests."""
+
+
+def begin_recording(state: ForwarderState, call: ForwardCall) -> None:
+    """Begin to record where a stream begins, while its upstream prepares the first event."""
+    if call.software_version is None and call.route.can_resume:
+        state.origins.begin(_route_key(call.route), StreamOrigin(call.service, call.sent_version))
+
 
-def record_origin(state: ForwarderState, call: ForwardCall) -> None:
+async def record_origin(state: ForwarderState, call: ForwardCall) -> None:
     """Record where a stream began, before its caller gets the first event."""
     call.software_version = call.sent_version
     if not call.route.can_resume:
@@ -19,10 +46,31 @@
     state.observe_versions(call.service)
     digest = stream_digest(call.request.id, call.organisation)
     origin = StreamOrigin(call.service, call.software_version)
-    if state.streams.record(digest, origin, state.clock.now()):
+    route = _route_key(call.route)
+    must_send = state.streams.record(digest, origin, state.clock.now())
+    await state.origins.ensure(route, origin)
+    if must_send or len(state.origins.records.get(route).origins) > 1:
         state.send_stream_starts([(digest, origin)])
 
 
+def observe_origins(state: ForwarderState) -> None:
+    """Record where streams may begin, by the configuration and the list of upstreams."""
+    if state.directory is None:
+        return
+    now = state.clock.now()
+    for route in list(state.origins.records.routes):
+        state.origins.observe(route, _present_origins(state, route), now)
+
+
+async def keep_origins(state: ForwarderState) -> None:
+    """Remove origins that are out of date from the record, until cancelled."""
+    while True:
+        await asyncio.sleep(OBSERVE_INTERVAL_S)
+        observe_origins(state)
+        if state.is_first_of("stream origins"):
+            await state.origins.remove_expired(state.clock.now())
+
+
 async def find_origin(state: ForwarderState, call: ForwardCall) -> None:
     """Bind a call that resumes a stream to the service and software version that began it.
 
@@ -35,12 +83,7 @@
     if not request.resume_after or not call.route.can_resume:
         return
     digest = stream_digest(request.resumed_attempt or "", call.organisation)
-    origin, source = state.streams.find(digest, state.clock.now()), "own"
-    if origin is None:
-        known = await state.ask_stream_origin(digest, call.service)
-        origin, source = known.origin, "peer"
-        if origin is None:
-            origin, source = _find_only_origin(state, call.service, known), "only"
+    origin, source = await _search(state, call, digest)
     if origin is None or origin.service not in {item.service for item in call.route.shares}:
         origin, source = None, "unknown"
     state.metrics.resumed.labels(call.service, source).inc()
@@ -57,16 +100,56 @@
     call.service, call.software_version = origin.service, origin.version
 
 
+async def _search(
+    state: ForwarderState, call: ForwardCall, digest: bytes
+) -> tuple[StreamOrigin | None, str]:
+    """Return the origin of a stream, and who knew it."""
+    origin = state.streams.find(digest, state.clock.now())
+    if origin is not None:
+        return origin, "own"
+    known = await state.ask_stream_origin(digest, call.service)
+    if known.origin is not None:
+        return known.origin, "peer"
+    possible = await state.origins.find_possible(_route_key(call.route))
+    if possible is None:
+        return _find_only_origin(state, call, known), "only"
+    if len(possible) == 1 and _listed_origins(state, call.route) <= possible:
+        return next(iter(possible)), "record"
+    is_starting = state.clock.now() - state.started_at < STARTING_S
+    if is_starting and await state.wait_for_peers(PEERS_WAIT_S):
+        known = await state.ask_stream_origin(digest, call.service)
+    return known.origin, "peer"
+
+
 def _find_only_origin(
-    state: ForwarderState, service: str, known: PeerKnowledge
+    state: ForwarderState, call: ForwardCall, known: PeerKnowledge
 ) -> StreamOrigin | None:
-    """Return the origin of all streams of a service, None if it may have several versions.
+    """Return the origin of all streams of a route, None if it may have several.
 
-    A process that has just started does not know the versions of the last minute, and the list of
-    one without contact may be old.
+    The list of a process without contact to others may be old.
     """
-    state.observe_versions(service)
-    version = state.streams.only_version(service, state.clock.now())
-    is_alone = state.upstream_registry.processes == 1
+    if len(call.route.shares) > SINGLE_SERVICE:
+        return None
+    state.observe_versions(call.service)
+    version = state.streams.only_version(call.service, state.clock.now())
+    is_alone = state.upstream_registry.fleet.is_alone
     agrees = known.only_versions == {version} or (is_alone and not known.only_versions)
-    return StreamOrigin(service, version) if version is not None and agrees else None
+    return StreamOrigin(call.service, version) if version is not None and agrees else None
+
+
+def _route_key(route: ForwardRoute) -> RouteKey:
+    return RouteKey(route.host, route.prefix)
+
+
+def _present_origins(state: ForwarderState, key: RouteKey) -> frozenset[StreamOrigin]:
+    """Return where streams of a route may begin at present."""
+    route = state.directory.route_at(key.host, key.prefix)
+    return frozenset() if route is None else _listed_origins(state, route)
+
+
+def _listed_origins(state: ForwarderState, route: ForwardRoute) -> frozenset[StreamOrigin]:
+    return frozenset(
+        StreamOrigin(share.service, item.entry.software_version)
+        for share in route.shares
+        for item in state.upstream_registry.of_service(share.service)
+    )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
@@ -14,15 +14,18 @@
     ASKED_PROCESSES,
     DIGEST_BYTES,
     RECORD_OWNERS,
+    OriginRecord,
     PeerKnowledge,
+    RouteKey,
     StreamOrigin,
     StreamVersions,
     rank_owners,
 )
-from burdockquay_protocol import StreamAnswer, StreamQuestion, StreamStarts
+from burdockquay_protocol import RecordedOrigins, StreamAnswer, StreamQuestion, StreamStarts
 
 from .._clock import Clock
 from .._peer import PeerConnection
+from ._origin_keeper import OriginKeeper
 
 ANSWER_TIMEOUT_S = 0.25
 """Longest wait for the answers of peers about one stream, seconds: many times a round trip, and a
@@ -51,13 +54,18 @@
     Parameters
     ----------
     streams : StreamVersions
+    origins : OriginKeeper
     incarnation : str
         That of this process.
     clock : Clock
     """
 
-    def __init__(self, streams: StreamVersions, incarnation: str, clock: Clock):
+    def __init__(
+        self, streams: StreamVersions, origins: OriginKeeper, incarnation: str, clock: Clock
+    ):
         self.streams = streams
+        self.origins = origins
+        origins.share = self._share_record
         self.incarnation = incarnation
         self.clock = clock
         self._peers: Mapping[str, PeerConnection] = {}
@@ -71,6 +79,26 @@
             name: peer for name, peer in peers.items() if peer.version >= StreamStarts.since
         }
 
+    def greet(self, peer: PeerConnection) -> None:
+        """Send a process that has just connected the origins that are known to be recorded."""
+        for record in self.origins.records.all():
+            peer.post(_make_message(record))
+
+    def _share_record(self, record: OriginRecord) -> None:
+        message = _make_message(record)
+        for peer in self._peers.values():
+            peer.post(message)
+
+    def receive_record(self, peer: PeerConnection, message: RecordedOrigins) -> None:
+        """Apply the record of a route that another process has read or written."""
+        origins = frozenset(
+            StreamOrigin(service, version)
+            for service, versions in message.origins.items()
+            for version in versions
+        )
+        route = RouteKey(message.host, message.prefix)
+        self.origins.receive(OriginRecord(route, origins, message.row))
+
     def send(self, starts: Iterable[tuple[bytes, StreamOrigin]]) -> None:
         """Send the origins of some streams, by digest, to the peers that keep them."""
         if not self._unsent:
@@ -148,3 +176,10 @@
             question.origin.set_result(StreamOrigin(message.service, message.version))
         elif not question.missing:
             question.origin.set_result(None)
+
+
+def _make_message(record: OriginRecord) -> RecordedOrigins:
+    by_service: dict[str, list[str]] = defaultdict(list)
+    for origin in record.origins:
+        by_service[origin.service].append(origin.version)
+    return RecordedOrigins(record.route.host, record.route.prefix, record.version, dict(by_service))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from ._platform import PlatformAddress, forwarding_platforms, load_adapters
 from ._settings import ForwarderSettings
 from ._state import ForwarderState
+from ._stream_origins import keep_origins
 from ._table_feed import FeedExchange
 
 if TYPE_CHECKING:
@@ -113,6 +114,8 @@
                 regions=",".join(sorted(regions.names)),
             )
         await self._state.platform.open()
+        self._state.origins.table = self._state.platform.origin_table()
+        self._state.origins.spawn = self._tasks.spawn
         self._state.connections.open()
         self._ingress = Ingress(self._state)
         await self._ingress.start(self.early or listen_early(settings.listen))
@@ -126,7 +129,12 @@
         self._tasks.spawn(self._keep_parts(clock))
         self._mesh = self._open_mesh()
         self._usage = self._open_usage()
-        for work in (follow_configuration, follow_upstreams, remove_vanished_upstreams):
+        for work in (
+            follow_configuration,
+            follow_upstreams,
+            remove_vanished_upstreams,
+            keep_origins,
+        ):
             self._tasks.spawn(work(self._state))
         log_event(
             Event.PROCESS_LISTENING,
