Refuse as not run what a stopping process cannot finish

Plain work got 504.

Cause: admission knew whether the process leaves, not when it ends, nor how long a request takes.

Change: FinishGate knows when unfinished requests are cut off and how long the newest requests of each route and service took, those still running included. A forwarder asks it at admission, before each send and retry, and while a request waits for an upstream; an entry once the body is read; a slot for its queue. A request of unknown duration is accepted as long as the load balancer sends some (leave_delay_s), as an existing test asks. Retry-After is short where other processes are connected.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -21,6 +21,7 @@
         "EvacuatedDomains",
         "EvacuationChange",
     ),
+    "._finish_gate": ("FinishGate",),
     "._fleet_size": ("FleetSize",),
     "._health": (
         "HealthMonitor",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Hashable
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -110,6 +111,11 @@
         """Hashes of the prefixes as the evidence about crashes names them."""
         return tuple(f"{block:016x}" for block in (*self.short_prefix, *self.prefix))
 
+    @property
+    def run_kinds(self) -> tuple[Hashable, ...]:
+        """What its run has in common with others, for :class:`FinishGate`."""
+        return ((self.route.group, self.route.name), self.route.group)
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -307,6 +307,8 @@
         if dispatcher is None:
             raise CallError(RequestError(ErrorKind.NO_UPSTREAM))
         names = (spec.organisation.name, spec.service_class.name)
+        if not entry.finish_gate.may_finish(spec.run_kinds, 0, spec.deadline, entry.now()):
+            raise CallError(RequestError(ErrorKind.LEAVING))
         admitted = entry.admission.admit(*names, dispatcher.queue, entry.now())
         if isinstance(admitted, Err):
             entry.ledger.add_refusal(*names, admitted.err().kind)
@@ -316,14 +318,18 @@
     async def _run_admitted(self, call: Call, dispatcher: Any):
         entry = self.entry
         names = (call.spec.organisation.name, call.spec.service_class.name)
+        progress = entry.finish_gate.begin(call.spec.run_kinds, 0, entry.now())
+        is_whole = False
         try:
             async with aclosing(entry.runner.run(call, dispatcher)) as items:
                 async for item in items:
                     yield item
+                    is_whole = isinstance(item, AnswerEnd)
         except CallError as error:
             entry.ledger.add_refusal(*names, error.error.kind)
             raise
         finally:
+            entry.finish_gate.end(progress, entry.now(), is_whole)
             entry.admission.finished(*names, entry.now())
 
     async def _answer_chat(self, call: Call, chat: ChatRequest) -> web.Response:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -107,9 +107,10 @@
         """
         log_event(Event.PROCESS_STOPPING, role=self.role, held=self._held())
         self._leaving = True
-        self._on_leaving()
+        limit_s = max(0.0, self.settings.stop_limit_s - late_s)
+        self._on_leaving(self._clock.now() + limit_s)
         try:
-            async with asyncio.timeout(max(0.0, self.settings.stop_limit_s - late_s)):
+            async with asyncio.timeout(limit_s):
                 await self._finish_all()
         except TimeoutError:
             log_event(Event.STOP_LIMIT_REACHED, held=self._held())
@@ -251,8 +252,8 @@
         """Return the number of unfinished requests."""
 
     @abstractmethod
-    def _on_leaving(self) -> None:
-        """Announce that no new work is accepted."""
+    def _on_leaving(self, ends_at: float) -> None:
+        """Announce that no new work is accepted; unfinished work is aborted at a time."""
 
     @abstractmethod
     async def _finish_all(self) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -9,7 +9,14 @@
 import attrs
 from result import Err
 
-from burdockquay_coordination import AtMostOnceGuard, PlaceGrant, RunGate, SlotScheduler, Work
+from burdockquay_coordination import (
+    AtMostOnceGuard,
+    FinishGate,
+    PlaceGrant,
+    RunGate,
+    SlotScheduler,
+    Work,
+)
 from burdockquay_protocol import (
     PART_BODY,
     PART_END,
@@ -71,6 +78,11 @@
         """Request id and number of the attempt."""
         return (self.run.request, self.run.attempt)
 
+    @property
+    def run_kinds(self) -> tuple[str, ...]:
+        """What its run has in common with others, for :class:`FinishGate`."""
+        return (self.run.class_name, "")
+
     def post_part(self, part: int, data: bytes) -> None:
         """Send the next frame of the answer."""
         frame = Frame(self.run.request, self.run.attempt, self.sequence, part, data)
@@ -130,6 +142,7 @@
         self.send_grant = send_grant
         self.on_change = on_change
         self.latency = TokenLatencyMeter()
+        self.finish_gate = FinishGate()
         self.health: UpstreamHealth | None = None
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._next_start: asyncio.TimerHandle | None = None
@@ -179,6 +192,7 @@
 
     def run_scheduler(self, now: float) -> None:
         """Carry out all that the scheduler allows now."""
+        self._refuse_unfinishable(now)
         # One step can make another possible, so they repeat until none has anything to do.
         while any(step(now) for step in self._steps):
             continue
@@ -281,6 +295,16 @@
                 attempt.post_not_run(ErrorKind.NO_PLACE, detail)
                 self._remove(attempt, now)
 
+    def _refuse_unfinishable(self, now: float) -> None:
+        """Report queued attempts as not run that would be aborted at the end of this process."""
+        if not self.finish_gate.is_stopping:
+            return
+        for attempt in list(self._attempts.values()):
+            kinds, deadline = attempt.run_kinds, attempt.work.deadline
+            if attempt.task is None and not self.finish_gate.may_finish(kinds, 0, deadline, now):
+                attempt.post_not_run(ErrorKind.LEAVING, "it would not be finished in time")
+                self._remove(attempt, now)
+
     def drop_peer(self, peer: str, now: float) -> None:
         """Cancel the attempts of an entry that disconnected."""
         for work in self.scheduler.forget_peer(peer, now):
@@ -312,17 +336,22 @@
         task.add_done_callback(self._control_tasks.discard)
 
     async def _run(self, attempt: Attempt) -> None:
+        progress = self.finish_gate.begin(attempt.run_kinds, 0, self.clock.now())
+        is_whole = False
         try:
             if attempt.run.idempotent:
                 await self._run_idempotent(attempt)
             else:
                 await self._run_at_most_once(attempt)
+            is_whole = True
         except asyncio.CancelledError:
             self._spawn_control(self.client.cancel(engine_request_id(attempt.run)))
         except Exception as error:  # noqa: BLE001
             # A fault in this code must not leave the caller without an answer.
             log_event(Event.INTERNAL_ERROR, where="slot attempt", error=describe_fault(error))
             attempt.post_failed(ErrorKind.INTERNAL, type(error).__name__)
+        finally:
+            self.finish_gate.end(progress, self.clock.now(), is_whole)
 
     def _on_task_done(self, attempt: Attempt) -> None:
         now = self.clock.now()
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -12,6 +12,7 @@
     AdmissionController,
     AtMostOnceResolver,
     EvacuationChange,
+    FinishGate,
     FleetSize,
     MembershipTracker,
     RouteTable,
@@ -76,6 +77,7 @@
     def _open_components(self) -> None:
         settings = self.settings
         self.ledger = UsageLedger()
+        self.finish_gate = FinishGate()
         self._links: dict[str, SlotLink] = {}
         self._link_tasks: dict[str, asyncio.Task] = {}
         self._dispatchers: dict[str, GroupDispatcher] = {}
@@ -120,8 +122,9 @@
     def _held(self) -> int:
         return self._server.held
 
-    def _on_leaving(self) -> None:
-        """Do nothing: ``/readyz`` already reports that the entry is draining."""
+    def _on_leaving(self, ends_at: float) -> None:
+        """Refuse what cannot be finished; ``/readyz`` reports that the entry is draining."""
+        self.finish_gate.stop_at(ends_at, self.now() + self.settings.leave_delay_s)
 
     async def _finish_all(self) -> None:
         # The balancer keeps sending requests until its next readiness check. Refusing connections
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 import attrs
 from aiohttp import web
@@ -81,6 +81,8 @@
         Whether it tests prompt parts that are refused.
     was_woken : bool
         Whether it has waited for a start at a limited upstream and it is its turn.
+    is_waiting : bool
+        Whether it waits for an upstream, and nothing is sent at present.
     find_homes : callable
         Returns the regions in which it may be served by the configuration now in force, None for
         any.
@@ -117,8 +119,19 @@
     is_counted: bool = False
     is_trial: bool = False
     was_woken: bool = False
+    is_waiting: bool = False
     find_homes: Callable[[ForwardCall], Homes | None] = lambda call: None
 
+    @property
+    def run_kinds(self) -> tuple[Hashable, ...]:
+        """What its run has in common with others, for :class:`FinishGate`."""
+        return ((self.service, self.route.name), self.service)
+
+    @property
+    def run_size(self) -> int:
+        """Size of its run: the most tokens of the answer, 0 if the request does not say."""
+        return self.request.prompt.answer_tokens if self.request.prompt else 0
+
     @property
     def homes(self) -> Homes | None:
         """Regions in which it may be served now, None for any."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -76,6 +76,9 @@
         self._relay = Relay(state)
         self._refusals = Refusals(state)
         self._handling: set[asyncio.Task] = set()
+        self._calls: dict[asyncio.Task, ForwardCall] = {}
+        # Requests that are refused while they wait because they can no longer be finished.
+        self._released: set[asyncio.Task] = set()
         # Also includes the requests whose answers are being written.
         self._answering: set[asyncio.Task] = set()
         self._refuses_new = False
@@ -136,6 +139,19 @@
             else:
                 await asyncio.sleep(UNFINISHED_POLL_S)
 
+    async def release_unfinishable(self) -> None:
+        """Refuse the requests that wait for an upstream too long to be finished, until cancelled.
+
+        Their callers can still get a complete answer from another process.
+        """
+        while True:
+            for task, call in self._calls.items():
+                is_hopeless = call.is_waiting and not self.state.may_finish(call)
+                if is_hopeless and not call.maybe_run and task not in self._released:
+                    self._released.add(task)
+                    task.cancel()
+            await asyncio.sleep(UNFINISHED_POLL_S)
+
     async def answer_unfinished(self) -> None:
         """Cancel the running calls, and send an error for each whose answer has not begun.
 
@@ -195,6 +211,8 @@
             response = await self._serve(incoming)
         finally:
             self._handling.discard(task)
+            self._calls.pop(task, None)
+            self._released.discard(task)
             incoming.protocol.end_request(closes=self._refuses_new)
         if self.state.leaving and not response.prepared:
             response.force_close()
@@ -222,6 +240,7 @@
                 raise
             asyncio.current_task().uncancel()
             return self._refusals.answer(request, started, RequestError(ErrorKind.LEAVING))
+        self._calls[asyncio.current_task()] = call
         return await self._run(call)
 
     async def _run(self, call: ForwardCall) -> web.StreamResponse:
@@ -236,7 +255,7 @@
             kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.DEADLINE_EXCEEDED
             return self._fail(call, RequestError(kind))
         except asyncio.CancelledError:
-            if self._has_ended:
+            if self._has_ended or asyncio.current_task() in self._released:
                 asyncio.current_task().uncancel()
                 kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.LEAVING
                 return self._fail(call, RequestError(kind))
@@ -327,6 +346,8 @@
             directory.rank(route, organisation),
             find_homes=self.state.find_homes,
         )
+        if not self.state.may_finish(call):
+            raise CallError(RequestError(ErrorKind.LEAVING))
         if self.state.is_crash_suspect(call):
             detail = f"{self.state.suspects.crashes(call.digest)} crashes, digest {call.digest}"
             raise CallError(RequestError(ErrorKind.CRASH_SUSPECT, detail))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
@@ -83,4 +83,5 @@
         if request is not None and request.patience_s is not None:
             patience = request.patience_s - (now - started)
         is_referred = error.kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now)
+        is_referred |= error.kind is ErrorKind.LEAVING and self.state.connected_peers() > 0
         return retry_delay_s(patience, is_referred, self.state.rng)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 import aiohttp
 from aiohttp import web
@@ -16,7 +18,7 @@
     spare_upstreams,
     usable_upstreams,
 )
-from burdockquay_protocol import ErrorKind
+from burdockquay_protocol import ErrorKind, RequestError
 
 from .._call_error import CallError
 from .._events import Event, log_event
@@ -117,12 +119,15 @@
             If there is no upstream, or none with capacity in time.
         """
         if not call.by_prompt:
-            return await self._send(call, await self._choose_allowed(call))
+            with _waiting(call):
+                upstream = await self._choose_allowed(call)
+            return await self._send(call, upstream)
         if call.continue_at is not None:
             self.state.held_calls.take(call.continue_at, call.rank)
             return await self._send(call, call.continue_at)
         dispatcher = self.state.dispatcher(call.service)
-        call.sent = await dispatcher.start(call)
+        with _waiting(call):
+            call.sent = await dispatcher.start(call)
         if call.sent is None:
             raise CallError(self.state.held_calls.evacuation_refusal(call) or failure_of(call))
         try:
@@ -304,8 +309,22 @@
         """
         if upstream.is_evacuated:
             return HeldBack(upstream, "evacuated")
+        if not self.state.may_finish(call):
+            if call.maybe_run:
+                return RetryDenied(upstream)
+            raise CallError(RequestError(ErrorKind.LEAVING))
         if not self._withdraw_retry(call):
             return RetryDenied(upstream)
+        gate = self.state.finish_gate
+        run = gate.begin(call.run_kinds, call.run_size, self.state.clock.now())
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._send_once(call, upstream)
+            return outcome
+        finally:
+            gate.end(run, self.state.clock.now(), isinstance(outcome, Answered))
+
+    async def _send_once(self, call: ForwardCall, upstream: Upstream) -> Outcome:
         send = self._compose(call, upstream)
         log_send(self.state, call, upstream, self._sent_urgency(call))
         was_tried = upstream.id in call.tried
@@ -457,3 +476,13 @@
         holder = state.directory.find_organisation(call.request.api_key or "")
         if holder is None or holder.name != call.organisation:
             raise CallError(withheld_error(call, ErrorKind.UNAUTHENTICATED))
+
+
+@contextlib.contextmanager
+def _waiting(call: ForwardCall) -> Iterator[None]:
+    """Mark a call as one of which nothing is being sent."""
+    call.is_waiting = True
+    try:
+        yield
+    finally:
+        call.is_waiting = False
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from burdockquay_coordination import (
+    FinishGate,
     FleetSize,
     Homes,
     RegionDelays,
@@ -117,6 +118,7 @@
             self._record_connect if self.region_map.has_several else None
         )
         self.leaving = False
+        self.finish_gate = FinishGate()
         self.started_at = clock.now()
         self.metrics = ForwarderMetrics()
         self.parts = PartSuspicions(clock.now)
@@ -216,6 +218,12 @@
             self._dispatchers[service] = found
         return found
 
+    def may_finish(self, call: ForwardCall) -> bool:
+        """Return whether a call can still be finished before this process ends."""
+        return self.finish_gate.may_finish(
+            call.run_kinds, call.run_size, call.deadline, self.clock.now()
+        )
+
     def find_homes(self, call: ForwardCall) -> Homes | None:
         """Return the regions in which a call may be served by the configuration now in force."""
         directory = self.directory
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -266,10 +266,14 @@
         settings = self.settings
         log_event(Event.PROCESS_STOPPING, role=self.role, held=self._ingress.held)
         self._state.leaving = True
+        limit_s = max(0.0, settings.stop_limit_s - STOP_MARGIN_S - late_s)
+        delay_s = max(0.0, settings.leave_delay_s - late_s)
+        now = self._state.clock.now()
+        self._state.finish_gate.stop_at(now + limit_s, now + delay_s)
+        self._tasks.spawn(self._ingress.release_unfinishable())
         try:
-            limit_s = settings.stop_limit_s - STOP_MARGIN_S - late_s
-            async with asyncio.timeout(max(0.0, limit_s)):
-                await asyncio.sleep(max(0.0, settings.leave_delay_s - late_s))
+            async with asyncio.timeout(limit_s):
+                await asyncio.sleep(delay_s)
                 await self._ingress.stop_accepting()
                 await self._ingress.finish_all()
         except TimeoutError:
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -58,6 +58,9 @@
 from ._upstream import UpstreamSessions, upstream_clients
 from ._upstream_health import UpstreamHealth
 
+UNKNOWN_RUN_SHARE = 0.5
+"""Share of the time of a shutdown in which queued runs of unknown duration are still started."""
+
 IDLE_PROBE_FACTOR = 4.0
 """Interval of the measurements of an idle upstream, as a multiple of the probe interval."""
 
@@ -124,7 +127,10 @@
     def _held(self) -> int:
         return self._runner.held
 
-    def _on_leaving(self) -> None:
+    def _on_leaving(self, ends_at: float) -> None:
+        now = self._clock.now()
+        self._runner.finish_gate.stop_at(ends_at, now + UNKNOWN_RUN_SHARE * (ends_at - now))
+        self._runner.run_scheduler(now)
         self._stop_taking_work()
 
     async def _finish_all(self) -> None:
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unfinishable.py
@@ -0,0 +1,56 @@
+"""Tests of requests that a stopping entry or slot cannot finish before it ends."""
+
+import pytest
+
+from ._deployment import callers_requests, chat_body
+
+LONG = chat_body("ceremony", max_tokens=40)
+STEP_S = 0.02
+
+
+def entry_gate(running):
+    return running.entries[0].finish_gate
+
+
+def slot_gate(running):
+    return running.slots[0]._runner.finish_gate
+
+
+async def test_request_that_would_be_cut_at_the_end_is_refused_as_not_run(deployment):
+    """Guards against requests that a stopping entry accepts and aborts at its stop limit."""
+    async with deployment(engines=1, base_step_s=STEP_S) as running:
+        status, _ = await running.ask("/v1/chat/completions", LONG)
+        assert status == 200
+        started = len(callers_requests(running.engines[0]))
+        now = running.entries[0].now()
+        entry_gate(running).stop_at(now + 5 * STEP_S, unknown_until=now)
+        status, answer = await running.ask("/v1/chat/completions", LONG, X_Deadline_Seconds="5")
+        assert (status, answer["error"]["run"]) == (503, "not_run")
+        assert len(callers_requests(running.engines[0])) == started
+
+
+async def test_queued_request_that_would_be_cut_at_the_end_runs_at_another_slot(deployment):
+    """Guards against a stopping slot that starts what it aborts at its stop limit."""
+    async with deployment(engines=2, base_step_s=STEP_S) as running:
+        engine = running.engines[0]
+        while not callers_requests(engine):
+            await running.ask("/v1/chat/completions", chat_body(max_tokens=40))
+        started = len(callers_requests(engine))
+        now = running.entries[0].now()
+        slot_gate(running).stop_at(now + 5 * STEP_S, unknown_until=now)
+        replies = [
+            await running.ask("/v1/chat/completions", chat_body(max_tokens=40)) for _ in range(6)
+        ]
+        assert [status for status, _ in replies] == [200] * 6
+        assert len(callers_requests(engine)) == started
+
+
+@pytest.mark.parametrize("find_gate", [entry_gate, slot_gate], ids=lambda item: item.__name__)
+async def test_request_that_is_finished_in_time_is_served_during_a_stop(deployment, find_gate):
+    """Guards against refusals of all requests that come during a stop."""
+    async with deployment(engines=1, base_step_s=STEP_S) as running:
+        await running.ask("/v1/chat/completions", LONG)
+        now = running.entries[0].now()
+        find_gate(running).stop_at(now + 4.0, unknown_until=now)
+        status, _ = await running.ask("/v1/chat/completions", LONG, X_Deadline_Seconds="30")
+        assert status == 200
