Notice silent pollers within a share of the time that changes may take

Cause: a process queried the store by itself 3.0 to 3.75 s after its last confirmation, a multiple of the time for which queries are held, whatever the bound. The later the report came in the silence, the fewer requests were late (none after 1 s), and none where connections ended: not its own query was slow, the silence counted too late.

Change: silence counts at seven tenths of the bound at the most, which the settings now state (drain_ms, config_apply_ms). The same holds for the configuration, evacuations and the era of a restored store: a process that learns of it by a query of its own reads the table at once for all.

Three tests state the age at which silence counts and are adjusted to it.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -65,7 +65,14 @@
 from ._outcome_relay import OutcomeRelay, Outcomes, OutcomesByUpstream, add_outcomes
 from ._pending import NO_LOAD, LoadShare, PendingPrompts
 from ._placing import LARGE_FLEET_PROCESSES, place_prompt
-from ._polling import ChangeContinuity, PollSchedule, is_poller
+from ._polling import (
+    POLLERS_PER_TABLE,
+    ChangeContinuity,
+    PollSchedule,
+    is_poller,
+    place_of,
+    poll_wait_s,
+)
 from ._prompts import Prompt, PromptMemory
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
@@ -182,6 +189,9 @@
     "choose_backup",
     "choose_upstream",
     "is_poller",
+    "place_of",
+    "poll_wait_s",
+    "POLLERS_PER_TABLE",
     "place_prompt",
     "rank_processes",
     "RelayGroups",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -13,10 +13,16 @@
 """Processes that poll the platform for the changes of one table. If the only poller failed, all
 processes would receive changes late until they notice."""
 
-OVERDUE_WAIT_FACTORS = (1.2, 1.5)
+WAIT_SHARE = 1.2
+"""Longest wait of a request, as a multiple of the time within which a change must be known."""
+
+OVERDUE_INTERVALS = (1.4, 1.75)
 """Age of the last confirmation at which a process that is no poller polls by itself, as a multiple
-of the longest wait of a request. Sampled anew each time: the first to poll sends the answer to the
-others, so that they need not poll."""
+of the time between two confirmations. Sampled anew each time: the first to poll sends the answer to
+the others, so that they need not poll."""
+
+MIN_HOLD_SHARE = 1 / 6
+"""Shortest time for which the platform holds a request of a poller, as a share of the longest."""
 
 POLLER_BACKOFF_S = 3.0
 """Time for which a poller that the platform did not answer leaves polling to others, seconds."""
@@ -61,6 +67,10 @@
     connected to. If the ranking or the broadcast fails, the data of a process becomes older, and it
     polls by itself; the loss of a poller therefore delays updates and never stops them.
 
+    The requests of the pollers end one after the other, at equal intervals on the clock of the
+    platform. So the other processes have a confirmation in a fraction of the longest wait, and
+    notice in time that all pollers have fallen silent.
+
     Parameters
     ----------
     rng : random.Random
@@ -71,7 +81,7 @@
     >>> poll_schedule = PollSchedule(random.Random(1))
     >>> poll_schedule.is_poller = False
     >>> poll_schedule.confirm(10.0)
-    >>> poll_schedule.is_due(11.0, wait_s=2.0), poll_schedule.is_due(13.0, wait_s=2.0)
+    >>> poll_schedule.is_due(10.8, wait_s=2.0), poll_schedule.is_due(11.2, wait_s=2.0)
     (False, True)
     """
 
@@ -80,8 +90,10 @@
         self.switches = switches
         self.is_poller = True
         self.processes = 1
+        self.place = 0
+        self._platform_ahead_s: float | None = None
         self._as_of = float("-inf")
-        self._overdue_factor = rng.uniform(*OVERDUE_WAIT_FACTORS)
+        self._overdue_intervals = rng.uniform(*OVERDUE_INTERVALS)
         self._has_gap = False
         self._peer_confirmed_at = float("-inf")
         self._failed_at = float("-inf")
@@ -127,8 +139,16 @@
 
         A request that only fills a gap is to be answered at once, and so is the first one after a
         failure: the data is old by then, and a confirmation at the end of the wait would be late.
+        Otherwise it ends at the next of the moments that are left to this poller.
         """
-        return wait_s if self.polls(now) and not self._is_failing else 0.0
+        if not self.polls(now) or self._is_failing:
+            return 0.0
+        if self._platform_ahead_s is None:
+            return wait_s
+        pollers = min(self.processes, POLLERS_PER_TABLE)
+        moment_s = self.place % pollers * wait_s / pollers
+        rest_s = (moment_s - now - self._platform_ahead_s) % wait_s
+        return rest_s if rest_s >= MIN_HOLD_SHARE * wait_s else rest_s + wait_s
 
     def broadcasts_answer(self, now: float, wait_s: float) -> bool:
         """Return whether the answer to a request that is sent now is broadcast.
@@ -138,18 +158,18 @@
         """
         return self.polls(now) or now >= self._overdue_at(wait_s)
 
-    def reads_first(self, now: float) -> bool:
+    def reads_first(self, now: float, wait_s: float) -> bool:
         """Return whether the process reads a table at once after its store was restored.
 
         Such a process broadcasts the result. A poller that backed off while the store was
         unavailable does so too: all pollers may have backed off, and then no process would
-        broadcast.
+        broadcast. So does one that receives no updates: all pollers may be out of reach.
         """
-        return self.is_poller or self.polls(now)
+        return self.is_poller or self.broadcasts_answer(now, wait_s)
 
-    def reread_delay_s(self, now: float) -> float:
+    def reread_delay_s(self, now: float, wait_s: float) -> float:
         """Return the delay before a table is read again after its store was restored, seconds."""
-        return 0.0 if self.reads_first(now) else self.rng.uniform(*REREAD_DELAYS_S)
+        return 0.0 if self.reads_first(now, wait_s) else self.rng.uniform(*REREAD_DELAYS_S)
 
     def classify_changes(self, known: int, after: int, upto: int) -> ChangeContinuity:
         """Return how changes received from a peer relate to the known revision.
@@ -170,27 +190,38 @@
         self._has_gap = False
         return ChangeContinuity.NEXT
 
-    def confirm(self, as_of: float) -> None:
-        """Record a time as of which the process has all changes."""
+    def confirm(self, as_of: float, platform_s: float | None = None) -> None:
+        """Record a time as of which the process has all changes.
+
+        Parameters
+        ----------
+        as_of : float
+        platform_s : float or None
+            The same time on the clock of the platform, seconds; None if it is not known.
+        """
         if as_of > self._as_of:
+            if platform_s is not None:
+                self._platform_ahead_s = platform_s - as_of
             self._as_of = as_of
-            self._overdue_factor = self.rng.uniform(*OVERDUE_WAIT_FACTORS)
+            self._overdue_intervals = self.rng.uniform(*OVERDUE_INTERVALS)
 
-    def confirm_by_peer(self, as_of: float, now: float) -> None:
+    def confirm_by_peer(self, as_of: float, now: float, platform_s: float | None = None) -> None:
         """Record such a time received from a peer."""
         self._peer_confirmed_at = now
         if as_of > self._failed_at:
             # The platform rejected only this process, or has recovered.
             self._record_recovery(as_of)
-        self.confirm(as_of)
+        self.confirm(as_of, platform_s)
 
-    def record_answer(self, as_of: float, now: float, wait_s: float) -> None:
+    def record_answer(
+        self, as_of: float, now: float, wait_s: float, platform_s: float | None = None
+    ) -> None:
         """Record that the platform answered a request."""
         if not self._has_gap and not self.polls(now) and now >= self._overdue_at(wait_s):
             self._substitutes_until = now + SUBSTITUTE_POLL_S
         self._has_gap = False
         self._record_recovery(now)
-        self.confirm(as_of)
+        self.confirm(as_of, platform_s)
 
     def _record_recovery(self, now: float) -> None:
         """Record that the platform answers, if it did not before."""
@@ -222,7 +253,31 @@
         return min(now - self._failed_at, MAX_AGE_S)
 
     def _overdue_at(self, wait_s: float) -> float:
-        return self._as_of + self._overdue_factor * wait_s
+        return self._as_of + self._overdue_intervals * wait_s / POLLERS_PER_TABLE
+
+
+def poll_wait_s(known_within_s: float, longest_s: float) -> float:
+    """Return how long the platform may hold a request for changes of a table, seconds.
+
+    Parameters
+    ----------
+    known_within_s : float
+        Time within which all processes must know a change, seconds. If all pollers fall silent, the
+        others query the platform after seven tenths of it at the latest.
+    longest_s : float
+        Longest wait, whatever that time is, seconds.
+
+    Examples
+    --------
+    >>> poll_wait_s(2.0, longest_s=2.5), poll_wait_s(10.0, longest_s=2.5)
+    (2.4, 2.5)
+    """
+    return min(WAIT_SHARE * known_within_s, longest_s)
+
+
+def place_of(table: str, me: str, others: Iterable[str]) -> int:
+    """Return the place of a process in the order in which processes poll a table, 0 first."""
+    return rank_processes(table, [me, *others]).index(me)
 
 
 def is_poller(table: str, me: str, others: Iterable[str]) -> bool:
@@ -242,4 +297,4 @@
     >>> sum(is_poller("table", me, set(names) - {me}) for me in names)
     3
     """
-    return me in rank_processes(table, [me, *others])[:POLLERS_PER_TABLE]
+    return place_of(table, me, others) < POLLERS_PER_TABLE
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_polling.py
@@ -4,9 +4,17 @@
 
 import pytest
 
-from burdockquay_coordination.forwarding import ChangeContinuity, PollSchedule, Switches, is_poller
+from burdockquay_coordination.forwarding import (
+    POLLERS_PER_TABLE,
+    ChangeContinuity,
+    PollSchedule,
+    Switches,
+    is_poller,
+)
 
 WAIT_S = 2.0
+INTERVAL_S = WAIT_S / POLLERS_PER_TABLE
+"""Time between two confirmations while all pollers are in touch, seconds."""
 
 
 @pytest.fixture
@@ -41,8 +49,8 @@
 
 def test_process_that_receives_no_updates_polls_by_itself(poll_schedule):
     """All pollers are cut off from the others, whose connections to them stay open for seconds."""
-    assert not poll_schedule.is_due(10.0 + WAIT_S, WAIT_S)
-    assert poll_schedule.is_due(10.0 + 1.5 * WAIT_S, WAIT_S)
+    assert not poll_schedule.is_due(10.0 + 1.4 * INTERVAL_S, WAIT_S)
+    assert poll_schedule.is_due(10.0 + 1.75 * INTERVAL_S, WAIT_S)
     assert poll_schedule.hold_s(13.0, WAIT_S) == 0.0, "the answer is needed at once"
 
 
@@ -60,7 +68,7 @@
     for poll_schedule in schedules:
         poll_schedule.is_poller = False
         poll_schedule.confirm_by_peer(0.0, 0.0)
-    due = sum(poll_schedule.is_due(1.25 * WAIT_S, WAIT_S) for poll_schedule in schedules)
+    due = sum(poll_schedule.is_due(1.5 * INTERVAL_S, WAIT_S) for poll_schedule in schedules)
     assert 0 < due < 50
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -11,6 +11,7 @@
     ForwardConfig,
     UpstreamChanges,
     UpstreamRegistry,
+    poll_wait_s,
 )
 from burdockquay_state import TableError
 
@@ -19,13 +20,12 @@
 from ._state import ForwarderState
 from ._stream_origins import observe_origins
 
-CONFIG_LONG_POLL_S = 1.7
-"""How long the platform may hold a query for changes of the configuration, seconds. Each answer
-confirms the known configuration, so this is also the age that it reaches in normal operation."""
+MAX_CONFIG_POLL_S = 1.7
+"""Longest time for which the platform may hold a query for changes of the configuration, seconds. A
+process that connects to no others has no other confirmation."""
 
-UPSTREAMS_LONG_POLL_S = 2.5
-"""The same for the list of upstreams, seconds. Nothing expires here; the answer at the end only
-shows that the connection still works."""
+MAX_UPSTREAMS_POLL_S = 2.5
+"""The same for the list of upstreams, seconds."""
 
 FIRST_RETRY_PAUSE_S = 0.05
 MAX_RETRY_PAUSE_S = 0.6
@@ -72,8 +72,9 @@
     """Apply each new configuration and confirm the current one, until cancelled."""
     source = state.platform.configuration()
     backoff = _RetryBackoff(state, Event.TABLE_UNAVAILABLE, Event.TABLE_RECOVERED)
+    wait_s = poll_wait_s(state.settings.config_apply_ms / 1000, MAX_CONFIG_POLL_S)
     while True:
-        read = await source.next(CONFIG_LONG_POLL_S)
+        read = await source.next(wait_s)
         if isinstance(read, Err):
             await backoff.after_failure(read.err())
             continue
@@ -118,8 +119,9 @@
     source = state.platform.upstreams()
     state.upstream_list_age_s = source.age_s
     backoff = _RetryBackoff(state, Event.VM_LIST_UNREADABLE, Event.VM_LIST_RECOVERED)
+    wait_s = poll_wait_s(state.settings.drain_ms / 1000, MAX_UPSTREAMS_POLL_S)
     while True:
-        read = await source.next(UPSTREAMS_LONG_POLL_S)
+        read = await source.next(wait_s)
         now = state.clock.now()
         if isinstance(read, Err):
             state.upstream_registry.record_list_failure(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -71,6 +71,11 @@
         Time after which a withdrawn API key must not work anywhere, milliseconds.
     keys_fail_closed : bool
         Whether keys are refused while it is unknown if they were withdrawn.
+    drain_ms : float
+        Time after which an upstream that is listed as leaving, or is no longer listed, must get no
+        requests, milliseconds.
+    config_apply_ms : float
+        Time within which a configuration must be in force everywhere, milliseconds.
     stop_limit_s : float
         Time from the signal to stop until the process is killed, seconds.
     leave_delay_s : float
@@ -113,6 +118,8 @@
         "log_level": [OneOf(("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"))],
         "withdrawal_ms": _MS,
         "keys_fail_closed": [InstanceOf(bool)],
+        "drain_ms": _MS,
+        "config_apply_ms": _MS,
         "stop_limit_s": _SECONDS,
         "leave_delay_s": [Interval(float, 0.0, 3600.0)],
         "retry_ratio": [Interval(float, 0.0, 10.0)],
@@ -134,6 +141,8 @@
     log_level: str = "INFO"
     withdrawal_ms: float = 5000.0
     keys_fail_closed: bool = True
+    drain_ms: float = 2000.0
+    config_apply_ms: float = 2000.0
     stop_limit_s: float = 8.0
     leave_delay_s: float = 2.5
     retry_ratio: float = 0.2
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -13,12 +13,13 @@
 from result import Err, Ok, Result
 
 from burdockquay_coordination.forwarding import (
+    POLLERS_PER_TABLE,
     ChangeContinuity,
     Mechanism,
     PollSchedule,
     StoreEra,
     Switches,
-    is_poller,
+    place_of,
 )
 from burdockquay_protocol import ChangedRow, TableChanges
 from burdockquay_state import Position, TableError, TableErrorKind
@@ -190,12 +191,12 @@
         if not self.switches.uses(Mechanism.SHARED_POLLS):
             return
         if message.era:
-            self.record_era(message.era, now)
+            self.record_era(message.era, now, from_peer=True)
         feed = self._feeds.get(message.table)
         if feed is not None:
             feed.receive(message)
 
-    def record_era(self, era: int, now: float) -> None:
+    def record_era(self, era: int, now: float, from_peer: bool = False) -> None:
         """Record the era of the store in an answer or message; a new era restarts all feeds."""
         before = self.era.newest
         if not self.era.record_era(era, now):
@@ -203,13 +204,14 @@
         ages = {table: feed.age_s(now) for table, feed in self._feeds.items()}
         log_event(Event.STORE_RETURNED, era=era, era_before=before, ages_s=ages)
         for feed in self._feeds.values():
-            feed.on_store_restored(now)
+            feed.on_store_restored(now, from_peer)
         self.on_restored()
 
     def choose_pollers(self, me: str, others: Collection[str]) -> None:
         """Choose the pollers of each table again, by the incarnations of connected processes."""
         for table, feed in self._feeds.items():
-            feed.set_poller(is_poller(table, me, others), 1 + len(others))
+            place = place_of(table, me, others)
+            feed.set_poller(place < POLLERS_PER_TABLE, 1 + len(others), place)
 
 
 @attrs.frozen
@@ -242,6 +244,7 @@
         self._keys: set[str] = set()
         self._received: deque[TableChanges] = deque(maxlen=MAX_RECEIVED_MESSAGES)
         self._pending_query: _PendingQuery | None = None
+        self._wait_s = float("inf")
         self._wake = asyncio.Event()
         exchange.add(self)
 
@@ -255,6 +258,7 @@
         wait_s : float
             Longest time for which the platform holds a query, seconds.
         """
+        self._wait_s = wait_s
         if self._position is None:
             return self._take_peer_table() or await self._read()
         try:
@@ -273,18 +277,26 @@
         self._received.append(message)
         self._wake.set()
 
-    def set_poller(self, polls: bool, processes: int = 1) -> None:
-        """Set whether this process is one of those that poll, and how many are connected."""
+    def set_poller(self, polls: bool, processes: int = 1, place: int = 0) -> None:
+        """Set whether this process polls, how many are connected, and its place among them."""
+        self.poll_schedule.place = place
         self.poll_schedule.is_poller = polls
         self.poll_schedule.processes = processes
         self._wake.set()
 
-    def on_store_restored(self, now: float) -> None:
+    def on_store_restored(self, now: float, from_peer: bool = False) -> None:
         """Schedule reading the table again: the store was restored from a copy.
 
         The changes of the restored store do not continue from the known position.
+
+        Parameters
+        ----------
+        now : float
+        from_peer : bool
+            Whether a peer has told of it, which then sends the table, too.
         """
-        self._reread_at = now + self.poll_schedule.reread_delay_s(now)
+        wait_s = float("inf") if from_peer else self._wait_s
+        self._reread_at = now + self.poll_schedule.reread_delay_s(now, wait_s)
         self._wake.set()
 
     def age_s(self, now: float) -> float:
@@ -357,7 +369,7 @@
             )
             if continuity is ChangeContinuity.GAP:
                 continue
-            self.poll_schedule.confirm_by_peer(as_of, self.store.now())
+            self.poll_schedule.confirm_by_peer(as_of, self.store.now(), message.store_s)
             # A message may begin before the known position. A row from the copy that is received
             # again must not be taken for a change by its writer.
             known = self._position.revision
@@ -373,7 +385,7 @@
             if message.after != 0 or message.era != self.exchange.era.newest:
                 continue
             as_of = self._valid_at(message)
-            self.poll_schedule.confirm_by_peer(as_of, self.store.now())
+            self.poll_schedule.confirm_by_peer(as_of, self.store.now(), message.store_s)
             rows = tuple(message.rows)
             after_restore = self._restart_from(rows, Position(message.era, message.upto))
             last_failure_at = self._last_failure_at(message)
@@ -412,7 +424,7 @@
         self.exchange.record_era(reading.position.era, now)
         if reading.position.era != query.after.era:
             return None
-        self.poll_schedule.record_answer(reading.as_of, now, wait_s)
+        self.poll_schedule.record_answer(reading.as_of, now, wait_s, reading.store_s)
         if query.is_shared:
             self._broadcast(query.after, reading, reading.rows)
         rows = reading.rows if reading.position > self._position else ()
@@ -435,7 +447,7 @@
             return Err(TableError(TableErrorKind.UNAVAILABLE, f"rows of the past era {era}"))
         after, known = self._position, self._keys
         after_restore = self._restart_from(reading.rows, reading.position)
-        self.poll_schedule.confirm(reading.as_of)
+        self.poll_schedule.confirm(reading.as_of, reading.store_s)
         if after_restore:
             self._broadcast_table(reading)
         elif after is not None:
@@ -471,7 +483,7 @@
 
     def _broadcast_table(self, reading: TableReading) -> None:
         """Send the complete table to peers, if this process is one of the first to read it."""
-        if self.poll_schedule.reads_first(self.store.now()):
+        if self.poll_schedule.reads_first(self.store.now(), self._wait_s):
             self._broadcast(Position(reading.position.era, 0), reading, reading.rows)
 
     def _broadcast(
