Resume an unknown stream of a route on which none has begun, where one version is listed

A route without a record counted as one whose record cannot be read. That refused the first caller that resumes, for example one that a process of the former release served.

Change: an empty record is an answer: no stream of the route, or of one that overlaps it, has begun here, so the listed version is the only one. In a store restored from a copy it stays unknown. The test of a stream that nobody knows is as it was before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -55,6 +55,7 @@
 from ._mechanisms import Mechanism, Switches
 from ._origin_records import (
     FIRST_ERA,
+    UNKNOWN_ORIGIN,
     OriginRecord,
     OriginRecords,
     RouteKey,
@@ -100,6 +101,7 @@
     "FIRST_ERA",
     "ORIGIN_KEY_PREFIX",
     "OriginRecord",
+    "UNKNOWN_ORIGIN",
     "OriginRecords",
     "RouteKey",
     "extend_record",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -10,7 +10,9 @@
 from result import Err, Ok, Result
 
 from burdockquay_coordination.forwarding import (
+    FIRST_ERA,
     ORIGIN_KEY_PREFIX,
+    UNKNOWN_ORIGIN,
     OriginRecord,
     OriginRecords,
     RouteKey,
@@ -114,6 +116,11 @@
         """Return where a stream that is resumed now may have begun, None if that is unknown.
 
         Requests at the same time share a query that begins after all of them.
+
+        Returns
+        -------
+        frozenset of StreamOrigin or None
+            Empty if no stream of the route has begun.
         """
         if self.table is None:
             return None
@@ -123,7 +130,11 @@
         if self._reading is None or self._reading.done():
             self._reading = self.spawn(self._scan())
         read = await asyncio.shield(self._reading)
-        return None if isinstance(read, Err) else possible_origins(route, read.ok())
+        if isinstance(read, Err):
+            return None
+        possible = possible_origins(route, read.ok())
+        is_copy = self.table.era > FIRST_ERA
+        return possible or frozenset({UNKNOWN_ORIGIN} if is_copy else ())
 
     def receive(self, record: OriginRecord) -> None:
         """Apply a record that another process has read or written."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -113,7 +113,9 @@
     possible = await state.origins.find_possible(_route_key(call.route))
     if possible is None:
         return _find_only_origin(state, call, known), "only"
-    if len(possible) == 1 and _listed_origins(state, call.route) <= possible:
+    listed = _listed_origins(state, call.route)
+    possible = possible or listed
+    if len(possible) == 1 and listed <= possible:
         return next(iter(possible)), "record"
     is_starting = state.clock.now() - state.started_at < STARTING_S
     if is_starting and await state.wait_for_peers(PEERS_WAIT_S):
