Bound what one answer may take

Cause: a forwarder read until the time limit of the route and kept what it read. The client library bounds the lines of a head, not interim answers, framing or bodies. A buffered event was searched again from its start with each piece.

Change: connections count what brings an answer no further, and are aborted past a bound. Bodies and events of unknown length share a bound of memory; past it the largest is given up, small ones never. The upstream counts as having broken off, and the caller is told that the request may have run. The same connector serves health checks, the store, duties, slots and the platform of entries; entries account for what slots send them.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -22,6 +22,7 @@
         "EvacuationChange",
     ),
     "._finish_gate": ("FinishGate",),
+    "._held_answers": ("MAX_ANSWER_BYTES", "MAX_HELD_BYTES", "HeldAnswer", "HeldAnswers"),
     "._fleet_size": ("FleetSize",),
     "._health": (
         "HealthMonitor",
--- a/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
@@ -7,6 +7,11 @@
 from burdockquay_state._lazy import lazy_exports
 
 _EXPORTS = {
+    "._bounded_answers": (
+        "MAX_STORE_ANSWER_BYTES",
+        "BoundedConnector",
+        "read_whole",
+    ),
     "._clock": (
         "Clock",
         "SystemClock",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from burdockquay_coordination import AtMostOnceTicket
+from burdockquay_coordination import AtMostOnceTicket, HeldAnswer
 from burdockquay_protocol import ErrorKind, RequestError, Run, RunState
 from burdockquay_state import ClassRecord, OrganisationRecord, RouteRecord
 
@@ -150,6 +150,8 @@
         Whether an earlier or the current attempt may have had an effect.
     delivered : list of str
         Tokens of the answer so far.
+    held : HeldAnswer or None
+        Account of the memory that the answer takes, while it is received.
     """
 
     spec: CallRequest
@@ -169,6 +171,7 @@
     first_token_at: float = 0.0
     last_token_at: float = 0.0
     delivered: list[str] = attrs.field(factory=list)
+    held: HeldAnswer | None = None
     avoid: set[str] = attrs.field(factory=set)
 
     @property
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -12,6 +12,7 @@
 from burdockquay_coordination import (
     SETTLED_KINDS,
     AtMostOnceResolver,
+    HeldAnswers,
     LatencyTarget,
     Settled,
     SettledState,
@@ -106,6 +107,7 @@
         self.ledger = ledger
         self.metrics = metrics
         self.clock = clock
+        self.held_answers = HeldAnswers()
         self._handlers: dict[type, Callable] = {
             NotRun: self._on_not_run,
             Failed: self._on_failed,
@@ -122,6 +124,7 @@
         """
         self.budget.record_request(self.clock.now())
         complete = False
+        call.held = self.held_answers.open(lambda: None)
         try:
             self._check_quarantine(call)
             dispatcher.submit(call, self.clock.now())
@@ -131,6 +134,7 @@
                     complete = complete or isinstance(item, AnswerEnd)
                     yield item
         finally:
+            self.held_answers.close(call.held)
             dispatcher.abandon(call, self.clock.now())
             self._record_usage(call, complete)
 
@@ -222,6 +226,7 @@
             self.suspicions.prefixes.record_begun(call.spec.prefix_names)
         self._record_token_times(call, now)
         call.delivered += texts
+        self._keep(call, sum(map(len, texts)))
         dispatcher.charge(call, len(texts), now)
         return [Tokens(texts)]
 
@@ -236,8 +241,22 @@
             self.metrics.timing(timers.between_tokens(name), now - call.last_token_at)
         call.last_token_at = now
 
+    def _keep(self, call: Call, size: int) -> None:
+        """Account for a part of an answer, which is kept until the answer is complete.
+
+        Raises
+        ------
+        CallError
+            If the answer is given up because it takes too much memory.
+        """
+        self.held_answers.grow(call.held, size)
+        if call.held.is_given_up:
+            call.may_have_run = True
+            raise call.make_error(ErrorKind.UPSTREAM_FAILED, "its answer takes too much memory")
+
     def _handle_part(self, call: Call, frame: Frame) -> list[AnswerItem]:
         if frame.part == PART_BODY:
+            self._keep(call, len(frame.data))
             return [Body(frame.data)]
         if frame.part not in (PART_HEAD, PART_END):
             raise call.make_error(ErrorKind.INTERNAL, f"unknown part {frame.part}")
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -12,6 +12,7 @@
 from burdockquay_coordination import Work
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 
+from ._bounded_answers import AnswerTooLargeError
 from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
     CONTROL_TIMEOUT,
@@ -30,6 +31,9 @@
 _DETAIL_BYTES = 200
 _REFUSED_BODY_BYTES = 4096
 
+MAX_IDLE_STREAM_BYTES = 1 << 20
+"""Most bytes of a stream between two tokens: comments, or an event that does not end."""
+
 
 SOFTWARE_VERSION = "X-Software-Version"
 """Header in which an engine states the version of its software."""
@@ -73,7 +77,10 @@
         except BROKEN_ERRORS as error:
             detail = f"{type(error).__name__} {'during' if answered else 'before'} the answer"
             raise UpstreamError(
-                ErrorKind.UPSTREAM_FAILED, detail, sent=True, crashed=True
+                ErrorKind.UPSTREAM_FAILED,
+                detail,
+                sent=True,
+                crashed=not isinstance(error, AnswerTooLargeError),
             ) from error
 
     def _post(self, run: Run, priority: int):
@@ -170,10 +177,12 @@
         If the stream ends without its end marker, so that the answer is incomplete.
     """
     rest = b""
+    idle_bytes = 0
     finish_reason = ""
     usage: dict[str, Any] = {}
     while chunk := await response.content.readany():
         *events, rest = (rest + chunk).split(b"\n\n")
+        idle_bytes += len(chunk)
         for event in events:
             if event == _DONE:
                 yield AnswerEnd(
@@ -186,9 +195,13 @@
             choice = parsed["choices"][0] if parsed.get("choices") else {}
             text = choice.get("delta", {}).get("content")
             if text:
+                idle_bytes = len(rest)
                 yield Token(text)
             finish_reason = choice.get("finish_reason") or finish_reason
             usage = parsed.get("usage") or usage
+        if idle_bytes > MAX_IDLE_STREAM_BYTES:
+            detail = f"over {MAX_IDLE_STREAM_BYTES} bytes without a token"
+            raise UpstreamError(ErrorKind.UPSTREAM_FAILED, detail, sent=True)
     raise UpstreamError(
         ErrorKind.UPSTREAM_FAILED, "the stream ended too early", sent=True, crashed=True
     )
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -500,6 +500,12 @@
         "record in the table (``record``) or, without the table, by what all processes have seen "
         "(``only``). If it is ``unknown``, the stream is not resumed.",
     )
+    ANSWER_GIVEN_UP = (
+        1977,
+        "WARNING",
+        "An answer of an upstream or of the platform took too much, or had no end, and its "
+        "connection was aborted.",
+    )
     ORIGIN_NOT_RECORDED = (
         1976,
         "WARNING",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform.py
@@ -15,6 +15,7 @@
 )
 
 from . import _platform_http  # noqa: F401 (it registers the adapters named "http")
+from ._bounded_answers import BoundedConnector
 from ._settings import PlatformSettings
 
 _CONNECTIONS = 16
@@ -55,7 +56,7 @@
     table = table_services.get(settings.table)
     objects = object_stores.get(settings.objects)
     vms = vm_lists.get(settings.vms)
-    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=_CONNECTIONS))
+    session = aiohttp.ClientSession(connector=BoundedConnector(limit=_CONNECTIONS))
     timeout_s = settings.timeout_s
     return Platform(
         table(settings.table_url, timeout_s, session),
--- a/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
@@ -9,6 +9,7 @@
 from burdockquay_protocol import MAX_BODY_BYTES, AnswerEnd, AnswerHead, ErrorKind, Run
 
 from ._body_end import ended_by_reset, protocol_of
+from ._bounded_answers import AnswerTooLargeError
 from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
     PROBE_TIMEOUT,
@@ -52,7 +53,10 @@
             ) from error
         except BROKEN_ERRORS as error:
             raise UpstreamError(
-                ErrorKind.UPSTREAM_FAILED, type(error).__name__, sent=True, crashed=True
+                ErrorKind.UPSTREAM_FAILED,
+                type(error).__name__,
+                sent=True,
+                crashed=not isinstance(error, AnswerTooLargeError),
             ) from error
 
     def _request(self, run: Run):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_upstream.py
@@ -16,6 +16,8 @@
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 from burdockquay_state import Registry
 
+from ._bounded_answers import BoundedConnector
+
 
 @attrs.frozen
 class Token:
@@ -147,7 +149,7 @@
     record_statements : callable or None
         Called for each answer.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=not reuse_connections)
+    connector = BoundedConnector(limit=0, force_close=not reuse_connections)
     timeout = aiohttp.ClientTimeout(total=None, connect=2.0)
     return aiohttp.ClientSession(
         connector=connector,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from functools import partial
 
 import aiohttp
+import attrs
 from aiohttp import web
 
 from burdockquay_coordination.forwarding import Interruption, RouteKind, Upstream
@@ -18,6 +21,16 @@
 from ._state import ForwarderState
 from ._stream_origins import record_origin
 
+MAX_COMMENT_BYTES = 16 << 10
+"""Most bytes of comments of a stream between two events with data."""
+
+MAX_REPEATED_BYTES = 256 << 10
+"""Most bytes of a stream between two new events: events that the caller has already, and comments.
+"""
+
+STREAM_SLICE_BYTES = 8 << 10
+"""Bytes of a stream that are processed at a time, so that other requests are not delayed."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which a caller concludes that its request certainly has not run."""
 
@@ -67,7 +80,7 @@
         response: aiohttp.ClientResponse,
         facts: AnswerFacts,
     ) -> Outcome:
-        body = await read_body(response)
+        body = await read_body(response, self.state.held_answers)
         if facts.not_run and response.status != 400:
             return NotRun(upstream, f"status {response.status}")
         if not facts.not_run:
@@ -104,15 +117,24 @@
         splitter = EventSplitter()
         first_at = None
         count = 0
-        async for data in _read_chunks(response):
-            events = splitter.feed(data)
-            count += len(events)
-            if events:
-                now = self.state.clock.now()
-                call.record_events(now)
-                self._record_begun(call)
-                first_at = first_at or now
-            await self._forward_events(call, events, response)
+        idle = IdleBytes()
+        held = self.state.held_answers
+        with held.account(partial(protocol.give_up, "too many bytes of events")) as answer:
+            async for data in _read_chunks(response):
+                events = splitter.feed(data)
+                held.resize(answer, len(splitter.rest))
+                if idle.exceeds(events, call.last_event):
+                    protocol.give_up("too many bytes without a new event")
+                    raise BrokenError("too many bytes without a new event")
+                if answer.is_given_up:
+                    raise BrokenError("too many bytes of events")
+                count += len(events)
+                if events:
+                    now = self.state.clock.now()
+                    call.record_events(now)
+                    self._record_begun(call)
+                    first_at = first_at or now
+                await self._forward_events(call, events, response)
         check_body_end(protocol)
         if splitter.rest:
             return record_broken(self.state, call, upstream, "ended inside an event")
@@ -210,10 +232,44 @@
     return Broke(upstream, reason, crashed=crashed)
 
 
+@attrs.define
+class IdleBytes:
+    """Bytes of a stream that bring it no further.
+
+    Parameters
+    ----------
+    comments : int
+        Since the newest event with data.
+    repeated : int
+        Since the newest event that the caller has not received.
+    """
+
+    comments: int = 0
+    repeated: int = 0
+
+    def exceeds(self, events: Iterable[StreamEvent], last: str | None) -> bool:
+        """Count events, and return whether there are too many bytes.
+
+        Parameters
+        ----------
+        events : iterable of StreamEvent
+        last : str or None
+            Id of the last event that the caller has.
+        """
+        for event in events:
+            self.comments = 0 if event.has_data else self.comments + len(event.data)
+            is_progress = event.has_data and _is_new(event, last)
+            self.repeated = 0 if is_progress else self.repeated + len(event.data)
+        return self.comments > MAX_COMMENT_BYTES or self.repeated > MAX_REPEATED_BYTES
+
+
 async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     try:
         async for data in response.content.iter_any():
-            yield data
+            yield data[:STREAM_SLICE_BYTES]
+            for start in range(STREAM_SLICE_BYTES, len(data), STREAM_SLICE_BYTES):
+                await asyncio.sleep(0)
+                yield data[start : start + STREAM_SLICE_BYTES]
     except SENT_ERRORS as error:
         raise BrokenError(type(error).__name__) from error
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -11,9 +11,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from burdockquay_coordination import HeldAnswers
 from burdockquay_coordination.forwarding import ListedUpstream
 
 from .._body_end import ended_by_reset, protocol_of
+from .._bounded_answers import BoundedConnector, read_whole
 from .._send_once import CONNECT_ERRORS, SendOnce
 
 CONNECT_TIMEOUT_S = 0.4
@@ -200,17 +202,23 @@
         return False
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
+async def read_body(response: aiohttp.ClientResponse, held: HeldAnswers) -> bytes:
     """Return the complete body of an answer.
 
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+    held : HeldAnswers
+        Accounts for the bytes until the body is complete.
+
     Raises
     ------
     BrokenError
-        If the body is incomplete.
+        If the body is incomplete, or takes too much memory.
     """
     protocol = protocol_of(response)
     try:
-        body = await response.read()
+        body = await read_whole(response, held)
     except SENT_ERRORS as error:
         raise BrokenError(type(error).__name__) from error
     check_body_end(protocol)
@@ -229,7 +237,7 @@
 
 
 def _make_session(reuse: bool, record_connect: RecordConnect | None) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0,
         force_close=not reuse,
         socket_factory=_make_socket,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from burdockquay_coordination import MAX_ANSWER_BYTES, MAX_HELD_BYTES
 from burdockquay_coordination.forwarding import Mechanism
 from burdockquay_state import (
     NAME,
@@ -81,6 +82,9 @@
     leave_delay_s : float
         How long a process that shuts down still accepts requests, seconds: as long as the load
         balancer needs to notice.
+    max_answer_bytes, max_held_bytes : int
+        Largest answer that is kept until it is complete, and most bytes of all such answers of
+        unknown length that are not complete yet. An answer beyond that is given up.
     retry_ratio, retry_burst, retry_window_s : float
         Retry budget of a service in a window of time, for all processes together: a ratio of the
         requests, plus a constant number.
@@ -122,6 +126,8 @@
         "config_apply_ms": _MS,
         "stop_limit_s": _SECONDS,
         "leave_delay_s": [Interval(float, 0.0, 3600.0)],
+        "max_answer_bytes": [Interval(int, 1024, 1 << 32)],
+        "max_held_bytes": [Interval(int, 1024, 1 << 32)],
         "retry_ratio": [Interval(float, 0.0, 10.0)],
         "retry_burst": [Interval(float, 0.0, 100_000.0)],
         "retry_window_s": _SECONDS,
@@ -145,6 +151,8 @@
     config_apply_ms: float = 2000.0
     stop_limit_s: float = 8.0
     leave_delay_s: float = 2.5
+    max_answer_bytes: int = MAX_ANSWER_BYTES
+    max_held_bytes: int = MAX_HELD_BYTES
     retry_ratio: float = 0.2
     retry_burst: float = 20.0
     retry_window_s: float = 10.0
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -11,6 +11,7 @@
 from burdockquay_coordination import (
     FinishGate,
     FleetSize,
+    HeldAnswers,
     Homes,
     RegionDelays,
     RegionMap,
@@ -119,6 +120,7 @@
         )
         self.leaving = False
         self.finish_gate = FinishGate()
+        self.held_answers = HeldAnswers(settings.max_answer_bytes, settings.max_held_bytes)
         self.started_at = clock.now()
         self.metrics = ForwarderMetrics()
         self.parts = PartSuspicions(clock.now)
