Abort an answer only while its connection is open, and split long modules

Callers saw: a stream whose whole answer had arrived before its head was handled got 500.

Cause: such an answer has released its connection, and the new bound asked it for the protocol.

Change: abort_answer does nothing for a complete answer.

A process records an origin at which it begins no stream itself after up to a second, so that one process writes a new version.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -12,6 +12,7 @@
 
 from burdockquay_coordination import HeldAnswers
 
+from ._body_end import protocol_of
 from ._events import Event, log_event
 
 MAX_IDLE_BYTES = 256 << 10
@@ -143,6 +144,19 @@
         )
 
 
+def abort_answer(protocol: ResponseHandler | None, reason: str) -> None:
+    """Abort the connection of an answer.
+
+    Parameters
+    ----------
+    protocol : ResponseHandler or None
+        None if the answer has been received completely.
+    reason : str
+    """
+    if isinstance(protocol, BoundedResponseHandler):
+        protocol.give_up(reason)
+
+
 async def read_whole(response: aiohttp.ClientResponse, held: HeldAnswers) -> bytes:
     """Return the body of an answer.
 
@@ -159,12 +173,7 @@
     aiohttp.ClientError
         If it is incomplete.
     """
-    protocol = response.connection.protocol if response.connection else None
-
-    def give_up() -> None:
-        if protocol is not None:
-            protocol.give_up("too many bytes of incomplete answers")
-
+    give_up = partial(abort_answer, protocol_of(response), "too many bytes of incomplete answers")
     body = bytearray()
     try:
         with held.account(give_up, response.content_length) as answer:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -24,7 +24,7 @@
 
 from ._addresses import bind_socket
 from ._call import Call, CallRequest
-from ._call_error import CallError
+from ._call_error import CallError, error_body
 from ._call_runner import Body, Tokens
 from ._chat import ChatRequest, ChunkWriter, parse_chat
 from ._early_listener import BACKLOG
@@ -465,21 +465,6 @@
     return digest.hexdigest()
 
 
-def error_body(error: RequestError) -> dict[str, Any]:
-    """Return the JSON body of an error answer."""
-    answer = error.answer
-    message = f"{answer.text} {error.detail}".strip()
-    return {
-        "error": {
-            "type": error.kind.value,
-            "code": error.kind.value,
-            "message": message,
-            "run": answer.run.value,
-            "retry_after_s": answer.retry_after_s,
-        }
-    }
-
-
 def _key_headers(spec: CallRequest) -> dict[str, str]:
     return {KEY_HEADER: spec.key} if spec.key else {}
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -23,7 +23,8 @@
     load_adapters,
 )
 from ._settings import ForwarderPlatformSettings, ForwarderSettings
-from ._table_feed import FeedExchange, TableFeed, TableReading, TableStore, TableUpdate
+from ._table_feed import FeedExchange, TableFeed, TableUpdate
+from ._table_store import TableReading, TableStore
 
 __all__ = [
     "AnswerFacts",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -13,6 +13,7 @@
 from burdockquay_coordination.forwarding import Interruption, RouteKind, Upstream
 
 from .._body_end import protocol_of
+from .._bounded_answers import abort_answer
 from ._call import Answered, Broke, ForwardCall, NotRun, Outcome
 from ._connections import SENT_ERRORS, BrokenError, check_body_end, read_body
 from ._event_stream import EventSplitter, StreamEvent
@@ -119,12 +120,12 @@
         count = 0
         idle = IdleBytes()
         held = self.state.held_answers
-        with held.account(partial(protocol.give_up, "too many bytes of events")) as answer:
+        with held.account(partial(abort_answer, protocol, "too many bytes of events")) as answer:
             async for data in _read_chunks(response):
                 events = splitter.feed(data)
                 held.resize(answer, len(splitter.rest))
                 if idle.exceeds(events, call.last_event):
-                    protocol.give_up("too many bytes without a new event")
+                    abort_answer(protocol, "too many bytes without a new event")
                     raise BrokenError("too many bytes without a new event")
                 if answer.is_given_up:
                     raise BrokenError("too many bytes of events")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -34,6 +34,9 @@
 RETRY_PAUSES_S = (0.1, 2.0)
 """First and longest pause between two attempts to write a record, seconds."""
 
+MAX_PLAN_DELAY_S = 1.0
+"""Longest delay before a process records an origin at which it begins no stream, seconds."""
+
 SCANNED_ROWS = 500
 """Most rows of one query; the platform returns no more."""
 
@@ -77,6 +80,7 @@
         self.on_several: Callable[[OriginRecord], None] = lambda record: None
         self._era = 0
         self._writing: dict[tuple[RouteKey, StreamOrigin], asyncio.Task] = {}
+        self._planned: set[tuple[RouteKey, StreamOrigin]] = set()
         self._reading: asyncio.Task | None = None
         self._malformed: set[str] = set()
         self._failed_at = float("-inf")
@@ -147,7 +151,16 @@
         present = frozenset(present)
         self.records.observe(route, present, now)
         for origin in present if route in self.records.routes else ():
-            self.begin(route, origin)
+            item = (route, origin)
+            if not self.has(route, origin) and item not in self._planned:
+                self._planned.add(item)
+                self.spawn(self._begin_later(route, origin))
+
+    async def _begin_later(self, route: RouteKey, origin: StreamOrigin) -> None:
+        """Record an origin before a stream begins there, unless another process does."""
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_PLAN_DELAY_S))
+        self._planned.discard((route, origin))
+        self.begin(route, origin)
 
     async def remove_expired(self, now: float) -> None:
         """Remove the origins from the record at which no stream has begun for long."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -46,7 +46,6 @@
     HEARTBEAT_S,
     RECEIVE_TIMEOUT_S,
     WEBSOCKET_OPTIONS,
-    EncodedMessage,
     Identity,
     PeerConnection,
     TrafficCounts,
@@ -54,8 +53,9 @@
     post_all,
 )
 from .._peer_server import PeerServer
+from ._key_sharing import KeySharing
 from ._known_members import KnownMembers
-from ._load_sharing import ChangeRepeater, LoadSharing
+from ._load_sharing import LoadSharing
 from ._outcome_sharing import OutcomeSharing
 from ._part_sharing import PartSharing
 from ._platform import Member, MemberChanges, MemberRegistry
@@ -65,10 +65,6 @@
 from ._statement_sharing import StatementSharing
 from ._stream_sharing import StreamSharing
 
-KEY_STATUS_RECIPIENTS = 8
-"""Number of peers to which a process sends whether it honours API keys: enough that each process
-receives it from some."""
-
 MEMBERS_LONG_POLL_S = 10.0
 """How long the platform may hold a query for changes of the members, seconds."""
 
@@ -133,6 +129,7 @@
         self._outcomes = OutcomeSharing(state, identity, post_all)
         self._rates = RateSharing(state.rate_limits, identity.incarnation)
         self._statements = StatementSharing(state.statements, post_all)
+        self._keys = KeySharing(state, identity.incarnation, post_all)
         self._parts = PartSharing(state.parts, identity.incarnation, post_all)
         self._streams = StreamSharing(
             state.streams, state.origins, identity.incarnation, state.clock
@@ -145,17 +142,14 @@
             self._send_due, lambda: loads_interval_s(self._loads.domain_size, is_busy=True)
         )
         state.note_change = self._schedule.note_change
-        self._key_repeater = ChangeRepeater()
-        self._configuration_repeater = ChangeRepeater()
-        self._key_status_recipients: list[PeerConnection] = []
         self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
             UpstreamLoads: self._loads.receive,
             LoadsOfDomain: self._loads.receive_domain,
             LoadsElsewhere: self._loads.receive_elsewhere,
             UpstreamOutcomes: self._outcomes.receive,
             UpstreamCrash: self._receive_crash,
-            KeysHonoured: self._receive_keys,
-            NewestConfiguration: self._receive_configuration,
+            KeysHonoured: self._keys.receive_keys,
+            NewestConfiguration: self._keys.receive_configuration,
             TableChanges: self._receive_changes,
             EralessTableChanges: self._receive_eraless_changes,
             RateNeeds: self._rates.receive_needs,
@@ -413,15 +407,11 @@
         # the peer would count as connected.
         peer.keep_alive(HEARTBEAT_S, RECEIVE_TIMEOUT_S, lambda: Heartbeat(0))
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
-        self._key_repeater.reset()
         self._statements.greet(peer)
         self._rates.greet(peer)
         self._parts.greet(peer)
         self._streams.greet(peer)
-        newest = self.state.config_versions.newest
-        if newest:
-            # The peer may have started with an older configuration from a store that was restored.
-            peer.post(EncodedMessage(NewestConfiguration(newest)))
+        self._keys.greet(peer)
         self._update_peers()
 
     def _remove_connection(self, peer: PeerConnection) -> None:
@@ -448,16 +438,13 @@
         self._streams.set_peers(self._peer_connections)
         self._parts.set_peers(self._peer_connections)
         self._statements.set_peers(self._peer_connections.values())
-        near = rank_processes(self.identity.incarnation, self._peer_connections)[
-            :KEY_STATUS_RECIPIENTS
-        ]
-        self._key_status_recipients = [self._peer_connections[name] for name in near]
+        self._keys.set_peers(self._peer_connections)
 
     def _send_due(self) -> float:
         """Send what is due now; return the time until something is due without a change."""
         self._loads.send_loads()
         self._outcomes.send(self._loads.targets)
-        self._send_key_status()
+        self._keys.send()
         now = self.state.clock.now()
         return min(
             loads_interval_s(self._loads.domain_size, is_busy=False),
@@ -466,16 +453,6 @@
             self.state.keys_due_in_s(now),
         )
 
-    def _send_key_status(self) -> None:
-        now = self.state.clock.now()
-        honoured = self.state.keys_trusted(now)
-        if self._key_repeater.is_due(honoured, now):
-            post_all(self._key_status_recipients, KeysHonoured(honoured))
-        config_versions = self.state.config_versions
-        newest = 0 if config_versions.is_unverified(now) else config_versions.newest
-        if newest and self._configuration_repeater.is_due(newest, now):
-            post_all(self._key_status_recipients, NewestConfiguration(newest))
-
     def _broadcast_changes(self, message: TableChanges) -> None:
         """Send changes of a table to all peers.
 
@@ -490,21 +467,12 @@
             former = [peer for peer in self._peer_connections.values() if peer not in current]
             post_all(former, message.without_era())
 
-    def _receive_keys(self, peer: PeerConnection, message: KeysHonoured) -> None:
-        self.state.others.receive_update(
-            peer.peer.incarnation, message.honoured, self.state.clock.now()
-        )
-
     def _receive_changes(self, peer: PeerConnection, message: TableChanges) -> None:
         self.state.platform.exchange.receive_changes(message, self.state.clock.now())
 
     def _receive_eraless_changes(self, peer: PeerConnection, message: EralessTableChanges) -> None:
         self._receive_changes(peer, message.to_table_changes())
 
-    def _receive_configuration(self, peer: PeerConnection, message: NewestConfiguration) -> None:
-        self.state.config_versions.record_peer_confirmation(message.version, self.state.clock.now())
-        self._schedule.note_change()
-
     def _receive_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
         self.state.receive_crash(message.upstream, message.digests, peer.peer.vm)
 
