--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -31,7 +31,7 @@
 FAILED_WAIT_S = 2.0
 """Time after a failed write for which no other stream is held, seconds."""
 
-RETRY_PAUSES_S = (0.1, 2.0)
+RETRY_PAUSES_S = (0.02, 2.0)
 """First and longest pause between two attempts to write a record, seconds."""
 
 MAX_PLAN_DELAY_S = 1.0
@@ -182,10 +182,12 @@
         pause_s = RETRY_PAUSES_S[0]
         while not self.has(route, origin):
             written = await self._extend(route, origin)
-            if isinstance(written, Err) and written.err().kind is not TableErrorKind.CONFLICT:
+            if written.is_ok():
+                continue
+            if written.err().kind is not TableErrorKind.CONFLICT:
                 self._failed_at = self.now()
-                await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
-                pause_s = min(2 * pause_s, RETRY_PAUSES_S[1])
+            await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, RETRY_PAUSES_S[1])
 
     def _stagger_s(self) -> float:
         limit_s = min(MAX_STAGGER_S, STAGGER_PER_PROCESS_S * self.processes())
