Keep the answers without an end in one place, beside the adapter

The table of endless answers stood twice, in the test of the adapter and in benchmarks/, where it spoke the platform's headers outside platform/; the loop that sends them stood three times. The table is now in platform's tests, the behaviour is a stand-in (EndlessAnswer), and the bench runs a small program of that folder. Runs in progress are a set instead of a dict by their own id, and a constant that only named the number 1 is gone.

No bound, assertion or expectation changes.

--- a/benchmarks/bench_endless.py
+++ b/benchmarks/bench_endless.py
@@ -14,10 +14,10 @@
 import aiohttp
 import attrs
 import uvloop
-from _endless_engine import ANSWERS
 from _report import print_load_average, print_result, print_table, quantile
 
 from burdockquay_platform.tests.emulator import PlatformCluster, make_route, serve
+from burdockquay_platform.tests.endless_answers import PLAIN_ANSWERS, STREAM_ANSWERS
 from burdockquay_platform.tests.experiment import Experiment, Service
 from burdockquay_platform.tests.experiment_processes import (
     prepare_forwarders,
@@ -55,7 +55,7 @@
 async def main() -> None:
     """Measure each kind of answers with a forwarder of its own."""
     calm = await measure(None)
-    found = {name: await measure(name) for name in ANSWERS}
+    found = {name: await measure(name) for name in PLAIN_ANSWERS | STREAM_ANSWERS}
     rows = [
         (name, item.memory_mb, item.held_s, item.p50_s * 1000, item.failed)
         for name, item in {"none": calm, **found}.items()
@@ -129,9 +129,8 @@
 
 
 async def _call_endless(experiment: Experiment, name: str, figures: Figures) -> None:
-    is_stream = ANSWERS[name][0].startswith("200")
     begun = time.perf_counter()
-    await _call(experiment, "stream" if is_stream else "endless")
+    await _call(experiment, "stream" if name in STREAM_ANSWERS else "endless")
     figures.held_s = max(figures.held_s, time.perf_counter() - begun)
 
 
@@ -152,10 +151,10 @@
     if name is None:
         yield None
         return
-    program = Path(__file__).with_name("_endless_engine.py")
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        str(program),
+        "-m",
+        "burdockquay_platform.tests.endless_engine",
         name,
         stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE,
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_finish_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_finish_gate.py
@@ -35,13 +35,13 @@
     """Runs of one kind: durations of the newest ones by size class, and those in progress."""
 
     durations: dict[int, deque[float]] = attrs.field(factory=dict)
-    running: dict[int, RunInProgress] = attrs.field(factory=dict)
+    running: set[RunInProgress] = attrs.field(factory=set)
 
     def expected_s(self, size_class: int, now: float) -> float | None:
         """Return the longest time that a run is expected to take, None if nothing is known."""
         known = self._longest_s(size_class)
         oldest = min(
-            (run.since for run in self.running.values() if run.size_class <= size_class),
+            (run.since for run in self.running if run.size_class <= size_class),
             default=now,
         )
         if now - oldest > (known or 0.0):
@@ -124,14 +124,14 @@
         """
         run = RunInProgress(tuple(kinds), size.bit_length(), now)
         for kind in run.kinds:
-            self._find(kind).running[id(run)] = run
+            self._find(kind).running.add(run)
         return run
 
     def end(self, run: RunInProgress, now: float, is_whole: bool) -> None:
         """Record the end of a run; only one that was not interrupted shows how long runs take."""
         for kind in run.kinds:
             found = self._find(kind)
-            found.running.pop(id(run), None)
+            found.running.discard(run)
             if is_whole:
                 durations = found.durations.setdefault(
                     run.size_class, deque(maxlen=REMEMBERED_RUNS)
--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -3,6 +3,7 @@
 from ._answers import expected_answer
 from ._chat import parse_stream
 from ._delay_line import DelayLine
+from ._endless_answer import EndlessAnswer
 from ._engine import EngineParameters, EngineStandin
 from ._faulty_relay import FaultyRelay, RelayState
 from ._feed_table import EraEndedError, FeedCopy, FeedRow, FeedStore, HistoryDiscardedError
@@ -14,6 +15,7 @@
 __all__ = [
     "Behaviour",
     "DelayLine",
+    "EndlessAnswer",
     "EngineParameters",
     "EngineStandin",
     "EraEndedError",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -28,9 +28,6 @@
 STARTING_S = 3.0
 """Time after its start within which a process may still be about to connect to others, seconds."""
 
-SINGLE_SERVICE = 1
-"""Number of services of a route that does not divide its requests."""
-
 
 def begin_recording(state: ForwarderState, call: ForwardCall) -> None:
     """Begin to record where a stream begins, while its upstream prepares the first event."""
@@ -130,7 +127,7 @@
 
     The list of a process without contact to others may be old.
     """
-    if len(call.route.shares) > SINGLE_SERVICE:
+    if len(call.route.shares) > 1:
         return None
     state.observe_versions(call.service)
     version = state.streams.only_version(call.service, state.clock.now())
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_endless_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_endless_answers.py
@@ -1,10 +1,8 @@
 """Tests of upstreams behind a slot whose answers have no end."""
 
-import asyncio
-
 import pytest
 
-from burdockquay_standins import RawServer
+from burdockquay_standins import EndlessAnswer, RawServer
 
 from ._deployment import chat_body, until
 
@@ -31,34 +29,25 @@
 }
 
 
-class EndlessUpstream:
-    """Behaviour of an upstream that answers one path without an end, and health checks well."""
-
-    def __init__(self, answer, path):
-        self.begin, self.piece = answer
-        self.path = path
-        self.sent_bytes = 0
-        self.closed = 0
+def answer_one_path(answer, path):
+    """Return an endless answer, and a behaviour that gives it to one path only."""
+    begin, piece = answer
+    endless = EndlessAnswer(lambda request: begin, piece)
 
-    async def __call__(self, request, connection):
-        if not request.target.startswith(self.path):
+    async def behave(request, connection):
+        if request.target.startswith(path):
+            await endless(request, connection)
+        else:
             await connection.write(OK + b"Content-Length: 0\r\n\r\n")
-            return
-        try:
-            await connection.write(self.begin)
-            while self.sent_bytes < 20 * MAX_SENT_BYTES:
-                await connection.write(self.piece)
-                self.sent_bytes += len(self.piece)
-                await asyncio.sleep(0)
-        except ConnectionError:
-            self.closed += 1
+
+    return endless, behave
 
 
 @pytest.mark.parametrize("answer", ANSWERS.values(), ids=ANSWERS.keys())
 async def test_answer_without_end_fails_its_request(deployment, answer):
     """Guards against an engine that takes the memory and the time of its slot."""
-    endless = EndlessUpstream(answer, "/v1/chat")
-    async with RawServer(endless) as server, deployment(engines=0, entries=0) as running:
+    endless, behave = answer_one_path(answer, "/v1/chat")
+    async with RawServer(behave) as server, deployment(engines=0, entries=0) as running:
         await running.add_slot("raw", "drafting", f"http://127.0.0.1:{server.port}")
         await running.add_entry("entry-0")
         await until(lambda: running.is_connected(running.entries[0]))
@@ -73,8 +62,8 @@
 
 async def test_health_check_without_end_makes_an_upstream_unhealthy(deployment):
     """Guards against a slot that reads the answer to a health check for as long as it lasts."""
-    endless = EndlessUpstream(ANSWERS["interim_answers"], "/healthz")
-    async with RawServer(endless) as server, deployment(engines=0, entries=0) as running:
+    endless, behave = answer_one_path(ANSWERS["interim_answers"], "/healthz")
+    async with RawServer(behave) as server, deployment(engines=0, entries=0) as running:
         slot = await running.add_slot("raw", "drafting", f"http://127.0.0.1:{server.port}")
         slot._health.probe_soon()
         await until(lambda: endless.closed > 1)
