--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	touch $(READY)
 
 test: $(READY)
-	$(BIN)/python -m pytest -n 8 --dist loadfile
+	$(BIN)/python -m pytest -n 8 --dist loadfile -m "not crowd"
+	$(BIN)/python -m pytest -m crowd
 
 lint: $(READY)
 	$(BIN)/black --check --quiet .
