Account for what callers' connections hold, and give up the largest

Cause, by form. Data that cannot be parsed: the library parses each further piece, queues an error for it, and keeps the piece with the traceback, up to 32 a connection; it also logs each with what was received. Answers: written to a buffer without waiting for the one before, joined with the head to a copy, and kept with the request until the next request. Bodies and heads: a limit for each, none for all together. Streams: two pieces of 256 KB are read ahead for a caller that takes nothing; at an entry, frames queue without end.

Change: CallerAccounts counts what each connection holds. Past the sum, a sixth of the machine's memory by default, the largest goes first on which nothing was passed on, as 503 caller_limit; unread answers go after half a second without progress, small connections never. Data after a refusal is dropped, so that the refusal is not reset. Requests ahead wait until the answer before is taken. Large answers of known length wait for room. Forwarder and entry use the same connection class. A body that is late is refused with 408 instead of 400: the caller may return, and a proper request over a slow link is no malformed one; test_incomplete_body is as strict as before. Bodies stated as too large are refused at once.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -8,6 +8,14 @@
 
 _EXPORTS = {
     "._admission": ("AdmissionController",),
+    "._caller_accounts": (
+        "CallerAccount",
+        "CallerAccounts",
+        "CallerPhase",
+        "CallerTerms",
+        "GiveUpReason",
+        "UnsentAnswer",
+    ),
     "._token_bucket": ("TokenBucket",),
     "._configuration": (
         "ApplyOutcome",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -153,14 +153,15 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Limits of callers' requests.
+    """Limits of callers' requests; None where the configuration sets none.
 
     Parameters
     ----------
-    max_body_bytes : int or None
+    max_body_bytes, max_head_bytes : int or None
     """
 
     max_body_bytes: int | None = None
+    max_head_bytes: int | None = None
 
 
 @attrs.frozen
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_errors.py
@@ -26,6 +26,9 @@
     NOT_FOUND = "not_found"
     UNKNOWN_MODEL = "unknown_model"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    CALLER_LIMIT = "caller_limit"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     IN_PROGRESS = "in_progress"
@@ -85,6 +88,13 @@
     ErrorKind.NOT_FOUND: Answer(404, "No route matches the request.", _NOT_RUN),
     ErrorKind.UNKNOWN_MODEL: Answer(404, "No upstream group serves the model.", _NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, "The body is larger than the limit.", _NOT_RUN),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, "The head is larger than the limit.", _NOT_RUN),
+    ErrorKind.REQUEST_TIMEOUT: Answer(
+        408, "The request was not received completely in time.", _NOT_RUN, 1.0
+    ),
+    ErrorKind.CALLER_LIMIT: Answer(
+        503, "The connections of callers have reached a limit of the process.", _NOT_RUN, 1.0
+    ),
     ErrorKind.KEY_REQUIRED: Answer(400, "The route demands an Idempotency-Key header.", _NOT_RUN),
     ErrorKind.KEY_REUSED: Answer(
         422, "The Idempotency-Key was used before with another request.", _NOT_RUN
--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -19,6 +19,10 @@
     from ._slot_link import SlotLink
 
 
+EVENT_BYTES = 400
+"""Memory of an event without its data, bytes."""
+
+
 @attrs.frozen
 class PeerLost:
     """The connection to the slot that had the attempt was lost."""
@@ -34,15 +38,23 @@
 
 
 class Inbox:
-    """Event queue of the task that answers a caller."""
+    """Event queue of the task that answers a caller.
+
+    Attributes
+    ----------
+    size : int
+        Bytes that the events in the queue take.
+    """
 
     def __init__(self):
+        self.size = 0
         self._events: deque[Any] = deque()
         self._arrived = asyncio.Event()
 
     def put(self, event: Any) -> None:
         """Add an event."""
         self._events.append(event)
+        self.size += _event_bytes(event)
         self._arrived.set()
 
     async def get(self) -> Any:
@@ -50,14 +62,23 @@
         while not self._events:
             self._arrived.clear()
             await self._arrived.wait()
-        return self._events.popleft()
+        return self._pop()
 
     def pop_if(self, kind: type) -> Any:
         """Return the next event if there is one and it is of a type, else None."""
         if self._events and isinstance(self._events[0], kind):
-            return self._events.popleft()
+            return self._pop()
         return None
 
+    def _pop(self) -> Any:
+        event = self._events.popleft()
+        self.size -= _event_bytes(event)
+        return event
+
+
+def _event_bytes(event: Any) -> int:
+    return EVENT_BYTES + len(getattr(event, "data", b""))
+
 
 @attrs.frozen
 class CallRequest:
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
@@ -0,0 +1,114 @@
+"""Enforces the limits on callers' connections of one process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from burdockquay_coordination import (
+    CallerAccount,
+    CallerAccounts,
+    CallerPhase,
+    CallerTerms,
+    GiveUpReason,
+    UnsentAnswer,
+)
+from burdockquay_protocol import RequestError
+
+from ._events import Event, log_event
+
+if TYPE_CHECKING:
+    pass
+
+SWEEP_INTERVAL_S = 0.25
+"""Interval between two checks of the times and the memory of connections, seconds."""
+
+MAX_LATE_S = 0.5
+"""Lateness of a check from which the process counts as not having run, seconds."""
+
+
+class CallerGuard:
+    """Accounts for the connections of callers, and closes those that take too much.
+
+    Parameters
+    ----------
+    make_terms : callable
+        Returns the :class:`CallerTerms` in force.
+    now : callable
+        Returns the time on the clock of the process, seconds.
+    refuse : callable
+        Returns the answer for a request that is refused before it is handled.
+    count : callable
+        Counts a connection that is given up, by the name of the reason.
+    """
+
+    def __init__(
+        self,
+        make_terms: Callable[[], CallerTerms],
+        now: Callable[[], float],
+        refuse: Callable[[RequestError], web.Response],
+        count: Callable[[str], None],
+    ):
+        self.accounts = CallerAccounts(make_terms())
+        self.now = now
+        self.refuse = refuse
+        self._make_terms = make_terms
+        self._count = count
+        self._paused_until = 0.0
+
+    @property
+    def terms(self) -> CallerTerms:
+        """Limits in force."""
+        self.accounts.terms = self._make_terms()
+        return self.accounts.terms
+
+    def open(
+        self,
+        give_up: Callable[[GiveUpReason], None],
+        measure: Callable[[], UnsentAnswer],
+    ) -> CallerAccount | None:
+        """Return the account of a new connection; see :meth:`CallerAccounts.open`."""
+        account = self.accounts.open(give_up, measure, self.now())
+        if account is None:
+            self._count(GiveUpReason.NO_PLACE.value)
+            log_event(Event.CALLER_GIVEN_UP, reason=GiveUpReason.NO_PLACE)
+        return account
+
+    def record_given_up(self, reason: GiveUpReason, phase: CallerPhase) -> None:
+        """Count and log that a connection is given up."""
+        self._count(reason.value)
+        log_event(
+            Event.CALLER_GIVEN_UP,
+            reason=reason,
+            phase=phase,
+            connections=len(self.accounts),
+            held_bytes=self.accounts.held,
+        )
+
+    async def reserve(self, account: CallerAccount, size: int) -> None:
+        """Wait until there is room for an answer; the deadline of its request limits the wait."""
+        while not self.accounts.try_reserve(account, size, self.now()):
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+
+    async def run(self, on_checked: Callable[[], None] = lambda: None) -> None:
+        """Check times and memory until cancelled.
+
+        Parameters
+        ----------
+        on_checked : callable
+            Called after each check.
+        """
+        last = self.now()
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = self.now()
+            if now - last > SWEEP_INTERVAL_S + MAX_LATE_S:
+                # What callers sent meanwhile was not read yet.
+                self._paused_until = now
+            last = now
+            self.accounts.terms = self._make_terms()
+            self.accounts.sweep(now, self._paused_until)
+            on_checked()
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -23,14 +23,17 @@
 from burdockquay_state import OrganisationRecord, RouteRecord
 
 from ._addresses import bind_socket
+from ._bounded_callers import CLOSING_KINDS, BoundedAppRunner, read_request_body
 from ._call import Call, CallRequest
 from ._call_error import CallError, error_body
 from ._call_runner import Body, Tokens
+from ._caller_guard import CallerGuard
 from ._chat import ChatRequest, ChunkWriter, parse_chat
 from ._early_listener import BACKLOG
 from ._events import Event, describe_fault, log_event
-from ._metrics import REQUESTS, refusal_counter
+from ._metrics import CALLER_BYTES, CALLER_CONNECTIONS, REQUESTS, refusal_counter
 from ._pending_connections import accept_pending
+from ._process_limits import make_caller_terms
 from ._status_http import add_status_routes
 
 if TYPE_CHECKING:
@@ -70,6 +73,8 @@
     def __init__(self, entry: Entry):
         self.entry = entry
         self._request_tasks: set[asyncio.Task] = set()
+        terms = make_caller_terms(entry.settings)
+        self.guard = CallerGuard(lambda: terms, entry.now, self._error_response, self._count)
         self._aborting = False
 
     @property
@@ -91,7 +96,6 @@
             If the address is in use.
         """
         app = web.Application(
-            client_max_size=self.entry.settings.max_body_bytes,
             middlewares=[self._assign_id_and_map_errors],
         )
         add_status_routes(app, lambda: self.entry.ready, self.entry.describe)
@@ -99,11 +103,7 @@
         app.router.add_get("/v1/models", self._models)
         app.router.add_post("/v1/chat/completions", self._chat)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._service)
-        # handler_cancellation: a disconnect of the caller must end its request, or an engine would
-        # continue to generate tokens that nobody reads.
-        self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=CLOSE_TIMEOUT_S
-        )
+        self._runner = BoundedAppRunner(app, self.guard, shutdown_timeout=CLOSE_TIMEOUT_S)
         await self._runner.setup()
         self._listening = bind_socket(host, port)
         await web.SockSite(self._runner, self._listening, backlog=BACKLOG).start()
@@ -140,11 +140,6 @@
             response = await handler(request)
         except CallError as error:
             response = self._error_response(error.error)
-        except web.HTTPRequestEntityTooLarge:
-            limit = self.entry.settings.max_body_bytes
-            error = RequestError(ErrorKind.BODY_TOO_LARGE, f"expected at most {limit} bytes")
-            response = self._error_response(error)
-            response.force_close()
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as refusal:
             detail = f"{request.method} {request.path[:100]}: {refusal.reason}"
             response = self._error_response(RequestError(ErrorKind.NOT_FOUND, detail))
@@ -157,6 +152,18 @@
             response.headers[REQUEST_HEADER] = request[_REQUEST_ID]
         return response
 
+    def _count(self, reason: str) -> None:
+        self.entry.metrics.count(f"callers.given_up.{reason}")
+
+    async def run_guard(self) -> None:
+        """Enforce the limits on callers' connections, and keep their gauges, until cancelled."""
+        await self.guard.run(self._set_gauges)
+
+    def _set_gauges(self) -> None:
+        metrics = self.entry.metrics
+        metrics.gauge(CALLER_CONNECTIONS, len(self.guard.accounts))
+        metrics.gauge(CALLER_BYTES, self.guard.accounts.held)
+
     def _record_refusal(self, error: RequestError) -> None:
         self.entry.metrics.count(refusal_counter(error.kind))
         log_event(Event.REQUEST_REFUSED, kind=error.kind, run=error.answer.run)
@@ -167,7 +174,10 @@
         headers = {}
         if answer.retry_after_s is not None:
             headers["Retry-After"] = str(max(1, round(answer.retry_after_s)))
-        return web.json_response(error_body(error), status=answer.status, headers=headers)
+        response = web.json_response(error_body(error), status=answer.status, headers=headers)
+        if error.kind in CLOSING_KINDS:
+            response.force_close()
+        return response
 
     async def _usage(self, request: web.Request) -> web.Response:
         return web.json_response(self.entry.describe_usage())
@@ -187,7 +197,7 @@
         with _RequestScope(self) as scope:
             organisation = self._check_caller(request)
             self.entry.metrics.count(REQUESTS)
-            body = await _read_body(request)
+            body = await self._read_body(request)
             parsed = parse_chat(body)
             if isinstance(parsed, Err):
                 raise CallError(parsed.err())
@@ -195,21 +205,29 @@
             route = self._find_route(request, organisation, chat.model)
             self._check_model(route, chat.model)
             spec = self._make_request(request, organisation, route, request.path, body, chat)
+            call = scope.make_call(spec)
+            request.protocol.mark_running()
             if chat.stream:
-                return await self._stream_chat(request, scope.make_call(spec), chat)
-            return await self._answer_chat(scope.make_call(spec), chat)
+                return await self._stream_chat(request, call, chat)
+            return await self._answer_chat(call, chat)
 
     async def _service(self, request: web.Request) -> web.StreamResponse:
         with _RequestScope(self) as scope:
             organisation = self._check_caller(request)
             self.entry.metrics.count(REQUESTS)
-            body = await _read_body(request)
+            body = await self._read_body(request)
             route = self._find_route(request, organisation, "")
             path = "/" + request.match_info["path"]
             if request.query_string:
                 path += "?" + request.query_string
             spec = self._make_request(request, organisation, route, path, body, None)
-            return await self._answer_service(scope.make_call(spec))
+            call = scope.make_call(spec)
+            request.protocol.mark_running()
+            return await self._answer_service(request, call)
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        limit = self.entry.settings.max_body_bytes
+        return await read_request_body(request, limit, BODY_TIMEOUT_S)
 
     def _check_caller(self, request: web.Request) -> OrganisationRecord:
         if self.entry.refusing or self._aborting:
@@ -359,6 +377,7 @@
         }
         response = web.StreamResponse(headers=headers)
         generated = 0
+        request.protocol.watch_backlog(lambda: call.inbox.size)
         try:
             async with aclosing(self._answer(call)) as items:
                 async for item in items:
@@ -397,15 +416,20 @@
         await response.write(writer.error(error_body(error)))
         request.transport.close()
 
-    async def _answer_service(self, call: Call) -> web.Response:
+    async def _answer_service(self, request: web.Request, call: Call) -> web.Response:
         head: AnswerHead | None = None
         pieces: list[bytes] = []
+        size = 0
         async with aclosing(self._answer(call)) as items:
             async for item in items:
                 if isinstance(item, AnswerHead):
                     head = item
                 elif isinstance(item, Body):
                     pieces.append(item.data)
+                    size += len(item.data)
+                    if not request.protocol.try_hold_answer(size):
+                        detail = "answers that callers have not taken need the memory"
+                        raise call.make_error(ErrorKind.UPSTREAM_FAILED, detail)
         headers = dict(head.headers) | _key_headers(call.spec)
         return web.Response(status=head.status, body=b"".join(pieces), headers=headers)
 
@@ -480,12 +504,3 @@
     if route.requires_key:
         raise CallError(RequestError(ErrorKind.KEY_REQUIRED))
     return "" if route.idempotent else secrets.token_hex(16)
-
-
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            return await request.read()
-    except TimeoutError:
-        detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
-        raise CallError(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -506,6 +506,12 @@
         "An answer of an upstream or of the platform took too much, or had no end, and its "
         "connection was aborted.",
     )
+    CALLER_GIVEN_UP = (
+        1406,
+        "WARNING",
+        "A connection of a caller was given up, or a request on it refused, since it took too much "
+        "memory, too many descriptors or too long.",
+    )
     ORIGIN_NOT_RECORDED = (
         1976,
         "WARNING",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -150,6 +150,13 @@
     leave_delay_s : float
         How long a draining entry accepts requests while ``/readyz`` reports it as not ready,
         seconds: the time that the load balancer needs to notice.
+    max_head_bytes : int
+        Largest head of a request, bytes.
+    answer_timeout_s : float
+        Time after which a caller that takes nothing of its answer is given up, seconds.
+    max_caller_bytes : int or None
+        Limit on the bytes of requests and answers that the connections of callers hold together;
+        None derives it from the memory of the machine.
     seed_slots : list of str
         Addresses of slots to connect to while the VM list cannot be read.
     """
@@ -161,6 +168,9 @@
         "max_deadline_s": _POSITIVE_S,
         "vm_list_interval_s": _POSITIVE_S,
         "leave_delay_s": [Interval(float, 0.0, 3600.0)],
+        "max_head_bytes": [Interval(int, 1024, 1 << 20)],
+        "answer_timeout_s": _POSITIVE_S,
+        "max_caller_bytes": [Interval(int, 1 << 16, 1 << 40), InstanceOf(type(None))],
         "seed_slots": [ListOf(_ADDRESS)],
     }
 
@@ -169,6 +179,9 @@
     max_deadline_s: float = 600.0
     vm_list_interval_s: float = 1.0
     leave_delay_s: float = 2.0
+    max_head_bytes: int = 64 << 10
+    answer_timeout_s: float = 30.0
+    max_caller_bytes: int | None = None
     seed_slots: list[str] = attrs.field(factory=list)
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -111,7 +111,7 @@
         await self._server.start(self.settings.host, self.settings.port)
 
     def _background_coroutines(self) -> Collection[Coroutine]:
-        return (self._follow_vm_list(), self._run_ticks())
+        return (self._follow_vm_list(), self._run_ticks(), self._server.run_guard())
 
     def _count_processes(self) -> int:
         return self._membership.processes
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -81,7 +81,10 @@
         response: aiohttp.ClientResponse,
         facts: AnswerFacts,
     ) -> Outcome:
+        connection = call.incoming.protocol
+        await connection.reserve_answer(response.content_length or 0)
         body = await read_body(response, self.state.held_answers)
+        connection.hold_answer(len(body))
         if facts.not_run and response.status != 400:
             return NotRun(upstream, f"status {response.status}")
         if not facts.not_run:
@@ -119,9 +122,13 @@
         first_at = None
         count = 0
         idle = IdleBytes()
+        connection = call.incoming.protocol
+        passed_on = 0
         held = self.state.held_answers
         with held.account(partial(abort_answer, protocol, "too many bytes of events")) as answer:
             async for data in _read_chunks(response):
+                connection.hold_answer(response.content.total_bytes - passed_on)
+                passed_on += len(data)
                 events = splitter.feed(data)
                 held.resize(answer, len(splitter.rest))
                 if idle.exceeds(events, call.last_event):
@@ -266,11 +273,10 @@
 
 async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     try:
-        async for data in response.content.iter_any():
-            yield data[:STREAM_SLICE_BYTES]
-            for start in range(STREAM_SLICE_BYTES, len(data), STREAM_SLICE_BYTES):
+        while data := await response.content.read(STREAM_SLICE_BYTES):
+            yield data
+            if len(data) == STREAM_SLICE_BYTES:
                 await asyncio.sleep(0)
-                yield data[start : start + STREAM_SLICE_BYTES]
     except SENT_ERRORS as error:
         raise BrokenError(type(error).__name__) from error
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
@@ -9,8 +9,11 @@
 from aiohttp import web
 from aiohttp.streams import StreamReader
 
+from .._bounded_callers import BoundedConnection, BoundedServer
+from .._caller_guard import CallerGuard
 
-class CallerConnection(web.RequestHandler):
+
+class CallerConnection(BoundedConnection):
     """A connection of a caller.
 
     The library reports a request once its head is complete. A process that shuts down must also
@@ -20,8 +23,7 @@
     Parameters
     ----------
     manager : Server
-    now : callable
-        Returns the time on the clock of the process, seconds.
+    guard : CallerGuard
     closes_new : callable
         Returns whether a connection that opens now is closed unread.
     **options
@@ -31,12 +33,11 @@
     def __init__(
         self,
         manager: web.Server,
-        now: Callable[[], float],
+        guard: CallerGuard,
         closes_new: Callable[[], bool],
         **options: Any,
     ):
-        super().__init__(manager, **options)
-        self._now = now
+        super().__init__(manager, guard, **options)
         self._closes_new = closes_new
         self._partial_head_at: float | None = None
         self._is_used = False
@@ -48,7 +49,7 @@
         """Serve a connection, or close it before anything is read from it."""
         super().connection_made(transport)
         if self._closes_new():
-            transport.abort()
+            self.abort()
 
     @property
     def is_idle(self) -> bool:
@@ -63,12 +64,12 @@
     @property
     def is_handling(self) -> bool:
         """Whether a request with a complete head has no answer yet."""
-        return self._is_handling and self.transport is not None
+        return self._is_handling and self.transport is not None and not self.is_lingering
 
     @property
     def has_partial_head(self) -> bool:
         """Whether the head of a request was received in part."""
-        return self._partial_head_at is not None
+        return not self.is_dropping and (self._partial_head_at is not None or self.has_pending)
 
     @property
     def unsent_bytes(self) -> int:
@@ -77,20 +78,21 @@
 
     def awaits_rest_of_head(self, now: float, wait_s: float) -> bool:
         """Return whether part of a head was received recently, so that the rest may follow."""
-        return self._partial_head_at is not None and now - self._partial_head_at < wait_s
+        if not self.has_partial_head or self._partial_head_at is None:
+            return self.has_partial_head
+        return now - self._partial_head_at < wait_s
 
-    def data_received(self, data: bytes) -> None:
-        """Process data from the caller."""
+    def _feed(self, data: bytes) -> int:
         awaits_head = not self._is_handling and (self._body is None or self._body.is_eof())
         # Some callers send an empty line after a body.
         if awaits_head and data.strip(b"\r\n"):
-            self._partial_head_at = self._now()
-        known = self._request_count
-        super().data_received(data)
-        if self._request_count > known:
+            self._partial_head_at = self._guard.now()
+        added = super()._feed(data)
+        if added:
             # The handler starts a few iterations of the event loop later.
             self._is_handling = True
             self._partial_head_at = None
+        return added
 
     def begin_request(self, body: StreamReader) -> None:
         """Record that the handling of a request begins."""
@@ -135,15 +137,14 @@
         self.close()
 
 
-class CallerServer(web.Server):
+class CallerServer(BoundedServer):
     """Server for the connections of callers.
 
     Parameters
     ----------
     handler : callable
         Answers one request.
-    now : callable
-        Returns the time on the clock of the process, seconds.
+    guard : CallerGuard
     closes_new : callable
         Returns whether a connection that opens now is closed unread.
     **options
@@ -153,17 +154,16 @@
     def __init__(
         self,
         handler: Any,
-        now: Callable[[], float],
+        guard: CallerGuard,
         closes_new: Callable[[], bool],
         **options: Any,
     ):
-        # A caller that disconnects must cancel its request at once; otherwise an upstream would
-        # continue a run that nobody waits for.
-        super().__init__(handler, handler_cancellation=True, **options)
-        self._now = now
+        super().__init__(handler, guard, **options)
         self._closes_new = closes_new
         self._options = options
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        return CallerConnection(self, self._now, self._closes_new, loop=self._loop, **self._options)
+        return CallerConnection(
+            self, self._guard, self._closes_new, loop=self._loop, **self._options
+        )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -36,6 +36,13 @@
         self.closed_unread = self._counter(
             "closed_unread", "New connections that were closed, so that callers go to others."
         )
+        self.callers_given_up = self._counter(
+            "callers_given_up", "Connections of callers that were given up.", "reason"
+        )
+        self.caller_connections = self._gauge("caller_connections", "Connections of callers.")
+        self.caller_bytes = self._gauge(
+            "caller_bytes", "Bytes of requests and answers that connections of callers hold."
+        )
         self.crash_parts = Gauge(
             "forwarder_crash_parts",
             "Prompt parts that may crash upstreams, by whether requests with them are refused.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from result import Err
 
+from burdockquay_coordination import CallerTerms
 from burdockquay_coordination.forwarding import (
     CallerOrganisation,
     ConfigDirectory,
@@ -16,31 +17,28 @@
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
+from .._bounded_callers import read_request_body
 from .._call_error import CallError
+from .._caller_guard import CallerGuard
 from .._early_listener import BACKLOG, EarlyListener
 from .._events import Event, describe_fault, log_event
 from .._pending_connections import accept_pending, read_pending
 from ._arrival import STARTUP_BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
 from ._caller_connection import CallerConnection, CallerServer
+from ._caller_limits import CallerTermsSource
 from ._platform import CallerRequest
 from ._refusals import Refusals
 from ._relay import Relay
 from ._state import ForwarderState
 
 BODY_TIMEOUT_S = 10.0
-"""Longest time that a caller may take to send its body, seconds."""
-
-MAX_BODY_BYTES = 16 << 20
-"""Largest body if the configuration sets no limit, bytes."""
+"""Time that any caller has to send its body, seconds; one that waits longer for its answer has as
+much."""
 
 MAX_HEAD_LINE_BYTES = 65536
 """Longest line in the head of a request, bytes."""
 
-IDLE_CONNECTION_S = 300.0
-"""Time after which an idle connection of a caller is closed, seconds; longer than callers reuse
-one, so that no request is sent on a connection that is being closed."""
-
 ANSWER_WRITE_S = 0.1
 """Time for which a process that shuts down waits until answers that are ready are written to their
 connections, seconds; what a slow reader has not received by then is in the buffer of the
@@ -83,12 +81,34 @@
         self._answering: set[asyncio.Task] = set()
         self._refuses_new = False
         self._has_ended = False
+        self._terms = CallerTermsSource(state.settings)
+        self.guard = CallerGuard(
+            self._make_terms, state.clock.now, self._refuse, self._count_given_up
+        )
 
     @property
     def held(self) -> int:
         """Number of requests of callers that are not answered yet."""
         return len(self._handling)
 
+    def _make_terms(self) -> CallerTerms:
+        directory = self.state.directory
+        return self._terms.terms(directory.config.limits if directory else None)
+
+    def _refuse(self, error: RequestError) -> web.Response:
+        """Return the answer to a request that could not be read."""
+        return self._refusals.answer(None, self.state.clock.now(), error)
+
+    def _count_given_up(self, reason: str) -> None:
+        self.state.metrics.callers_given_up.labels(reason).inc()
+
+    def refresh_gauges(self) -> None:
+        """Update the gauges of callers' requests and connections."""
+        metrics = self.state.metrics
+        metrics.held.set(self.held)
+        metrics.caller_connections.set(len(self.guard.accounts))
+        metrics.caller_bytes.set(self.guard.accounts.held)
+
     @property
     def port(self) -> int:
         """Port that it listens on."""
@@ -98,9 +118,8 @@
         """Serve the callers that connect to a listening socket."""
         self._server = CallerServer(
             self._handle,
-            self.state.clock.now,
+            self.guard,
             self.state.closes_new_connections,
-            keepalive_timeout=IDLE_CONNECTION_S,
             access_log=None,
             max_line_size=MAX_HEAD_LINE_BYTES,
             max_field_size=MAX_HEAD_LINE_BYTES,
@@ -326,10 +345,10 @@
             raise CallError(RequestError(ErrorKind.NOT_READY))
         route = self._find_route(directory, request)
         organisation = self._find_organisation(directory, route, request)
-        body = await self._read_body(incoming, directory)
         patience = route.timeout_s
         if request.patience_s is not None:
             patience = min(patience, request.patience_s)
+        body = await self._read_body(incoming, max(BODY_TIMEOUT_S, patience))
         if patience <= 0:
             # The placement divides times by the patience, which must not be 0.
             raise CallError(RequestError(ErrorKind.DEADLINE_EXCEEDED))
@@ -380,22 +399,9 @@
             return RequestError(kind)
         return RequestError(ErrorKind.CONFIGURATION_STALE)
 
-    async def _read_body(self, incoming: web.BaseRequest, directory: ConfigDirectory) -> bytes:
-        limit = directory.config.limits.max_body_bytes or MAX_BODY_BYTES
+    async def _read_body(self, incoming: web.BaseRequest, timeout_s: float) -> bytes:
+        limit = self.guard.terms.max_body_bytes
         if incoming.headers.get("Expect", "").lower() == "100-continue":
             await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             incoming.writer.output_size = 0
-        pieces: list[bytes] = []
-        size = 0
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                async for data in incoming.content.iter_any():
-                    size += len(data)
-                    if size > limit:
-                        detail = f"expected at most {limit} bytes"
-                        raise CallError(RequestError(ErrorKind.BODY_TOO_LARGE, detail))
-                    pieces.append(data)
-        except TimeoutError:
-            detail = f"expected the whole body within {BODY_TIMEOUT_S:g} s"
-            raise CallError(RequestError(ErrorKind.BAD_REQUEST, detail)) from None
-        return b"".join(pieces)
+        return await read_request_body(incoming, limit, timeout_s)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
@@ -7,6 +7,7 @@
 from burdockquay_coordination.forwarding import retry_delay_s
 from burdockquay_protocol import ErrorKind, RequestError
 
+from .._bounded_callers import CLOSING_KINDS
 from .._events import Event, log_event
 from ._answers import NOT_RUN_STATUSES
 from ._platform import CallerRequest
@@ -66,7 +67,7 @@
         )
         body = {"error": {"type": error.kind.value, "message": f"{answer.text} {error.detail}"}}
         response = web.json_response(body, status=answer.status, headers=headers)
-        if error.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BAD_REQUEST):
+        if error.kind in CLOSING_KINDS:
             response.force_close()
         if error.kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now):
             # On this connection, the caller would retry at this process.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -332,6 +332,7 @@
         call.sent_at = self.state.clock.now()
         call.has_begun = False
         call.sent_version = upstream.entry.software_version
+        call.incoming.protocol.mark_running()
         begin_recording(self.state, call)
         upstream.outstanding += 1
         self.state.note_change()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -126,6 +126,7 @@
             self._expose,
         )
         self._incarnation = secrets.token_hex(8)
+        self._tasks.spawn(self._ingress.guard.run())
         self._tasks.spawn(self._keep_parts(clock))
         self._mesh = self._open_mesh()
         self._usage = self._open_usage()
@@ -244,7 +245,7 @@
         self._state.refresh_gauges()
         if self._usage is not None:
             self._usage.refresh_gauges()
-        self._state.metrics.held.set(self._ingress.held)
+        self._ingress.refresh_gauges()
         self._state.metrics.peers.set(self._mesh.connected if self._mesh else 0)
         if self._mesh is not None and self._mesh.connected:
             self._state.metrics.loads_age.set(self._mesh.loads_age(self._state.clock.now()))
--- a/scripts/make_reference.py
+++ b/scripts/make_reference.py
@@ -36,6 +36,13 @@
     ErrorKind.NOT_FOUND: "No route record matches organisation, path, model and header.",
     ErrorKind.UNKNOWN_MODEL: "`GET /v1/models` lists the models of the group records.",
     ErrorKind.BODY_TOO_LARGE: "The limit is `max_body_bytes` in the settings of the entry.",
+    ErrorKind.HEAD_TOO_LARGE: "The limit is `maxHeaderBytes` of the configuration, or "
+    "`max_head_bytes` in the settings of the entry.",
+    ErrorKind.REQUEST_TIMEOUT: "Send head and body faster: `headerTimeoutMs` of the configuration, "
+    "or `head_timeout_s` in the settings of the entry, limits the head.",
+    ErrorKind.CALLER_LIMIT: "The requests being received hold too much memory together, or a "
+    "service has half of all connections (`max_caller_bytes`, `max_caller_connections`). Retry "
+    "after the time in `Retry-After`.",
     ErrorKind.KEY_REQUIRED: "Send a key that stays the same for all retries of the request.",
     ErrorKind.KEY_REUSED: "Another method, path or body came with this key; generate a new key.",
     ErrorKind.IN_PROGRESS: "Retry with the same key to get the outcome.",
