Bound the number and the times of callers' connections

Callers saw: beside 900 connections of 600 descriptors that bring nothing, a part of a head or slow requests, two or three of 31 ordinary requests were answered; the others waited in the kernel's queue.

Cause: connections that bring nothing were kept for 300 s, parts of a head for ever; headerTimeoutMs and idleTimeoutMs were read by nobody, and callers could take the descriptors of upstreams, peers and the store.

Change: the number of connections follows from the descriptors and the memory of the machine (max_caller_connections). From half of the connections on, the organisation that has most requests to one service gets 503 caller_limit for further ones. Streams are read ahead by 8 KB.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -158,10 +158,16 @@
     Parameters
     ----------
     max_body_bytes, max_head_bytes : int or None
+    head_timeout_s : float or None
+        Time for one head, seconds.
+    idle_timeout_s : float or None
+        Time for which a connection may be idle, seconds.
     """
 
     max_body_bytes: int | None = None
     max_head_bytes: int | None = None
+    head_timeout_s: float | None = None
+    idle_timeout_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -16,8 +17,9 @@
     GiveUpReason,
     UnsentAnswer,
 )
-from burdockquay_protocol import RequestError
+from burdockquay_protocol import ErrorKind, RequestError
 
+from ._call_error import CallError
 from ._events import Event, log_event
 
 if TYPE_CHECKING:
@@ -93,6 +95,24 @@
         while not self.accounts.try_reserve(account, size, self.now()):
             await asyncio.sleep(SWEEP_INTERVAL_S)
 
+    @contextlib.contextmanager
+    def count_request(self, service: str, organisation: str | None) -> Iterator[None]:
+        """Count a request as long as the context lasts.
+
+        Raises
+        ------
+        CallError
+            If the organisation must leave the connections that are left to others.
+        """
+        user = (service, organisation)
+        if not self.accounts.try_begin(user):
+            detail = "most requests are of this organisation to this service"
+            raise CallError(RequestError(ErrorKind.CALLER_LIMIT, detail))
+        try:
+            yield
+        finally:
+            self.accounts.end(user)
+
     async def run(self, on_checked: Callable[[], None] = lambda: None) -> None:
         """Check times and memory until cancelled.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -339,10 +339,11 @@
         progress = entry.finish_gate.begin(call.spec.run_kinds, 0, entry.now())
         is_whole = False
         try:
-            async with aclosing(entry.runner.run(call, dispatcher)) as items:
-                async for item in items:
-                    yield item
-                    is_whole = isinstance(item, AnswerEnd)
+            with self.guard.count_request(call.spec.route.group, names[0]):
+                async with aclosing(entry.runner.run(call, dispatcher)) as items:
+                    async for item in items:
+                        yield item
+                        is_whole = isinstance(item, AnswerEnd)
         except CallError as error:
             entry.ledger.add_refusal(*names, error.error.kind)
             raise
--- a/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -152,8 +152,12 @@
         seconds: the time that the load balancer needs to notice.
     max_head_bytes : int
         Largest head of a request, bytes.
-    answer_timeout_s : float
-        Time after which a caller that takes nothing of its answer is given up, seconds.
+    head_timeout_s, idle_timeout_s, answer_timeout_s : float
+        Time for a head, time for which a connection may be idle, and time after which a caller that
+        takes nothing of its answer is given up, seconds.
+    max_caller_connections : int or None
+        Limit on the connections of callers; None derives it from the descriptors that the process
+        may open and the memory of the machine.
     max_caller_bytes : int or None
         Limit on the bytes of requests and answers that the connections of callers hold together;
         None derives it from the memory of the machine.
@@ -169,7 +173,10 @@
         "vm_list_interval_s": _POSITIVE_S,
         "leave_delay_s": [Interval(float, 0.0, 3600.0)],
         "max_head_bytes": [Interval(int, 1024, 1 << 20)],
+        "head_timeout_s": _POSITIVE_S,
+        "idle_timeout_s": _POSITIVE_S,
         "answer_timeout_s": _POSITIVE_S,
+        "max_caller_connections": [Interval(int, 1, 1 << 20), InstanceOf(type(None))],
         "max_caller_bytes": [Interval(int, 1 << 16, 1 << 40), InstanceOf(type(None))],
         "seed_slots": [ListOf(_ADDRESS)],
     }
@@ -180,7 +187,10 @@
     vm_list_interval_s: float = 1.0
     leave_delay_s: float = 2.0
     max_head_bytes: int = 64 << 10
+    head_timeout_s: float = 30.0
+    idle_timeout_s: float = 300.0
     answer_timeout_s: float = 30.0
+    max_caller_connections: int | None = None
     max_caller_bytes: int | None = None
     seed_slots: list[str] = attrs.field(factory=list)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -18,6 +18,10 @@
 from .._bounded_answers import BoundedConnector, read_whole
 from .._send_once import CONNECT_ERRORS, SendOnce
 
+READ_AHEAD_BYTES = 8 << 10
+"""Bytes of an answer from which no more is read until they are passed on, so that a stream takes
+little memory while its caller does not read."""
+
 CONNECT_TIMEOUT_S = 0.4
 """Longest wait for a new connection, seconds. A lost SYN packet is only sent again after a second,
 while another upstream can be reached within a few milliseconds."""
@@ -250,6 +254,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         max_line_size=MAX_HEAD_LINE_BYTES,
         max_field_size=MAX_HEAD_LINE_BYTES,
+        read_bufsize=READ_AHEAD_BYTES,
         trace_configs=[_make_trace(record_connect)],
     )
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -265,7 +265,8 @@
     async def _run(self, call: ForwardCall) -> web.StreamResponse:
         try:
             async with asyncio.timeout(call.deadline - self.state.clock.now()):
-                response = await self._relay.run(call)
+                with self.guard.count_request(call.service, call.organisation):
+                    response = await self._relay.run(call)
             self._record_end(call, response.status, "")
             return response
         except CallError as failure:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -85,6 +85,9 @@
     max_answer_bytes, max_held_bytes : int
         Largest answer that is kept until it is complete, and most bytes of all such answers of
         unknown length that are not complete yet. An answer beyond that is given up.
+    max_caller_connections : int or None
+        Limit on the connections of callers; None derives it from the descriptors that the process
+        may open and the memory of the machine.
     max_caller_bytes : int or None
         Limit on the bytes of requests and answers that the connections of callers hold together;
         None derives it from the memory of the machine.
@@ -133,6 +136,7 @@
         "leave_delay_s": [Interval(float, 0.0, 3600.0)],
         "max_answer_bytes": [Interval(int, 1024, 1 << 32)],
         "max_held_bytes": [Interval(int, 1024, 1 << 32)],
+        "max_caller_connections": [Interval(int, 1, 1 << 20), InstanceOf(type(None))],
         "max_caller_bytes": [Interval(int, 1 << 16, 1 << 40), InstanceOf(type(None))],
         "answer_timeout_s": _SECONDS,
         "retry_ratio": [Interval(float, 0.0, 10.0)],
@@ -160,6 +164,7 @@
     leave_delay_s: float = 2.5
     max_answer_bytes: int = MAX_ANSWER_BYTES
     max_held_bytes: int = MAX_HELD_BYTES
+    max_caller_connections: int | None = None
     max_caller_bytes: int | None = None
     answer_timeout_s: float = 30.0
     retry_ratio: float = 0.2
