Parse data of many lines in slices, between the data of other callers

Callers saw: beside 16 connections that send chunks of one byte or empty lines, 3 and 21 of 31 ordinary requests were answered.

Cause: a piece of up to 256 KB is parsed at once, with Python calls for each chunk, and the sender decides how many connections do so in a round of the event loop.

Change: a piece with more than 128 lines is parsed 4 KiB at a time, one slice in an iteration of the event loop for all such connections together; reading pauses meanwhile. Forwarder and entry share this.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
@@ -23,6 +23,12 @@
 MAX_AHEAD_BYTES = 64 << 10
 """Bytes of further requests that are read while a request is handled."""
 
+MAX_LINES = 128
+"""Lines that are parsed at a time. Lines and chunks, and not bytes, take the parser's time."""
+
+SLICE_BYTES = 4 << 10
+"""Bytes of data with more lines that are parsed in one iteration of the event loop."""
+
 MAX_JOINED_BYTES = 64 << 10
 """Largest body that is written together with its head, bytes."""
 
@@ -146,9 +152,20 @@
         if data and self._pending:
             # Reading stops a moment after it was paused.
             self._pending += data
+        elif len(data) > SLICE_BYTES and data.count(b"\n") > MAX_LINES:
+            self._parse_later(data)
         else:
             self._parse_pieces(data)
 
+    def parse_slice(self) -> bool:
+        """Parse a part of the pending data; return whether there is more."""
+        piece, self._pending = self._pending[:SLICE_BYTES], self._pending[SLICE_BYTES:]
+        if piece and self.transport is not None:
+            self._parse(piece)
+        if not self._pending:
+            self._read_on()
+        return bool(self._pending)
+
     def mark_running(self) -> None:
         """Record that the request that is handled is passed on to an upstream."""
         self._enter(CallerPhase.RUNNING)
@@ -243,6 +260,13 @@
             error=describe_fault(options.get("exc_info") or RuntimeError()),
         )
 
+    def _parse_later(self, data: bytes) -> None:
+        if not self._sizes:
+            self._enter(CallerPhase.HEAD)
+        self._pending = data
+        self._hold_back()
+        self._guard.parse_later(self)
+
     def _parse_pieces(self, data: bytes) -> None:
         """Parse data at once, in pieces until a head is complete."""
         if len(data) <= HEAD_SLICE_BYTES:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
@@ -23,7 +24,7 @@
 from ._events import Event, log_event
 
 if TYPE_CHECKING:
-    pass
+    from ._bounded_callers import BoundedConnection
 
 SWEEP_INTERVAL_S = 0.25
 """Interval between two checks of the times and the memory of connections, seconds."""
@@ -59,6 +60,7 @@
         self.refuse = refuse
         self._make_terms = make_terms
         self._count = count
+        self._unparsed: deque[BoundedConnection] = deque()
         self._paused_until = 0.0
 
     @property
@@ -113,6 +115,25 @@
         finally:
             self.accounts.end(user)
 
+    def parse_later(self, connection: BoundedConnection) -> None:
+        """Parse the pending data of a connection, one slice in an iteration of the event loop.
+
+        The data of other connections is read between two slices, whatever the number of those that
+        send data that takes long to parse.
+        """
+        self._unparsed.append(connection)
+        if len(self._unparsed) == 1:
+            asyncio.get_running_loop().call_soon(self._parse_next)
+
+    def _parse_next(self) -> None:
+        connection = self._unparsed.popleft()
+        try:
+            if connection.parse_slice():
+                self._unparsed.append(connection)
+        finally:
+            if self._unparsed:
+                asyncio.get_running_loop().call_soon(self._parse_next)
+
     async def run(self, on_checked: Callable[[], None] = lambda: None) -> None:
         """Check times and memory until cancelled.
 
