Refuse a body whose end cannot be parsed at once, and split the server

Callers saw: a request whose trailers are too large was answered with 408 after ten seconds, since the parser reports the error as another request and leaves the body open; and a request that an upstream ran could be refused as not run if a request behind it completed a body with too much framing.

Change: the body before gets the error. Framing is checked only while a body is incomplete. Server, runner and the reader of bodies have modules of their own.

Measured: test_refusal_of_a_request_ahead_does_not_end_the_one_that_runs failed before (408 after 10 s) and passes.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
@@ -36,17 +36,11 @@
 """Bytes that are parsed at a time until a head is complete, so that its limit is noticed."""
 
 MAX_FRAMING_FACTOR = 8
-"""Bytes of framing that are allowed for each byte of a body; a byte in a chunk of its own takes
-six."""
+"""Bytes of framing allowed for each byte of a body; a byte in a chunk of its own takes six."""
 
 MAX_FRAMING_BYTES = 64 << 10
 """Bytes of framing that are allowed for any body."""
 
-CLOSING_KINDS = frozenset(
-    {ErrorKind.BODY_TOO_LARGE, ErrorKind.BAD_REQUEST, ErrorKind.REQUEST_TIMEOUT}
-)
-"""Kinds of refusals after which the rest of the request may follow."""
-
 LINGER_S = 10.0
 """Time for which the rest of a refused request is read, seconds."""
 
@@ -63,6 +57,9 @@
 """Refusals for the reasons for which a request is given up that may be refused."""
 
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 class BoundedConnection(web.RequestHandler):
     """A connection of a caller whose requests and answers are accounted for.
 
@@ -75,8 +72,8 @@
 
     Notes
     -----
-    The library bounds lines, headers and requests ahead, but neither their sum nor the time that
-    they take, and it keeps what follows a request that it cannot parse.
+    The library bounds lines, headers and requests ahead, but not their sum, and it keeps what
+    follows a request that it cannot parse.
     """
 
     def __init__(self, manager: web.Server, guard: CallerGuard, **options: Any):
@@ -93,7 +90,7 @@
         self._is_dropping = False
         self._dropped_bytes = 0
         self._written_bytes = 0
-        self._measure_backlog: Callable[[], int] = _no_backlog
+        self._measure_backlog: Callable[[], int] = int
         self._request: web.BaseRequest | None = None
         self._refusal: RequestError | None = None
         self._handler_task: asyncio.Task | None = None
@@ -167,7 +164,7 @@
         return bool(self._pending)
 
     def mark_running(self) -> None:
-        """Record that the request that is handled is passed on to an upstream."""
+        """Record that the request that is handled is passed on."""
         self._enter(CallerPhase.RUNNING)
 
     async def reserve_answer(self, size: int) -> None:
@@ -242,7 +239,7 @@
             limit = self._guard.terms.max_head_bytes
             error = RequestError(ErrorKind.HEAD_TOO_LARGE, f"expected at most {limit} bytes")
         elif status < 500:
-            error = RequestError(ErrorKind.BAD_REQUEST, f"{type(exc).__name__}")
+            error = RequestError(ErrorKind.BAD_REQUEST, type(exc).__name__)
         else:
             log_event(Event.INTERNAL_ERROR, where="caller request", error=describe_fault(exc))
             error = RequestError(ErrorKind.INTERNAL)
@@ -254,11 +251,8 @@
 
     def log_exception(self, *args: Any, **options: Any) -> None:
         """Log a fault of the server without what the caller sent."""
-        log_event(
-            Event.INTERNAL_ERROR,
-            where="caller connection",
-            error=describe_fault(options.get("exc_info") or RuntimeError()),
-        )
+        fault = describe_fault(options.get("exc_info") or RuntimeError())
+        log_event(Event.INTERNAL_ERROR, where="caller connection", error=fault)
 
     def _parse_later(self, data: bytes) -> None:
         if not self._sizes:
@@ -287,13 +281,14 @@
             self._record_body(len(data))
         elif data:
             self._record_head(data)
-        if len(self._sizes) > 1 and self._ahead_bytes > MAX_AHEAD_BYTES:
+        if self._is_too_far_ahead:
             self._hold_back()
 
     @property
-    def _ahead_bytes(self) -> int:
-        """Bytes of the requests behind the one that is handled."""
-        return self._account.received - self._sizes[0] if self._sizes else 0
+    def _is_too_far_ahead(self) -> bool:
+        """Whether the requests behind the one that is handled are not read further."""
+        sizes = self._sizes
+        return len(sizes) > 1 and self._account.received - sizes[0] > MAX_AHEAD_BYTES
 
     def _feed(self, data: bytes) -> int:
         """Pass data to the parser and return the number of requests that it completed."""
@@ -307,8 +302,11 @@
         self._sizes.extend([self._head_bytes + size] + [0] * (count - 1))
         self._head_bytes = 0
         self._has_partial_line = False
+        body_before = self._last_body
         message, self._last_body = self._messages[-1]
         if isinstance(message, _ErrInfo):
+            if not body_before.is_eof():
+                body_before.set_exception(CallError(RequestError(ErrorKind.BAD_REQUEST)))
             # Whatever follows would fail too, and each error would keep the data that caused it.
             self._drop_rest()
 
@@ -340,12 +338,11 @@
             self.refuse(RequestError(ErrorKind.HEAD_TOO_LARGE, detail))
 
     def _check_framing(self) -> None:
-        body = self._last_body.total_bytes
-        if (
-            not self._is_dropping
-            and self._sizes[-1] > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * body
-        ):
-            detail = "too many bytes that are not part of the body"
+        if self._is_dropping or self.is_body_complete:
+            return
+        allowance = MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * self._last_body.total_bytes
+        if self._sizes[-1] > allowance:
+            detail = f"over {MAX_FRAMING_BYTES} bytes that are not part of the body"
             self.refuse(RequestError(ErrorKind.BAD_REQUEST, detail))
 
     def _refuse_head(self, error: RequestError) -> None:
@@ -358,10 +355,7 @@
             self._waiter.set_result(None)
 
     async def _handle_request(
-        self,
-        request: web.BaseRequest,
-        start_time: float | None,
-        request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        self, request: web.BaseRequest, start_time: float | None, request_handler: Handler
     ) -> tuple[web.StreamResponse, bool]:
         # The answer before must not stay in the buffer beside the next one.
         await self._drain_helper()
@@ -377,7 +371,7 @@
         try:
             response, is_lost = await self._handle_or_refuse(request, start_time, handle)
             if isinstance(response, web.Response):
-                # The library keeps request and response until the next request.
+                # The library keeps it until the next request.
                 response.body = None
             if self._is_last and not is_lost:
                 # The traceback of the error before keeps what the handler has read.
@@ -402,10 +396,7 @@
         return await super().finish_response(request, resp, start_time)
 
     async def _handle_or_refuse(
-        self,
-        request: web.BaseRequest,
-        start_time: float | None,
-        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        self, request: web.BaseRequest, start_time: float | None, handle: Handler
     ) -> tuple[web.StreamResponse, bool]:
         try:
             return await super()._handle_request(request, start_time, handle)
@@ -426,7 +417,7 @@
         accounts = self._guard.accounts
         self._written_bytes += request.writer.output_size
         self._request = None
-        self._measure_backlog = _no_backlog
+        self._measure_backlog = int
         request._read_bytes = None
         if self._is_dropping and not request.content.is_eof():
             request.content.feed_eof()
@@ -445,8 +436,8 @@
             return CallerPhase.WAITING
         if self._is_dropping or not self.is_body_complete:
             return CallerPhase.CLOSING
-        has_head = self._has_partial_line or self._pending
-        return CallerPhase.HEAD if has_head else CallerPhase.UNREAD
+        is_head = self._has_partial_line or self._pending
+        return CallerPhase.HEAD if is_head else CallerPhase.UNREAD
 
     async def _linger(self) -> None:
         """Wait until the caller has sent the rest of a refused request.
@@ -454,10 +445,9 @@
         A connection that is closed while data is received is reset, and the refusal may be lost.
         """
         self._enter(CallerPhase.CLOSING)
-        if self.transport is None or self._has_drained:
+        if self.transport is None or self.transport.is_closing() or self._has_drained:
             return
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
+        self.transport.write_eof()
         self._drained = self._loop.create_future()
         await asyncio.wait([self._drained], timeout=LINGER_S)
 
@@ -487,8 +477,7 @@
 
     def _read_on(self) -> None:
         """Read again unless requests ahead or data that is not parsed prevent it."""
-        has_ahead = len(self._sizes) > 1 and self._ahead_bytes > MAX_AHEAD_BYTES
-        if not self._is_held_back or self._pending or has_ahead:
+        if not self._is_held_back or self._pending or self._is_too_far_ahead:
             return
         self._is_held_back = False
         if not self._reading_paused and not self._buffer_paused:
@@ -509,94 +498,3 @@
     def _enter(self, phase: CallerPhase) -> None:
         if self._account is not None:
             self._guard.accounts.enter(self._account, phase, self._guard.now())
-
-
-def _no_backlog() -> int:
-    return 0
-
-
-class BoundedServer(web.Server):
-    """Server whose connections are bounded.
-
-    Parameters
-    ----------
-    handler : callable
-        Answers one request.
-    guard : CallerGuard
-    **options
-        Options of a connection; see :class:`aiohttp.web.Server`.
-    """
-
-    def __init__(self, handler: Any, guard: CallerGuard, **options: Any):
-        # A caller that disconnects must cancel its request at once; otherwise an upstream would
-        # continue a run that nobody waits for.
-        super().__init__(handler, handler_cancellation=True, **options)
-        self._guard = guard
-
-    def __call__(self) -> BoundedConnection:
-        """Return the protocol of a new connection."""
-        return BoundedConnection(self, self._guard, loop=self._loop, **self._kwargs)
-
-
-class BoundedAppRunner(web.AppRunner):
-    """Runner of an application whose connections are bounded.
-
-    Parameters
-    ----------
-    app : web.Application
-    guard : CallerGuard
-    **options
-        Options of :class:`aiohttp.web.AppRunner`.
-    """
-
-    def __init__(self, app: web.Application, guard: CallerGuard, **options: Any):
-        super().__init__(app, **options)
-        self._guard = guard
-
-    async def _make_server(self) -> web.Server:
-        made = await super()._make_server()
-        return BoundedServer(
-            made.request_handler,
-            self._guard,
-            request_factory=made.request_factory,
-            access_log=None,
-        )
-
-
-async def read_request_body(
-    incoming: web.BaseRequest, max_body_bytes: int, timeout_s: float
-) -> bytes:
-    """Return the body of a request.
-
-    Parameters
-    ----------
-    incoming : web.BaseRequest
-    max_body_bytes : int
-    timeout_s : float
-        Time in which the whole body must arrive, seconds.
-
-    Raises
-    ------
-    CallError
-        If it is too large, too late, or given up.
-    """
-    too_large = RequestError(ErrorKind.BODY_TOO_LARGE, f"expected at most {max_body_bytes} bytes")
-    if (incoming.content_length or 0) > max_body_bytes:
-        raise CallError(too_large)
-    pieces: list[bytes] = []
-    size = 0
-    try:
-        async with asyncio.timeout(timeout_s):
-            async for data in incoming.content.iter_any():
-                size += len(data)
-                if size > max_body_bytes:
-                    raise CallError(too_large)
-                pieces.append(data)
-    except TimeoutError:
-        detail = f"expected the whole body within {timeout_s:g} s"
-        raise CallError(RequestError(ErrorKind.REQUEST_TIMEOUT, detail)) from None
-    else:
-        return b"".join(pieces)
-    finally:
-        # The traceback of an error keeps this frame, and with it the pieces, for some time.
-        pieces.clear()
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_server.py
@@ -0,0 +1,58 @@
+"""HTTP servers whose connections are bounded."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import web
+
+from ._bounded_callers import BoundedConnection
+from ._caller_guard import CallerGuard
+
+
+class BoundedServer(web.Server):
+    """Server whose connections are bounded.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one request.
+    guard : CallerGuard
+    **options
+        Options of a connection; see :class:`aiohttp.web.Server`.
+    """
+
+    def __init__(self, handler: Any, guard: CallerGuard, **options: Any):
+        # A caller that disconnects must cancel its request at once; otherwise an upstream would
+        # continue a run that nobody waits for.
+        super().__init__(handler, handler_cancellation=True, **options)
+        self._guard = guard
+
+    def __call__(self) -> BoundedConnection:
+        """Return the protocol of a new connection."""
+        return BoundedConnection(self, self._guard, loop=self._loop, **self._kwargs)
+
+
+class BoundedAppRunner(web.AppRunner):
+    """Runner of an application whose connections are bounded.
+
+    Parameters
+    ----------
+    app : web.Application
+    guard : CallerGuard
+    **options
+        Options of :class:`aiohttp.web.AppRunner`.
+    """
+
+    def __init__(self, app: web.Application, guard: CallerGuard, **options: Any):
+        super().__init__(app, **options)
+        self._guard = guard
+
+    async def _make_server(self) -> web.Server:
+        made = await super()._make_server()
+        return BoundedServer(
+            made.request_handler,
+            self._guard,
+            request_factory=made.request_factory,
+            access_log=None,
+        )
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -23,7 +23,7 @@
 from burdockquay_state import OrganisationRecord, RouteRecord
 
 from ._addresses import bind_socket
-from ._bounded_callers import CLOSING_KINDS, BoundedAppRunner, read_request_body
+from ._bounded_server import BoundedAppRunner
 from ._call import Call, CallRequest
 from ._call_error import CallError, error_body
 from ._call_runner import Body, Tokens
@@ -34,6 +34,7 @@
 from ._metrics import CALLER_BYTES, CALLER_CONNECTIONS, REQUESTS, refusal_counter
 from ._pending_connections import accept_pending
 from ._process_limits import make_caller_terms
+from ._request_body import CLOSING_KINDS, read_request_body
 from ._status_http import add_status_routes
 
 if TYPE_CHECKING:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
@@ -9,7 +9,8 @@
 from aiohttp import web
 from aiohttp.streams import StreamReader
 
-from .._bounded_callers import BoundedConnection, BoundedServer
+from .._bounded_callers import BoundedConnection
+from .._bounded_server import BoundedServer
 from .._caller_guard import CallerGuard
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -17,12 +17,12 @@
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
-from .._bounded_callers import read_request_body
 from .._call_error import CallError
 from .._caller_guard import CallerGuard
 from .._early_listener import BACKLOG, EarlyListener
 from .._events import Event, describe_fault, log_event
 from .._pending_connections import accept_pending, read_pending
+from .._request_body import read_request_body
 from ._arrival import STARTUP_BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
 from ._caller_connection import CallerConnection, CallerServer
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
@@ -7,8 +7,8 @@
 from burdockquay_coordination.forwarding import retry_delay_s
 from burdockquay_protocol import ErrorKind, RequestError
 
-from .._bounded_callers import CLOSING_KINDS
 from .._events import Event, log_event
+from .._request_body import CLOSING_KINDS
 from ._answers import NOT_RUN_STATUSES
 from ._platform import CallerRequest
 from ._state import ForwarderState
