Limit the log lines about connections that are given up

Callers saw: nothing; a stranger who opens connections without end wrote a line each to the log of an entry, which does not drop lines as the log of a forwarder does.

Change: five lines between two checks of the limits; the metrics count all. The tests lose some lines of documentation and set-up, no check.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_caller_accounts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_caller_accounts.py
@@ -1,5 +1,6 @@
 """Tests of the limits on what the connections of callers take."""
 
+import attrs
 import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -12,15 +13,7 @@
     UnsentAnswer,
 )
 
-TERMS = CallerTerms(
-    max_connections=8,
-    max_held_bytes=1 << 20,
-    max_head_bytes=1 << 14,
-    max_body_bytes=1 << 20,
-    head_timeout_s=2.0,
-    idle_timeout_s=10.0,
-    answer_timeout_s=20.0,
-)
+TERMS = CallerTerms(8, 1 << 20, 1 << 14, 1 << 20, 2.0, 10.0, 20.0)
 PASSED_ON = {CallerPhase.RUNNING, CallerPhase.UNREAD, CallerPhase.IDLE}
 
 
@@ -107,13 +100,9 @@
     @invariant()
     def sum_holds_apart_from_answers_and_small_requests(self):
         """Guards against requests that grow without a limit on all of them together."""
-        evictable = [
-            one.account.held
-            for one in self.open
-            if one.account.phase not in PASSED_ON and not one.account.unsent.size
-        ]
-        large = [size for size in evictable if size > TERMS.small_bytes]
-        assert sum(large) <= TERMS.max_held_bytes
+        requests = [one.account for one in self.open if one.account.phase not in PASSED_ON]
+        held = [one.held for one in requests if not one.unsent.size]
+        assert sum(size for size in held if size > TERMS.small_bytes) <= TERMS.max_held_bytes
 
 
 TestCallerAccounts = CallerAccountsMachine.TestCase
@@ -122,17 +111,7 @@
 @pytest.fixture
 def accounts():
     """Accounts with room for one connection."""
-    return CallerAccounts(
-        CallerTerms(
-            max_connections=1,
-            max_held_bytes=1 << 20,
-            max_head_bytes=1 << 14,
-            max_body_bytes=1 << 20,
-            head_timeout_s=2.0,
-            idle_timeout_s=10.0,
-            answer_timeout_s=20.0,
-        )
-    )
+    return CallerAccounts(attrs.evolve(TERMS, max_connections=1))
 
 
 @pytest.mark.parametrize("phase", [CallerPhase.WAITING, CallerPhase.RUNNING])
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
@@ -33,6 +33,10 @@
 """Lateness of a check from which the process counts as not having run, seconds."""
 
 
+MAX_LOG_LINES = 5
+"""Lines about connections that are given up, between two checks; the metrics count all."""
+
+
 class CallerGuard:
     """Accounts for the connections of callers, and closes those that take too much.
 
@@ -62,6 +66,7 @@
         self._count = count
         self._unparsed: deque[BoundedConnection] = deque()
         self._paused_until = 0.0
+        self._lines_left = MAX_LOG_LINES
 
     @property
     def terms(self) -> CallerTerms:
@@ -77,13 +82,15 @@
         """Return the account of a new connection; see :meth:`CallerAccounts.open`."""
         account = self.accounts.open(give_up, measure, self.now())
         if account is None:
-            self._count(GiveUpReason.NO_PLACE.value)
-            log_event(Event.CALLER_GIVEN_UP, reason=GiveUpReason.NO_PLACE)
+            self.record_given_up(GiveUpReason.NO_PLACE, CallerPhase.NEW)
         return account
 
     def record_given_up(self, reason: GiveUpReason, phase: CallerPhase) -> None:
-        """Count and log that a connection is given up."""
+        """Count and log that a connection is given up; the log gets a limited number of lines."""
         self._count(reason.value)
+        if not self._lines_left:
+            return
+        self._lines_left -= 1
         log_event(
             Event.CALLER_GIVEN_UP,
             reason=reason,
@@ -150,6 +157,7 @@
                 # What callers sent meanwhile was not read yet.
                 self._paused_until = now
             last = now
+            self._lines_left = MAX_LOG_LINES
             self.accounts.terms = self._make_terms()
             self.accounts.sweep(now, self._paused_until)
             on_checked()
