Check the sum of what callers hold once their data is parsed

Change: data is counted when it arrives, and the sum is checked after it was parsed. New connections do not yield for memory any more; with the order changed, what they hold is that of a head or a request. The state machine receives in the same order.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_caller_accounts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_caller_accounts.py
@@ -159,9 +159,7 @@
 )
 """Phases whose oldest connection yields to a new one, first choice first."""
 
-_MEMORY_PHASES = frozenset(
-    {CallerPhase.NEW, CallerPhase.HEAD, CallerPhase.WAITING, CallerPhase.CLOSING}
-)
+_MEMORY_PHASES = frozenset({CallerPhase.CLOSING, CallerPhase.HEAD, CallerPhase.WAITING})
 """Phases in which a connection is given up for its memory at once. Others, in which an upstream
 has worked for the caller, must have stalled."""
 
@@ -253,6 +251,9 @@
         account.progress_at = now
         account.received += size
         self.held += size
+
+    def check(self, now: float) -> None:
+        """Give up connections if all together hold too much; called once data is parsed."""
         if self.held > self.terms.max_held_bytes:
             self.make_room(now)
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_caller_accounts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/tests/test_caller_accounts.py
@@ -64,6 +64,9 @@
         connection = data.draw(st.sampled_from(self.open))
         connection.held_before += size
         self.accounts.receive(connection.account, size, self.now)
+        if connection.account.phase is CallerPhase.NEW:
+            self.accounts.enter(connection.account, CallerPhase.HEAD, self.now)
+        self.accounts.check(self.now)
         self._forget_closed()
 
     @precondition(lambda self: self.open)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
@@ -141,11 +141,9 @@
         if self._is_dropping or self._close:
             self._drop(len(data))
             return
+        accounts = self._guard.accounts
         if data:
-            self._guard.accounts.receive(self._account, len(data), self._guard.now())
-            if self._is_dropping or self.transport is None:
-                # This connection was given up to make room.
-                return
+            accounts.receive(self._account, len(data), self._guard.now())
         if data and self._pending:
             # Reading stops a moment after it was paused.
             self._pending += data
@@ -153,6 +151,8 @@
             self._parse_later(data)
         else:
             self._parse_pieces(data)
+        # Only a request that was parsed can be refused.
+        accounts.check(self._guard.now())
 
     def parse_slice(self) -> bool:
         """Parse a part of the pending data; return whether there is more."""
