Describe the refusal of callers past a limit as it is

Cause: the page of errors said that a service may have half of the connections; since the bound on connections it is an organisation that has most of the requests to a service.

--- a/scripts/make_reference.py
+++ b/scripts/make_reference.py
@@ -40,9 +40,9 @@
     "`max_head_bytes` in the settings of the entry.",
     ErrorKind.REQUEST_TIMEOUT: "Send head and body faster: `headerTimeoutMs` of the configuration, "
     "or `head_timeout_s` in the settings of the entry, limits the head.",
-    ErrorKind.CALLER_LIMIT: "The requests being received hold too much memory together, or a "
-    "service has half of all connections (`max_caller_bytes`, `max_caller_connections`). Retry "
-    "after the time in `Retry-After`.",
+    ErrorKind.CALLER_LIMIT: "The requests of all callers hold too much memory together and this "
+    "one most (`max_caller_bytes`), or half of the connections (`max_caller_connections`) are in "
+    "use, most by this organisation for this service. Retry after the time in `Retry-After`.",
     ErrorKind.KEY_REQUIRED: "Send a key that stays the same for all retries of the request.",
     ErrorKind.KEY_REUSED: "Another method, path or body came with this key; generate a new key.",
     ErrorKind.IN_PROGRESS: "Retry with the same key to get the outcome.",
