Log which more urgent prompts wait when another starts, and the levels of each version

Cause: logs could not tell whether an urgent prompt was refused because it was late, behind a backlog, without an upstream or at another process than the less urgent ones that started; nor which levels a version has; nor how often a read of a table failed. Change: event 1978 and forwarder_passed_over_total for starts while more urgent prompts wait, with the reasons by number; the levels in 1101; failures and seconds in the lines about recovery. No decision is changed.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -95,7 +95,7 @@
 from ._upstream import Upstream
 from ._upstreams import UpstreamRegistry
 from ._urgency import SHORT_READING_SHARE, UrgencyScale
-from ._waiting import PromptQueue, Start, WaitingPrompt
+from ._waiting import HoldReason, PassedOver, PromptQueue, Start, WaitingPrompt
 
 __all__ = [
     "FIRST_ERA",
@@ -171,6 +171,8 @@
     "PollSchedule",
     "Prompt",
     "PromptMemory",
+    "HoldReason",
+    "PassedOver",
     "PromptQueue",
     "FirstTokenModel",
     "SHORT_READING_SHARE",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from collections.abc import Iterator
 
 from ..regions import SINGLE_REGION, Homes, RegionMap, intersect_homes
 from ._config import CallerOrganisation, ForwardConfig, ForwardRoute, ServiceTargets
@@ -128,9 +129,31 @@
             if item.homes is not None and not item.homes & self.region_map.names
         ]
 
+    def describe_levels(self) -> dict[str, list[int]]:
+        """Return the urgency levels in force, for the log.
+
+        Returns
+        -------
+        dict of str to list of int
+            The levels of short and of long prompts, by the priorities of their route and of their
+            organisation.
+        """
+        return {
+            f"{route.priority}/{request_priority(route, organisation)}": [
+                self.urgency.level(self.rank(route, organisation), is_short)
+                for is_short in (True, False)
+            ]
+            for route, organisation in self._callers()
+            if route.by_prompt
+        }
+
     def _possible_ranks(self) -> list[int]:
-        organisations = (None, *(self.config.organisations or ()))
-        return [self.rank(*pair) for pair in itertools.product(self.config.routes, organisations)]
+        return [self.rank(*pair) for pair in self._callers()]
+
+    def _callers(self) -> Iterator[tuple[ForwardRoute, CallerOrganisation | None]]:
+        """Yield each route with an organisation of each priority."""
+        by_priority = {item.priority: item for item in self.config.organisations or ()}
+        return itertools.product(self.config.routes, (None, *by_priority.values()))
 
     def find_organisation(self, api_key: str) -> CallerOrganisation | None:
         """Return the organisation that holds a key."""
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import heapq
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Iterator, Sequence
@@ -79,6 +80,37 @@
         return self.urgency
 
 
+class HoldReason(enum.Enum):
+    """Why a waiting request did not start when it was evaluated."""
+
+    LATE = "late"
+    """Its target is missed, and its upstream has too large a backlog for a late request."""
+    BACKLOG = "backlog"
+    """Its upstream has too large a backlog."""
+    NO_UPSTREAM = "no_upstream"
+    """No upstream may be used."""
+    NOT_EVALUATED = "not_evaluated"
+    """Too many others were evaluated in the same round."""
+
+
+@attrs.frozen
+class PassedOver:
+    """More urgent requests that waited when another one started.
+
+    Parameters
+    ----------
+    count : int
+    oldest : WaitingPrompt
+        The one that gives up first.
+    reasons : Counter of HoldReason
+        Why they did not start, by number of requests.
+    """
+
+    count: int
+    oldest: WaitingPrompt
+    reasons: Counter[HoldReason]
+
+
 @attrs.frozen
 class Start:
     """A waiting request that may start now.
@@ -91,12 +123,15 @@
         Whether its target cannot be met even without a backlog.
     late_with_backlog : bool
         Whether its target cannot be met behind the backlog of the upstream.
+    passed_over : PassedOver or None
+        The more urgent requests that still wait; None if there are none.
     """
 
     waiting: WaitingPrompt
     placement: Placement
     late: bool
     late_with_backlog: bool = False
+    passed_over: PassedOver | None = None
 
 
 class PromptQueue:
@@ -192,7 +227,17 @@
             if _may_start(start, model, targets, now):
                 candidates.record_started(start)
                 self._waiting.remove(start.waiting)
-                yield start
+                yield attrs.evolve(start, passed_over=self._passed_over(start, candidates))
+            else:
+                candidates.record_held(start)
+
+    def _passed_over(self, start: Start, candidates: _Candidates) -> PassedOver | None:
+        """Return the requests that wait although they are more urgent than one that starts."""
+        found = [item for item in self._waiting if item.rank < start.waiting.rank]
+        if not found:
+            return None
+        oldest = min(found, key=lambda item: item.give_up_at)
+        return PassedOver(len(found), oldest, Counter(map(candidates.hold_reason, found)))
 
 
 class _Candidates:
@@ -208,6 +253,7 @@
         self._round = round_
         self._cached_first = round_.model.switches.uses(Mechanism.WARM_FIRST)
         self._started: Counter[str] = Counter()
+        self._hold_reasons: dict[int, HoldReason] = {}
         self._heap: list[tuple[tuple, int, int, Start]] = []
         for number, item in enumerate(waiting):
             self._push(number, item)
@@ -225,9 +271,20 @@
         """Record that a request starts: candidates for the same upstream are placed again."""
         self._started[start.placement.upstream.id] += 1
 
+    def record_held(self, start: Start) -> None:
+        """Record that a candidate does not start in this round."""
+        reason = HoldReason.LATE if start.late else HoldReason.BACKLOG
+        self._hold_reasons[id(start.waiting)] = reason
+
+    def hold_reason(self, item: WaitingPrompt) -> HoldReason:
+        """Return why a request has not started in this round."""
+        return self._hold_reasons.get(id(item), HoldReason.NOT_EVALUATED)
+
     def _push(self, number: int, item: WaitingPrompt) -> None:
         start = _evaluate(item, self._round)
-        if start is not None:
+        if start is None:
+            self._hold_reasons[id(item)] = HoldReason.NO_UPSTREAM
+        else:
             started = self._started[start.placement.upstream.id]
             heapq.heappush(self._heap, (self._rank(start), number, started, start))
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -9,6 +9,7 @@
     Demand,
     EngineModel,
     FirstTokenModel,
+    HoldReason,
     LinearModel,
     LoadShare,
     Prompt,
@@ -398,6 +399,18 @@
     assert queue.take_start(upstreams, model, TARGETS, 0.0).placement.upstream is preferred
 
 
+def test_start_names_the_more_urgent_requests_that_still_wait(upstreams, model):
+    """A log without them cannot tell why an urgent request was refused while others started."""
+    queue = PromptQueue()
+    urgent = make_waiting(long_prompt(1), 0.0, urgency=0, target_s=0.5)
+    urgent.tried = [item.id for item in upstreams]
+    queue.add(urgent)
+    queue.add(make_waiting(long_prompt(2), 0.0, urgency=1, target_s=0.5))
+    passed_over = queue.take_start(upstreams, model, TARGETS, 0.0).passed_over
+    assert (passed_over.count, passed_over.oldest) == (1, urgent)
+    assert passed_over.reasons == {HoldReason.NO_UPSTREAM: 1}
+
+
 def test_request_that_is_late_behind_the_backlog_starts_last(upstreams, model):
     """A burst has filled the upstreams, and the request that is due first has little time left.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -519,6 +519,16 @@
         "because the table did not answer in time.",
     )
 
+    LESS_URGENT_STARTED = (
+        1978,
+        "INFO",
+        "Prompts started while more urgent ones waited at this process; ``starts`` since the last "
+        "such line, of which there is at most one a second for each service. The other fields "
+        "are those of the newest start: ``rank``, ``waiting`` more urgent ones, the ``oldest`` "
+        "of them, for how long it waits, and the number of them by the reason why they did not "
+        "start.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -30,7 +30,9 @@
 from .._clock import Clock
 from .._events import Event, log_event
 from ._call import ForwardCall, failure_of
+from ._forwarder_metrics import ForwarderMetrics
 from ._held_calls import HeldCalls
+from ._passed_over import PassedOverLog
 from ._sent_prompt import SentPrompt
 
 EVALUATION_INTERVAL_S = 0.02
@@ -62,8 +64,7 @@
     clock : Clock
     targets : callable
         Returns the current latency targets of the routes to the service.
-    record_prediction_ratio : callable
-        Called with the ratio of each time to first token to its prediction.
+    metrics : ForwarderMetrics
     switches : Switches
     held_calls : HeldCalls
     may_crash : callable
@@ -80,7 +81,7 @@
         upstream_registry: UpstreamRegistry,
         clock: Clock,
         targets: Callable[[], ServiceTargets],
-        record_prediction_ratio: Callable[[float], None],
+        metrics: ForwarderMetrics,
         switches: Switches,
         held_calls: HeldCalls,
         may_crash: Callable[[ForwardCall], bool],
@@ -91,13 +92,14 @@
         self.upstream_registry = upstream_registry
         self.clock = clock
         self.targets = targets
-        self.record_prediction_ratio = record_prediction_ratio
+        self.metrics = metrics
         self.rate_limits = held_calls.rate_limits
         self.held_calls = held_calls
         self.may_crash = may_crash
         self.note_change = note_change
         self.model = EngineModel(switches, delays)
         self.queue = PromptQueue()
+        self._passed_over = PassedOverLog(service, metrics)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = 0.0
         self._next_evaluation_at = float("-inf")
@@ -159,7 +161,8 @@
             first_s=self.model.first_token.offset,
             factor=upstream.reading.value(now),
         )
-        self.record_prediction_ratio(seconds / sent.placement.first_token_s)
+        ratio = seconds / sent.placement.first_token_s
+        self.metrics.prediction.labels(self.service).observe(ratio)
         tokens, fetched = sent.placement.tokens, sent.placement.fetched_tokens
         read_s = max(0.0, seconds - sent.placement.way_s)
         self.model.update_first_token(
@@ -215,6 +218,7 @@
         if self.model.processes >= LARGE_FLEET_PROCESSES:
             self._record_backlog(upstreams, now)
         for start in self.queue.take_starts(upstreams, self.model, self.targets(), now):
+            self._passed_over.record(start, now)
             owner: _WaitingCall = start.waiting.owner
             owner.resolve(self._record_sent(owner.call, start.placement, now))
         if self.upstream_registry.evacuations.domains:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -50,21 +50,24 @@
         self.failed_event = failed_event
         self.recovered_event = recovered_event
         self._pause_s = FIRST_RETRY_PAUSE_S
-        self._failing = False
+        self._failures = 0
+        self._failed_at = 0.0
 
     async def after_failure(self, error: TableError) -> None:
         """Wait before the next query."""
-        if not self._failing:
+        if not self._failures:
             log_event(self.failed_event, reason=error.kind, detail=error.detail)
-        self._failing = True
+            self._failed_at = self.state.clock.now()
+        self._failures += 1
         await asyncio.sleep(self._pause_s * self.state.rng.uniform(0.5, 1.0))
         self._pause_s = min(self._pause_s * 2, MAX_RETRY_PAUSE_S)
 
     def record_success(self) -> None:
         """Reset the pause to the shortest one."""
-        if self._failing:
-            log_event(self.recovered_event)
-        self._failing = False
+        if self._failures:
+            seconds = self.state.clock.now() - self._failed_at
+            log_event(self.recovered_event, failures=self._failures, seconds=seconds)
+        self._failures = 0
         self._pause_s = FIRST_RETRY_PAUSE_S
 
 
@@ -102,6 +105,7 @@
             Event.CONFIGURATION_APPLIED,
             revision=config.version,
             routes=len(config.routes),
+            levels=state.directory.describe_levels(),
             age_s=now - as_of,
         )
     if state.config_versions.is_behind:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -65,6 +65,9 @@
         self.waited = self._histogram(
             "waited_seconds", "Wait before the first send.", FIRST_OUTPUT_BUCKETS_S
         )
+        self.passed_over = self._counter(
+            "passed_over", "Prompts that started while more urgent ones waited.", "service"
+        )
         self.unread = Histogram(
             "forwarder_unread_seconds",
             "Arrival of a request to its reading.",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -210,7 +210,7 @@
                 self.upstream_registry,
                 self.clock,
                 lambda: self.directory.targets(service),
-                self.metrics.prediction.labels(service).observe,
+                self.metrics,
                 self.switches,
                 self.held_calls,
                 self.may_crash,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -74,7 +74,7 @@
         upstream_registry,
         clock,
         lambda: targets,
-        lambda ratio: None,
+        ForwarderMetrics(),
         Switches(),
         held_calls,
         lambda call: False,
