--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_config.py
@@ -153,3 +153,33 @@
         levels.append(((route.priority, priority), level))
     (first, first_level), (second, second_level) = sorted(levels)
     assert first == second or first_level <= second_level
+
+
+ORGANISATIONS = st.lists(st.none() | st.integers(0, 9), max_size=4)
+
+
+def make_directory(priorities):
+    organisations = [
+        CallerOrganisation(f"o{number}", frozenset({f"key-{number}"}), priority)
+        for number, priority in enumerate(priorities)
+    ]
+    routes = [make_route(f"/{priority}/", priority=priority, by_prompt=True) for priority in (0, 3)]
+    return ConfigDirectory(ForwardConfig(1, tuple(routes), tuple(organisations)))
+
+
+def level(directory, priority, organisation, is_short):
+    route = make_route("/r/", priority=priority, by_prompt=True)
+    caller = CallerOrganisation("caller", frozenset(), organisation)
+    return directory.urgency.level(directory.rank(route, caller), is_short)
+
+
+@given(ORGANISATIONS, ORGANISATIONS, st.data())
+def test_urgent_prompts_go_first_at_upstreams_whatever_version_each_process_has(here, there, data):
+    """Guards against urgent streams that engines preempt for prompts of a process with another
+    version."""
+    urgent, other = sorted(data.draw(st.lists(st.integers(0, 3), min_size=2, max_size=2)))
+    organisations = data.draw(st.tuples(*[st.none() | st.integers(0, 9)] * 2))
+    lengths = data.draw(st.tuples(st.booleans(), st.booleans()))
+    first = level(make_directory(here), urgent, organisations[0], lengths[0])
+    second = level(make_directory(there), other, organisations[1], lengths[1])
+    assert first < second or urgent == other
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -20,6 +20,7 @@
     _placing,
     place_prompt,
 )
+from burdockquay_coordination.forwarding._choice import rank_preferred_upstreams
 
 TARGETS = ServiceTargets(tightest_s=0.25, most_urgent=0)
 
@@ -399,6 +400,40 @@
     assert queue.take_start(upstreams, model, TARGETS, 0.0).placement.upstream is preferred
 
 
+def test_late_urgent_request_starts_before_a_less_urgent_one_in_time(upstreams, model):
+    """Guards against urgent requests that wait until they are refused while others start."""
+    queue = PromptQueue()
+    late = make_waiting(long_prompt(1), 0.0, urgency=0, target_s=0.25)
+    other = make_waiting(long_prompt(2), 1.0, urgency=1, target_s=0.5)
+    queue.add(other)
+    queue.add(late)
+    starts = [start.waiting for start in queue.take_starts(upstreams, model, TARGETS, 1.0)]
+    assert starts == [late, other]
+
+
+def test_late_urgent_request_starts_behind_the_backlog_that_others_may_have(upstreams, model):
+    """Guards against upstreams that are kept busy by less urgent requests alone."""
+    queue = PromptQueue()
+    late = make_waiting(long_prompt(1), 0.0, urgency=0, target_s=0.25)
+    queue.add(late)
+    queue.add(make_waiting(long_prompt(2), 1.0, urgency=1, target_s=0.5))
+    for upstream in upstreams:
+        upstream.pending.add("others", 5_000, 1.0)
+    start = queue.take_start(upstreams, model, TARGETS, 1.0)
+    assert start is not None and start.waiting is late
+
+
+def test_urgent_prompt_uses_a_free_place_beyond_its_preferred_upstreams(make_upstream, model):
+    """Guards against urgent requests that wait for full upstreams while others have places."""
+    model.processes = _placing.LARGE_FLEET_PROCESSES
+    upstreams = [make_upstream(f"u{number}") for number in range(20)]
+    prompt = short_prompt()
+    free = rank_preferred_upstreams(upstreams, prompt.key, 20)[-1]
+    for upstream in upstreams:
+        upstream.outstanding = 0 if upstream is free else upstream.entry.places
+    assert place(upstreams, prompt, model, 0.0).upstream is free
+
+
 def test_start_names_the_more_urgent_requests_that_still_wait(upstreams, model):
     """A log without them cannot tell why an urgent request was refused while others started."""
     queue = PromptQueue()
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
@@ -82,6 +82,11 @@
     return TableChanges("t", era, after, upto, store_s, 3600.0, [ChangedRow("k", value, upto)])
 
 
+def make_marker(revision, store_s):
+    """Return a message that leaves out the changes up to a revision."""
+    return TableChanges("t", 1, revision, revision, store_s, 3600.0, [])
+
+
 async def next_update(feed):
     async with asyncio.timeout(5):
         return (await feed.next(1.0)).ok()
@@ -283,3 +288,21 @@
     update = await next_update(feed)
     assert not update.after_restore
     assert update.last_failure_at == float("-inf")
+
+
+async def test_missed_change_is_queried_at_once_after_a_failure_that_peers_did_not_see(
+    feed, store, exchange
+):
+    """Guards against a process that misses a change for seconds after one reset connection."""
+    feed.set_poller(False, processes=30)
+    exchange.receive_changes(make_marker(60, store.time), store.time)
+    pending = asyncio.create_task(feed.next(1.0))
+    await asyncio.sleep(0.01)
+    store.answer(STORE_UNAVAILABLE)
+    assert (await pending).is_err()
+    store.time += 0.3
+    exchange.receive_changes(make_marker(60, store.time), store.time)
+    pending = asyncio.create_task(feed.next(1.0))
+    await asyncio.sleep(0.01)
+    pending.cancel()
+    assert store.waits == 2
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_platform_http.py
@@ -221,6 +221,23 @@
     assert (await table.transact([Put("a", b"")])).err().kind is UNAVAILABLE
 
 
+async def answer_slowly(request, handler):
+    """Send the body over 0.6 s, in pieces."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    for piece in (b'{"rows": [', *[b" "] * 10, b"null]}"):
+        await asyncio.sleep(0.05)
+        await response.write(piece)
+    return response
+
+
+async def test_answer_is_not_cut_while_it_is_being_transferred(platform, session):
+    """Guards against records or a VM list that an entry or a slot never receives completely."""
+    table = table_services.get("http")(platform.url, 0.3, session)
+    platform.respond = answer_slowly
+    assert (await table.get(["a"])).ok() == [None]
+
+
 async def test_an_answer_above_the_size_limit_is_rejected(platform, table, monkeypatch):
     """A faulty service could otherwise fill the memory of every process that calls it."""
     monkeypatch.setattr(_platform_http, "MAX_ANSWER_BYTES", 1000)
