Do not count the transfer of an answer against the time limit of its call

Cause: the limit of 0.7 s on a call, or after the wait of a query, counted the transfer. A version with 2,033 routes takes longer over 10 Mbit/s; it was cut and begun again, by all small machines at a time. Class: a time limit on the whole of an answer whose size others decide. Evidence: /rows-feed: TimeoutError at 21 processes 0.7 s after the version, /rows-get: TimeoutError at 24 processes from 37.8 s on, and at none with a large link. The same at the table, object and VM list clients of entries and slots.

--- a/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/__init__.py
@@ -12,6 +12,7 @@
         "BoundedConnector",
         "read_whole",
     ),
+    "._call_limit": ("CallLimit",),
     "._clock": (
         "Clock",
         "SystemClock",
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -157,7 +158,11 @@
         protocol.give_up(reason)
 
 
-async def read_whole(response: aiohttp.ClientResponse, held: HeldAnswers) -> bytes:
+async def read_whole(
+    response: aiohttp.ClientResponse,
+    held: HeldAnswers,
+    record_progress: Callable[[], None] = lambda: None,
+) -> bytes:
     """Return the body of an answer.
 
     Parameters
@@ -165,6 +170,8 @@
     response : aiohttp.ClientResponse
     held : HeldAnswers
         Accounts for the bytes until the body is complete.
+    record_progress : callable
+        Called whenever a part of the body has arrived.
 
     Raises
     ------
@@ -178,6 +185,7 @@
     try:
         with held.account(give_up, response.content_length) as answer:
             async for data in response.content.iter_any():
+                record_progress()
                 held.grow(answer, len(data))
                 if answer.is_given_up:
                     raise AnswerTooLargeError("too many bytes of incomplete answers")
--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
@@ -58,6 +58,7 @@
     vm_lists,
 )
 
+from ._call_limit import CallLimit
 from ._events import Event, log_event
 
 T = TypeVar("T")
@@ -94,7 +95,7 @@
     ----------
     url : str
     timeout_s : float
-        Timeout of a complete call, seconds.
+        Limit on the time to the answer of a call, and on each pause in it, seconds.
     session : aiohttp.ClientSession
         Shared with the other adapters of the process.
     """
@@ -128,19 +129,24 @@
         POST, which is used for every transaction. Putting an object twice is harmless, since its
         name is the digest of its content.
         """
-        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        limit = CallLimit(self.timeout_s, self.timeout_s)
         try:
-            async with self.session.request(
-                method,
-                f"{self.url.rstrip('/')}{path}",
-                data=content,
-                headers={"If-None-Match": known_etag} if known_etag else None,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
+            async with (
+                limit,
+                self.session.request(
+                    method,
+                    f"{self.url.rstrip('/')}{path}",
+                    data=content,
+                    headers={"If-None-Match": known_etag} if known_etag else None,
+                    timeout=aiohttp.ClientTimeout(total=None),
+                    allow_redirects=False,
+                ) as response,
+            ):
+                limit.record_progress()
                 etag = response.headers.get("ETag", "")
                 era = _read_era(response)
-                return Ok(_Reply(response.status, await _read_content(response), etag, era))
+                content = await _read_content(response, limit.record_progress)
+                return Ok(_Reply(response.status, content, etag, era))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Nothing was sent: no connection was established.
             return _make_error(TableErrorKind.UNAVAILABLE, error)
@@ -155,7 +161,7 @@
     ----------
     url : str
     timeout_s : float
-        Timeout of a call, seconds.
+        Limit on the time to the answer of a call, and on each pause in it, seconds.
     session : aiohttp.ClientSession
     """
 
@@ -308,10 +314,13 @@
         return [result.ok() for result in results if result.is_ok()]
 
 
-async def _read_content(response: aiohttp.ClientResponse) -> bytes:
+async def _read_content(
+    response: aiohttp.ClientResponse, record_progress: Callable[[], None]
+) -> bytes:
     # A faulty service could otherwise fill the memory of every process that calls it.
     content = bytearray()
-    async for chunk in response.content.iter_chunked(1 << 16):
+    async for chunk in response.content.iter_any():
+        record_progress()
         content += chunk
         if len(content) > MAX_ANSWER_BYTES:
             raise _MalformedError(f"expected at most {MAX_ANSWER_BYTES} bytes, got more")
--- a/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_settings.py
@@ -36,7 +36,7 @@
         Names of registered adapters.
     table_url, objects_url, vms_url : str
     timeout_s : float
-        Timeout of one call, seconds.
+        Limit on the time to the answer of a call, and on each pause in it, seconds.
     """
 
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -148,7 +148,8 @@
     address : str
         Host and port.
     timeout_s : float
-        Limit on a call that does not wait for changes, seconds.
+        Limit on the time to the answer of a call that does not wait for changes, and on each
+        pause in any answer, seconds.
     now : callable
         Returns the time on the clock of the process, which counts the time for which the VM was
         suspended.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -38,7 +38,8 @@
     address : str
         Host and port of the platform's store.
     timeout_s : float
-        Limit on a call that does not wait for changes, seconds.
+        Limit on the time to the answer of a call that does not wait for changes, and on each
+        pause in any answer, seconds.
     """
 
     _constraints: ClassVar[dict[str, list[Constraint]]] = {
