Query again for a missed change as soon as peers show that the store answers

Cause: after a failed query a process that is no poller waits up to 4.5 s with 30 processes, to spare a store that is down. Messages of peers end that wait only if they continue from the known revision; a marker of larger changes does not, so the process that misses a change was the one that kept waiting. Change: any message of a peer that is newer than the failure ends the wait.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -207,11 +207,15 @@
 
     def confirm_by_peer(self, as_of: float, now: float, platform_s: float | None = None) -> None:
         """Record such a time received from a peer."""
+        self.record_peer_answer(as_of, now)
+        self.confirm(as_of, platform_s)
+
+    def record_peer_answer(self, as_of: float, now: float) -> None:
+        """Record that the platform answered a peer, whether or not its changes can be used here."""
         self._peer_confirmed_at = now
         if as_of > self._failed_at:
             # The platform rejected only this process, or has recovered.
             self._record_recovery(as_of)
-        self.confirm(as_of, platform_s)
 
     def record_answer(
         self, as_of: float, now: float, wait_s: float, platform_s: float | None = None
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -306,6 +306,7 @@
                 self._position.revision, message.after, message.upto
             )
             if continuity is ChangeContinuity.GAP:
+                self.poll_schedule.record_peer_answer(as_of, self.store.now())
                 continue
             self.poll_schedule.confirm_by_peer(as_of, self.store.now(), message.store_s)
             # A message may begin before the known position. A row from the copy that is received
