Ask a peer for changes of a table that the store does not send

Cause: changes of more than 8 KiB are announced to peers by their revision alone, and a process that the store refuses had no other way to them. Class: what one process has confirmed reaches the others only by the way on which it came. It concerns every table that is followed: configuration and keys, evacuations, upstreams, members. Change: a process that misses changes asks a random peer for the complete table, at once if its query fails, after 1 s if it is not answered yet; so does one that cannot read a table for the first time. A peer answers if it has a newer revision of the same era. The rows travel compressed, pass the checks of rows from the store, and remove what they lack. Protocol version 14; peers of former releases are not asked. The messages about tables move to modules of their own. Entries already fetch what they miss from peers (docs/design/configuration.md). Price: a feed keeps the rows of its table, 0.7 MB for 2,000 routes (calculated); a question has some 30 bytes.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -43,6 +43,13 @@
 """Delay before a process that is no poller reads a table again whose store was restored from a
 copy, seconds. Sampled anew each time, as all processes are informed at the same moment."""
 
+QUESTION_DELAY_S = 1.0
+"""Time after which a process asks a peer for changes that it misses, if the platform has not sent
+them yet, seconds. It asks at once if the platform refuses it."""
+
+QUESTION_INTERVALS_S = (0.15, 0.3)
+"""Time between two such questions, each to another peer, seconds. Sampled anew each time."""
+
 MAX_AGE_S = 3600.0
 """Upper limit of reported ages, and the age reported if there was no event, seconds."""
 
@@ -95,6 +102,7 @@
         self._as_of = float("-inf")
         self._overdue_intervals = rng.uniform(*OVERDUE_INTERVALS)
         self._has_gap = False
+        self._asks_at = float("inf")
         self._peer_confirmed_at = float("-inf")
         self._failed_at = float("-inf")
         self._is_failing = False
@@ -102,6 +110,18 @@
         self._substitutes_until = float("-inf")
         self._repeats_at = float("-inf")
 
+    @property
+    def confirmed_platform_s(self) -> float | None:
+        """Time of the last confirmation on the clock of the platform, seconds, if it is known."""
+        if self._platform_ahead_s is None or self._as_of == float("-inf"):
+            return None
+        return self._as_of + self._platform_ahead_s
+
+    @property
+    def question_due_at(self) -> float:
+        """When the process asks a peer for changes that it misses, infinity if it misses none."""
+        return self._asks_at
+
     def polls(self, now: float) -> bool:
         """Return whether the process is a poller at present."""
         if not self.switches.uses(Mechanism.SHARED_POLLS):
@@ -187,9 +207,30 @@
         if after > known:
             self._has_gap = True
             return ChangeContinuity.GAP
-        self._has_gap = False
+        self._close_gap()
         return ChangeContinuity.NEXT
 
+    def record_gap(self, as_of: float, now: float) -> None:
+        """Record a message of a peer that shows that this process misses changes.
+
+        Parameters
+        ----------
+        as_of : float
+            Time at which the platform answered the peer.
+        now : float
+        """
+        if self._asks_at == float("inf"):
+            self._asks_at = now + (0.0 if self._is_failing else QUESTION_DELAY_S)
+        self.record_peer_answer(as_of, now)
+
+    def record_question(self, now: float) -> None:
+        """Record that the process has asked a peer for the changes that it misses."""
+        self._asks_at = now + self.rng.uniform(*QUESTION_INTERVALS_S)
+
+    def _close_gap(self) -> None:
+        self._has_gap = False
+        self._asks_at = float("inf")
+
     def confirm(self, as_of: float, platform_s: float | None = None) -> None:
         """Record a time as of which the process has all changes.
 
@@ -223,7 +264,7 @@
         """Record that the platform answered a request."""
         if not self._has_gap and not self.polls(now) and now >= self._overdue_at(wait_s):
             self._substitutes_until = now + SUBSTITUTE_POLL_S
-        self._has_gap = False
+        self._close_gap()
         self._record_recovery(now)
         self.confirm(as_of, platform_s)
 
@@ -242,6 +283,8 @@
         """
         self._failed_at = now
         self._is_failing = True
+        if self._has_gap:
+            self._asks_at = min(self._asks_at, now)
         if now - self._peer_confirmed_at < POLLER_BACKOFF_S:
             self._backs_off_until = now + POLLER_BACKOFF_S
         if self.processes >= MIN_SPREAD_PROCESSES:
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -26,16 +26,13 @@
         "RunState",
     ),
     "._forwarder_messages": (
-        "ChangedRow",
         "ClockReading",
-        "EralessTableChanges",
         "KeysHonoured",
         "LoadsElsewhere",
         "LoadsOfDomain",
         "NewestConfiguration",
         "PromptPart",
         "RecordedOrigins",
-        "TableChanges",
         "UpstreamCrash",
         "UpstreamLoad",
         "UpstreamLoads",
@@ -55,6 +52,10 @@
         "UsageCounts",
         "WindowUsage",
     ),
+    "._packed_rows": (
+        "pack_rows",
+        "unpack_rows",
+    ),
     "._handshake": (
         "NONCE_BYTES",
         "check_proof",
@@ -93,6 +94,13 @@
         "Welcome",
         "message_types",
     ),
+    "._table_messages": (
+        "ChangedRow",
+        "EralessTableChanges",
+        "TableChanges",
+        "TableContent",
+        "TableQuestion",
+    ),
 }
 
 __getattr__, __dir__, __all__ = lazy_exports(__name__, _EXPORTS)
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
@@ -13,7 +13,7 @@
 
 from burdockquay_state import Fork, LogEntry
 
-from . import _forwarder_messages, _messages
+from . import _forwarder_messages, _messages, _table_messages
 from ._errors import ErrorKind
 from ._forwarder_messages import PromptPart, UpstreamLoad, UpstreamOutcome
 from ._messages import Frame, Frames, message_types
@@ -47,7 +47,9 @@
 )
 
 
-for _cls in (Fork, LogEntry, *vars(_messages).values(), *vars(_forwarder_messages).values()):
+_MODULES = (_messages, _forwarder_messages, _table_messages)
+
+for _cls in (Fork, LogEntry, *(item for module in _MODULES for item in vars(module).values())):
     if isinstance(_cls, type) and attrs.has(_cls):
         attrs.resolve_types(_cls)
 
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -1,4 +1,4 @@
-"""Messages between forwarders: loads and outcomes at upstreams, crashes, platform tables, usage."""
+"""Messages between forwarders: loads and outcomes at upstreams, crashes, usage."""
 
 from __future__ import annotations
 
@@ -140,84 +140,6 @@
     honoured: bool
 
 
-@attrs.frozen
-class ChangedRow:
-    """Row of one of the platform's tables.
-
-    Parameters
-    ----------
-    key : str
-    value : bytes or None
-        None if the row was removed.
-    revision : int
-        Value of the platform's transaction counter at the last change of the row.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@message(33, since=5)
-@attrs.frozen
-class EralessTableChanges:
-    """Changes of a platform table, from a process of a release without eras.
-
-    See :class:`TableChanges`. They can be applied only while the platform's store reports no era.
-    """
-
-    table: str
-    after: int
-    upto: int
-    store_s: float
-    steady_s: float
-    rows: list[ChangedRow]
-
-    def to_table_changes(self) -> TableChanges:
-        """Return the same changes as those of a store that reports no era."""
-        return TableChanges(
-            self.table, 0, self.after, self.upto, self.store_s, self.steady_s, self.rows
-        )
-
-
-@message(37, since=6)
-@attrs.frozen
-class TableChanges:
-    """Changes of a platform table, as the sender received them from the platform.
-
-    Parameters
-    ----------
-    table : str
-    era : int
-        Era of the platform's store; the revisions and ``store_s`` are valid in this era only. 0 if
-        the store reports none.
-    after, upto : int
-        ``rows`` holds all changes after the first revision, up to and including the second one; it
-        is the complete table if ``after`` is 0. If both are equal, the sender leaves out earlier
-        changes, and a process that has not received them requests them.
-    store_s : float
-        Time as of which ``rows`` was complete, on the platform's monotonic clock, seconds. It is
-        valid however late the message arrives.
-    steady_s : float
-        Time since the last request of the sender that the platform did not answer, seconds.
-    rows : list of ChangedRow
-    """
-
-    table: str
-    era: int
-    after: int
-    upto: int
-    store_s: float
-    steady_s: float
-    rows: list[ChangedRow]
-
-    def without_era(self) -> EralessTableChanges:
-        """Return the same changes for a process of a release without eras."""
-        return EralessTableChanges(
-            self.table, self.after, self.upto, self.store_s, self.steady_s, self.rows
-        )
-
-
 @message(38, since=6)
 @attrs.frozen
 class NewestConfiguration:
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -15,14 +15,15 @@
 
 from ._errors import ErrorKind
 
-PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13)
+PROTOCOL_VERSIONS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14)
 """Protocol versions that this release supports; version 2 adds :class:`Suspicions`, version 3 the
 messages between forwarders, version 4 :class:`KeysHonoured`, version 5
 :class:`EralessTableChanges`, :class:`LoadsOfDomain`, :class:`LoadsElsewhere` and
 :class:`UpstreamOutcomes`, version 6 :class:`TableChanges` and :class:`NewestConfiguration`, version
 7 :class:`UsageCounts` and :class:`ClockReading`, version 8 :class:`RateNeeds` and
 :class:`RateGrants`, version 9 :class:`StatementReports`, version 12 :class:`ColdStartReports` and
-loads of a whole region in :class:`LoadsOfDomain`."""
+loads of a whole region in :class:`LoadsOfDomain`, version 14 :class:`TableQuestion` and
+:class:`TableContent`."""
 
 message_types: dict[int, type] = {}
 """Message class by type number."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -529,6 +529,18 @@
         "start.",
     )
 
+    TABLE_CONTENT_RECEIVED = (
+        1979,
+        "NOTICE",
+        "A peer has sent a complete table of the platform, because this process missed changes "
+        "that the platform did not send it in time; ``size`` in bytes, compressed.",
+    )
+    TABLE_CONTENT_FAULT = (
+        1980,
+        "WARNING",
+        "A peer has sent a complete table that cannot be read; it is ignored.",
+    )
+
     ORDER_DONE = (1803, "INFO", "The engine carried out an order.")
 
     def __init__(self, number: int, level: str, summary: str):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -23,8 +23,9 @@
     load_adapters,
 )
 from ._settings import ForwarderPlatformSettings, ForwarderSettings
-from ._table_feed import FeedExchange, TableFeed, TableUpdate
+from ._table_feed import FeedExchange, TableFeed
 from ._table_store import TableReading, TableStore
+from ._table_update import TableUpdate
 
 __all__ = [
     "AnswerFacts",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -33,6 +33,8 @@
     StreamQuestion,
     StreamStarts,
     TableChanges,
+    TableContent,
+    TableQuestion,
     UpstreamCrash,
     UpstreamLoads,
     UpstreamOutcomes,
@@ -64,6 +66,7 @@
 from ._state import ForwarderState
 from ._statement_sharing import StatementSharing
 from ._stream_sharing import StreamSharing
+from ._table_sharing import TableSharing
 
 MEMBERS_LONG_POLL_S = 10.0
 """How long the platform may hold a query for changes of the members, seconds."""
@@ -123,7 +126,7 @@
         self._store_restored = asyncio.Event()
         self._rejoining: asyncio.Task | None = None
         state.upstream_registry.fleet.set_alone(False)
-        state.platform.exchange.send_changes = self._broadcast_changes
+        self._tables = TableSharing(state.platform.exchange, state.clock, state.rng, post_all)
         state.platform.exchange.on_restored = self._on_store_restored
         self._loads = LoadSharing(state, identity, post_all)
         self._outcomes = OutcomeSharing(state, identity, post_all)
@@ -150,8 +153,10 @@
             UpstreamCrash: self._receive_crash,
             KeysHonoured: self._keys.receive_keys,
             NewestConfiguration: self._keys.receive_configuration,
-            TableChanges: self._receive_changes,
-            EralessTableChanges: self._receive_eraless_changes,
+            TableChanges: self._tables.receive_changes,
+            EralessTableChanges: self._tables.receive_eraless_changes,
+            TableQuestion: self._tables.receive_question,
+            TableContent: self._tables.receive_content,
             RateNeeds: self._rates.receive_needs,
             RateGrants: self._rates.receive_grants,
             ColdStartReports: self._rates.receive_cold,
@@ -426,12 +431,7 @@
 
         The pollers are chosen among the processes that broadcast what they read from the platform.
         """
-        exchange = self.state.platform.exchange
-        needed = TableChanges if exchange.era.newest else EralessTableChanges
-        others = [
-            name for name, peer in self._peer_connections.items() if peer.version >= needed.since
-        ]
-        exchange.choose_pollers(self.identity.incarnation, others)
+        self._tables.set_peers(self.identity.incarnation, self._peer_connections)
         self._loads.set_peers(self._peer_connections)
         self._schedule.note_change()
         self._rates.set_peers(self._peer_connections)
@@ -453,26 +453,6 @@
             self.state.keys_due_in_s(now),
         )
 
-    def _broadcast_changes(self, message: TableChanges) -> None:
-        """Send changes of a table to all peers.
-
-        A peer of a release without eras receives them only while the store has none: it would take
-        the revisions of one era for those of another.
-        """
-        current = [
-            peer for peer in self._peer_connections.values() if peer.version >= TableChanges.since
-        ]
-        post_all(current, message)
-        if message.era == 0 and len(current) < len(self._peer_connections):
-            former = [peer for peer in self._peer_connections.values() if peer not in current]
-            post_all(former, message.without_era())
-
-    def _receive_changes(self, peer: PeerConnection, message: TableChanges) -> None:
-        self.state.platform.exchange.receive_changes(message, self.state.clock.now())
-
-    def _receive_eraless_changes(self, peer: PeerConnection, message: EralessTableChanges) -> None:
-        self._receive_changes(peer, message.to_table_changes())
-
     def _receive_crash(self, peer: PeerConnection, message: UpstreamCrash) -> None:
         self.state.receive_crash(message.upstream, message.digests, peer.peer.vm)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -5,8 +5,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Collection
-from typing import Generic, TypeVar
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 from result import Err, Ok, Result
@@ -20,88 +19,30 @@
     Switches,
     place_of,
 )
-from burdockquay_protocol import ChangedRow, TableChanges
+from burdockquay_protocol import (
+    ChangedRow,
+    TableChanges,
+    TableContent,
+    TableQuestion,
+    pack_rows,
+    unpack_rows,
+)
 from burdockquay_state import Position, TableError, TableErrorKind
 
 from .._events import Event, log_event
 from ._table_store import TableReading, TableStore
+from ._table_update import TableUpdate
 
 MAX_BROADCAST_BYTES = 8192
 """Most bytes of changed rows in one message. It is sent to every process, over links that callers
-use too; each process queries larger changes from the platform itself."""
+use too; each process queries larger changes from the platform, or asks a peer if it cannot."""
+
+MAX_CONTENT_BYTES = 2 << 20
+"""Largest complete table that is sent to a peer, bytes after compression."""
 
 MAX_RECEIVED_MESSAGES = 200
 """Most queued messages of peers; a process that drops some queries the platform itself."""
 
-T = TypeVar("T")
-
-
-@attrs.frozen
-class RowsSplit(Generic[T]):
-    """Rows divided into decoded entries, removed rows and unreadable rows.
-
-    Parameters
-    ----------
-    entries : tuple
-        Decoded values of the readable rows.
-    removed : tuple of str
-        Keys of the removed rows.
-    unreadable : tuple of ChangedRow
-    """
-
-    entries: tuple[T, ...]
-    removed: tuple[str, ...]
-    unreadable: tuple[ChangedRow, ...]
-
-
-@attrs.frozen
-class TableUpdate:
-    """Update of a table, received from the platform or a peer.
-
-    Parameters
-    ----------
-    whole : bool
-        Whether ``rows`` is the complete table; otherwise it holds the changed rows.
-    rows : tuple of ChangedRow
-    as_of : float
-        A time at which nothing else had changed, on the clock of this process.
-    last_failure_at : float
-        When the platform last failed to answer a query for the table or was restored from a copy,
-        as far as is known.
-    era : int
-        Of the platform's store.
-    after_restore : bool
-        Whether this is the first update since the store was restored from a copy.
-    upto : int or None
-        Revision up to which a complete table is complete.
-    """
-
-    whole: bool
-    rows: tuple[ChangedRow, ...]
-    as_of: float
-    last_failure_at: float = float("-inf")
-    era: int = 0
-    after_restore: bool = False
-    upto: int | None = None
-
-    def split(self, read: Callable[[ChangedRow], T | None]) -> RowsSplit[T]:
-        """Decode the rows, and list those that were removed or cannot be read.
-
-        Only the last change of each row counts.
-
-        Parameters
-        ----------
-        read : callable
-            Returns the decoded value of a row, None if it cannot be read.
-        """
-        newest = {row.key: row for row in self.rows}.values()
-        held = [(row, read(row)) for row in newest if row.value is not None]
-        return RowsSplit(
-            tuple(entry for _, entry in held if entry is not None),
-            tuple(row.key for row in newest if row.value is None),
-            tuple(row for row, entry in held if entry is None),
-        )
-
 
 class FeedExchange:
     """Exchange of changes of the platform's tables between the forwarders.
@@ -117,6 +58,7 @@
         self.switches = switches
         self.era = StoreEra()
         self.send_changes: Callable[[TableChanges], None] = lambda message: None
+        self.send_question: Callable[[TableQuestion], None] = lambda message: None
         self.on_restored: Callable[[], None] = lambda: None
         self._feeds: dict[str, TableFeed] = {}
 
@@ -124,15 +66,52 @@
         """Pass the messages of peers about a table to its feed."""
         self._feeds[feed.table] = feed
 
-    def receive_changes(self, message: TableChanges, now: float) -> None:
-        """Pass a message of a peer to the feed of its table."""
+    def receive_changes(self, message: TableChanges, now: float, is_complete: bool = False) -> None:
+        """Pass a message of a peer to the feed of its table.
+
+        Parameters
+        ----------
+        message : TableChanges
+        now : float
+        is_complete : bool
+            Whether rows that it does not have were removed.
+        """
         if not self.switches.uses(Mechanism.SHARED_POLLS):
             return
         if message.era:
             self.record_era(message.era, now, from_peer=True)
         feed = self._feeds.get(message.table)
         if feed is not None:
-            feed.receive(message)
+            feed.receive(message, is_complete)
+
+    def answer_question(self, message: TableQuestion) -> TableContent | None:
+        """Return the table that a peer asks for, None if this process has no newer one."""
+        feed = self._feeds.get(message.table)
+        return None if feed is None else feed.answer_question(message)
+
+    def receive_content(self, message: TableContent, now: float) -> None:
+        """Pass a complete table that a peer has sent to its feed."""
+        rows = unpack_rows(message.packed)
+        if isinstance(rows, Err):
+            log_event(Event.TABLE_CONTENT_FAULT, table=message.table, fault=rows.err())
+            return
+        log_event(
+            Event.TABLE_CONTENT_RECEIVED,
+            table=message.table,
+            revision=message.upto,
+            rows=len(rows.ok()),
+            size=len(message.packed),
+        )
+        changes = TableChanges(
+            message.table,
+            message.era,
+            0,
+            message.upto,
+            message.store_s,
+            message.steady_s,
+            list(rows.ok()),
+        )
+        self.receive_changes(changes, now, is_complete=True)
 
     def record_era(self, era: int, now: float, from_peer: bool = False) -> None:
         """Record the era of the store in an answer or message; a new era restarts all feeds."""
@@ -179,8 +158,10 @@
         self._position: Position | None = None
         self._read_era: int | None = None
         self._reread_at = float("-inf")
-        self._keys: set[str] = set()
-        self._received: deque[TableChanges] = deque(maxlen=MAX_RECEIVED_MESSAGES)
+        self._rows: dict[str, ChangedRow] = {}
+        self._packed: tuple[Position, bytes] | None = None
+        # Each with whether it is a complete table.
+        self._received: deque[tuple[TableChanges, bool]] = deque(maxlen=MAX_RECEIVED_MESSAGES)
         self._pending_query: _PendingQuery | None = None
         self._wait_s = float("inf")
         self._wake = asyncio.Event()
@@ -210,11 +191,35 @@
             self._cancel_query()
             raise
 
-    def receive(self, message: TableChanges) -> None:
-        """Queue a message of a peer about the table."""
-        self._received.append(message)
+    def receive(self, message: TableChanges, is_complete: bool = False) -> None:
+        """Queue a message of a peer about the table; see :meth:`FeedExchange.receive_changes`."""
+        self._received.append((message, is_complete))
         self._wake.set()
 
+    def answer_question(self, message: TableQuestion) -> TableContent | None:
+        """Return the complete table for a peer that misses changes.
+
+        Returns
+        -------
+        TableContent or None
+            None if this process has no newer revision of the same era.
+        """
+        confirmed_s = self.poll_schedule.confirmed_platform_s
+        position = self._position
+        if position is None or confirmed_s is None or self._is_past():
+            return None
+        if message.era != position.era or message.known >= position.revision:
+            return None
+        if self._packed is None or self._packed[0] != position:
+            self._packed = (position, pack_rows(self._rows.values()))
+        packed = self._packed[1]
+        if len(packed) > MAX_CONTENT_BYTES:
+            return None
+        steady_s = self.poll_schedule.steady_s(self.store.now())
+        return TableContent(
+            self.table, position.era, position.revision, confirmed_s, steady_s, packed
+        )
+
     def set_poller(self, polls: bool, processes: int = 1, place: int = 0) -> None:
         """Set whether this process polls, how many are connected, and its place among them."""
         self.poll_schedule.place = place
@@ -260,8 +265,18 @@
             query, self._pending_query = self._pending_query, None
             return await self._apply_answer(query, wait_s)
         self._query_if_due(wait_s)
+        self._ask_if_due()
         return None
 
+    def _ask_if_due(self) -> None:
+        """Ask a peer for changes that the platform does not send to this process in time."""
+        if self.store.now() >= self.poll_schedule.question_due_at:
+            self._ask_peer(self._position)
+
+    def _ask_peer(self, position: Position) -> None:
+        self.poll_schedule.record_question(self.store.now())
+        self.exchange.send_question(TableQuestion(self.table, position.era, position.revision))
+
     def _cancel_query(self) -> None:
         if self._pending_query is not None:
             self._pending_query.answer.cancel()
@@ -289,6 +304,10 @@
         elif self._pending_query is None:
             due_at = max(self._reread_at, self.poll_schedule.next_due_at(now, wait_s))
             limit_s = max(0.0, due_at - now)
+        question_due_at = self.poll_schedule.question_due_at
+        if question_due_at < float("inf"):
+            asks_in_s = max(0.0, question_due_at - now)
+            limit_s = asks_in_s if limit_s is None else min(limit_s, asks_in_s)
         try:
             async with asyncio.timeout(limit_s):
                 await self._wake.wait()
@@ -298,7 +317,7 @@
     def _take_peer_update(self) -> TableUpdate | None:
         """Return the next update of a peer that continues from the known position."""
         while self._received:
-            message = self._received.popleft()
+            message, is_complete = self._received.popleft()
             if message.era != self._position.era:
                 continue
             as_of = self._valid_at(message)
@@ -306,13 +325,15 @@
                 self._position.revision, message.after, message.upto
             )
             if continuity is ChangeContinuity.GAP:
-                self.poll_schedule.record_peer_answer(as_of, self.store.now())
+                self.poll_schedule.record_gap(as_of, self.store.now())
                 continue
             self.poll_schedule.confirm_by_peer(as_of, self.store.now(), message.store_s)
             # A message may begin before the known position. A row from the copy that is received
             # again must not be taken for a change by its writer.
             known = self._position.revision
             rows = tuple(row for row in message.rows if row.revision > known)
+            if is_complete and message.upto > known:
+                rows += self._removed_from(message.rows, message.upto)
             self._record_rows(rows, message.upto)
             return TableUpdate(False, rows, as_of, self._last_failure_at(message), message.era)
         return None
@@ -320,7 +341,7 @@
     def _take_peer_table(self) -> Result[TableUpdate, TableError] | None:
         """Return the complete table if a peer sent it after the store was restored."""
         while self._received:
-            message = self._received.popleft()
+            message, _ = self._received.popleft()
             if message.after != 0 or message.era != self.exchange.era.newest:
                 continue
             as_of = self._valid_at(message)
@@ -378,19 +399,21 @@
         if isinstance(read, Err):
             # The known position stays: changes that peers send from there on still apply.
             self.poll_schedule.record_no_answer(now)
+            if self._position is None:
+                self._ask_peer(Position(self.exchange.era.newest, 0))
             return read
         reading = read.ok()
         era = reading.position.era
         self.exchange.record_era(era, now)
         if self.exchange.era.is_past(era):
             return Err(TableError(TableErrorKind.UNAVAILABLE, f"rows of the past era {era}"))
-        after, known = self._position, self._keys
+        after = self._position
+        removed = self._removed_from(reading.rows, reading.position.revision)
         after_restore = self._restart_from(reading.rows, reading.position)
         self.poll_schedule.confirm(reading.as_of, reading.store_s)
         if after_restore:
             self._broadcast_table(reading)
         elif after is not None:
-            removed = [ChangedRow(key, None, self._position.revision) for key in known - self._keys]
             changed = [row for row in reading.rows if row.revision > after.revision]
             self._broadcast(after, reading, (*changed, *removed))
         restored_at = self.exchange.era.restored_at
@@ -399,6 +422,11 @@
             TableUpdate(True, reading.rows, reading.as_of, restored_at, era, after_restore, upto)
         )
 
+    def _removed_from(self, rows: Iterable[ChangedRow], revision: int) -> tuple[ChangedRow, ...]:
+        """Return the known rows that a complete table lacks, as removed by a revision."""
+        removed = self._rows.keys() - {row.key for row in rows}
+        return tuple(ChangedRow(key, None, revision) for key in removed)
+
     def _restart_from(self, rows: Collection[ChangedRow], position: Position) -> bool:
         """Continue from a complete table.
 
@@ -407,7 +435,7 @@
         bool
             Whether the store was restored since the last complete table.
         """
-        self._keys = {row.key for row in rows}
+        self._rows = {row.key: row for row in rows}
         self._position = position
         before, self._read_era = self._read_era, position.era
         return before is not None and before < position.era
@@ -416,9 +444,9 @@
         self._position = max(self._position, Position(self._position.era, revision))
         for row in rows:
             if row.value is None:
-                self._keys.discard(row.key)
+                self._rows.pop(row.key, None)
             else:
-                self._keys.add(row.key)
+                self._rows[row.key] = row
 
     def _broadcast_table(self, reading: TableReading) -> None:
         """Send the complete table to peers, if this process is one of the first to read it."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
@@ -7,7 +7,14 @@
 from result import Err, Ok
 
 from burdockquay_coordination.forwarding import Switches
-from burdockquay_protocol import ChangedRow, TableChanges
+from burdockquay_protocol import (
+    ChangedRow,
+    TableChanges,
+    TableContent,
+    TableQuestion,
+    pack_rows,
+    unpack_rows,
+)
 from burdockquay_state import Position, TableError, TableErrorKind
 from burdockquay_transport.forwarding import FeedExchange, TableFeed, TableReading, TableStore
 
@@ -306,3 +313,42 @@
     await asyncio.sleep(0.01)
     pending.cancel()
     assert store.waits == 2
+
+
+async def test_peer_is_asked_for_changes_that_the_store_refuses_to_send(feed, store, exchange):
+    """Guards against a process that waits for the store while its peers have the change."""
+    questions = []
+    exchange.send_question = questions.append
+    exchange.receive_changes(make_marker(60, store.time), store.time)
+    pending = asyncio.create_task(feed.next(1.0))
+    await asyncio.sleep(0.01)
+    assert not questions, "the store may still answer"
+    store.answer(STORE_UNAVAILABLE)
+    assert (await pending).is_err()
+    pending = asyncio.create_task(next_update(feed))
+    await asyncio.sleep(0.01)
+    assert questions == [TableQuestion("t", 1, 50)]
+    rows = [ChangedRow("new", b"large", 60)]
+    exchange.receive_content(
+        TableContent("t", 1, 60, store.time, 3600.0, pack_rows(rows)), store.time
+    )
+    update = await pending
+    assert sorted(update.rows, key=lambda row: row.key) == [ChangedRow("k", None, 60), *rows]
+    assert feed.poll_schedule.question_due_at == float("inf")
+
+
+async def test_only_a_newer_table_of_the_same_era_is_sent_to_a_peer(feed, store, exchange):
+    """Guards against an older table that replaces a newer one after a restore from a copy."""
+    content = exchange.answer_question(TableQuestion("t", 1, 49))
+    assert (content.upto, unpack_rows(content.packed).ok()) == (50, (ChangedRow("k", b"old", 50),))
+    assert exchange.answer_question(TableQuestion("t", 1, 50)) is None
+    assert exchange.answer_question(TableQuestion("t", 2, 10)) is None
+    assert exchange.answer_question(TableQuestion("other", 1, 0)) is None
+    exchange.record_era(2, store.time)
+    assert exchange.answer_question(TableQuestion("t", 1, 49)) is None
+
+
+async def test_malformed_table_of_a_peer_is_ignored(feed, store, exchange):
+    """Guards against a feed that stalls at bytes that it cannot read."""
+    exchange.receive_content(TableContent("t", 1, 60, store.time, 3600.0, b"no rows"), store.time)
+    assert await yields_nothing(feed)
