Make the urgency level and the rank of a request independent of the configuration

Callers would see: urgent streams stop while less urgent ones run on at the same engine. Cause: levels were laid out over the largest priority of any organisation. A process with another version, or a stream that outlasts a version, had a route of priority 1 at levels 2 and 3 where an urgent route has 4 and 5 elsewhere; the engine preempts by level. From a largest priority of 5 on several ranks shared the last level. Class: an order that depends on what else is configured. Change: one function gives the level, one the rank, from the priorities of the request alone. Routes of priority 0 to 3 share no level. The level of a plain request of priority 3 is 9 (7 before). Slots order by class and have no such levels.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -45,7 +45,7 @@
 from ._config_versions import ConfigVersionTracker
 from ._crowding import Crowding
 from ._demand import Demand, Placement
-from ._directory import ConfigDirectory, pick_service, request_priority
+from ._directory import ConfigDirectory, pick_service
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
@@ -94,7 +94,7 @@
 from ._suspects import CrashSuspects, Interruption
 from ._upstream import Upstream
 from ._upstreams import UpstreamRegistry
-from ._urgency import SHORT_READING_SHARE, UrgencyScale
+from ._urgency import SHORT_READING_SHARE, request_priority, request_rank, urgency_level
 from ._waiting import HoldReason, PassedOver, PromptQueue, Start, WaitingPrompt
 
 __all__ = [
@@ -188,7 +188,6 @@
     "Upstream",
     "UpstreamRegistry",
     "UpstreamChanges",
-    "UrgencyScale",
     "WaitingPrompt",
     "choose_backup",
     "choose_upstream",
@@ -203,6 +202,8 @@
     "group_relays",
     "split_by_domain",
     "request_priority",
+    "request_rank",
+    "urgency_level",
     "retry_delay_s",
     "usable_upstreams",
     "pick_service",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_directory.py
@@ -8,7 +8,7 @@
 
 from ..regions import SINGLE_REGION, Homes, RegionMap, intersect_homes
 from ._config import CallerOrganisation, ForwardConfig, ForwardRoute, ServiceTargets
-from ._urgency import UrgencyScale
+from ._urgency import request_priority, urgency_level
 
 
 class ConfigDirectory:
@@ -29,8 +29,6 @@
             for share in route.shares:
                 known = self._targets.get(share.service, ServiceTargets())
                 self._targets[share.service] = known.with_route(route)
-        self._max_organisation_priority = _highest_organisation_priority(config)
-        self.urgency = UrgencyScale(self._possible_ranks())
         self._organisations = {
             api_key: organisation
             for organisation in config.organisations or ()
@@ -79,21 +77,6 @@
         """Return the combined targets of the routes to a service."""
         return self._targets.get(service, ServiceTargets())
 
-    def rank(self, route: ForwardRoute, organisation: CallerOrganisation | None) -> int:
-        """Return the urgency rank of a request among all to its service: 0 is the first.
-
-        For prompts, the priority of the route decides first, and that of the organisation between
-        requests to routes of the same priority. If the organisation decided first, upstreams that
-        run out of memory would preempt streams of urgent routes while long prompts of other routes
-        continue.
-        """
-        priority = request_priority(route, organisation)
-        if not route.by_prompt:
-            return priority
-        return route.priority * (self._max_organisation_priority + 1) + min(
-            priority, self._max_organisation_priority
-        )
-
     def homes(
         self, host: str, path: str, organisation: str | None, admitted: ForwardRoute
     ) -> Homes | None:
@@ -140,16 +123,13 @@
         """
         return {
             f"{route.priority}/{request_priority(route, organisation)}": [
-                self.urgency.level(self.rank(route, organisation), is_short)
+                urgency_level(route.priority, request_priority(route, organisation), is_short)
                 for is_short in (True, False)
             ]
             for route, organisation in self._callers()
             if route.by_prompt
         }
 
-    def _possible_ranks(self) -> list[int]:
-        return [self.rank(*pair) for pair in self._callers()]
-
     def _callers(self) -> Iterator[tuple[ForwardRoute, CallerOrganisation | None]]:
         """Yield each route with an organisation of each priority."""
         by_priority = {item.priority: item for item in self.config.organisations or ()}
@@ -160,19 +140,6 @@
         return self._organisations.get(api_key)
 
 
-def request_priority(route: ForwardRoute, organisation: CallerOrganisation | None) -> int:
-    """Return the priority of a request: that of its organisation, or else of its route."""
-    if organisation is None or organisation.priority is None:
-        return route.priority
-    return organisation.priority
-
-
-def _highest_organisation_priority(config: ForwardConfig) -> int:
-    """Return the largest (least urgent) priority of an organisation, 0 if none has one."""
-    named = (item.priority for item in config.organisations or ())
-    return max((priority for priority in named if priority is not None), default=0)
-
-
 def _has_port(host: str) -> bool:
     return host.rpartition(":")[2].isdigit() and not host.endswith("]")
 
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_urgency.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_urgency.py
@@ -1,56 +1,79 @@
-"""Urgency levels of requests at an upstream: by priority, and short prompts before long ones."""
+"""Order of requests: their rank in queues, and their urgency level at an upstream.
+
+Both depend on the request alone and not on what else is configured, so that all processes have the
+same order, whatever version each has, and running streams keep their place in it.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from ._config import CallerOrganisation, ForwardRoute
 
 URGENCY_LEVELS = 10
 """Number of urgency levels that an upstream distinguishes; level 0 is read first."""
 
+PRIORITIES = 10
+"""Number of priorities that routes and organisations may have; later ones count as the last."""
+
+_LEVELS = (
+    ((0, 1), (2, 3)),
+    ((4, 5), (6, 7)),
+    ((8, 8), (8, 8)),
+    ((9, 9), (9, 9)),
+)
+"""Levels by the priority of the route, then of organisations of priority 0 and of others, then of
+short and of long prompts; less urgent routes have the last ones."""
+
 SHORT_READING_SHARE = 0.1
 """Share of the tightest target of a service up to which the reading time of a prompt is short. Each
 such prompt delays the others by a tenth of the tightest target at most."""
 
 
-class UrgencyScale:
-    """Maps ranks of requests to urgency levels of upstreams.
+def request_priority(route: ForwardRoute, organisation: CallerOrganisation | None) -> int:
+    """Return the priority of a request: that of its organisation, or else of its route."""
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
+
+
+def request_rank(route: ForwardRoute, organisation: CallerOrganisation | None) -> int:
+    """Return the rank of a request among all to its service: 0 is the first.
 
-    Upstreams read prompts of one level in order of arrival. In a burst of long prompts, short ones
-    would wait for the long ones and miss their targets, while the long ones gain almost nothing. So
-    each rank has two levels as far as there are enough, the more urgent ranks first; the first
-    level of a rank is for short prompts.
+    For prompts, the priority of the route decides first, and that of the organisation between
+    requests to routes of the same priority. If the organisation decided first, upstreams that run
+    out of memory would preempt streams of urgent routes while long prompts of others continue.
+    """
+    priority = request_priority(route, organisation)
+    if not route.by_prompt:
+        return priority
+    return route.priority * PRIORITIES + _bounded(priority, PRIORITIES)
+
+
+def urgency_level(route_priority: int, priority: int, is_short: bool) -> int:
+    """Return the urgency level of a request at its upstream, less than ``URGENCY_LEVELS``.
+
+    Upstreams read prompts of one level in order of arrival, and preempt the newest of the least
+    urgent level when their memory is full. In a burst of long prompts, short ones would wait for
+    the long ones and miss their targets, while the long ones gain almost nothing.
 
     Parameters
     ----------
-    ranks : iterable of int
-        All ranks that requests may have; 0 is the most urgent.
+    route_priority : int
+        Priority of the route, for requests with a prompt; otherwise ``priority``.
+    priority : int
+        See :func:`request_priority`.
+    is_short : bool
+        Whether the reading time of its prompt is short; false for requests without a prompt.
 
     Examples
     --------
-    >>> scale = UrgencyScale([0, 1])
-    >>> scale.level(0, is_short=False), scale.level(1, is_short=True)
-    (1, 2)
+    >>> urgency_level(0, 0, is_short=True), urgency_level(0, 1, is_short=False)
+    (0, 3)
+    >>> urgency_level(1, 0, is_short=True)
+    4
     """
+    by_organisation = _LEVELS[_bounded(route_priority, len(_LEVELS))]
+    return by_organisation[_bounded(priority, 2)][not is_short]
+
 
-    def __init__(self, ranks: Iterable[int]):
-        # The levels depend on the highest rank alone and not on which ranks exist. So a new rank
-        # does not move the others while processes apply the configuration one by one, unless it
-        # takes a second level from them.
-        count = max(ranks, default=0) + 1
-        self._ranks_with_two_levels = max(0, min(count, URGENCY_LEVELS - count))
-
-    def level(self, rank: int, is_short: bool) -> int:
-        """Return the urgency level of a request.
-
-        Parameters
-        ----------
-        rank : int
-        is_short : bool
-            Whether the reading time of its prompt is short; false for requests without a prompt.
-        """
-        level = (
-            2 * rank + (not is_short)
-            if rank < self._ranks_with_two_levels
-            else rank + self._ranks_with_two_levels
-        )
-        return min(max(level, 0), URGENCY_LEVELS - 1)
+def _bounded(priority: int, count: int) -> int:
+    return min(max(priority, 0), count - 1)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -14,6 +14,7 @@
     ForwardRoute,
     pick_service,
     request_priority,
+    request_rank,
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
@@ -363,7 +364,7 @@
             body,
             started,
             started + patience,
-            directory.rank(route, organisation),
+            request_rank(route, organisation),
             find_homes=self.state.find_homes,
         )
         if not self.state.may_finish(call):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -16,6 +16,7 @@
     choose_backup,
     choose_upstream,
     spare_upstreams,
+    urgency_level,
     usable_upstreams,
 )
 from burdockquay_protocol import ErrorKind, RequestError
@@ -446,7 +447,8 @@
     def _sent_urgency(self, call: ForwardCall) -> int:
         """Return the urgency that is sent to the upstream."""
         is_short = call.sent is not None and call.sent.placement.is_short
-        return self.state.directory.urgency.level(call.rank, is_short)
+        route_priority = call.route.priority if call.by_prompt else call.urgency
+        return urgency_level(route_priority, call.urgency, is_short)
 
     def _check_parts(self, call: ForwardCall) -> None:
         """Raise if parts of the prompt crash upstreams, unless the call tests them.
