Let the route decide at which backlog a waiting prompt starts, as it does in the queue

Cause: the queue orders by route first and organisation second, but the limit on the backlog took the priority of the organisation alone. A long prompt of an organisation of priority 0 on a route of priority 1 could start behind 0.8 of the time to its target, as urgent ones may; a prompt of an urgent route whose organisation has priority 1 only behind the window of the others. Class: two orders of urgency in one decision. Change: the limit takes the priority of the route. Retries and reservations already do. Result: test_backlog_at_which_a_prompt_starts_depends_on_its_route failed before, for both kinds, and passes. Entries and slots use one order, that of classes.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -54,7 +54,7 @@
     ----------
     demand : Demand
     urgency : int
-        Priority; 0 is the most urgent.
+        Priority of its route; 0 is the most urgent.
     target_at : float
         Time at which the first token is due.
     give_up_at : float
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -315,7 +315,7 @@
         hold_s = min(MAX_WAIT_SILENCE_SHARE * silence, MAX_WAIT_PATIENCE_SHARE * patience)
         return WaitingPrompt(
             self._make_demand(call),
-            call.urgency,
+            call.route.priority,
             call.started + call.route.target_s,
             call.started + hold_s,
             call.tried,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 import uvloop
 from multidict import CIMultiDict
@@ -81,11 +82,11 @@
     )
 
 
-def make_call(patience_s=5.0):
+def make_call(patience_s=5.0, route=ROUTE, urgency=1):
     prompt = Prompt((("shared", 5000), ("own", 1000)), 40)
     request = CallerRequest("id", "POST", "/x", "/x", "h", CIMultiDict(), prompt=prompt)
     now = SystemClock().now()
-    return ForwardCall(None, request, ROUTE, "s", None, 1, b"", now, now + patience_s, 1)
+    return ForwardCall(None, request, route, "s", None, urgency, b"", now, now + patience_s, 1)
 
 
 async def test_cancellation_right_after_the_start_removes_the_prompt_from_the_upstream(
@@ -119,6 +120,25 @@
     assert "to read" in refused.value.error.detail
 
 
+@pytest.mark.parametrize(
+    ("route_priority", "organisation_priority", "starts"), [(0, 1, True), (1, 0, False)]
+)
+async def test_backlog_at_which_a_prompt_starts_depends_on_its_route(
+    dispatcher, upstream, route_priority, organisation_priority, starts
+):
+    """Guards against long prompts of an urgent organisation that go before those of urgent routes,
+    which have an earlier place in the queue."""
+    route = attrs.evolve(ROUTE, priority=route_priority)
+    upstream.pending.add("other", 10_000, dispatcher.clock.now())
+    waiting = asyncio.create_task(
+        dispatcher.start(make_call(route=route, urgency=organisation_priority))
+    )
+    await asyncio.sleep(0)
+    assert (len(dispatcher.queue) == 0) is starts
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+
+
 async def test_service_without_upstreams_returns_none_at_once(dispatcher, upstream_registry):
     upstream_registry.apply(UpstreamChanges(True), 1.0)
     assert await dispatcher.start(make_call()) is None
