Start urgent prompts before less urgent ones also when they are late

Cause: the queue of prompts sorted by lateness first and by rank second, and a late prompt started only behind 0.15 of the backlog that others may have. After a second of overload every urgent prompt is late and waited until it was refused. Class: lateness before urgency. Change: rank first, lateness within a rank. Late prompts of routes that are not the least urgent start behind the same backlog as less urgent ones. Each rank that waits gets one start after 8 starts of more urgent late ones. A round evaluates some prompts of each rank, and those in time first; before, 60 late ones of a rank hid all others.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_config.py
@@ -101,8 +101,8 @@
     tightest_s : float
         Tightest target, seconds; one second if no route leads to the service any more while its
         last requests still run.
-    most_urgent : int
-        Priority of the most urgent route.
+    most_urgent, least_urgent : int
+        Priorities of the most and of the least urgent route.
     shortest_pause_s, longest_pause_s : float or None
         Shortest and longest pause target of the routes, seconds; None if no route has one.
     """
@@ -111,6 +111,7 @@
     most_urgent: int = 9
     shortest_pause_s: float | None = None
     longest_pause_s: float | None = None
+    least_urgent: int = 0
 
     def with_route(self, route: ForwardRoute) -> ServiceTargets:
         """Return the targets combined with those of one more route."""
@@ -121,6 +122,7 @@
             min(self.most_urgent, route.priority),
             min(known, default=None),
             max(known, default=None),
+            max(self.least_urgent, route.priority),
         )
 
     def is_steady(self, route: ForwardRoute) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -34,9 +34,14 @@
 """The same share for the most urgent requests, of the time left to their own target."""
 
 LATE_BACKLOG_SHARE = 0.15
-"""Share of the window up to which requests that have missed their target are started: only where an
-upstream has almost nothing to read. With a larger share, late requests alone keep upstreams reading
-all the time, and the answers generated meanwhile are too slow to end in time."""
+"""Share of the window up to which requests of the least urgent routes that have missed their target
+are started: only where an upstream has almost nothing to read. With a larger share, late requests
+alone keep upstreams reading all the time, and the answers generated meanwhile are too slow to end
+in time. Late requests of other routes start at the backlog at which less urgent ones do."""
+
+MAX_PASSED_OVER = 8
+"""Starts of more urgent requests that are late after which a request that waits gets one. Requests
+in time are passed over by more urgent ones that are in time, too, without a limit."""
 
 TARGET_MARGIN = 0.9
 """Factor on predicted times before they are compared with a target: a request counts as late only
@@ -45,6 +50,9 @@
 MAX_CANDIDATES_PER_ROUND = 60
 """Waiting requests that one round evaluates at most, which bounds its processor time."""
 
+MIN_CANDIDATES_PER_RANK = 10
+"""Waiting requests of each rank that are among them, if so many wait."""
+
 
 @attrs.define(eq=False)
 class WaitingPrompt:
@@ -140,14 +148,19 @@
     Upstreams read their prompts in order of arrival, and a long prompt delays the first token of
     every prompt behind it. If a burst of long prompts were sent at once, all requests would be
     late, the short urgent ones first of all. So less urgent requests wait here while an upstream
-    has a large backlog. Requests that have missed their target go last: if they were served first,
-    the next ones would be late as well, and none would be in time until the end of the burst. Among
-    equal requests, those whose shared part is cached go first: after an upstream is removed, its
-    parts must be read again, and each such prompt takes the time of several others.
+    has a large backlog. More urgent requests go first, also if they are late. Among requests of one
+    rank, those that have missed their target go last: if they were served first, the next ones
+    would be late as well, and none would be in time until the end of the burst. Among equal
+    requests, those whose shared part is cached go first: after an upstream is removed, its parts
+    must be read again, and each such prompt takes the time of several others.
+
+    So that a burst of urgent requests does not stop all others, each rank that waits gets a start
+    after ``MAX_PASSED_OVER`` starts of more urgent requests that are late.
     """
 
     def __init__(self):
         self._waiting: list[WaitingPrompt] = []
+        self._turns = _Turns()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -221,12 +234,13 @@
         since: placing all of them again after each start takes most of the processor time of a
         small process.
         """
-        considered = heapq.nsmallest(MAX_CANDIDATES_PER_ROUND, self._waiting, key=_queue_order)
-        candidates = _Candidates(PlacementRound(upstreams, model, now), considered)
+        considered = _choose_candidates(self._waiting, now)
+        candidates = _Candidates(PlacementRound(upstreams, model, now), considered, self._turns)
         while (start := candidates.pop()) is not None:
             if _may_start(start, model, targets, now):
                 candidates.record_started(start)
                 self._waiting.remove(start.waiting)
+                self._turns.record_start(start, {item.rank for item in self._waiting})
                 yield attrs.evolve(start, passed_over=self._passed_over(start, candidates))
             else:
                 candidates.record_held(start)
@@ -240,6 +254,41 @@
         return PassedOver(len(found), oldest, Counter(map(candidates.hold_reason, found)))
 
 
+class _Turns:
+    """Starts that ranks are owed because more urgent requests that are late go first."""
+
+    def __init__(self):
+        self._passed_over: Counter[int] = Counter()
+
+    def choose(self, ranks: Iterable[int]) -> int:
+        """Return the rank whose request is the next one to start.
+
+        Parameters
+        ----------
+        ranks : iterable of int
+            Those of which requests may start, at least one.
+        """
+        present = sorted(ranks)
+        owed = (rank for rank in present if self._passed_over[rank] >= MAX_PASSED_OVER)
+        return next(owed, present[0])
+
+    def record_start(self, start: Start, waiting: Collection[int]) -> None:
+        """Record a start.
+
+        Parameters
+        ----------
+        start : Start
+        waiting : collection of int
+            Ranks of the requests that still wait.
+        """
+        started = start.waiting.rank
+        self._passed_over = Counter(
+            {rank: self._passed_over[rank] for rank in waiting if rank != started}
+        )
+        if start.late or start.late_with_backlog:
+            self._passed_over.update(rank for rank in waiting if rank > started)
+
+
 class _Candidates:
     """Waiting requests by rank, placed again only if another request started at their upstream.
 
@@ -247,21 +296,26 @@
     ----------
     round_ : PlacementRound
     waiting : iterable of WaitingPrompt
+    turns : _Turns
     """
 
-    def __init__(self, round_: PlacementRound, waiting: Iterable[WaitingPrompt]):
+    def __init__(self, round_: PlacementRound, waiting: Iterable[WaitingPrompt], turns: _Turns):
         self._round = round_
+        self._turns = turns
         self._cached_first = round_.model.switches.uses(Mechanism.WARM_FIRST)
         self._started: Counter[str] = Counter()
         self._hold_reasons: dict[int, HoldReason] = {}
-        self._heap: list[tuple[tuple, int, int, Start]] = []
+        self._heaps: defaultdict[int, list[tuple[tuple, int, int, Start]]] = defaultdict(list)
         for number, item in enumerate(waiting):
             self._push(number, item)
 
     def pop(self) -> Start | None:
         """Remove and return the first candidate, None if there is none left."""
-        while self._heap:
-            _, number, started_before, start = heapq.heappop(self._heap)
+        while self._heaps:
+            rank = self._turns.choose(self._heaps)
+            _, number, started_before, start = heapq.heappop(self._heaps[rank])
+            if not self._heaps[rank]:
+                del self._heaps[rank]
             if started_before == self._started[start.placement.upstream.id]:
                 return start
             self._push(number, start.waiting)
@@ -286,10 +340,11 @@
             self._hold_reasons[id(item)] = HoldReason.NO_UPSTREAM
         else:
             started = self._started[start.placement.upstream.id]
-            heapq.heappush(self._heap, (self._rank(start), number, started, start))
+            entry = (self._order(start), number, started, start)
+            heapq.heappush(self._heaps[item.rank], entry)
 
-    def _rank(self, start: Start) -> tuple[bool, bool, int, bool, float]:
-        """Return the sort key: what can be in time first, then by urgency, then cached prompts.
+    def _order(self, start: Start) -> tuple[bool, bool, bool, float]:
+        """Return the sort key within a rank: what can be in time first, then cached prompts.
 
         If the backlog were ignored, engines would read prompts in a burst that are late all the
         same, while others that could be in time are rejected. A request that is late only because
@@ -298,7 +353,7 @@
         """
         waiting = start.waiting
         is_uncached = self._cached_first and not start.placement.is_cached
-        return (start.late, start.late_with_backlog, waiting.rank, is_uncached, waiting.target_at)
+        return (start.late, start.late_with_backlog, is_uncached, waiting.target_at)
 
 
 def _evaluate(item: WaitingPrompt, round_: PlacementRound) -> Start | None:
@@ -316,8 +371,19 @@
     return Start(item, placement, late and late_last, late_with_backlog and late_last)
 
 
-def _queue_order(item: WaitingPrompt) -> tuple[int, float]:
-    return (item.rank, item.target_at)
+def _choose_candidates(waiting: Iterable[WaitingPrompt], now: float) -> list[WaitingPrompt]:
+    """Return the requests that one round evaluates: the most urgent, and some of each rank."""
+    by_rank: defaultdict[int, list[WaitingPrompt]] = defaultdict(list)
+    for item in waiting:
+        by_rank[item.rank].append(item)
+    chosen: list[WaitingPrompt] = []
+    others: list[WaitingPrompt] = []
+    for rank in sorted(by_rank):
+        # Those past their target go last among equals, here as in the order of the starts.
+        items = sorted(by_rank[rank], key=lambda item: (item.target_at < now, item.target_at))
+        chosen += items[:MIN_CANDIDATES_PER_RANK]
+        others += items[MIN_CANDIDATES_PER_RANK:]
+    return chosen + others[: max(0, MAX_CANDIDATES_PER_ROUND - len(chosen))]
 
 
 def _may_start(start: Start, model: EngineModel, targets: ServiceTargets, now: float) -> bool:
@@ -339,10 +405,11 @@
     """Return the longest backlog of an upstream at which a request starts there, seconds."""
     waiting = start.waiting
     window_s = BACKLOG_WINDOW_SHARE * targets.tightest_s
-    if start.late:
+    has_less_urgent = waiting.urgency < targets.least_urgent
+    if start.late and not has_less_urgent:
         return LATE_BACKLOG_SHARE * window_s
     is_in_time = now + start.placement.first_token_s <= waiting.target_at
-    if model.processes >= LARGE_FLEET_PROCESSES and is_in_time:
+    if model.processes >= LARGE_FLEET_PROCESSES and (is_in_time or has_less_urgent):
         window_s += 2 * OUTDATED_LOADS_S
     if waiting.urgency <= targets.most_urgent:
         return max(URGENT_BACKLOG_SHARE * (waiting.target_at - now), window_s)
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_prompts.py
@@ -1,5 +1,6 @@
 """Placement and queueing of prompts under load."""
 
+import itertools
 import random
 
 import attrs
@@ -18,11 +19,12 @@
     ServiceTargets,
     WaitingPrompt,
     _placing,
+    _waiting,
     place_prompt,
 )
 from burdockquay_coordination.forwarding._choice import rank_preferred_upstreams
 
-TARGETS = ServiceTargets(tightest_s=0.25, most_urgent=0)
+TARGETS = ServiceTargets(tightest_s=0.25, most_urgent=0, least_urgent=1)
 
 
 def place(upstreams, prompt, model, now):
@@ -423,6 +425,42 @@
     assert start is not None and start.waiting is late
 
 
+def test_less_urgent_requests_get_turns_while_late_urgent_ones_wait(upstreams, model):
+    """Guards against a burst of urgent requests that stops all others until it is over."""
+    queue = PromptQueue()
+    for number in range(3 * _waiting.MAX_CANDIDATES_PER_ROUND):
+        queue.add(make_waiting(short_prompt(number), 0.0, urgency=0, target_s=0.25))
+    for number in range(5):
+        queue.add(make_waiting(long_prompt(number), 1.0, urgency=1, target_s=9.0))
+    ranks = []
+    while len(ranks) < 3 * (_waiting.MAX_PASSED_OVER + 1):
+        starts = queue.take_starts(upstreams, model, TARGETS, 1.0)
+        ranks += [start.waiting.rank for start in itertools.islice(starts, 10)]
+    turns = [number for number, rank in enumerate(ranks) if rank == 1]
+    assert turns[0] == _waiting.MAX_PASSED_OVER
+    assert turns[1] - turns[0] == _waiting.MAX_PASSED_OVER + 1
+
+
+def test_urgent_requests_in_time_go_before_all_others(upstreams, model):
+    """Guards against turns of less urgent requests that make urgent ones late."""
+    queue = PromptQueue()
+    for number in range(3 * _waiting.MAX_PASSED_OVER):
+        queue.add(make_waiting(short_prompt(number), 0.0, urgency=0, target_s=9.0))
+    queue.add(make_waiting(long_prompt(), 0.0, urgency=1, target_s=9.0))
+    starts = [start.waiting.rank for start in queue.take_starts(upstreams, model, TARGETS, 0.0)]
+    assert starts == sorted(starts) and len(starts) == 3 * _waiting.MAX_PASSED_OVER + 1
+
+
+def test_requests_in_time_are_evaluated_where_many_late_ones_of_their_rank_wait(upstreams, model):
+    """Guards against requests that become late because only older ones are evaluated."""
+    queue = PromptQueue()
+    for number in range(2 * _waiting.MAX_CANDIDATES_PER_ROUND):
+        queue.add(make_waiting(short_prompt(number), 0.0, urgency=0, target_s=0.25))
+    in_time = make_waiting(short_prompt(-1), 1.0, urgency=0, target_s=0.25)
+    queue.add(in_time)
+    assert queue.take_start(upstreams, model, TARGETS, 1.0).waiting is in_time
+
+
 def test_urgent_prompt_uses_a_free_place_beyond_its_preferred_upstreams(make_upstream, model):
     """Guards against urgent requests that wait for full upstreams while others have places."""
     model.processes = _placing.LARGE_FLEET_PROCESSES
