Consider upstreams with a free place where no preferred one has any

Callers saw: urgent prompts waited and were refused while other upstreams had places (TIER). Cause: one decision evaluates three preferred upstreams and three holders in a large fleet. A short prompt that finds them full waits for a place there, however many others are free; a long one starts behind the backlog of a full upstream. Class: a choice among a few that is not widened when none of them fits. Change: if no preferred upstream has a place, the preferred ones among those that have one are evaluated, too. Slots bind late, by grants of free places, and have no such choice.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -223,7 +223,10 @@
     def _rank_candidates(
         self, demand: Demand, usable: Sequence[Upstream], most: int | None = None
     ) -> list[Upstream]:
-        """Return the preferred upstreams of a prompt, at most some of them."""
+        """Return the preferred upstreams of a prompt, at most some of them.
+
+        If none of them has a free place, the preferred ones among those that have one are added.
+        """
         prompt = demand.prompt
         preferred_count = most or (
             PREFERRED_CANDIDATES
@@ -235,8 +238,13 @@
             mismatched = [item for item in usable if self._is_reserved(item) != demand.is_steady]
             found = rank_preferred_upstreams(matching, prompt.key, preferred_count)
             found += rank_preferred_upstreams(mismatched, prompt.key, FALLBACK_CANDIDATES)
-            return found[:most]
-        return rank_preferred_upstreams(usable, prompt.key, preferred_count)
+            found = found[:most]
+        else:
+            found = rank_preferred_upstreams(usable, prompt.key, preferred_count)
+        if any(item.has_place(self.now) for item in found):
+            return found
+        free = [item for item in usable if item.has_place(self.now)]
+        return found + rank_preferred_upstreams(free, prompt.key, preferred_count)
 
     def _add_holders(
         self, found: list[Upstream], holders: Sequence[Holder], usable: Sequence[Upstream]
