Queue a retry behind the more urgent prompts that wait

Callers would see: urgent prompts wait while retries of less urgent ones begin at once. Cause: a retry does not queue again, since it has waited before its first send; it did not look at the queue. Found by looking for the order of urgency outside the queue. Class: an order that one way passes by. Change: a retry queues while more urgent prompts wait, for at least 0.2 s, in its rank. Result: test_retry_waits_while_more_urgent_requests_wait failed before (one in the queue, not two) and passes.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -173,6 +173,10 @@
         """Return the waiting requests."""
         return tuple(self._waiting)
 
+    def has_more_urgent(self, rank: int) -> bool:
+        """Return whether requests wait that go before those of a rank."""
+        return any(item.rank < rank for item in self._waiting)
+
     def remove(self, waiting: WaitingPrompt) -> None:
         """Remove a request; do nothing if it is not in the queue."""
         if waiting in self._waiting:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_dispatch.py
@@ -54,6 +54,11 @@
 that has not started is refused, so that its caller has time to retry and get an answer, if late."""
 
 
+RETRY_WAIT_S = 0.2
+"""Time for which a retry waits at least while more urgent requests wait, seconds, although it has
+waited before its first send."""
+
+
 class PromptDispatcher:
     """Starts the queued prompts of one service in order, as upstreams have capacity.
 
@@ -113,9 +118,9 @@
             If it has waited too long.
         """
         self.rate_limits.want(self.service, call.rank, call.homes)
-        if call.sends or call.unreachable:
+        if (call.sends or call.unreachable) and not self.queue.has_more_urgent(call.rank):
             # A retry does not queue again, since the call has waited before its first send, unless
-            # all upstreams that are left are held back.
+            # more urgent calls wait or all upstreams that are left are held back.
             sent = self._send_immediately(call)
             if sent is not None or not self.held_calls.may_start_later(call):
                 return sent
@@ -317,12 +322,17 @@
             self._make_demand(call),
             call.route.priority,
             call.started + call.route.target_s,
-            call.started + hold_s,
+            max(call.started + hold_s, self._least_give_up_at(call)),
             call.tried,
             _WaitingCall(call, asyncio.get_running_loop().create_future()),
             rank=call.rank,
         )
 
+    def _least_give_up_at(self, call: ForwardCall) -> float:
+        """Return until when a call waits however long it has waited before."""
+        wait_s = RETRY_WAIT_S if call.sends or call.unreachable else 0.0
+        return self.clock.now() + wait_s
+
     def _make_demand(self, call: ForwardCall) -> Demand:
         uses_short = self.model.switches.uses(Mechanism.SHORT_FIRST)
         short_s = SHORT_READING_SHARE * self.targets().tightest_s if uses_short else 0.0
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_dispatch.py
@@ -139,6 +139,22 @@
     await asyncio.gather(waiting, return_exceptions=True)
 
 
+async def test_retry_waits_while_more_urgent_requests_wait(dispatcher, upstream):
+    """Guards against retries of less urgent requests that take the capacity of urgent ones."""
+    upstream.pending.add("other", 50_000, dispatcher.clock.now())
+    urgent = asyncio.create_task(dispatcher.start(make_call()))
+    await asyncio.sleep(0)
+    retry = make_call()
+    retry.rank, retry.sends = 2, 1
+    waiting = asyncio.create_task(dispatcher.start(retry))
+    await asyncio.sleep(0)
+    assert len(dispatcher.queue) == 2
+    upstream.pending.remove("other")
+    async with asyncio.timeout(5):
+        sent = [await urgent, await waiting]
+    assert sent[0].sent_at <= sent[1].sent_at
+
+
 async def test_service_without_upstreams_returns_none_at_once(dispatcher, upstream_registry):
     upstream_registry.apply(UpstreamChanges(True), 1.0)
     assert await dispatcher.start(make_call()) is None
