Choose relays with fast links, and bound the share of a link that their messages take

Cause: the relay of each failure domain was the first in the order of a hash. In a burst it sends the loads of 28 upstreams to eleven processes sixty times a second, some 0.9 MB/s (calculated), over a link of 10 Mbit/s. Its own connections to all upstreams timed out: its callers got 503 after four attempts, and two or three relays together made the whole fleet avoid upstreams that had no fault. Class: a duty that falls on a process without regard to what its VM can bear. Change: the setting link_mbps, from the platform's limits; processes tell each other the speed of their links (LinkSpeed, protocol 14), and those below 20 Mbit/s become relays only where no other can. A relay sends at most a fifth of its link. Without the setting, or beside an earlier release, nothing changes. Entries and slots have no relays.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -78,6 +78,7 @@
 from ._ranking import rank_processes
 from ._reading import FirstTokenModel
 from ._relay_groups import RelayGroups, group_relays
+from ._relay_links import relay_interval_s, suits_relay
 from ._retry_after import PeerAvailability, limited_delay_s, rest_delay_s, retry_delay_s
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
@@ -202,7 +203,9 @@
     "group_relays",
     "split_by_domain",
     "request_priority",
+    "relay_interval_s",
     "request_rank",
+    "suits_relay",
     "urgency_level",
     "retry_delay_s",
     "usable_upstreams",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_relay_groups.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_relay_groups.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -35,7 +35,11 @@
 
 
 def group_relays(
-    me: str, own_domain: str, domains: Mapping[str, str], region_map: RegionMap | None = None
+    me: str,
+    own_domain: str,
+    domains: Mapping[str, str],
+    region_map: RegionMap | None = None,
+    slow: Collection[str] = (),
 ) -> RelayGroups:
     """Return the candidates for relays.
 
@@ -47,6 +51,8 @@
         Failure domain of each connected process.
     region_map : RegionMap or None
         None if the failure domains of all regions exchange directly.
+    slow : collection of str
+        Processes whose links do not suit a relay; they come last in their failure domain.
 
     Notes
     -----
@@ -61,8 +67,8 @@
     (['b'], {'south': ['r', 's']})
     """
     by_domain = split_by_domain(domains)
-    own = rank_processes("relay", [me, *by_domain.pop(own_domain, [])])
-    ranked = {domain: rank_processes("relay", names) for domain, names in by_domain.items()}
+    own = _rank_relays([me, *by_domain.pop(own_domain, [])], slow)
+    ranked = {domain: _rank_relays(names, slow) for domain, names in by_domain.items()}
     if region_map is None:
         return RelayGroups(own, ranked)
     by_region: dict[str, list[str]] = defaultdict(list)
@@ -77,6 +83,10 @@
     return RelayGroups(own, far, across, near_domains[0] == own_domain)
 
 
+def _rank_relays(names: Iterable[str], slow: Collection[str]) -> list[str]:
+    return sorted(rank_processes("relay", names), key=lambda name: name in slow)
+
+
 def _region_of(domain: str, region_map: RegionMap) -> str:
     """Return the region of a domain; one without a region is a region of its own."""
     return region_map.region_of(domain) or f"of {domain}"
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_load_relay.py
@@ -3,8 +3,16 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from burdockquay_coordination.forwarding import LoadRelay, LoadShare, RelaySelector
+from burdockquay_coordination.forwarding import (
+    LoadRelay,
+    LoadShare,
+    RelaySelector,
+    group_relays,
+    relay_interval_s,
+)
 
 TICK_S = 0.025
 
@@ -251,3 +259,20 @@
                     sum(share.tokens for share in counted), sum(share.running for share in counted)
                 )
                 assert view.get(upstream, LoadShare(0, 0)) == expected
+
+
+@given(st.sets(st.sampled_from("abcdefgh"), min_size=2), st.data())
+def test_process_with_a_slow_link_is_a_relay_only_where_all_have_one(names, data):
+    """Guards against relays whose messages fill their links, so that their callers get nothing."""
+    slow = data.draw(st.sets(st.sampled_from(sorted(names))))
+    me, *others = sorted(names)
+    groups = group_relays(me, "here", dict.fromkeys(others, "here"), slow=slow)
+    assert (groups.own[0] in slow) is (slow == names)
+    assert sorted(groups.own) == sorted(names)
+
+
+@given(st.lists(st.integers(0, 50_000), min_size=1, max_size=50), st.floats(1e4, 1e9))
+def test_messages_of_a_relay_take_a_bounded_share_of_its_link(rounds, link_bytes_per_s):
+    """Guards against a relay that cannot reach upstreams and reports them as unreachable."""
+    seconds = sum(relay_interval_s(size, link_bytes_per_s) for size in rounds)
+    assert sum(rounds) <= 0.2 * link_bytes_per_s * seconds * 1.000001
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -28,6 +28,7 @@
     "._forwarder_messages": (
         "ClockReading",
         "KeysHonoured",
+        "LinkSpeed",
         "LoadsElsewhere",
         "LoadsOfDomain",
         "NewestConfiguration",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_forwarder_messages.py
@@ -140,6 +140,14 @@
     honoured: bool
 
 
+@message(51, since=14)
+@attrs.frozen
+class LinkSpeed:
+    """Speed of the link of the sender's VM, bytes per second."""
+
+    bytes_per_s: float
+
+
 @message(38, since=6)
 @attrs.frozen
 class NewestConfiguration:
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_messages.py
@@ -22,8 +22,8 @@
 :class:`UpstreamOutcomes`, version 6 :class:`TableChanges` and :class:`NewestConfiguration`, version
 7 :class:`UsageCounts` and :class:`ClockReading`, version 8 :class:`RateNeeds` and
 :class:`RateGrants`, version 9 :class:`StatementReports`, version 12 :class:`ColdStartReports` and
-loads of a whole region in :class:`LoadsOfDomain`, version 14 :class:`TableQuestion` and
-:class:`TableContent`."""
+loads of a whole region in :class:`LoadsOfDomain`, version 14 :class:`TableQuestion`,
+:class:`TableContent` and :class:`LinkSpeed`."""
 
 message_types: dict[int, type] = {}
 """Message class by type number."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -19,8 +19,11 @@
     RelaySelector,
     UpstreamRegistry,
     group_relays,
+    relay_interval_s,
+    suits_relay,
 )
 from burdockquay_protocol import (
+    LinkSpeed,
     LoadsElsewhere,
     LoadsOfDomain,
     PromptPart,
@@ -28,7 +31,8 @@
     UpstreamLoads,
 )
 
-from .._peer import Identity, PeerConnection
+from .._peer import EncodedMessage, Identity, PeerConnection
+from ._send_schedule import loads_interval_s
 from ._state import ForwarderState
 
 REPEAT_INTERVAL_S = 1.0
@@ -55,6 +59,9 @@
 RELAY_SUM_SOURCE = "elsewhere"
 """Source name of the loads that a relay adds up for this process."""
 
+BYTES_PER_S_AND_MBPS = 125_000.0
+"""Bytes per second in a Mbit/s."""
+
 REGION_PREFIX = "region "
 """Prefix of the name under which the loads of a whole region are sent. No name of a failure domain
 has a space."""
@@ -147,6 +154,10 @@
         self._across: list[str] = []
         self._recent_parts: deque[tuple[float, UpstreamLoad]] = deque(maxlen=200)
         self._repeater = ChangeRepeater()
+        link_mbps = state.settings.link_mbps
+        self._link_bytes_per_s = None if link_mbps is None else link_mbps * BYTES_PER_S_AND_MBPS
+        self._slow_peers: set[str] = set()
+        self._round_bytes = 0
         self._upstreams_by_source: dict[str, set[str]] = {}
 
     @property
@@ -179,6 +190,22 @@
         """Number of processes that use this one as their relay."""
         return len(self._near)
 
+    def busy_interval_s(self) -> float:
+        """Return the shortest time between two messages about loads, seconds."""
+        shortest_s = loads_interval_s(self.domain_size, is_busy=True)
+        return max(shortest_s, relay_interval_s(self._round_bytes, self._link_bytes_per_s))
+
+    def greet(self, peer: PeerConnection) -> None:
+        """Send a process that has just connected the speed of the link of this one."""
+        if self._link_bytes_per_s is not None:
+            self.post([peer], LinkSpeed(self._link_bytes_per_s))
+
+    def receive_link(self, peer: PeerConnection, message: LinkSpeed) -> None:
+        """Rank the relays again once the speed of the link of another process is known."""
+        if not suits_relay(message.bytes_per_s):
+            self._slow_peers.add(peer.peer.incarnation)
+            self.set_peers(self._peers)
+
     def set_peers(self, peers: Mapping[str, PeerConnection]) -> None:
         """Set which processes are connected, by incarnation."""
         for disconnected in self._peers.keys() - peers.keys():
@@ -202,9 +229,22 @@
             self.identity.failure_domain,
             with_relays,
             regions if is_regional else None,
+            self._list_slow(peers),
         )
         self._repeater.reset()
 
+    def _list_slow(self, peers: Mapping[str, PeerConnection]) -> set[str]:
+        """Return the processes whose links do not suit a relay.
+
+        None are named while a process of an earlier release is connected, which would choose other
+        relays.
+        """
+        self._slow_peers &= peers.keys()
+        if not all(peer.version >= LinkSpeed.since for peer in peers.values()):
+            return set()
+        own = set() if suits_relay(self._link_bytes_per_s) else {self.identity.incarnation}
+        return self._slow_peers | own
+
     def due_in_s(self, now: float) -> float:
         """Return the time until something is to be sent or decided without a change, seconds."""
         watches = (self._near_watch, *self._far_watches.values())
@@ -330,9 +370,12 @@
 
     def _send_pending(self, now: float) -> None:
         """Send all targets the changes since the last message."""
+        self._round_bytes = 0
         for name, changes in self.relay.compose_all(now).items():
             if name in self._peers:
-                self.post([self._peers[name]], self._message(changes, name))
+                message = EncodedMessage(self._message(changes, name))
+                self._round_bytes += len(message.data)
+                self._peers[name].post(message)
 
     def _queue_known_parts(self, target: str, now: float) -> None:
         """Queue for a new process the prompt parts that upstreams have in memory.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -21,6 +21,7 @@
     Goodbye,
     Heartbeat,
     KeysHonoured,
+    LinkSpeed,
     LoadsElsewhere,
     LoadsOfDomain,
     NewestConfiguration,
@@ -141,14 +142,13 @@
         state.ask_stream_origin = self._streams.ask
         state.wait_for_peers = self.wait_until_connected
         state.is_first_of = self._is_first_of
-        self._schedule = SendSchedule(
-            self._send_due, lambda: loads_interval_s(self._loads.domain_size, is_busy=True)
-        )
+        self._schedule = SendSchedule(self._send_due, self._loads.busy_interval_s)
         state.note_change = self._schedule.note_change
         self._handlers: dict[type, Callable[[PeerConnection, Any], None]] = {
             UpstreamLoads: self._loads.receive,
             LoadsOfDomain: self._loads.receive_domain,
             LoadsElsewhere: self._loads.receive_elsewhere,
+            LinkSpeed: self._loads.receive_link,
             UpstreamOutcomes: self._outcomes.receive,
             UpstreamCrash: self._receive_crash,
             KeysHonoured: self._keys.receive_keys,
@@ -412,6 +412,7 @@
         # the peer would count as connected.
         peer.keep_alive(HEARTBEAT_S, RECEIVE_TIMEOUT_S, lambda: Heartbeat(0))
         log_event(Event.PEER_CONNECTED, vm=peer.peer.vm, incarnation=peer.peer.incarnation)
+        self._loads.greet(peer)
         self._statements.greet(peer)
         self._rates.greet(peer)
         self._parts.greet(peer)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_settings.py
@@ -109,6 +109,9 @@
         seconds.
     regions : dict of str to str
         Region of each failure domain; a domain that is not named has no region. None names none.
+    link_mbps : float or None
+        Speed of the link of the VM, Mbit/s; None if it is not known. Processes with a slow link
+        relay the loads of others only where no other can, and at a bounded rate.
     cold_overage, cold_slack : float
         A cold upstream gets at most its rate times the first, plus the second, in any one second.
     mechanisms_off : list of str
@@ -144,6 +147,7 @@
         "retry_burst": [Interval(float, 0.0, 100_000.0)],
         "retry_window_s": _SECONDS,
         "regions": [MappingOf(NAME, NAME), InstanceOf(type(None))],
+        "link_mbps": [Interval(float, 0.001, 10_000_000.0), InstanceOf(type(None))],
         "cold_overage": [Interval(float, 1.0, 100.0)],
         "cold_slack": [Interval(float, 0.0, 100_000.0)],
         "mechanisms_off": [ListOf(OneOf(tuple(map(str, Mechanism))))],
@@ -179,6 +183,7 @@
     regions: dict[str, str] = attrs.field(
         factory=dict, converter=attrs.converters.default_if_none(factory=dict)
     )
+    link_mbps: float | None = None
     cold_overage: float = 1.0
     cold_slack: float = 1.0
     mechanisms_off: list[str] = attrs.field(factory=list)
