Let only as many prompts look beyond their preferred upstreams as there are free places

Change: a prompt looks further if its place in an even spread over all prompts is below twice the free places for each process.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_choice.py
@@ -176,6 +176,11 @@
     return heapq.nlargest(count, candidates, key=lambda item: _rendezvous_weight(item.id, part))
 
 
+def spread_of_part(part: str) -> float:
+    """Return a number from 0 to 1 for a prompt part, which is spread evenly over the parts."""
+    return int.from_bytes(_rendezvous_weight("", part)) / 2**64
+
+
 def _least_outstanding(
     candidates: Sequence[Upstream], failure_domain: str, rng: random.Random
 ) -> Upstream:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_placing.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..regions import Homes, RegionMap
-from ._choice import rank_preferred_upstreams, usable_upstreams
+from ._choice import rank_preferred_upstreams, spread_of_part, usable_upstreams
 from ._demand import Demand, Placement
 from ._engine_model import EngineModel
 from ._mechanisms import Mechanism
@@ -62,6 +62,10 @@
 """Other regions of which one decision evaluates an upstream, the nearest ones. One upstream of
 each: the processes of a hot region would fall upon all idle ones of a cool region at once."""
 
+PROMPTS_PER_FREE_PLACE = 2.0
+"""Prompts that may use a free place beyond their preferred upstreams, for each place, if every
+process has one that waits."""
+
 NEARLY_EQUAL_SHARE = 0.05
 """Difference between costs up to which the nearer upstream is used, as a share of the target."""
 
@@ -225,7 +229,8 @@
     ) -> list[Upstream]:
         """Return the preferred upstreams of a prompt, at most some of them.
 
-        If none of them has a free place, the preferred ones among those that have one are added.
+        If none of them has a free place, the preferred ones among those that have one are added,
+        for as many prompts as there are places: all processes know of the same places.
         """
         prompt = demand.prompt
         preferred_count = most or (
@@ -244,6 +249,9 @@
         if any(item.has_place(self.now) for item in found):
             return found
         free = [item for item in usable if item.has_place(self.now)]
+        places = sum(item.entry.places - item.running(self.now) for item in free)
+        if spread_of_part(prompt.key) * self.model.processes > PROMPTS_PER_FREE_PLACE * places:
+            return found
         return found + rank_preferred_upstreams(free, prompt.key, preferred_count)
 
     def _add_holders(
