--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/conftest.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/conftest.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from burdockquay_coordination.forwarding import ListedUpstream, Upstream
+from burdockquay_coordination.forwarding import (
+    EngineModel,
+    FirstTokenModel,
+    ListedUpstream,
+    Upstream,
+)
 
 
 @pytest.fixture
@@ -15,3 +20,17 @@
         )
 
     return make
+
+
+@pytest.fixture
+def model():
+    """Model of engines that read 50,000 tokens a second."""
+    model = EngineModel()
+    model.first_token = FirstTokenModel(0.02, 1 / 50_000)
+    return model
+
+
+@pytest.fixture
+def upstreams(make_upstream):
+    """Four upstreams."""
+    return [make_upstream(f"u{number}") for number in range(4)]
