End the questions for a table with the gap, and bound the candidates of many ranks

Cause: found by reading the change. A process whose first read had failed asked a random peer four times a second after it had read the table, until the next change; with more than six ranks a round evaluated more than 60 prompts. Change: a question is due only while changes are missed, and counts from the gap; the candidates of each rank become fewer with many ranks. A constant and a dictionary are named by what they hold. Result: test_process_that_asked_at_its_first_read_asks_no_more_once_it_has_read failed before (two questions) and passes.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_polling.py
@@ -120,7 +120,7 @@
     @property
     def question_due_at(self) -> float:
         """When the process asks a peer for changes that it misses, infinity if it misses none."""
-        return self._asks_at
+        return self._asks_at if self._has_gap else float("inf")
 
     def polls(self, now: float) -> bool:
         """Return whether the process is a poller at present."""
@@ -205,6 +205,9 @@
         if upto <= known:
             return ChangeContinuity.KNOWN
         if after > known:
+            if not self._has_gap:
+                # A question at an earlier gap, or at the first read, decides nothing here.
+                self._asks_at = float("inf")
             self._has_gap = True
             return ChangeContinuity.GAP
         self._close_gap()
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_waiting.py
@@ -40,8 +40,8 @@
 in time. Late requests of other routes start at the backlog at which less urgent ones do."""
 
 MAX_PASSED_OVER = 8
-"""Starts of more urgent requests that are late after which a request that waits gets one. Requests
-in time are passed over by more urgent ones that are in time, too, without a limit."""
+"""Starts of late requests after which each less urgent rank that waits gets a start. Urgent
+requests that can be in time go first without such a limit."""
 
 TARGET_MARGIN = 0.9
 """Factor on predicted times before they are compared with a target: a request counts as late only
@@ -50,8 +50,8 @@
 MAX_CANDIDATES_PER_ROUND = 60
 """Waiting requests that one round evaluates at most, which bounds its processor time."""
 
-MIN_CANDIDATES_PER_RANK = 10
-"""Waiting requests of each rank that are among them, if so many wait."""
+CANDIDATES_PER_RANK = 10
+"""Waiting requests of each rank that are among them, if so many wait; fewer with many ranks."""
 
 
 @attrs.define(eq=False)
@@ -308,7 +308,7 @@
         self._turns = turns
         self._cached_first = round_.model.switches.uses(Mechanism.WARM_FIRST)
         self._started: Counter[str] = Counter()
-        self._hold_reasons: dict[int, HoldReason] = {}
+        self._hold_reasons: dict[WaitingPrompt, HoldReason] = {}
         self._heaps: defaultdict[int, list[tuple[tuple, int, int, Start]]] = defaultdict(list)
         for number, item in enumerate(waiting):
             self._push(number, item)
@@ -332,16 +332,16 @@
     def record_held(self, start: Start) -> None:
         """Record that a candidate does not start in this round."""
         reason = HoldReason.LATE if start.late else HoldReason.BACKLOG
-        self._hold_reasons[id(start.waiting)] = reason
+        self._hold_reasons[start.waiting] = reason
 
     def hold_reason(self, item: WaitingPrompt) -> HoldReason:
         """Return why a request has not started in this round."""
-        return self._hold_reasons.get(id(item), HoldReason.NOT_EVALUATED)
+        return self._hold_reasons.get(item, HoldReason.NOT_EVALUATED)
 
     def _push(self, number: int, item: WaitingPrompt) -> None:
         start = _evaluate(item, self._round)
         if start is None:
-            self._hold_reasons[id(item)] = HoldReason.NO_UPSTREAM
+            self._hold_reasons[item] = HoldReason.NO_UPSTREAM
         else:
             started = self._started[start.placement.upstream.id]
             entry = (self._order(start), number, started, start)
@@ -380,14 +380,15 @@
     by_rank: defaultdict[int, list[WaitingPrompt]] = defaultdict(list)
     for item in waiting:
         by_rank[item.rank].append(item)
+    each = max(1, min(CANDIDATES_PER_RANK, MAX_CANDIDATES_PER_ROUND // max(1, len(by_rank))))
     chosen: list[WaitingPrompt] = []
     others: list[WaitingPrompt] = []
     for rank in sorted(by_rank):
         # Those past their target go last among equals, here as in the order of the starts.
         items = sorted(by_rank[rank], key=lambda item: (item.target_at < now, item.target_at))
-        chosen += items[:MIN_CANDIDATES_PER_RANK]
-        others += items[MIN_CANDIDATES_PER_RANK:]
-    return chosen + others[: max(0, MAX_CANDIDATES_PER_ROUND - len(chosen))]
+        chosen += items[:each]
+        others += items[each:]
+    return (chosen + others)[:MAX_CANDIDATES_PER_ROUND]
 
 
 def _may_start(start: Start, model: EngineModel, targets: ServiceTargets, now: float) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_load_sharing.py
@@ -59,8 +59,7 @@
 RELAY_SUM_SOURCE = "elsewhere"
 """Source name of the loads that a relay adds up for this process."""
 
-BYTES_PER_S_AND_MBPS = 125_000.0
-"""Bytes per second in a Mbit/s."""
+BYTES_PER_MEGABIT = 125_000.0
 
 REGION_PREFIX = "region "
 """Prefix of the name under which the loads of a whole region are sent. No name of a failure domain
@@ -155,7 +154,7 @@
         self._recent_parts: deque[tuple[float, UpstreamLoad]] = deque(maxlen=200)
         self._repeater = ChangeRepeater()
         link_mbps = state.settings.link_mbps
-        self._link_bytes_per_s = None if link_mbps is None else link_mbps * BYTES_PER_S_AND_MBPS
+        self._link_bytes_per_s = None if link_mbps is None else link_mbps * BYTES_PER_MEGABIT
         self._slow_peers: set[str] = set()
         self._round_bytes = 0
         self._upstreams_by_source: dict[str, set[str]] = {}
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/tests/test_table_feed.py
@@ -337,6 +337,21 @@
     assert feed.poll_schedule.question_due_at == float("inf")
 
 
+async def test_process_that_asked_at_its_first_read_asks_no_more_once_it_has_read(store, exchange):
+    """Guards against questions that never end after a start beside a store that was away."""
+    questions = []
+    exchange.send_question = questions.append
+    feed = TableFeed(store, "t", exchange)
+    store.is_unavailable = True
+    assert (await feed.next(1.0)).is_err()
+    assert questions == [TableQuestion("t", 0, 0)]
+    store.is_unavailable = False
+    assert (await feed.next(1.0)).is_ok()
+    store.time += 1.0
+    assert await yields_nothing(feed)
+    assert len(questions) == 1
+
+
 async def test_only_a_newer_table_of_the_same_era_is_sent_to_a_peer(feed, store, exchange):
     """Guards against an older table that replaces a newer one after a restore from a copy."""
     content = exchange.answer_question(TableQuestion("t", 1, 49))
