Log what a process that shuts down passes on, refuses and cuts

No line showed, for a request after the signal to stop, how long after the signal it was decided, which duration was expected and by how many known runs, nor when it was cut. So the hypotheses about streams that are cut at the end of a shutdown could not be told apart.

FinishGate.decide returns a FinishDecision with the reason, the expected time and the number of known runs, in place of a bool; what it accepts is as before. The forwarder logs late_request (E1010) for each request that is passed on or refused after the signal, and request_cut (E1011) for each that is unfinished at the end, with counters of both. LateCalls holds the gate, its log lines and its counters, which takes them out of ForwarderState.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -29,7 +29,7 @@
         "EvacuatedDomains",
         "EvacuationChange",
     ),
-    "._finish_gate": ("FinishGate",),
+    "._finish_gate": ("FinishDecision", "FinishGate", "FinishReason", "RunInProgress"),
     "._held_answers": ("MAX_ANSWER_BYTES", "MAX_HELD_BYTES", "HeldAnswer", "HeldAnswers"),
     "._fleet_size": ("FleetSize",),
     "._health": (
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/_finish_gate.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/_finish_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import OrderedDict, deque
 from collections.abc import Hashable, Sequence
 
@@ -21,6 +22,41 @@
 time so far."""
 
 
+class FinishReason(enum.StrEnum):
+    """Why a request is passed on or refused."""
+
+    NOT_STOPPING = "not_stopping"
+    """The process does not shut down."""
+    CERTAIN = "certain"
+    """Its deadline lies before the end of the process."""
+    FITS = "fits"
+    """By the known runs it is finished before the end of the process."""
+    TOO_LONG = "too_long"
+    """By the known runs it would not be finished."""
+    UNKNOWN = "unknown"
+    """Nothing is known about it."""
+
+
+@attrs.frozen
+class FinishDecision:
+    """Whether a request is passed on.
+
+    Parameters
+    ----------
+    accepted : bool
+    reason : FinishReason
+    expected_s : float or None
+        Longest time that it is expected to take, seconds; None if that is not known.
+    known_runs : int
+        Number of runs that this is known from.
+    """
+
+    accepted: bool
+    reason: FinishReason
+    expected_s: float | None = None
+    known_runs: int = 0
+
+
 @attrs.define(eq=False)
 class RunInProgress:
     """A run whose duration is not known yet."""
@@ -48,14 +84,21 @@
             return UNFINISHED_FACTOR * (now - oldest)
         return known
 
+    def count_known(self, size_class: int) -> int:
+        """Return the number of runs from which the expected time follows."""
+        return len(self.durations[self._nearest(size_class)]) if self.durations else 0
+
     def _longest_s(self, size_class: int) -> float | None:
         if not self.durations:
             return None
-        smaller = [item for item in self.durations if item <= size_class]
-        nearest = max(smaller) if smaller else min(self.durations)
+        nearest = self._nearest(size_class)
         scale = 2.0 ** max(0, size_class - nearest)
         return scale * max(self.durations[nearest])
 
+    def _nearest(self, size_class: int) -> int:
+        smaller = [item for item in self.durations if item <= size_class]
+        return max(smaller) if smaller else min(self.durations)
+
 
 class FinishGate:
     """Decides whether a process that shuts down can finish a request before it ends.
@@ -76,15 +119,15 @@
     >>> run = gate.begin(["chat"], size=10, now=0.0)
     >>> gate.end(run, now=2.0, is_whole=True)
     >>> gate.stop_at(10.0, unknown_until=6.0)
-    >>> gate.may_finish(["chat"], 10, deadline=20.0, now=7.0)
+    >>> gate.decide(["chat"], 10, deadline=20.0, now=7.0).accepted
     True
-    >>> gate.may_finish(["chat"], 10, deadline=20.0, now=8.0)
+    >>> gate.decide(["chat"], 10, deadline=20.0, now=8.0).accepted
     False
-    >>> gate.may_finish(["other"], 10, deadline=20.0, now=6.0)
+    >>> gate.decide(["other"], 10, deadline=20.0, now=6.0).accepted
     True
-    >>> gate.may_finish(["other"], 10, deadline=20.0, now=7.0)
+    >>> gate.decide(["other"], 10, deadline=20.0, now=7.0).accepted
     False
-    >>> gate.may_finish(["other"], 10, deadline=9.0, now=8.0)
+    >>> gate.decide(["other"], 10, deadline=9.0, now=8.0).accepted
     True
     """
 
@@ -138,8 +181,10 @@
                 )
                 durations.append(now - run.since)
 
-    def may_finish(self, kinds: Sequence[Hashable], size: int, deadline: float, now: float) -> bool:
-        """Return whether a request that is sent now can be expected to be finished.
+    def decide(
+        self, kinds: Sequence[Hashable], size: int, deadline: float, now: float
+    ) -> FinishDecision:
+        """Decide whether a request that is sent now can be expected to be finished.
 
         Parameters
         ----------
@@ -148,15 +193,25 @@
         deadline : float
             Time after which its caller does not wait any more.
         now : float
+
+        Returns
+        -------
+        FinishDecision
         """
-        if self._ends_at is None or deadline <= self._ends_at:
-            return True
+        if self._ends_at is None:
+            return FinishDecision(True, FinishReason.NOT_STOPPING)
+        if deadline <= self._ends_at:
+            return FinishDecision(True, FinishReason.CERTAIN)
+        size_class = size.bit_length()
         for kind in kinds:
             if kind in self._kinds:
-                expected_s = self._kinds[kind].expected_s(size.bit_length(), now)
+                found = self._kinds[kind]
+                expected_s = found.expected_s(size_class, now)
                 if expected_s is not None:
-                    return now + MARGIN_FACTOR * expected_s <= self._ends_at
-        return now <= self._unknown_until
+                    fits = now + MARGIN_FACTOR * expected_s <= self._ends_at
+                    reason = FinishReason.FITS if fits else FinishReason.TOO_LONG
+                    return FinishDecision(fits, reason, expected_s, found.count_known(size_class))
+        return FinishDecision(now <= self._unknown_until, FinishReason.UNKNOWN)
 
     def _find(self, kind: Hashable) -> _Kind:
         found = self._kinds.get(kind)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -326,7 +326,7 @@
         if dispatcher is None:
             raise CallError(RequestError(ErrorKind.NO_UPSTREAM))
         names = (spec.organisation.name, spec.service_class.name)
-        if not entry.finish_gate.may_finish(spec.run_kinds, 0, spec.deadline, entry.now()):
+        if not entry.finish_gate.decide(spec.run_kinds, 0, spec.deadline, entry.now()).accepted:
             raise CallError(RequestError(ErrorKind.LEAVING))
         admitted = entry.admission.admit(*names, dispatcher.queue, entry.now())
         if isinstance(admitted, Err):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -111,6 +111,19 @@
         "Lines of these events were dropped: too many in a second, or the log was not read.",
     )
 
+    LATE_REQUEST = (
+        1010,
+        "INFO",
+        "A process that shuts down passed a request on, or refused it, ``age_s`` after it was told "
+        "to stop, for this reason.",
+    )
+    REQUEST_CUT = (
+        1011,
+        "WARNING",
+        "A request that was passed on ``passed_on_s`` after the process was told to stop was not "
+        "finished by its end; negative for one that was passed on before.",
+    )
+
     CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
     CONFIGURATION_KEPT = (
         1104,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -301,7 +301,9 @@
             return
         for attempt in list(self._attempts.values()):
             kinds, deadline = attempt.run_kinds, attempt.work.deadline
-            if attempt.task is None and not self.finish_gate.may_finish(kinds, 0, deadline, now):
+            if attempt.task is not None:
+                continue
+            if not self.finish_gate.decide(kinds, 0, deadline, now).accepted:
                 attempt.post_not_run(ErrorKind.LEAVING, "it would not be finished in time")
                 self._remove(attempt, now)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -8,7 +8,7 @@
 import attrs
 from aiohttp import web
 
-from burdockquay_coordination import Homes
+from burdockquay_coordination import FinishDecision, Homes
 from burdockquay_coordination.forwarding import (
     ForwardRoute,
     RouteKind,
@@ -73,6 +73,8 @@
         The prompt sent to its upstream, until the first token.
     sent_at : float
         When it was last sent.
+    finish : FinishDecision or None
+        Why it was last sent although the process shuts down; None before it does.
     has_begun : bool
         Whether the upstream that it was last sent to has begun to answer.
     is_counted : bool
@@ -115,6 +117,7 @@
     longest_pause_s: float = 0.0
     sent: SentPrompt | None = None
     sent_at: float = 0.0
+    finish: FinishDecision | None = None
     has_begun: bool = False
     is_counted: bool = False
     is_trial: bool = False
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -26,6 +26,15 @@
         self.registry = CollectorRegistry()
         self.calls = self._counter("calls", "Requests that ended.", "kind", "priority", "status")
         self.refusals = self._counter("refusals", "Answers of the forwarder's own.", "kind")
+        self.late_requests = self._counter(
+            "late_requests",
+            "Requests that a process that shuts down passed on or refused.",
+            "decision",
+            "reason",
+        )
+        self.requests_cut = self._counter(
+            "requests_cut", "Requests that were unfinished at the end of a shutdown."
+        )
         self.sends = self._counter("sends", "Sends to upstreams.", "service", "outcome")
         self.repeats_granted = self._counter(
             "repeats_granted", "Repeats withdrawn from the retry budget.", "service"
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -166,8 +166,9 @@
         """
         while True:
             for task, call in self._calls.items():
-                is_hopeless = call.is_waiting and not self.state.may_finish(call)
-                if is_hopeless and not call.maybe_run and task not in self._released:
+                if call.maybe_run or not call.is_waiting or task in self._released:
+                    continue
+                if not self.state.late_calls.admit(call):
                     self._released.add(task)
                     task.cancel()
             await asyncio.sleep(UNFINISHED_POLL_S)
@@ -278,6 +279,8 @@
         except asyncio.CancelledError:
             if self._has_ended or asyncio.current_task() in self._released:
                 asyncio.current_task().uncancel()
+                if call.maybe_run:
+                    self.state.late_calls.record_cut(call)
                 kind = ErrorKind.OUTCOME_UNKNOWN if call.maybe_run else ErrorKind.LEAVING
                 return self._fail(call, RequestError(kind))
             self._record_end(call, 0, "caller left")
@@ -367,7 +370,7 @@
             request_rank(route, organisation),
             find_homes=self.state.find_homes,
         )
-        if not self.state.may_finish(call):
+        if not self.state.late_calls.admit(call):
             raise CallError(RequestError(ErrorKind.LEAVING))
         if self.state.is_crash_suspect(call):
             detail = f"{self.state.suspects.crashes(call.digest)} crashes, digest {call.digest}"
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -310,20 +310,20 @@
         """
         if upstream.is_evacuated:
             return HeldBack(upstream, "evacuated")
-        if not self.state.may_finish(call):
+        if not self.state.late_calls.accept(call):
             if call.maybe_run:
                 return RetryDenied(upstream)
             raise CallError(RequestError(ErrorKind.LEAVING))
         if not self._withdraw_retry(call):
             return RetryDenied(upstream)
-        gate = self.state.finish_gate
-        run = gate.begin(call.run_kinds, call.run_size, self.state.clock.now())
+        late_calls = self.state.late_calls
+        run = late_calls.begin(call)
         outcome: Outcome | None = None
         try:
             outcome = await self._send_once(call, upstream)
             return outcome
         finally:
-            gate.end(run, self.state.clock.now(), isinstance(outcome, Answered))
+            late_calls.end(run, isinstance(outcome, Answered))
 
     async def _send_once(self, call: ForwardCall, upstream: Upstream) -> Outcome:
         send = self._compose(call, upstream)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from burdockquay_coordination import (
-    FinishGate,
     FleetSize,
     HeldAnswers,
     Homes,
@@ -44,6 +43,7 @@
 from ._dispatch import PromptDispatcher
 from ._forwarder_metrics import ForwarderMetrics
 from ._held_calls import HeldCalls
+from ._late_calls import LateCalls
 from ._origin_keeper import OriginKeeper
 from ._platform import ForwardingPlatform
 from ._rate_limits import RateLimits
@@ -119,10 +119,10 @@
             self._record_connect if self.region_map.has_several else None
         )
         self.leaving = False
-        self.finish_gate = FinishGate()
         self.held_answers = HeldAnswers(settings.max_answer_bytes, settings.max_held_bytes)
         self.started_at = clock.now()
         self.metrics = ForwarderMetrics()
+        self.late_calls = LateCalls(clock, self.metrics)
         self.parts = PartSuspicions(clock.now)
         self.rate_limits = RateLimits(
             clock, self.metrics, self.upstream_registry, rng, self.evaluate_waiting
@@ -220,12 +220,6 @@
             self._dispatchers[service] = found
         return found
 
-    def may_finish(self, call: ForwardCall) -> bool:
-        """Return whether a call can still be finished before this process ends."""
-        return self.finish_gate.may_finish(
-            call.run_kinds, call.run_size, call.deadline, self.clock.now()
-        )
-
     def find_homes(self, call: ForwardCall) -> Homes | None:
         """Return the regions in which a call may be served by the configuration now in force."""
         directory = self.directory
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -270,7 +270,7 @@
         limit_s = max(0.0, settings.stop_limit_s - STOP_MARGIN_S - late_s)
         delay_s = max(0.0, settings.leave_delay_s - late_s)
         now = self._state.clock.now()
-        self._state.finish_gate.stop_at(now + limit_s, now + delay_s)
+        self._state.late_calls.stop_at(now - late_s, now + limit_s, now + delay_s)
         self._tasks.spawn(self._ingress.release_unfinishable())
         try:
             async with asyncio.timeout(limit_s):
