Pass on during a shutdown only what is certain or well known to be finished

Callers lost streams at the end of a shutdown: a process passed a request on after the signal to stop and cut it when it ended. FinishGate took the longest of the newest 32 runs of the kind, times 1.25, however few there were: a process that knew one run of 0.05 s passed on any later one, until just before its end. A process that knew nothing was more careful than one that knew little.

From certain_from on, which is the time by which the load balancer has noticed, only requests are passed on whose deadline lies before the end of the process.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -133,9 +133,9 @@
         return tuple(f"{block:016x}" for block in (*self.short_prefix, *self.prefix))
 
     @property
-    def run_kinds(self) -> tuple[Hashable, ...]:
+    def run_kind(self) -> Hashable:
         """What its run has in common with others, for :class:`FinishGate`."""
-        return ((self.route.group, self.route.name), self.route.group)
+        return (self.route.group, self.route.name)
 
     @property
     def idempotent(self) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -326,7 +326,7 @@
         if dispatcher is None:
             raise CallError(RequestError(ErrorKind.NO_UPSTREAM))
         names = (spec.organisation.name, spec.service_class.name)
-        if not entry.finish_gate.decide(spec.run_kinds, 0, spec.deadline, entry.now()).accepted:
+        if not entry.finish_gate.decide(spec.run_kind, 0, spec.deadline, entry.now()).accepted:
             raise CallError(RequestError(ErrorKind.LEAVING))
         admitted = entry.admission.admit(*names, dispatcher.queue, entry.now())
         if isinstance(admitted, Err):
@@ -337,7 +337,7 @@
     async def _run_admitted(self, call: Call, dispatcher: Any):
         entry = self.entry
         names = (call.spec.organisation.name, call.spec.service_class.name)
-        progress = entry.finish_gate.begin(call.spec.run_kinds, 0, entry.now())
+        progress = entry.finish_gate.begin(call.spec.run_kind, 0, entry.now())
         is_whole = False
         try:
             with self.guard.count_request(call.spec.route.group, names[0]):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -79,9 +79,9 @@
         return (self.run.request, self.run.attempt)
 
     @property
-    def run_kinds(self) -> tuple[str, ...]:
+    def run_kind(self) -> str:
         """What its run has in common with others, for :class:`FinishGate`."""
-        return (self.run.class_name, "")
+        return self.run.class_name
 
     def post_part(self, part: int, data: bytes) -> None:
         """Send the next frame of the answer."""
@@ -300,10 +300,10 @@
         if not self.finish_gate.is_stopping:
             return
         for attempt in list(self._attempts.values()):
-            kinds, deadline = attempt.run_kinds, attempt.work.deadline
+            kind, deadline = attempt.run_kind, attempt.work.deadline
             if attempt.task is not None:
                 continue
-            if not self.finish_gate.decide(kinds, 0, deadline, now).accepted:
+            if not self.finish_gate.decide(kind, 0, deadline, now).accepted:
                 attempt.post_not_run(ErrorKind.LEAVING, "it would not be finished in time")
                 self._remove(attempt, now)
 
@@ -338,7 +338,7 @@
         task.add_done_callback(self._control_tasks.discard)
 
     async def _run(self, attempt: Attempt) -> None:
-        progress = self.finish_gate.begin(attempt.run_kinds, 0, self.clock.now())
+        progress = self.finish_gate.begin(attempt.run_kind, 0, self.clock.now())
         is_whole = False
         try:
             if attempt.run.idempotent:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_call.py
@@ -126,9 +126,9 @@
     find_homes: Callable[[ForwardCall], Homes | None] = lambda call: None
 
     @property
-    def run_kinds(self) -> tuple[Hashable, ...]:
+    def run_kind(self) -> Hashable:
         """What its run has in common with others, for :class:`FinishGate`."""
-        return ((self.service, self.route.name), self.service)
+        return (self.service, self.route.name)
 
     @property
     def run_size(self) -> int:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
@@ -25,18 +25,18 @@
         self._gate = FinishGate()
         self._told_at = 0.0
 
-    def stop_at(self, told_at: float, ends_at: float, unknown_until: float) -> None:
+    def stop_at(self, told_at: float, ends_at: float, certain_from: float) -> None:
         """Begin the shutdown.
 
         Parameters
         ----------
         told_at : float
             Time of the signal to stop.
-        ends_at, unknown_until : float
+        ends_at, certain_from : float
             As for :meth:`FinishGate.stop_at`.
         """
         self._told_at = told_at
-        self._gate.stop_at(ends_at, unknown_until)
+        self._gate.stop_at(ends_at, certain_from)
 
     def accept(self, call: ForwardCall) -> bool:
         """Return whether a call that is about to be sent may be, and keep and log why."""
@@ -55,7 +55,7 @@
 
     def begin(self, call: ForwardCall) -> RunInProgress:
         """Record that a call begins to run."""
-        return self._gate.begin(call.run_kinds, call.run_size, self._clock.now())
+        return self._gate.begin(call.run_kind, call.run_size, self._clock.now())
 
     def end(self, run: RunInProgress, is_whole: bool) -> None:
         """Record the end of a run."""
@@ -81,7 +81,7 @@
         )
 
     def _decide(self, call: ForwardCall) -> FinishDecision:
-        return self._gate.decide(call.run_kinds, call.run_size, call.deadline, self._clock.now())
+        return self._gate.decide(call.run_kind, call.run_size, call.deadline, self._clock.now())
 
     def _log(self, call: ForwardCall, decision: FinishDecision) -> None:
         name = "passed_on" if decision.accepted else "refused"
