Show whether the background tasks of a process run

A task that ends by an exception left one internal_error line. Readiness, status and metrics were as before, so nothing told a process that follows the list of upstreams from one that has stopped.

Tasks that others rely on now have names. The end of one is event E1010 with its name; the status lists them; forwarders export forwarder_task_running, forwarder_task_failures_total and the age of the list of upstreams, entries and slots tasks.not_running and tasks.failed.NAME. What a task does after its end is unchanged: it stays ended.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -111,6 +111,13 @@
         "Lines of these events were dropped: too many in a second, or the log was not read.",
     )
 
+    TASK_FAILED = (
+        1010,
+        "ERROR",
+        "A task on which other parts of the process rely has ended by an exception; ``failures`` "
+        "counts how often. What it keeps up to date is as old as its last progress.",
+    )
+
     CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
     CONFIGURATION_KEPT = (
         1104,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
@@ -50,6 +50,21 @@
 """Counter of metric updates dropped because there were too many names."""
 
 
+TASKS_NOT_RUNNING = "tasks.not_running"
+"""Gauge of the background tasks that have ended by an exception."""
+
+
+def task_failure_counter(name: str) -> str:
+    """Return the name of the counter for a background task that has ended by an exception.
+
+    Examples
+    --------
+    >>> task_failure_counter("configuration")
+    'tasks.failed.configuration'
+    """
+    return f"tasks.failed.{name}"
+
+
 def refusal_counter(kind: ErrorKind) -> str:
     """Return the name of the counter for one kind of refusal.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -6,7 +6,7 @@
 import random
 import secrets
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Coroutine
+from collections.abc import Collection
 from typing import Any, ClassVar
 
 import attrs
@@ -14,11 +14,17 @@
 from burdockquay_coordination import ConfigurationHolder, EvacuatedDomains, EvacuationChange
 from burdockquay_state import RecordLog, Snapshot
 
-from ._background import BackgroundTasks
+from ._background import BackgroundTasks, Begin
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
-from ._metrics import EVACUATED_DOMAINS, keep_flushing, make_sink
+from ._metrics import (
+    EVACUATED_DOMAINS,
+    TASKS_NOT_RUNNING,
+    keep_flushing,
+    make_sink,
+    task_failure_counter,
+)
 from ._peer import Identity, PeerConnection, TrafficCounts
 from ._platform import open_platform
 from ._suspicion_exchange import SuspicionExchange
@@ -83,14 +89,14 @@
         self._open_common()
         self._open_components()
         await self._listen()
-        common = (
-            self._sync.run(),
-            keep_flushing(self.metrics),
-            self.suspicions.load(),
-            self._log_when_ready(),
-        )
-        for work in (*common, *self._background_coroutines()):
-            self._tasks.spawn(work)
+        common = {
+            "configuration": self._sync.run,
+            "metrics": lambda: keep_flushing(self.metrics),
+            "suspicions": self.suspicions.load,
+            "readiness": self._log_when_ready,
+        }
+        for name, begin in (common | self._background_tasks()).items():
+            self._tasks.supervise(name, begin)
         log_event(Event.PROCESS_LISTENING, role=self.role, vm=self.settings.vm, port=self.port)
 
     async def stop(self, late_s: float = 0.0) -> None:
@@ -153,7 +159,7 @@
         )
         self.traffic = TrafficCounts()
         self.metrics = make_sink(settings.metrics)
-        self._tasks = BackgroundTasks()
+        self._tasks = BackgroundTasks(self._record_task_failure)
         self._leaving = False
         self._platform = open_platform(settings.platform)
         self._holder = ConfigurationHolder(self.known_schemas)
@@ -172,6 +178,12 @@
             self._platform.table, self._clock, self._rng, self._connected_peers, self._tasks.spawn
         )
 
+    def _record_task_failure(self, name: str) -> None:
+        self.metrics.count(task_failure_counter(name))
+        self.metrics.gauge(
+            TASKS_NOT_RUNNING, sum(not item.is_running for item in self._tasks.named)
+        )
+
     async def _log_when_ready(self) -> None:
         async for _ in ticks(self._clock, lambda: False):
             if self.ready:
@@ -214,6 +226,7 @@
             "evacuations": self.evacuations.describe(),
             "quarantine": self.suspicions.describe(),
             "table": {"healthy": self._sync.table_healthy},
+            "tasks": self._tasks.describe(),
             "traffic": attrs.asdict(self.traffic),
         }
 
@@ -226,8 +239,8 @@
         """Start the servers."""
 
     @abstractmethod
-    def _background_coroutines(self) -> Collection[Coroutine]:
-        """Return the coroutines to run as tasks until the process closes."""
+    def _background_tasks(self) -> dict[str, Begin]:
+        """Return what runs until the process closes, by name."""
 
     @abstractmethod
     def _reconfigure(self, evacuations: EvacuationChange) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Coroutine
 from typing import Any
 
 from result import Err
@@ -23,6 +22,7 @@
 from burdockquay_protocol import Goodbye, Grant, PartReports, Suspicions
 from burdockquay_state import ClaimStore, VmEntry
 
+from ._background import Begin
 from ._call_runner import CallRunner
 from ._caller_http import CallerServer
 from ._clock import ticks
@@ -110,8 +110,12 @@
         self._server = CallerServer(self)
         await self._server.start(self.settings.host, self.settings.port)
 
-    def _background_coroutines(self) -> Collection[Coroutine]:
-        return (self._follow_vm_list(), self._run_ticks(), self._server.run_guard())
+    def _background_tasks(self) -> dict[str, Begin]:
+        return {
+            "vm_list": self._follow_vm_list,
+            "ticks": self._run_ticks,
+            "caller_guard": self._server.run_guard,
+        }
 
     def _count_processes(self) -> int:
         return self._membership.processes
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from .._background import NamedTask
+
 FIRST_OUTPUT_BUCKETS_S = (0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0)
 """Buckets for the time to the first token or to a plain answer, seconds; narrow around the usual
 targets of a tenth to half a second."""
@@ -81,6 +85,21 @@
             buckets=PREDICTION_RATIO_BUCKETS,
             registry=self.registry,
         )
+        self.task_running = Gauge(
+            "forwarder_task_running",
+            "1 while a task of the process runs, 0 after it has ended by an exception.",
+            ["task"],
+            registry=self.registry,
+        )
+        self.task_failures = Counter(
+            "forwarder_task_failures",
+            "Tasks of the process that have ended by an exception.",
+            ["task"],
+            registry=self.registry,
+        )
+        self.list_age = self._gauge(
+            "upstream_list_age_seconds", "Age of the last confirmation of the list of upstreams."
+        )
         self.config_age = self._gauge("config_age_seconds", "Age of the last confirmation.")
         self.revision = self._gauge("config_revision", "Version of the configuration.")
         self.store_era = self._gauge("store_era", "Newest era of the store that was heard of.")
@@ -177,6 +196,15 @@
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"forwarder_{name}", text, labels, registry=self.registry)
 
+    def record_task_failure(self, name: str) -> None:
+        """Count a task that has ended by an exception."""
+        self.task_failures.labels(name).inc()
+
+    def refresh_tasks(self, tasks: Iterable[NamedTask]) -> None:
+        """Set for each task whether it runs."""
+        for task in tasks:
+            self.task_running.labels(task.name).set(task.is_running)
+
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"forwarder_{name}", text, registry=self.registry)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import secrets
 from typing import TYPE_CHECKING
@@ -37,6 +38,15 @@
 seconds: for the last answers to arrive and the process to close."""
 
 
+_TASKS = {
+    "configuration": follow_configuration,
+    "upstreams": follow_upstreams,
+    "vanished_upstreams": remove_vanished_upstreams,
+    "stream_origins": keep_origins,
+}
+"""Tasks that need only the state of the process, by name."""
+
+
 class Forwarder:
     """One forwarder process.
 
@@ -105,7 +115,7 @@
         rng = self.rng or random.Random(secrets.randbits(64))
         exchange = FeedExchange(rng, Switches(settings.mechanisms_off))
         self._state = ForwarderState(settings, platform_class(address, exchange), clock, rng)
-        self._tasks = BackgroundTasks()
+        self._tasks = BackgroundTasks(self._state.metrics.record_task_failure)
         regions = self._state.region_map
         if regions.has_several:
             log_event(
@@ -126,17 +136,12 @@
             self._expose,
         )
         self._incarnation = secrets.token_hex(8)
-        self._tasks.spawn(self._ingress.guard.run())
-        self._tasks.spawn(self._keep_parts(clock))
+        self._tasks.supervise("caller_guard", self._ingress.guard.run)
+        self._tasks.supervise("prompt_parts", lambda: self._keep_parts(clock))
         self._mesh = self._open_mesh()
         self._usage = self._open_usage()
-        for work in (
-            follow_configuration,
-            follow_upstreams,
-            remove_vanished_upstreams,
-            keep_origins,
-        ):
-            self._tasks.spawn(work(self._state))
+        for name, work in _TASKS.items():
+            self._tasks.supervise(name, functools.partial(work, self._state))
         log_event(
             Event.PROCESS_LISTENING,
             role=self.role,
@@ -158,7 +163,7 @@
         mesh = PeerMesh(self._state, self._identity(), settings.peer_listen)
         self._state.broadcast_crash = mesh.broadcast_crash
         self._state.connected_peers = lambda: mesh.connected
-        self._tasks.spawn(mesh.run())
+        self._tasks.supervise("peers", mesh.run)
         return mesh
 
     async def _keep_parts(self, clock: Clock) -> None:
@@ -204,7 +209,7 @@
         if mesh is not None:
             mesh.add_handler(UsageCounts, usage.receive_counts)
             mesh.add_handler(ClockReading, usage.receive_clock)
-        self._tasks.spawn(usage.run())
+        self._tasks.supervise("usage", usage.run)
         return usage
 
     def reload(self, settings: ForwarderSettings) -> ForwarderSettings:
@@ -239,10 +244,14 @@
             },
             "peers": self._mesh.connected if self._mesh else 0,
             "crash_parts": state.parts.describe(),
+            "tasks": self._tasks.describe(),
         }
 
     def _expose(self) -> bytes:
         self._state.refresh_gauges()
+        self._state.metrics.refresh_tasks(self._tasks.named)
+        list_age_s = self._state.upstream_list_age_s(self._state.clock.now())
+        self._state.metrics.list_age.set(list_age_s)
         if self._usage is not None:
             self._usage.refresh_gauges()
         self._ingress.refresh_gauges()
@@ -271,7 +280,7 @@
         delay_s = max(0.0, settings.leave_delay_s - late_s)
         now = self._state.clock.now()
         self._state.finish_gate.stop_at(now + limit_s, now + delay_s)
-        self._tasks.spawn(self._ingress.release_unfinishable())
+        self._tasks.supervise("end_of_stop", self._ingress.release_unfinishable)
         try:
             async with asyncio.timeout(limit_s):
                 await asyncio.sleep(delay_s)
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from burdockquay_coordination import (
@@ -43,6 +43,7 @@
 
 from . import _engine_client, _service_client  # noqa: F401 (they register upstream clients)
 from ._addresses import bind_socket
+from ._background import Begin
 from ._claim_expiry import ClaimExpiry, claim_incarnation
 from ._clock import ticks
 from ._cold_upstream import ColdUpstream
@@ -110,16 +111,16 @@
             settings.host, settings.status_port, lambda: self.ready, self.describe
         )
 
-    def _background_coroutines(self) -> Collection[Coroutine]:
-        return (
-            self._run_ticks(),
-            self._status.run(),
-            self._measure_when_idle(),
-            self._watch_leaving_upstream(),
-            self._expiry.run(),
-            self._eras.run(),
-            self._orders.run(),
-        )
+    def _background_tasks(self) -> dict[str, Begin]:
+        return {
+            "ticks": self._run_ticks,
+            "status": self._status.run,
+            "idle_measurement": self._measure_when_idle,
+            "leaving_upstream": self._watch_leaving_upstream,
+            "claim_expiry": self._expiry.run,
+            "era": self._eras.run,
+            "orders": self._orders.run,
+        }
 
     def _connected_peers(self) -> list[PeerConnection]:
         return self._peers.all()
