--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -123,6 +123,12 @@
         "A request that was passed on ``passed_on_s`` after the process was told to stop was not "
         "finished by its end; negative for one that was passed on before.",
     )
+    TASK_FAILED = (
+        1012,
+        "ERROR",
+        "A task on which other parts of the process rely has ended by an exception; ``failures`` "
+        "counts how often. What it keeps up to date is as old as its last progress.",
+    )
 
     CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
     CONFIGURATION_KEPT = (
