Log whether the origin of a stream was recorded, and by which knowledge a resumed one was placed

The logs could not tell whether an origin was recorded before the first event, why not, and how old the list was by which a resumed stream was placed.

ORIGIN_NOT_RECORDED names the request, the time for which its event was held and the failures so far, and is now logged for each stream, also where the event is not held since a write has just failed. ORIGIN_RECORDED gives the time and the failed writes. STREAM_RESUMED gives the record, the list and its age, what peers have seen, and the time that the search took.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -498,7 +498,10 @@
         "A caller resumes a stream. ``software`` is the version that began it; ``source`` is how "
         "it was found: this process (``own``) or a peer knows it, or it is the only one by the "
         "record in the table (``record``) or, without the table, by what all processes have seen "
-        "(``only``). If it is ``unknown``, the stream is not resumed.",
+        "(``only``). If it is ``unknown``, the stream is not resumed. ``recorded`` and ``listed`` "
+        "are the origins of the record and of the list of upstreams, ``list_age_s`` is the time "
+        "since the list was confirmed, ``asked_s`` the time that the search took, and ``seen_by`` "
+        "what the peers that answered take for the only version.",
     )
     ANSWER_GIVEN_UP = (
         1977,
@@ -516,7 +519,15 @@
         1976,
         "WARNING",
         "The first event of a stream was passed on before its service and version were recorded, "
-        "because the table did not answer in time.",
+        "because the table did not answer in time. ``waited_s`` is the time for which the event "
+        "was held, ``failures`` the number of failed writes so far, and ``reason`` and ``detail`` "
+        "are those of the last one.",
+    )
+    ORIGIN_RECORDED = (
+        1985,
+        "INFO",
+        "This process has recorded a service and version at which streams of a route begin, after "
+        "``seconds`` and ``failures`` failed writes, or has learned that another process has.",
     )
 
     LESS_URGENT_STARTED = (
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -80,6 +80,7 @@
         self.on_several: Callable[[OriginRecord], None] = lambda record: None
         self._era = 0
         self._writing: dict[tuple[RouteKey, StreamOrigin], asyncio.Task] = {}
+        self._failures: dict[tuple[RouteKey, StreamOrigin], tuple[int, TableError]] = {}
         self._planned: set[tuple[RouteKey, StreamOrigin]] = set()
         self._reading: asyncio.Task | None = None
         self._malformed: set[str] = set()
@@ -97,23 +98,40 @@
         item = (route, origin)
         if not self.has(route, origin) and item not in self._writing:
             task = self._writing[item] = self.spawn(self._record(route, origin))
-            task.add_done_callback(lambda _: self._writing.pop(item, None))
+            task.add_done_callback(lambda _: self._forget_write(item))
 
-    async def ensure(self, route: RouteKey, origin: StreamOrigin) -> None:
-        """Wait until an origin is recorded, or for a short time while the table is unavailable."""
+    async def ensure(self, route: RouteKey, origin: StreamOrigin, request: str) -> None:
+        """Wait until an origin is recorded, or for a short time while the table is unavailable.
+
+        Parameters
+        ----------
+        route : RouteKey
+        origin : StreamOrigin
+        request : str
+            Id of the request whose first event waits, for the log.
+        """
         self.begin(route, origin)
         task = self._writing.get((route, origin))
-        if task is None or self.now() - self._failed_at < FAILED_WAIT_S:
+        if task is None:
             return
-        # The task goes on if the stream that waits for it ends.
-        await asyncio.wait([task], timeout=RECORD_WAIT_S)
+        begun_at = self.now()
+        if begun_at - self._failed_at >= FAILED_WAIT_S:
+            # The task goes on if the stream that waits for it ends.
+            await asyncio.wait([task], timeout=RECORD_WAIT_S)
+            if not self.has(route, origin):
+                self._failed_at = self.now()
         if not self.has(route, origin):
-            self._failed_at = self.now()
+            failures, error = self._failures.get((route, origin), (0, None))
             log_event(
                 Event.ORIGIN_NOT_RECORDED,
+                request=request,
                 prefix=route.prefix,
                 service=origin.service,
                 software=origin.version,
+                waited_s=self.now() - begun_at,
+                failures=failures,
+                reason=error.kind if error else "no answer",
+                detail=error.detail if error else "",
             )
 
     async def find_possible(self, route: RouteKey) -> frozenset[StreamOrigin] | None:
@@ -177,17 +195,33 @@
                 # The row may have changed; it is read again before the next write.
                 self.records.forget(record.route)
 
+    def _forget_write(self, item: tuple[RouteKey, StreamOrigin]) -> None:
+        self._writing.pop(item, None)
+        self._failures.pop(item, None)
+
     async def _record(self, route: RouteKey, origin: StreamOrigin) -> None:
+        begun_at = self.now()
         await asyncio.sleep(self._stagger_s())
         pause_s = RETRY_PAUSES_S[0]
+        failures = 0
         while not self.has(route, origin):
             written = await self._extend(route, origin)
             if written.is_ok():
                 continue
             if written.err().kind is not TableErrorKind.CONFLICT:
                 self._failed_at = self.now()
+            failures += 1
+            self._failures[route, origin] = (failures, written.err())
             await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
             pause_s = min(2 * pause_s, RETRY_PAUSES_S[1])
+        log_event(
+            Event.ORIGIN_RECORDED,
+            prefix=route.prefix,
+            service=origin.service,
+            software=origin.version,
+            seconds=self.now() - begun_at,
+            failures=failures,
+        )
 
     def _stagger_s(self) -> float:
         limit_s = min(MAX_STAGGER_S, STAGGER_PER_PROCESS_S * self.processes())
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
+
+import attrs
 
 from burdockquay_coordination.forwarding import (
     ForwardRoute,
@@ -29,6 +32,15 @@
 """Time after its start within which a process may still be about to connect to others, seconds."""
 
 
+@attrs.define
+class _Knowledge:
+    """What was known of a stream that nobody knows, for the log."""
+
+    recorded: frozenset[StreamOrigin] | None = None
+    listed: frozenset[StreamOrigin] = frozenset()
+    seen_by: frozenset[str | None] = frozenset()
+
+
 def begin_recording(state: ForwarderState, call: ForwardCall) -> None:
     """Begin to record where a stream begins, while its upstream prepares the first event."""
     if call.software_version is None and call.route.can_resume:
@@ -45,7 +57,7 @@
     origin = StreamOrigin(call.service, call.software_version)
     route = _route_key(call.route)
     must_send = state.streams.record(digest, origin, state.clock.now())
-    await state.origins.ensure(route, origin)
+    await state.origins.ensure(route, origin, call.request.id)
     if must_send or len(state.origins.records.get(route).origins) > 1:
         state.send_stream_starts([(digest, origin)])
 
@@ -80,7 +92,9 @@
     if not request.resume_after or not call.route.can_resume:
         return
     digest = stream_digest(request.resumed_attempt or "", call.organisation)
-    origin, source = await _search(state, call, digest)
+    begun_at = state.clock.now()
+    knowledge = _Knowledge()
+    origin, source = await _search(state, call, digest, knowledge)
     if origin is None or origin.service not in {item.service for item in call.route.shares}:
         origin, source = None, "unknown"
     state.metrics.resumed.labels(call.service, source).inc()
@@ -91,6 +105,11 @@
         service=call.service,
         software=origin.version if origin else None,
         source=source,
+        recorded=_describe(knowledge.recorded),
+        listed=_describe(knowledge.listed),
+        list_age_s=state.upstream_list_age_s(begun_at),
+        asked_s=state.clock.now() - begun_at,
+        seen_by=sorted(str(version) for version in knowledge.seen_by),
     )
     if origin is None:
         raise CallError(RequestError(ErrorKind.STREAM_UNKNOWN))
@@ -98,19 +117,20 @@
 
 
 async def _search(
-    state: ForwarderState, call: ForwardCall, digest: bytes
+    state: ForwarderState, call: ForwardCall, digest: bytes, knowledge: _Knowledge
 ) -> tuple[StreamOrigin | None, str]:
-    """Return the origin of a stream, and who knew it."""
+    """Return the origin of a stream, and who knew it; fill in what was known."""
     origin = state.streams.find(digest, state.clock.now())
     if origin is not None:
         return origin, "own"
     known = await state.ask_stream_origin(digest, call.service)
     if known.origin is not None:
         return known.origin, "peer"
-    possible = await state.origins.find_possible(_route_key(call.route))
+    knowledge.seen_by = known.only_versions
+    possible = knowledge.recorded = await state.origins.find_possible(_route_key(call.route))
+    listed = knowledge.listed = _listed_origins(state, call.route)
     if possible is None:
         return _find_only_origin(state, call, known), "only"
-    listed = _listed_origins(state, call.route)
     possible = possible or listed
     if len(possible) == 1 and listed <= possible:
         return next(iter(possible)), "record"
@@ -136,6 +156,12 @@
     return StreamOrigin(call.service, version) if version is not None and agrees else None
 
 
+def _describe(origins: Iterable[StreamOrigin] | None) -> list[str] | None:
+    if origins is None:
+        return None
+    return sorted(f"{origin.service} {origin.version}" for origin in origins)
+
+
 def _route_key(route: ForwardRoute) -> RouteKey:
     return RouteKey(route.host, route.prefix)
 
