Repeat a run that breaks during a shutdown as at other times

A request whose upstream broke off after the signal to stop was not sent again if its deadline lay after the end of the process, since the gate of the shutdown refused the send. Its caller got upstream_failed at once: it may have run, so it cannot be refused as not run, and the failure was made certain. It is now repeated, as it may still be finished; otherwise its caller gets the same error at the end.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
@@ -39,18 +39,23 @@
         self._gate.stop_at(ends_at, certain_from)
 
     def accept(self, call: ForwardCall) -> bool:
-        """Return whether a call that is about to be sent may be, and keep and log why."""
+        """Return whether a call that is about to be sent may be, and keep and log why.
+
+        One that may have run is never refused: its caller could not send it to another process
+        either, and would lose the answer that it may still get here.
+        """
         decision = self._decide(call)
+        accepted = decision.accepted or call.maybe_run
         if self._gate.is_stopping:
             call.finish = decision
-            self._log(call, decision)
-        return decision.accepted
+            self._log(call, decision, accepted)
+        return accepted
 
     def admit(self, call: ForwardCall) -> bool:
         """Return whether a call that is not sent yet may be served, and log why not."""
         decision = self._decide(call)
         if not decision.accepted:
-            self._log(call, decision)
+            self._log(call, decision, accepted=False)
         return decision.accepted
 
     def begin(self, call: ForwardCall) -> RunInProgress:
@@ -83,8 +88,8 @@
     def _decide(self, call: ForwardCall) -> FinishDecision:
         return self._gate.decide(call.run_kind, call.run_size, call.deadline, self._clock.now())
 
-    def _log(self, call: ForwardCall, decision: FinishDecision) -> None:
-        name = "passed_on" if decision.accepted else "refused"
+    def _log(self, call: ForwardCall, decision: FinishDecision, accepted: bool) -> None:
+        name = "passed_on" if accepted else "refused"
         self._metrics.late_requests.labels(name, decision.reason.value).inc()
         now = self._clock.now()
         log_event(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -311,8 +311,6 @@
         if upstream.is_evacuated:
             return HeldBack(upstream, "evacuated")
         if not self.state.late_calls.accept(call):
-            if call.maybe_run:
-                return RetryDenied(upstream)
             raise CallError(RequestError(ErrorKind.LEAVING))
         if not self._withdraw_retry(call):
             return RetryDenied(upstream)
