Judge a request again when it is written to its upstream during a shutdown

A request that was accepted before the signal to stop, or early in the shutdown, was written to its upstream up to 0.4 s later, when the connection was open, without another look at the time that was left. The condition is now checked with the others just before the first byte.

The test begins the shutdown while the connection is opened; it failed before: the request was sent, and its caller got outcome_unknown at the end.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
@@ -52,7 +52,7 @@
         return accepted
 
     def admit(self, call: ForwardCall) -> bool:
-        """Return whether a call that is not sent yet may be served, and log why not."""
+        """Return whether a call of which nothing is sent may be served, and log why not."""
         decision = self._decide(call)
         if not decision.accepted:
             self._log(call, decision, accepted=False)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -429,6 +429,8 @@
             check_statements(upstream, self.state.clock.now())
             check_cold(call, upstream, self.state.clock.now())
             check_named_upstreams(call)
+            if not call.maybe_run and not self.state.late_calls.admit(call):
+                raise CallError(RequestError(ErrorKind.LEAVING))
 
         self.check_key(call)
         self._check_parts(call)
