Check the names and texts of entries where they enter a process

A key with a lone surrogate, which JSON can escape, in the list of upstreams or in the table of the configuration ended the task that follows the table at each process: the message with the change to the peers could not be encoded. Upstreams and routes that were added later got 503 and 404. A key in an empty form or with a line end, such texts as service, zone or version, a sequence number of 4,000 digits, an address with a scope, of no interface or of several, and entries in UTF-16 were accepted, too; some became part of headers. An entry that stays in its table was logged at every complete read.

Entries are now checked when they are read from the store or from a peer: names and texts by one constraint, TEXT, which is also that of the record of stream origins. A row with an unusable name is left out before anything keeps it or sends it on; the other rows of the answer are used. Each revision of an odd entry is logged once (E1981) and counted (forwarder_odd_entries_total).

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_origin_records.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_origin_records.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from burdockquay_state import LONG_TEXT, TEXT
+
 from ._stream_versions import STREAM_MEMORY_S, StreamOrigin
 
 KEY_PREFIX = "stream-origins/"
@@ -94,14 +96,26 @@
         """
         try:
             written, host, prefix, pairs = json.loads(value)
-            origins = {StreamOrigin(str(service), str(item)) for service, item in pairs}
+            origins = {StreamOrigin(service, item) for service, item in pairs}
+            if not _is_sound(host, prefix, origins):
+                return None
             if max(int(written), FIRST_ERA) < max(era, FIRST_ERA):
                 origins.add(UNKNOWN_ORIGIN)
-            return cls(RouteKey(str(host), str(prefix)), frozenset(origins), version)
-        except (ValueError, TypeError):
+            return cls(RouteKey(host, prefix), frozenset(origins), version)
+        except (ValueError, TypeError, OverflowError, RecursionError):
             return None
 
 
+def _is_sound(host: object, prefix: object, origins: Iterable[StreamOrigin]) -> bool:
+    """Return whether the texts of a row can be encoded again."""
+    names = [text for item in origins for text in (item.service, item.version)]
+    return (
+        LONG_TEXT.accepts(host)
+        and LONG_TEXT.accepts(prefix)
+        and all(text == "" or TEXT.accepts(text) for text in names)
+    )
+
+
 class OriginRecords:
     """What a process knows of the record.
 
--- a/packages/burdockquay-state/src/burdockquay_state/__init__.py
+++ b/packages/burdockquay-state/src/burdockquay_state/__init__.py
@@ -133,7 +133,9 @@
         "number_of",
     ),
     "._validation": (
+        "LONG_TEXT",
         "NAME",
+        "TEXT",
         "Constraint",
         "InstanceOf",
         "Interval",
--- a/packages/burdockquay-state/src/burdockquay_state/_validation.py
+++ b/packages/burdockquay-state/src/burdockquay_state/_validation.py
@@ -146,6 +146,21 @@
 """Constraint on the names of records, organisations, classes and VMs."""
 
 
+def _text(longest: int) -> Matches:
+    return Matches(
+        rf"[^\x00-\x1f\x7f-\x9f\ud800-\udfff]{{1,{longest}}}",
+        f"a text of 1 to {longest} characters without control characters and lone surrogates",
+    )
+
+
+LONG_TEXT = _text(4000)
+"""Constraint like ``TEXT`` on paths and host names, which may be longer."""
+
+TEXT = _text(200)
+"""Constraint on free texts from outside. Control characters end the line of a header or of the log,
+and a lone surrogate, which JSON can escape, cannot be encoded again."""
+
+
 @attrs.frozen
 class ParameterFault:
     """A value that violates its constraints.
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -177,6 +177,12 @@
         "The VM list cannot be read; the last list read stays in use.",
     )
     VM_LIST_RECOVERED = (1204, "INFO", "The VM list can be read again.")
+    ENTRY_FAULT = (
+        1981,
+        "WARNING",
+        "An entry in a table of the platform cannot be used and is ignored; an upstream that it "
+        "replaces gets no new requests. Logged once for each revision of the entry.",
+    )
     VM_ENTRY_FAULT = (1205, "WARNING", "An entry of the VM list is malformed and is ignored.")
     TABLE_ERA_CHANGED = (
         1226,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -6,6 +6,7 @@
 
 from burdockquay_protocol import ChangedRow
 
+from ._entry_faults import EntryFaults
 from ._headers import end_to_end_headers
 from ._platform import (
     AnswerFacts,
@@ -33,6 +34,7 @@
     "ChangedRow",
     "ConfigReading",
     "ConfigSource",
+    "EntryFaults",
     "FeedExchange",
     "ForwarderPlatformSettings",
     "ForwarderSettings",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -94,6 +94,9 @@
             buckets=PREDICTION_RATIO_BUCKETS,
             registry=self.registry,
         )
+        self.odd_entries = self._counter(
+            "odd_entries", "Entries in tables of the platform that cannot be used.", "table"
+        )
         self.task_running = Gauge(
             "forwarder_task_running",
             "1 while a task of the process runs, 0 after it has ended by an exception.",
@@ -209,6 +212,10 @@
         """Count a task that has ended by an exception."""
         self.task_failures.labels(name).inc()
 
+    def record_odd_entry(self, table: str) -> None:
+        """Count an entry of a table that cannot be used."""
+        self.odd_entries.labels(table).inc()
+
     def refresh_tasks(self, tasks: Iterable[NamedTask]) -> None:
         """Set for each task whether it runs."""
         for task in tasks:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -30,6 +30,7 @@
 from burdockquay_state import Position, TableError, TableErrorKind
 
 from .._events import Event, log_event
+from ._entry_faults import EntryFaults
 from ._table_store import TableReading, TableStore
 from ._table_update import TableUpdate
 
@@ -57,6 +58,7 @@
         self.rng = rng
         self.switches = switches
         self.era = StoreEra()
+        self.faults = EntryFaults()
         self.send_changes: Callable[[TableChanges], None] = lambda message: None
         self.send_question: Callable[[TableQuestion], None] = lambda message: None
         self.on_restored: Callable[[], None] = lambda: None
@@ -80,6 +82,8 @@
             return
         if message.era:
             self.record_era(message.era, now, from_peer=True)
+        rows = list(self.faults.usable(message.table, message.rows))
+        message = attrs.evolve(message, rows=rows)
         feed = self._feeds.get(message.table)
         if feed is not None:
             feed.receive(message, is_complete)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -116,6 +116,7 @@
         exchange = FeedExchange(rng, Switches(settings.mechanisms_off))
         self._state = ForwarderState(settings, platform_class(address, exchange), clock, rng)
         self._tasks = BackgroundTasks(self._state.metrics.record_task_failure)
+        exchange.faults.on_fault = self._state.metrics.record_odd_entry
         regions = self._state.region_map
         if regions.has_several:
             log_event(
