Leave out odd parts of a configuration alone, and log them once

An organisation with an odd field made the whole configuration malformed: routes and keys that it added were not used, and all keys expired. Texts with lone surrogates or control characters, times that are not a number, negative weights and numbers of hundreds of digits in routes and services were taken over; a list of keys that was a text became a key for each of its letters. Parts that were left out were logged at every read, with their content.

The keys of such an organisation are refused.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -310,6 +310,11 @@
     )
     ROUTE_FAULT = (1909, "ERROR", "A route of the configuration is invalid and is ignored.")
     SERVICE_FAULT = (1914, "ERROR", "The configuration of a service is invalid.")
+    ORGANISATION_FAULT = (
+        1982,
+        "ERROR",
+        "An organisation of the configuration is invalid; its keys are refused.",
+    )
     HOMES_FAULT = (
         1970,
         "ERROR",
