Log connections that are closed before their answers are delivered

A connection of a caller now knows what its peer has not acknowledged (write buffer of the process and send buffer of the kernel), and event 1407 names it, with the bytes of unanswered requests, when the connection is closed all the same. The number of lines is limited like that of E1406.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
@@ -18,6 +18,7 @@
 
 from ._call_error import CallError
 from ._caller_guard import CallerGuard
+from ._delivery import DeliveringConnection
 from ._events import Event, describe_fault, log_event
 
 MAX_AHEAD_BYTES = 64 << 10
@@ -60,7 +61,7 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class BoundedConnection(web.RequestHandler):
+class BoundedConnection(DeliveringConnection):
     """A connection of a caller whose requests and answers are accounted for.
 
     Parameters
@@ -254,6 +255,9 @@
         fault = describe_fault(options.get("exc_info") or RuntimeError())
         log_event(Event.INTERNAL_ERROR, where="caller connection", error=fault)
 
+    def _record_undelivered(self, size: int) -> None:
+        self._guard.record_undelivered(size, self._account.received)
+
     def _parse_later(self, data: bytes) -> None:
         if not self._sizes:
             self._enter(CallerPhase.HEAD)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_guard.py
@@ -99,6 +99,20 @@
             held_bytes=self.accounts.held,
         )
 
+    def record_undelivered(self, size: int, received: int) -> None:
+        """Log that a connection is closed before its caller has received so many bytes.
+
+        Parameters
+        ----------
+        size : int
+            Bytes of answers.
+        received : int
+            Bytes of requests that are not answered.
+        """
+        if self._lines_left:
+            self._lines_left -= 1
+            log_event(Event.ANSWER_UNDELIVERED, undelivered=size, received=received)
+
     async def reserve(self, account: CallerAccount, size: int) -> None:
         """Wait until there is room for an answer; the deadline of its request limits the wait."""
         while not self.accounts.try_reserve(account, size, self.now()):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -534,6 +534,12 @@
         "A connection of a caller was given up, or a request on it refused, since it took too much "
         "memory, too many descriptors or too long.",
     )
+    ANSWER_UNDELIVERED = (
+        1407,
+        "WARNING",
+        "A connection of a caller was closed before it had acknowledged so many bytes of answers; "
+        "``received`` bytes of requests were not answered.",
+    )
     ORIGIN_NOT_RECORDED = (
         1976,
         "WARNING",
