Close a caller's connection only once its answers are delivered

Callers lost whole answers: where a process closed a connection after an answer, or as idle when it stopped, and the caller had sent bytes of a next request, the kernel reset the connection and dropped what it had not sent yet. Measured on loopback with an answer of 300,000 bytes and a caller that had not read (receive buffer of 4096 bytes): 6,144 bytes arrived, then ECONNRESET, with both event loops, at a stop of a forwarder (plain answer and stream that had just ended) and at any answer with Connection: close of the server that entry and forwarder share.

Cause: close() of a socket with unread bytes, or bytes that arrive later, is a reset. Only refusals of unread bodies waited for the caller. Now every close after an answer ends the write side first, drops what the caller still sends and closes once the caller has closed its side, or 10 s after the last progress of the delivery (RFC 9112, 9.6). An idle connection is closed at once if nothing is undelivered, so that a crossing request stays unread. A stop waits until answers are delivered, within its limit; the final refusals have the 0.3 s that they had.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_callers.py
@@ -18,7 +18,7 @@
 
 from ._call_error import CallError
 from ._caller_guard import CallerGuard
-from ._delivery import DeliveringConnection
+from ._delivery import LINGER_S, DeliveringConnection
 from ._events import Event, describe_fault, log_event
 
 MAX_AHEAD_BYTES = 64 << 10
@@ -42,9 +42,6 @@
 MAX_FRAMING_BYTES = 64 << 10
 """Bytes of framing that are allowed for any body."""
 
-LINGER_S = 10.0
-"""Time for which the rest of a refused request is read, seconds."""
-
 _SILENT_PHASES = frozenset({CallerPhase.NEW, CallerPhase.IDLE})
 """Phases in which a connection is closed without loss."""
 
@@ -95,8 +92,6 @@
         self._request: web.BaseRequest | None = None
         self._refusal: RequestError | None = None
         self._handler_task: asyncio.Task | None = None
-        self._drained: asyncio.Future | None = None
-        self._has_drained = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Serve a connection, or close it if there is no place for it."""
@@ -110,13 +105,8 @@
         if self._account is not None:
             self._guard.accounts.close(self._account)
         self._pending = b""
-        self._finish_lingering()
         super().connection_lost(error)
 
-    def eof_received(self) -> None:
-        """End the wait for the rest of a refused request."""
-        self._finish_lingering()
-
     @property
     def is_body_complete(self) -> bool:
         """Whether the bodies of all requests were received."""
@@ -125,12 +115,7 @@
     @property
     def is_dropping(self) -> bool:
         """Whether everything that the caller still sends is dropped."""
-        return self._is_dropping
-
-    @property
-    def is_lingering(self) -> bool:
-        """Whether the connection stays open only for the caller to read a refusal."""
-        return self._drained is not None
+        return self._is_dropping or self.is_lingering
 
     @property
     def has_pending(self) -> bool:
@@ -203,6 +188,15 @@
         else:
             self.abort()
 
+    def close_delivered(self) -> None:
+        """Drop what follows, and close the connection once the caller closes its side."""
+        while len(self._sizes) > 1:
+            self._guard.accounts.release(self._account, self._sizes.pop())
+        self._messages.clear()
+        if self.transport is not None:
+            self._discard_unparsed()
+        super().close_delivered()
+
     def abort(self) -> None:
         """Close the connection at once; what was not sent is lost."""
         if self.transport is not None:
@@ -380,8 +374,8 @@
             if self._is_last and not is_lost:
                 # The traceback of the error before keeps what the handler has read.
                 request.content.set_exception(ConnectionError("the request was refused"))
-                await self._linger()
-                self.close()
+            if not is_lost and (self._is_last or self._close or not response.keep_alive):
+                self.close_delivered()
             return response, is_lost
         finally:
             self._handler_task = None
@@ -423,7 +417,7 @@
         self._request = None
         self._measure_backlog = int
         request._read_bytes = None
-        if self._is_dropping and not request.content.is_eof():
+        if self.is_dropping and not request.content.is_eof():
             request.content.feed_eof()
         if self.transport is None or not self._sizes:
             return
@@ -443,26 +437,12 @@
         is_head = self._has_partial_line or self._pending
         return CallerPhase.HEAD if is_head else CallerPhase.UNREAD
 
-    async def _linger(self) -> None:
-        """Wait until the caller has sent the rest of a refused request.
-
-        A connection that is closed while data is received is reset, and the refusal may be lost.
-        """
-        self._enter(CallerPhase.CLOSING)
-        if self.transport is None or self.transport.is_closing() or self._has_drained:
-            return
-        self.transport.write_eof()
-        self._drained = self._loop.create_future()
-        await asyncio.wait([self._drained], timeout=LINGER_S)
-
-    def _finish_lingering(self) -> None:
-        self._has_drained = True
-        if self._drained is not None and not self._drained.done():
-            self._drained.set_result(None)
-
     def _drop_rest(self) -> None:
         """Drop all further data, and read it so that the connection is not reset."""
         self._is_dropping = True
+        self._discard_unparsed()
+
+    def _discard_unparsed(self) -> None:
         self._guard.accounts.release(self._account, len(self._pending) + self._head_bytes)
         self._pending = self._message_tail = b""
         self._dropped_bytes = 0
@@ -472,8 +452,9 @@
     def _drop(self, size: int) -> None:
         self._dropped_bytes += size
         if self._dropped_bytes > self._guard.terms.max_body_bytes:
-            self._finish_lingering()
             self._pause_transport_reading()
+            if self.is_lingering:
+                self.force_close()
 
     def _hold_back(self) -> None:
         self._is_held_back = True
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
@@ -59,7 +59,7 @@
         A connection without any request yet is not idle: its caller opened it to send one.
         """
         return self._is_used and not (
-            self._is_handling or self._is_closing or self.has_partial_head
+            self._is_handling or self._is_closing or self.is_dropping or self.has_partial_head
         )
 
     @property
@@ -72,11 +72,6 @@
         """Whether the head of a request was received in part."""
         return not self.is_dropping and (self._partial_head_at is not None or self.has_pending)
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of answers in the write buffer of this process."""
-        return 0 if self.transport is None else self.transport.get_write_buffer_size()
-
     def awaits_rest_of_head(self, now: float, wait_s: float) -> bool:
         """Return whether part of a head was received recently, so that the rest may follow."""
         if not self.has_partial_head or self._partial_head_at is None:
@@ -119,9 +114,6 @@
     def refuse_partial_head(self, refusal: web.Response) -> None:
         """Refuse a request whose head is incomplete, and accept no more data.
 
-        Further data is dropped until the process closes the connection: if it were closed at once,
-        the rest of the request would cause a reset, and the refusal might be lost.
-
         Parameters
         ----------
         refusal : Response
@@ -133,9 +125,8 @@
         lines += [f"{name}: {value}" for name, value in refusal.headers.items()]
         lines += [f"Content-Length: {len(refusal.body)}", "Connection: close", "", ""]
         self.transport.write("\r\n".join(lines).encode() + refusal.body)
-        self.transport.write_eof()
         self._partial_head_at = None
-        self.close()
+        self.close_delivered()
 
 
 class CallerServer(BoundedServer):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -53,7 +53,8 @@
 """Longest wait for the rest of a head that was partly received, seconds."""
 
 FINAL_ANSWERS_TIMEOUT_S = 0.3
-"""Longest wait until the answers of a process that shuts down are written, seconds."""
+"""Longest wait until the answers of a process that shuts down are written and delivered,
+seconds."""
 
 CLOSE_TIMEOUT_S = 0.3
 """Longest wait for connections to close with the process, seconds; their answers are written."""
@@ -148,8 +149,8 @@
         # otherwise their callers would get neither an answer nor a refusal.
         await read_pending()
         for connection in self._server.connections:
-            if connection.is_idle and connection.transport is not None:
-                connection.transport.close()
+            if connection.is_idle:
+                connection.close_idle()
 
     async def finish_all(self) -> None:
         """Wait until all answers are written and no request is left that this process can see."""
@@ -180,6 +181,7 @@
         """
         # From here on, each request is refused as soon as it is read.
         self._has_ended = True
+        final_at = self.state.clock.now() + FINAL_ANSWERS_TIMEOUT_S
         await self._stop_listening()
         await read_pending()
         for task in self._handling:
@@ -194,6 +196,8 @@
             )
         if partial:
             await asyncio.sleep(ANSWER_WRITE_S)
+        while self._has_undelivered() and self.state.clock.now() < final_at:
+            await asyncio.sleep(UNFINISHED_POLL_S)
 
     async def _stop_listening(self) -> None:
         if self._refuses_new:
@@ -203,15 +207,18 @@
         await self._site.stop()
 
     def _has_unfinished(self) -> bool:
-        """Return whether a request is handled or partly received, or an answer is partly unsent."""
+        """Return whether a request is handled or partly received, or an answer not delivered."""
         now = self.state.clock.now()
         return any(
             connection.is_handling
-            or connection.unsent_bytes
+            or connection.undelivered_bytes
             or connection.awaits_rest_of_head(now, PARTIAL_HEAD_TIMEOUT_S)
             for connection in self._server.connections
         )
 
+    def _has_undelivered(self) -> bool:
+        return any(connection.undelivered_bytes for connection in self._server.connections)
+
     def _partial_heads(self) -> list[CallerConnection]:
         """Return the connections on which the head of a request was partly received."""
         return [
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_stopping_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_stopping_connections.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from burdockquay_coordination import CallerTerms
-from burdockquay_transport import Event
+from burdockquay_transport import Event, _delivery
 from burdockquay_transport import _caller_guard as guard_module
 from burdockquay_transport._bounded_server import BoundedServer
 from burdockquay_transport._caller_guard import CallerGuard
@@ -61,9 +61,10 @@
             yield caller
 
     @property
-    def undelivered(self):
-        """Bytes of answers that are not acknowledged."""
-        return sum(connection.undelivered_bytes for connection in self.bounded.connections)
+    def is_answered(self):
+        """Whether a request was handled and its answer written."""
+        connections = self.bounded.connections
+        return self.handled and all(connection._request is None for connection in connections)
 
 
 def read_all(caller):
@@ -90,7 +91,43 @@
     """Guards against answers that are lost with their connection and leave no trace in the log."""
     async with Server(closes=False) as server:
         with server.connect():
-            await until(lambda: server.undelivered and not server.bounded.connections[0]._request)
-            undelivered = server.undelivered
+            await until(lambda: server.is_answered)
+            undelivered = server.bounded.connections[0].undelivered_bytes
             await server.runner.cleanup()
+    assert undelivered > ANSWER_BYTES // 2
     assert logged == [(Event.ANSWER_UNDELIVERED, {"undelivered": undelivered, "received": 0})]
+
+
+@pytest.mark.parametrize("is_next_early", [True, False])
+async def test_answer_is_delivered_where_a_next_request_crosses_the_close(is_next_early):
+    """Guards against resets that discard a whole answer since the caller has sent more."""
+    async with Server(closes=True) as server:
+        with server.connect() as caller:
+            if is_next_early:
+                caller.sendall(REQUEST)
+            await until(lambda: server.is_answered)
+            if not is_next_early:
+                caller.sendall(REQUEST)
+            received = await asyncio.to_thread(read_all, caller)
+    assert len(received.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
+    assert server.handled == 1
+
+
+async def test_idle_connection_with_an_unread_answer_is_closed_once_it_is_delivered():
+    """Guards against resets of idle connections that discard a whole answer."""
+    async with Server(closes=False) as server:
+        with server.connect() as caller:
+            await until(lambda: server.is_answered)
+            server.bounded.connections[0].close_idle()
+            caller.sendall(REQUEST)
+            received = await asyncio.to_thread(read_all, caller)
+    assert len(received.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
+    assert server.handled == 1
+
+
+async def test_connection_whose_caller_does_not_close_is_closed_after_a_time(monkeypatch):
+    """Guards against descriptors that callers keep by leaving closed connections open."""
+    monkeypatch.setattr(_delivery, "LINGER_S", 0.0)
+    async with Server(closes=True) as server:
+        with server.connect():
+            await until(lambda: server.handled and not server.bounded.connections)
