Place a stream that nobody knows only by a list that was read after it was resumed

A process that was out of step, disconnected or suspended while upstreams of a new version joined, placed a stream that it didn't know at the only version of its own list: it took a record without the new version for complete, although the process that began the stream had passed on the first event while the table could not be written. Without the table it trusted peers whose lists may have been as old as its own.

Before such a stream is placed, the process now reads the changes of the list of upstreams, together with the record, both after the request has arrived and within one second; requests at the same time share the readings (SharedRead). Possible origins are those of the record and all versions that the list has shown in the last minute. An entry that was removed before its version was seen may have been of any version: unknown streams are then refused for a minute. A list that can't be confirmed refuses, whatever peers have seen. Without the record, the list must have been followed without a gap for a minute. Before a refusal all peers, up to 64, are asked once more: with one version, only the process that began a stream knows it.

A resumption that neither the process nor its peers know costs one more call to the store.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
@@ -100,6 +100,10 @@
         Time of the last request for the list that the platform did not answer, at any process.
     after_restore : bool
         Whether this is the first reading since the store was restored from a copy.
+    has_missed : bool
+        Whether an entry was deleted that had been added since the last reading.
+    is_continuous : bool
+        Whether no changes since the last reading are unknown.
     """
 
     whole: bool
@@ -108,6 +112,8 @@
     unreadable: tuple[UnreadableEntry, ...] = ()
     last_failure_at: float = float("-inf")
     after_restore: bool = False
+    has_missed: bool = False
+    is_continuous: bool = True
 
 
 def is_newer_entry(entry: ListedUpstream, known: ListedUpstream) -> bool:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -58,13 +58,59 @@
         None if those that answered do not know it.
     only_versions : frozenset of str or None
         What each that answered knows as the only version of the service, None for several; empty if
-        none has answered.
+        none has answered. For the log only: the lists of peers may be as old as one's own.
     """
 
     origin: StreamOrigin | None
     only_versions: frozenset[str | None] = frozenset()
 
 
+@attrs.frozen
+class OriginEvidence:
+    """What a process knows of the origin of a stream that nobody knows by itself.
+
+    Parameters
+    ----------
+    recorded : frozenset of StreamOrigin or None
+        The origins of the route by the record in the table, read since the request arrived; None if
+        it could not be read.
+    seen : frozenset of StreamOrigin
+        The origins that the services of the route have shown while streams are kept.
+    is_current : bool
+        Whether the list of upstreams was confirmed since the request arrived.
+    has_missed : bool
+        Whether an upstream was listed and removed again before this process could see its version.
+    is_watched : bool
+        Whether ``seen`` covers the whole time for which streams are kept.
+    """
+
+    recorded: frozenset[StreamOrigin] | None
+    seen: frozenset[StreamOrigin]
+    is_current: bool
+    has_missed: bool = False
+    is_watched: bool = False
+
+    def only_origin(self) -> StreamOrigin | None:
+        """Return the only possible origin, None if there may be several.
+
+        The record alone does not suffice: streams begin, too, while it cannot be written.
+
+        Examples
+        --------
+        >>> v1, v2 = StreamOrigin("chat", "v1"), StreamOrigin("chat", "v2")
+        >>> OriginEvidence(frozenset({v1}), frozenset({v1}), is_current=True).only_origin() == v1
+        True
+        >>> OriginEvidence(frozenset({v1}), frozenset({v1}), is_current=False).only_origin()
+        >>> OriginEvidence(frozenset({v1}), frozenset({v1, v2}), is_current=True).only_origin()
+        """
+        if not self.is_current or self.has_missed:
+            return None
+        if self.recorded is None and not self.is_watched:
+            return None
+        possible = (self.recorded or frozenset()) | self.seen
+        return next(iter(possible)) if len(possible) == 1 else None
+
+
 @attrs.frozen
 class _Begun:
     origin: StreamOrigin
@@ -103,6 +149,7 @@
         self._seen_at: dict[str, dict[str, float]] = {}
         self._present: dict[str, frozenset[str]] = {}
         self._watched_since: dict[str, float] = {}
+        self._missed_at = float("-inf")
 
     def observe(
         self, service: str, versions: Iterable[str], now: float
@@ -128,6 +175,32 @@
             return ()
         return self.begun_at({service}, now)
 
+    def note_seen(self, service: str, version: str, now: float) -> None:
+        """Record a version of which this process knows from another source than its list."""
+        self._seen_at.setdefault(service, {})[version] = now
+
+    def note_missed(self, now: float) -> None:
+        """Record that an upstream was listed and removed again without being seen."""
+        self._missed_at = now
+
+    def restart_watch(self, now: float) -> None:
+        """Record that the changes of the list until now are not known."""
+        self._watched_since = dict.fromkeys(self._watched_since, now)
+
+    def has_missed(self, now: float) -> bool:
+        """Return whether a version may have begun streams that this process has not seen."""
+        return now <= self._missed_at + STREAM_MEMORY_S
+
+    def seen(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions that a service has shown while streams are kept."""
+        present = self._present.get(service, frozenset())
+        recent = self._seen_at.get(service, {}).items()
+        return present.union(item for item, at in recent if now <= at + STREAM_MEMORY_S)
+
+    def is_watched(self, service: str, now: float) -> bool:
+        """Return whether this process has watched a service for as long as streams are kept."""
+        return now - self._watched_since.get(service, now) >= STREAM_MEMORY_S
+
     def begun_at(
         self, services: Collection[str], now: float
     ) -> tuple[tuple[bytes, StreamOrigin], ...]:
@@ -162,14 +235,10 @@
             None if the service has shown several, or may have: a process that has watched it for a
             shorter time than streams are kept does not know what it showed before.
         """
-        if now - self._watched_since.get(service, now) < STREAM_MEMORY_S:
+        if not self.is_watched(service, now) or self.has_missed(now):
             return None
-        seen = self._seen_at.get(service, {})
-        present = self._present.get(service, frozenset())
-        current = [
-            item for item, at in seen.items() if item in present or now <= at + STREAM_MEMORY_S
-        ]
-        return current[0] if len(current) == 1 else None
+        seen = self.seen(service, now)
+        return next(iter(seen)) if len(seen) == 1 else None
 
 
 def _add(streams: OrderedDict[bytes, _Begun], digest: bytes, begun: _Begun, now: float) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -517,10 +517,13 @@
         "A caller resumes a stream. ``software`` is the version that began it; ``source`` is how "
         "it was found: this process (``own``) or a peer knows it, or it is the only one by the "
         "record in the table (``record``) or, without the table, by what all processes have seen "
-        "(``only``). If it is ``unknown``, the stream is not resumed. ``recorded`` and ``listed`` "
-        "are the origins of the record and of the list of upstreams, ``list_age_s`` is the time "
-        "since the list was confirmed, ``asked_s`` the time that the search took, and ``seen_by`` "
-        "what the peers that answered take for the only version.",
+        "(``only``). If it is ``unknown``, the stream is not resumed. ``recorded`` and ``seen`` "
+        "are the origins of the record and of the list of upstreams in the last minute, "
+        "``is_current`` says whether the list was confirmed since the request arrived, "
+        "``has_missed`` whether an entry came and went unseen, and ``is_watched`` whether the list "
+        "was followed for a minute. ``list_age_s`` is the age of the list at the arrival, "
+        "``asked_s`` the time that the search took, and ``seen_by`` what the peers take for the "
+        "only version.",
     )
     ANSWER_GIVEN_UP = (
         1977,
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -122,6 +122,7 @@
     """Apply each change of the list of upstreams, until cancelled."""
     source = state.platform.upstreams()
     state.upstream_list_age_s = source.age_s
+    state.read_list_changes = source.read_changes
     backoff = _RetryBackoff(state, Event.VM_LIST_UNREADABLE, Event.VM_LIST_RECOVERED)
     wait_s = poll_wait_s(state.settings.drain_ms / 1000, MAX_UPSTREAMS_POLL_S)
     while True:
@@ -133,6 +134,10 @@
             continue
         backoff.record_success()
         changes = read.ok()
+        if changes.has_missed:
+            state.streams.note_missed(now)
+        if not changes.is_continuous:
+            state.streams.restart_watch(now)
         ended = state.upstream_registry.apply(changes, now)
         state.rate_limits.apply_cold_starts()
         state.record_read("upstreams")
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -23,6 +23,7 @@
 from burdockquay_state import Delete, Put, Row, TableError, TableErrorKind, TableService, era_of
 
 from .._events import Event, log_event
+from ._shared_read import SharedRead
 
 RECORD_WAIT_S = 0.5
 """Longest time for which the first event of a stream is held until its origin is recorded, seconds:
@@ -82,7 +83,7 @@
         self._writing: dict[tuple[RouteKey, StreamOrigin], asyncio.Task] = {}
         self._failures: dict[tuple[RouteKey, StreamOrigin], tuple[int, TableError]] = {}
         self._planned: set[tuple[RouteKey, StreamOrigin]] = set()
-        self._reading: asyncio.Task | None = None
+        self._reading = SharedRead(self._scan)
         self._malformed: set[str] = set()
         self._failed_at = float("-inf")
 
@@ -100,7 +101,7 @@
             task = self._writing[item] = self.spawn(self._record(route, origin))
             task.add_done_callback(lambda _: self._forget_write(item))
 
-    async def ensure(self, route: RouteKey, origin: StreamOrigin, request: str) -> None:
+    async def ensure(self, route: RouteKey, origin: StreamOrigin, request: str) -> bool:
         """Wait until an origin is recorded, or for a short time while the table is unavailable.
 
         Parameters
@@ -109,18 +110,24 @@
         origin : StreamOrigin
         request : str
             Id of the request whose first event waits, for the log.
+
+        Returns
+        -------
+        bool
+            Whether it is recorded.
         """
         self.begin(route, origin)
         task = self._writing.get((route, origin))
         if task is None:
-            return
+            return True
         begun_at = self.now()
         if begun_at - self._failed_at >= FAILED_WAIT_S:
             # The task goes on if the stream that waits for it ends.
             await asyncio.wait([task], timeout=RECORD_WAIT_S)
             if not self.has(route, origin):
                 self._failed_at = self.now()
-        if not self.has(route, origin):
+        is_recorded = self.has(route, origin)
+        if not is_recorded:
             failures, error = self._failures.get((route, origin), (0, None))
             log_event(
                 Event.ORIGIN_NOT_RECORDED,
@@ -133,6 +140,7 @@
                 reason=error.kind if error else "no answer",
                 detail=error.detail if error else "",
             )
+        return is_recorded
 
     async def find_possible(self, route: RouteKey) -> frozenset[StreamOrigin] | None:
         """Return where a stream that is resumed now may have begun, None if that is unknown.
@@ -146,12 +154,8 @@
         """
         if self.table is None:
             return None
-        if self._reading is not None:
-            # It began before this request, so it may lack the origin of the stream.
-            await asyncio.wait([self._reading])
-        if self._reading is None or self._reading.done():
-            self._reading = self.spawn(self._scan())
-        read = await asyncio.shield(self._reading)
+        # A query that began before this request may lack the origin of the stream.
+        read = await self._reading.get(self.spawn)
         if isinstance(read, Err):
             return None
         possible = possible_origins(route, read.ok())
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -14,7 +14,7 @@
 
 import attrs
 from multidict import CIMultiDict
-from result import Result
+from result import Err, Result
 
 from burdockquay_coordination import Statements
 from burdockquay_coordination.forwarding import (
@@ -23,7 +23,7 @@
     Prompt,
     UpstreamChanges,
 )
-from burdockquay_state import Registry, TableError, TableService
+from burdockquay_state import Registry, TableError, TableErrorKind, TableService
 
 from ._table_feed import FeedExchange
 
@@ -204,6 +204,14 @@
     async def next(self, wait_s: float) -> Result[UpstreamChanges, TableError]:
         """Return the list at the first call, the changes since the last call at later ones."""
 
+    async def read_changes(self) -> Result[UpstreamChanges, TableError]:
+        """Return what has changed since the last call of :meth:`next`, as of a time after this one.
+
+        The changes come again with the next call of :meth:`next`.
+        """
+        detail = "the platform cannot be asked for changes at once"
+        return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
+
     def age_s(self, now: float) -> float:
         """Return the time since the list was last confirmed, seconds; 0 if that is not known."""
         return 0.0
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
+from result import Err, Result
+
 from burdockquay_coordination import (
     FleetSize,
     HeldAnswers,
@@ -31,9 +33,11 @@
     PeerKnowledge,
     StreamOrigin,
     StreamVersions,
+    UpstreamChanges,
     UpstreamRegistry,
 )
 from burdockquay_protocol import ErrorKind, RequestError
+from burdockquay_state import TableError, TableErrorKind
 
 from .._clock import Clock
 from .._events import Event, log_event
@@ -48,6 +52,7 @@
 from ._platform import ForwardingPlatform
 from ._rate_limits import RateLimits
 from ._settings import ForwarderSettings
+from ._shared_read import SharedRead
 from ._statements import UpstreamStatements
 
 LEASE_SHARE = 0.72
@@ -72,7 +77,8 @@
 CRASH_RETRY_AFTER_S = 10.0
 """When a caller may return whose request has a refused prompt part, seconds."""
 
-AskPeers = Callable[[bytes, str], Awaitable[PeerKnowledge]]
+AskPeers = Callable[..., Awaitable[PeerKnowledge]]
+ReadListChanges = Callable[[], Awaitable[Result[UpstreamChanges, TableError]]]
 WaitForPeers = Callable[[float], Awaitable[bool]]
 SendStarts = Callable[[Iterable[tuple[bytes, StreamOrigin]]], None]
 
@@ -109,6 +115,9 @@
         self.crowding = Crowding()
         self.connected_peers: Callable[[], int] = lambda: 0
         self.upstream_list_age_s: Callable[[float], float] = lambda now: 0.0
+        self.read_list_changes: ReadListChanges = _read_nothing
+        # Readings of the list at once, for decisions that need its present state.
+        self.list_changes = SharedRead(lambda: self.read_list_changes())
         self.streams = StreamVersions()
         self.origins = OriginKeeper(None, clock.now, rng, lambda: self.upstream_registry.processes)
         self.origins.on_several = self._send_begun
@@ -418,7 +427,12 @@
     return ",".join(f"{part}:{count}" for part, count in counts.most_common())
 
 
-async def _ask_nobody(digest: bytes, service: str) -> PeerKnowledge:
+async def _read_nothing() -> Result[UpstreamChanges, TableError]:
+    """Return that the list of upstreams has not been read yet."""
+    return Err(TableError(TableErrorKind.UNAVAILABLE, "not read yet"))
+
+
+async def _ask_nobody(digest: bytes, service: str, count: int = 0) -> PeerKnowledge:
     """Return that nobody else knows a stream: the process connects to no others."""
     return PeerKnowledge(None)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 
 import attrs
+from result import Err
 
 from burdockquay_coordination.forwarding import (
     ForwardRoute,
-    PeerKnowledge,
+    OriginEvidence,
     RouteKey,
     StreamOrigin,
     stream_digest,
@@ -28,17 +30,15 @@
 """Longest time for which a process that has just started waits for the processes that may know a
 stream, seconds."""
 
-STARTING_S = 3.0
-"""Time after its start within which a process may still be about to connect to others, seconds."""
-
+READ_TIMEOUT_S = 1.0
+"""Longest time for which the record and the list are read to place a stream, seconds."""
 
-@attrs.define
-class _Knowledge:
-    """What was known of a stream that nobody knows, for the log."""
+ASKED_AT_LAST = 64
+"""Most peers that are asked for a stream before it is refused. Those that keep it may be others
+than the asking process takes them for, and only the process that began it may know it."""
 
-    recorded: frozenset[StreamOrigin] | None = None
-    listed: frozenset[StreamOrigin] = frozenset()
-    seen_by: frozenset[str | None] = frozenset()
+STARTING_S = 3.0
+"""Time after its start within which a process may still be about to connect to others, seconds."""
 
 
 def begin_recording(state: ForwarderState, call: ForwardCall) -> None:
@@ -57,8 +57,8 @@
     origin = StreamOrigin(call.service, call.software_version)
     route = _route_key(call.route)
     must_send = state.streams.record(digest, origin, state.clock.now())
-    await state.origins.ensure(route, origin, call.request.id)
-    if must_send or len(state.origins.records.get(route).origins) > 1:
+    is_recorded = await state.origins.ensure(route, origin, call.request.id)
+    if must_send or not is_recorded or len(state.origins.records.get(route).origins) > 1:
         state.send_stream_starts([(digest, origin)])
 
 
@@ -93,8 +93,9 @@
         return
     digest = stream_digest(request.resumed_attempt or "", call.organisation)
     begun_at = state.clock.now()
-    knowledge = _Knowledge()
-    origin, source = await _search(state, call, digest, knowledge)
+    list_age_s = state.upstream_list_age_s(begun_at)
+    found = await _search(state, call, digest)
+    origin, source = found.origin, found.source
     if origin is None or origin.service not in {item.service for item in call.route.shares}:
         origin, source = None, "unknown"
     state.metrics.resumed.labels(call.service, source).inc()
@@ -105,58 +106,103 @@
         service=call.service,
         software=origin.version if origin else None,
         source=source,
-        recorded=_describe(knowledge.recorded),
-        listed=_describe(knowledge.listed),
-        list_age_s=state.upstream_list_age_s(begun_at),
+        **_describe(found.evidence),
+        list_age_s=list_age_s,
         asked_s=state.clock.now() - begun_at,
-        seen_by=sorted(str(version) for version in knowledge.seen_by),
+        seen_by=sorted(str(version) for version in found.seen_by),
     )
     if origin is None:
         raise CallError(RequestError(ErrorKind.STREAM_UNKNOWN))
     call.service, call.software_version = origin.service, origin.version
 
 
-async def _search(
-    state: ForwarderState, call: ForwardCall, digest: bytes, knowledge: _Knowledge
-) -> tuple[StreamOrigin | None, str]:
-    """Return the origin of a stream, and who knew it; fill in what was known."""
+@attrs.frozen
+class _Found:
+    """The origin of a stream, None if it is not known, and how it was found."""
+
+    origin: StreamOrigin | None
+    source: str
+    evidence: OriginEvidence | None = None
+    seen_by: frozenset[str | None] = frozenset()
+
+
+async def _search(state: ForwarderState, call: ForwardCall, digest: bytes) -> _Found:
+    """Return the origin of a stream.
+
+    If nobody that is asked knows the stream, its origin may still be the only possible one. What
+    the process knows already does not show that: it may be disconnected from others, or have been
+    suspended until now.
+    """
     origin = state.streams.find(digest, state.clock.now())
     if origin is not None:
-        return origin, "own"
+        return _Found(origin, "own")
     known = await state.ask_stream_origin(digest, call.service)
     if known.origin is not None:
-        return known.origin, "peer"
-    knowledge.seen_by = known.only_versions
-    possible = knowledge.recorded = await state.origins.find_possible(_route_key(call.route))
-    listed = knowledge.listed = _listed_origins(state, call.route)
-    if possible is None:
-        return _find_only_origin(state, call, known), "only"
-    possible = possible or listed
-    if len(possible) == 1 and listed <= possible:
-        return next(iter(possible)), "record"
-    is_starting = state.clock.now() - state.started_at < STARTING_S
-    if is_starting and await state.wait_for_peers(PEERS_WAIT_S):
-        known = await state.ask_stream_origin(digest, call.service)
-    return known.origin, "peer"
-
-
-def _find_only_origin(
-    state: ForwarderState, call: ForwardCall, known: PeerKnowledge
-) -> StreamOrigin | None:
-    """Return the origin of all streams of a route, None if it may have several.
-
-    The list of a process without contact to others may be old.
-    """
-    if len(call.route.shares) > 1:
-        return None
-    state.observe_versions(call.service)
-    version = state.streams.only_version(call.service, state.clock.now())
-    is_alone = state.upstream_registry.fleet.is_alone
-    agrees = known.only_versions == {version} or (is_alone and not known.only_versions)
-    return StreamOrigin(call.service, version) if version is not None and agrees else None
+        return _Found(known.origin, "peer")
+    evidence = await _collect_evidence(state, call)
+    only = evidence.only_origin()
+    if only is not None:
+        source = "only" if evidence.recorded is None else "record"
+        return _Found(only, source, evidence, known.only_versions)
+    if state.clock.now() - state.started_at < STARTING_S:
+        await state.wait_for_peers(PEERS_WAIT_S)
+    known = await state.ask_stream_origin(digest, call.service, ASKED_AT_LAST)
+    return _Found(known.origin, "peer", evidence, known.only_versions)
+
+
+async def _collect_evidence(state: ForwarderState, call: ForwardCall) -> OriginEvidence:
+    """Read the record and the list of upstreams, and return what they show."""
+    recorded, is_current = None, False
+    reading = asyncio.gather(
+        state.origins.find_possible(_route_key(call.route)), _confirm_list(state)
+    )
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            recorded, is_current = await reading
+    now = state.clock.now()
+    services = {share.service for share in call.route.shares}
+    for service in services:
+        state.observe_versions(service)
+    return OriginEvidence(
+        recorded,
+        frozenset(
+            StreamOrigin(service, version)
+            for service in services
+            for version in state.streams.seen(service, now)
+        ),
+        is_current,
+        state.streams.has_missed(now),
+        all(state.streams.is_watched(service, now) for service in services),
+    )
 
 
-def _describe(origins: Iterable[StreamOrigin] | None) -> list[str] | None:
+async def _confirm_list(state: ForwarderState) -> bool:
+    """Read the changes of the list of upstreams until now; return whether that was possible."""
+    read = await state.list_changes.get()
+    if isinstance(read, Err):
+        return False
+    changes = read.ok()
+    if changes.has_missed:
+        state.streams.note_missed(state.clock.now())
+    for entry in changes.listed:
+        state.streams.note_seen(entry.service, entry.software_version, state.clock.now())
+    return True
+
+
+def _describe(evidence: OriginEvidence | None) -> dict[str, object]:
+    """Return the fields of the log that show by what a stream was placed or refused."""
+    if evidence is None:
+        return {}
+    return {
+        "recorded": _names(evidence.recorded),
+        "seen": _names(evidence.seen),
+        "is_current": evidence.is_current,
+        "has_missed": evidence.has_missed,
+        "is_watched": evidence.is_watched,
+    }
+
+
+def _names(origins: Iterable[StreamOrigin] | None) -> list[str] | None:
     if origins is None:
         return None
     return sorted(f"{origin.service} {origin.version}" for origin in origins)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
@@ -120,19 +120,27 @@
         ranked = rank_owners(digest, [self.incarnation, *self._peers], count + 1)
         return [name for name in ranked if name != self.incarnation][:count]
 
-    async def ask(self, digest: bytes, service: str) -> PeerKnowledge:
-        """Ask peers for the origin of a stream, and for the versions of a service."""
-        known = await self._ask_once(digest, service)
+    async def ask(self, digest: bytes, service: str, count: int = ASKED_PROCESSES) -> PeerKnowledge:
+        """Ask peers for the origin of a stream, and for the versions of a service.
+
+        Parameters
+        ----------
+        digest : bytes
+        service : str
+        count : int
+            Most peers that are asked.
+        """
+        known = await self._ask_once(digest, service, count)
         if known.origin is None and self._peers:
             await asyncio.sleep(SECOND_QUESTION_DELAY_S)
             found = self.streams.find(digest, self.clock.now())
             if found is not None:
                 return PeerKnowledge(found)
-            known = await self._ask_once(digest, service)
+            known = await self._ask_once(digest, service, count)
         return known
 
-    async def _ask_once(self, digest: bytes, service: str) -> PeerKnowledge:
-        asked = self._owners(digest, ASKED_PROCESSES)
+    async def _ask_once(self, digest: bytes, service: str, count: int) -> PeerKnowledge:
+        asked = self._owners(digest, count)
         if not asked:
             return PeerKnowledge(None)
         number = next(self._numbers)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -334,8 +334,16 @@
             rows = tuple(row for row in message.rows if row.revision > known)
             if is_complete and message.upto > known:
                 rows += self._removed_from(message.rows, message.upto)
-            self._record_rows(rows, message.upto)
-            return TableUpdate(False, rows, as_of, self._last_failure_at(message), message.era)
+            has_missed = self._record_rows(rows, message.upto)
+            return TableUpdate(
+                False,
+                rows,
+                as_of,
+                self._last_failure_at(message),
+                message.era,
+                has_missed=has_missed,
+                is_continuous=not is_complete,
+            )
         return None
 
     def _take_peer_table(self) -> Result[TableUpdate, TableError] | None:
@@ -388,9 +396,32 @@
         if query.is_shared:
             self._broadcast(query.after, reading, reading.rows)
         rows = reading.rows if reading.position > self._position else ()
-        self._record_rows(rows, reading.position.revision)
+        has_missed = self._record_rows(rows, reading.position.revision)
         last_failure_at = max(now - self.poll_schedule.steady_s(now), self.exchange.era.restored_at)
-        return Ok(TableUpdate(False, rows, reading.as_of, last_failure_at, reading.position.era))
+        era = reading.position.era
+        return Ok(
+            TableUpdate(False, rows, reading.as_of, last_failure_at, era, has_missed=has_missed)
+        )
+
+    async def read_changes(self) -> Result[TableUpdate, TableError]:
+        """Return what has changed since the last update, as of a time after this call.
+
+        Nothing is applied: :meth:`next` returns these changes, too.
+        """
+        after = self._position
+        if after is None or self._is_past():
+            return Err(TableError(TableErrorKind.UNAVAILABLE, f"{self.table}: not read yet"))
+        read = await self.store.wait_for_rows(self.table, after, 0.0)
+        if isinstance(read, Err):
+            return read
+        reading = read.ok()
+        if reading.position.era != self._position.era:
+            detail = f"{self.table}: changes are of another era"
+            return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
+        has_missed = self._has_missed(reading.rows)
+        return Ok(
+            TableUpdate(False, reading.rows, reading.as_of, era=after.era, has_missed=has_missed)
+        )
 
     async def _read(self) -> Result[TableUpdate, TableError]:
         """Read the complete table, and send peers what changed since the known position."""
@@ -419,7 +450,16 @@
         restored_at = self.exchange.era.restored_at
         upto = reading.position.revision
         return Ok(
-            TableUpdate(True, reading.rows, reading.as_of, restored_at, era, after_restore, upto)
+            TableUpdate(
+                True,
+                reading.rows,
+                reading.as_of,
+                restored_at,
+                era,
+                after_restore,
+                upto,
+                is_continuous=after is None,
+            )
         )
 
     def _removed_from(self, rows: Iterable[ChangedRow], revision: int) -> tuple[ChangedRow, ...]:
@@ -440,13 +480,23 @@
         before, self._read_era = self._read_era, position.era
         return before is not None and before < position.era
 
-    def _record_rows(self, rows: Collection[ChangedRow], revision: int) -> None:
+    def _has_missed(self, rows: Iterable[ChangedRow]) -> bool:
+        """Return whether a row is removed that was added since the known position."""
+        known = self._position.revision
+        return any(
+            row.value is None and row.revision > known and row.key not in self._rows for row in rows
+        )
+
+    def _record_rows(self, rows: Collection[ChangedRow], revision: int) -> bool:
+        """Record changes; return whether a row was removed that was never known."""
+        has_missed = self._has_missed(rows)
         self._position = max(self._position, Position(self._position.era, revision))
         for row in rows:
             if row.value is None:
                 self._rows.pop(row.key, None)
             else:
                 self._rows[row.key] = row
+        return has_missed
 
     def _broadcast_table(self, reading: TableReading) -> None:
         """Send the complete table to peers, if this process is one of the first to read it."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_update.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_update.py
@@ -50,6 +50,10 @@
         Whether this is the first update since the store was restored from a copy.
     upto : int or None
         Revision up to which a complete table is complete.
+    has_missed : bool
+        Whether a row was removed that had been added since the last update.
+    is_continuous : bool
+        Whether the rows are all those that have changed since the last update.
     """
 
     whole: bool
@@ -59,6 +63,8 @@
     era: int = 0
     after_restore: bool = False
     upto: int | None = None
+    has_missed: bool = False
+    is_continuous: bool = True
 
     def split(self, read: Callable[[ChangedRow], T | None]) -> RowsSplit[T]:
         """Decode the rows, and list those that were removed or cannot be read.
