Remove an origin from the record only by a list that was read for this purpose

A process that had been suspended counted the time for which it missed all changes as one in which an origin was absent, and removed the origin from the record at its next check, although it had been listed again and began streams. Such streams could then be joined at any process.

The process that removes origins now reads the changes of the list first, at the time when one has expired, and keeps origins that the list has shown in the last minute, and all of them if an entry came and went unseen.

test_origin_is_not_removed_by_the_list_of_a_process_that_stood_still failed before: the record held v1 only. It passes now, and so does test_version_that_left_is_removed_from_the_record.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -197,6 +197,14 @@
         recent = self._seen_at.get(service, {}).items()
         return present.union(item for item, at in recent if now <= at + STREAM_MEMORY_S)
 
+    def all_seen(self, now: float) -> frozenset[StreamOrigin]:
+        """Return all services with the versions that they have shown while streams are kept."""
+        return frozenset(
+            StreamOrigin(service, version)
+            for service in self._seen_at
+            for version in self.seen(service, now)
+        )
+
     def is_watched(self, service: str, now: float) -> bool:
         """Return whether this process has watched a service for as long as streams are kept."""
         return now - self._watched_since.get(service, now) >= STREAM_MEMORY_S
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 from typing import Any
 
 from result import Err, Ok, Result
@@ -184,13 +184,24 @@
         self._planned.discard((route, origin))
         self.begin(route, origin)
 
-    async def remove_expired(self, now: float) -> None:
-        """Remove the origins from the record at which no stream has begun for long."""
+    def has_expired(self, now: float) -> bool:
+        """Return whether the record has origins at which no stream has begun for long."""
         if self.table is None:
-            return
+            return False
         self._check_era()
+        return any(self.records.expired(route, now) for route in self.records.routes)
+
+    async def remove_expired(self, now: float, in_use: Collection[StreamOrigin]) -> None:
+        """Remove the origins from the record at which no stream has begun for long.
+
+        Parameters
+        ----------
+        now : float
+        in_use : collection of StreamOrigin
+            Origins that may have begun streams, as a list shows that was read after ``now``.
+        """
         for record in list(self.records.all()):
-            expired = self.records.expired(record.route, now)
+            expired = self.records.expired(record.route, now) - frozenset(in_use)
             if not expired:
                 continue
             left = OriginRecord(record.route, record.origins - expired, record.version)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -77,7 +77,26 @@
         await asyncio.sleep(OBSERVE_INTERVAL_S)
         observe_origins(state)
         if state.is_first_of("stream origins"):
-            await state.origins.remove_expired(state.clock.now())
+            await _remove_expired(state)
+
+
+async def _remove_expired(state: ForwarderState) -> None:
+    """Remove origins that are out of date by a list that is read for this purpose.
+
+    A process that was suspended or disconnected would count the time for which it missed all
+    changes as one in which an origin was absent.
+    """
+    now = state.clock.now()
+    if not state.origins.has_expired(now) or not await _confirm_list(state):
+        return
+    if state.streams.has_missed(state.clock.now()):
+        return
+    in_use = {
+        StreamOrigin(service, version)
+        for service in state.upstream_registry.services
+        for version in state.streams.seen(service, now)
+    }
+    await state.origins.remove_expired(now, in_use)
 
 
 async def find_origin(state: ForwarderState, call: ForwardCall) -> None:
