Tell peers of versions at which streams begin without a record

What couldn't be recorded was known to the process that began the stream only. A process that had just started trusted the record and the present list, which lacked a version that had left, and placed its streams at another one.

A process whose first event passes unrecorded now tells all peers of the version, and keeps the stream at its owners as if versions served side by side. Peers count such versions as shown by the service. A new connection gets all versions that services have shown in the last minute, and a process that has just started waits for its connections before it decides, not after. No new message: StreamStarts names versions, without digests.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -139,6 +139,7 @@
             state.streams, state.origins, identity.incarnation, state.clock
         )
         state.send_stream_starts = self._streams.send
+        state.announce_versions = self._streams.announce
         state.ask_stream_origin = self._streams.ask
         state.wait_for_peers = self.wait_until_connected
         state.is_first_of = self._is_first_of
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 
 from result import Err, Result
 
@@ -78,6 +78,7 @@
 """When a caller may return whose request has a refused prompt part, seconds."""
 
 AskPeers = Callable[..., Awaitable[PeerKnowledge]]
+AnnounceVersions = Callable[[Collection[StreamOrigin]], None]
 ReadListChanges = Callable[[], Awaitable[Result[UpstreamChanges, TableError]]]
 WaitForPeers = Callable[[float], Awaitable[bool]]
 SendStarts = Callable[[Iterable[tuple[bytes, StreamOrigin]]], None]
@@ -142,6 +143,7 @@
         )
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
         self.send_stream_starts: SendStarts = lambda starts: None
+        self.announce_versions: AnnounceVersions = lambda origins: None
         self.ask_stream_origin: AskPeers = _ask_nobody
         self.wait_for_peers: WaitForPeers = _wait_for_nobody
         # Whether a duty with this name, which one process at a time carries out, falls to this one.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -58,6 +58,8 @@
     route = _route_key(call.route)
     must_send = state.streams.record(digest, origin, state.clock.now())
     is_recorded = await state.origins.ensure(route, origin, call.request.id)
+    if not is_recorded:
+        state.announce_versions({origin})
     if must_send or not is_recorded or len(state.origins.records.get(route).origins) > 1:
         state.send_stream_starts([(digest, origin)])
 
@@ -156,6 +158,10 @@
     if origin is not None:
         return _Found(origin, "own")
     known = await state.ask_stream_origin(digest, call.service)
+    if known.origin is None and state.clock.now() - state.started_at < STARTING_S:
+        # What peers tell a process that has just connected arrives before their answers.
+        await state.wait_for_peers(PEERS_WAIT_S)
+        known = await state.ask_stream_origin(digest, call.service)
     if known.origin is not None:
         return _Found(known.origin, "peer")
     evidence = await _collect_evidence(state, call)
@@ -163,8 +169,6 @@
     if only is not None:
         source = "only" if evidence.recorded is None else "record"
         return _Found(only, source, evidence, known.only_versions)
-    if state.clock.now() - state.started_at < STARTING_S:
-        await state.wait_for_peers(PEERS_WAIT_S)
     known = await state.ask_stream_origin(digest, call.service, ASKED_AT_LAST)
     return _Found(known.origin, "peer", evidence, known.only_versions)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_sharing.py
@@ -31,6 +31,10 @@
 """Longest wait for the answers of peers about one stream, seconds: many times a round trip, and a
 small part of the time for which callers wait."""
 
+ANNOUNCE_INTERVAL_S = 5.0
+"""Time after which peers are told again of a version without a record, seconds: a small part of the
+time for which they keep it."""
+
 SECOND_QUESTION_DELAY_S = 0.05
 """Delay before peers that do not know a stream are asked again, seconds: a caller may return before
 the record of its stream has arrived."""
@@ -72,6 +76,7 @@
         self._unsent: list[tuple[bytes, StreamOrigin]] = []
         self._questions: dict[int, _Question] = {}
         self._numbers = itertools.count(1)
+        self._announced_at: dict[StreamOrigin, float] = {}
 
     def set_peers(self, peers: Mapping[str, PeerConnection]) -> None:
         """Set which processes are connected, by incarnation."""
@@ -80,9 +85,31 @@
         }
 
     def greet(self, peer: PeerConnection) -> None:
-        """Send a process that has just connected the origins that are known to be recorded."""
+        """Send a process that has just connected what it cannot read in the list by itself.
+
+        These are the origins that are known to be recorded, and the versions that services have
+        shown lately: some may have left, and may have begun streams without a record.
+        """
         for record in self.origins.records.all():
             peer.post(_make_message(record))
+        seen = self.streams.all_seen(self.clock.now())
+        if seen and peer.version >= StreamStarts.since:
+            peer.post(_announce(seen))
+
+    def announce(self, origins: Iterable[StreamOrigin]) -> None:
+        """Tell all peers of versions at which streams begin that may lack a record."""
+        now = self.clock.now()
+        due = {
+            origin
+            for origin in origins
+            if now - self._announced_at.get(origin, float("-inf")) >= ANNOUNCE_INTERVAL_S
+        }
+        if not due:
+            return
+        self._announced_at |= dict.fromkeys(due, now)
+        message = _announce(due)
+        for peer in self._peers.values():
+            peer.post(message)
 
     def _share_record(self, record: OriginRecord) -> None:
         message = _make_message(record)
@@ -162,6 +189,7 @@
         for service, by_version in message.digests.items():
             for version, digests in by_version.items():
                 origin = StreamOrigin(service, version)
+                self.streams.note_seen(service, version, now)
                 for start in range(0, len(digests) - DIGEST_BYTES + 1, DIGEST_BYTES):
                     self.streams.receive(digests[start : start + DIGEST_BYTES], origin, now)
 
@@ -186,6 +214,14 @@
             question.origin.set_result(None)
 
 
+def _announce(origins: Iterable[StreamOrigin]) -> StreamStarts:
+    """Return a message that names versions without naming streams."""
+    digests: dict[str, dict[str, bytes]] = defaultdict(dict)
+    for origin in origins:
+        digests[origin.service][origin.version] = b""
+    return StreamStarts(dict(digests))
+
+
 def _make_message(record: OriginRecord) -> RecordedOrigins:
     by_service: dict[str, list[str]] = defaultdict(list)
     for origin in record.origins:
