Record the origins of all routes of a version in one transaction

Each process wrote one row for each route when a version appeared. With 40 routes, three processes and a store that takes 8 writes a second, the release made 650 write calls until all origins were recorded, nearly all of them refused with status 429: a release could by itself prevent the record that it needs.

Origins that are due at the same time are now written by one task, up to 100 rows in a transaction. A row that the platform does not accept holds back none: the transactions become smaller and begin with the others. Streams are woken, too, when a peer has recorded their origin.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_origin_keeper.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Coroutine, Iterable
 from typing import Any
 
+import attrs
 from result import Err, Ok, Result
 
 from burdockquay_coordination.forwarding import (
@@ -38,6 +39,9 @@
 MAX_PLAN_DELAY_S = 1.0
 """Longest delay before a process records an origin at which it begins no stream, seconds."""
 
+MAX_WRITTEN_ROWS = 100
+"""Most rows of one transaction; the platform accepts no more."""
+
 SCANNED_ROWS = 500
 """Most rows of one query; the platform returns no more."""
 
@@ -47,6 +51,16 @@
 tells the others."""
 
 
+@attrs.frozen
+class _Wanted:
+    """An origin that is to be recorded."""
+
+    since: float
+    recorded: asyncio.Future[None]
+    failures: int = 0
+    error: TableError | None = None
+
+
 class OriginKeeper:
     """Records the origins of streams before callers get their first events, and reads the record.
 
@@ -80,8 +94,8 @@
         self.share: Callable[[OriginRecord], None] = lambda record: None
         self.on_several: Callable[[OriginRecord], None] = lambda record: None
         self._era = 0
-        self._writing: dict[tuple[RouteKey, StreamOrigin], asyncio.Task] = {}
-        self._failures: dict[tuple[RouteKey, StreamOrigin], tuple[int, TableError]] = {}
+        self._wanted: dict[tuple[RouteKey, StreamOrigin], _Wanted] = {}
+        self._writer: asyncio.Task | None = None
         self._planned: set[tuple[RouteKey, StreamOrigin]] = set()
         self._reading = SharedRead(self._scan)
         self._malformed: set[str] = set()
@@ -97,9 +111,11 @@
     def begin(self, route: RouteKey, origin: StreamOrigin) -> None:
         """Begin to record an origin, if that is needed."""
         item = (route, origin)
-        if not self.has(route, origin) and item not in self._writing:
-            task = self._writing[item] = self.spawn(self._record(route, origin))
-            task.add_done_callback(lambda _: self._forget_write(item))
+        if self.has(route, origin) or item in self._wanted:
+            return
+        self._wanted[item] = _Wanted(self.now(), asyncio.get_running_loop().create_future())
+        if self._writer is None or self._writer.done():
+            self._writer = self.spawn(self._write_wanted())
 
     async def ensure(self, route: RouteKey, origin: StreamOrigin, request: str) -> bool:
         """Wait until an origin is recorded, or for a short time while the table is unavailable.
@@ -117,18 +133,18 @@
             Whether it is recorded.
         """
         self.begin(route, origin)
-        task = self._writing.get((route, origin))
-        if task is None:
+        wanted = self._wanted.get((route, origin))
+        if wanted is None:
             return True
         begun_at = self.now()
         if begun_at - self._failed_at >= FAILED_WAIT_S:
-            # The task goes on if the stream that waits for it ends.
-            await asyncio.wait([task], timeout=RECORD_WAIT_S)
+            # The writes go on if the stream that waits for them ends.
+            await asyncio.wait([wanted.recorded], timeout=RECORD_WAIT_S)
             if not self.has(route, origin):
                 self._failed_at = self.now()
         is_recorded = self.has(route, origin)
+        wanted = self._wanted.get((route, origin), wanted)
         if not is_recorded:
-            failures, error = self._failures.get((route, origin), (0, None))
             log_event(
                 Event.ORIGIN_NOT_RECORDED,
                 request=request,
@@ -136,9 +152,9 @@
                 service=origin.service,
                 software=origin.version,
                 waited_s=self.now() - begun_at,
-                failures=failures,
-                reason=error.kind if error else "no answer",
-                detail=error.detail if error else "",
+                failures=wanted.failures,
+                reason=wanted.error.kind if wanted.error else "no answer",
+                detail=wanted.error.detail if wanted.error else "",
             )
         return is_recorded
 
@@ -167,6 +183,7 @@
         self._check_era()
         if era_of(record.version) == self._era:
             self._learn(record)
+            self._settle_wanted()
 
     def observe(self, route: RouteKey, present: Iterable[StreamOrigin], now: float) -> None:
         """Record at which origins streams of a route may begin at present."""
@@ -175,14 +192,19 @@
         for origin in present if route in self.records.routes else ():
             item = (route, origin)
             if not self.has(route, origin) and item not in self._planned:
+                if not self._planned:
+                    self.spawn(self._begin_planned())
                 self._planned.add(item)
-                self.spawn(self._begin_later(route, origin))
 
-    async def _begin_later(self, route: RouteKey, origin: StreamOrigin) -> None:
-        """Record an origin before a stream begins there, unless another process does."""
+    async def _begin_planned(self) -> None:
+        """Record origins before streams begin there, unless another process does.
+
+        A version that appears concerns all routes of its service; they are written together.
+        """
         await asyncio.sleep(self.rng.uniform(0.0, MAX_PLAN_DELAY_S))
-        self._planned.discard((route, origin))
-        self.begin(route, origin)
+        planned, self._planned = self._planned, set()
+        for route, origin in planned:
+            self.begin(route, origin)
 
     def has_expired(self, now: float) -> bool:
         """Return whether the record has origins at which no stream has begun for long."""
@@ -205,52 +227,73 @@
             if not expired:
                 continue
             left = OriginRecord(record.route, record.origins - expired, record.version)
-            written = await (self._write(left) if left.origins else self._remove(left))
+            written = await (self._write([left]) if left.origins else self._remove(left))
             if isinstance(written, Err):
                 # The row may have changed; it is read again before the next write.
                 self.records.forget(record.route)
 
-    def _forget_write(self, item: tuple[RouteKey, StreamOrigin]) -> None:
-        self._writing.pop(item, None)
-        self._failures.pop(item, None)
-
-    async def _record(self, route: RouteKey, origin: StreamOrigin) -> None:
-        begun_at = self.now()
+    async def _write_wanted(self) -> None:
+        """Write all wanted origins, as many as possible in one transaction."""
         await asyncio.sleep(self._stagger_s())
         pause_s = RETRY_PAUSES_S[0]
-        failures = 0
-        while not self.has(route, origin):
-            written = await self._extend(route, origin)
+        most = MAX_WRITTEN_ROWS
+        while True:
+            self._settle_wanted()
+            items = list(self._wanted)[:most]
+            if not items:
+                return
+            written = await self._extend(items)
             if written.is_ok():
+                pause_s = RETRY_PAUSES_S[0]
                 continue
-            if written.err().kind is not TableErrorKind.CONFLICT:
+            error = written.err()
+            if error.kind is not TableErrorKind.CONFLICT:
                 self._failed_at = self.now()
-            failures += 1
-            self._failures[route, origin] = (failures, written.err())
+            if error.kind is TableErrorKind.INVALID:
+                # One row that the platform does not accept must not hold back the others.
+                most = max(1, most // 2)
+            for item in items:
+                wanted = self._wanted.pop(item)
+                self._wanted[item] = attrs.evolve(wanted, failures=wanted.failures + 1, error=error)
             await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
             pause_s = min(2 * pause_s, RETRY_PAUSES_S[1])
-        log_event(
-            Event.ORIGIN_RECORDED,
-            prefix=route.prefix,
-            service=origin.service,
-            software=origin.version,
-            seconds=self.now() - begun_at,
-            failures=failures,
-        )
+
+    def _settle_wanted(self) -> None:
+        """Wake the streams whose origins this process or another one has recorded."""
+        for item in [item for item in self._wanted if self.has(*item)]:
+            wanted = self._wanted.pop(item)
+            wanted.recorded.set_result(None)
+            route, origin = item
+            log_event(
+                Event.ORIGIN_RECORDED,
+                prefix=route.prefix,
+                service=origin.service,
+                software=origin.version,
+                seconds=self.now() - wanted.since,
+                failures=wanted.failures,
+            )
 
     def _stagger_s(self) -> float:
         limit_s = min(MAX_STAGGER_S, STAGGER_PER_PROCESS_S * self.processes())
         return self.rng.uniform(0.0, limit_s)
 
-    async def _extend(self, route: RouteKey, origin: StreamOrigin) -> Result[None, TableError]:
+    async def _extend(
+        self, items: Collection[tuple[RouteKey, StreamOrigin]]
+    ) -> Result[None, TableError]:
+        """Add origins to the records of their routes, in one transaction."""
         read = await self._scan()
         if isinstance(read, Err):
             return read
-        record = extend_record(route, read.ok(), origin, self.table.era)
-        if self.has(route, origin):
-            self.share(self.records.get(route))
-            return Ok(None)
-        return await self._write(record)
+        by_route: dict[RouteKey, OriginRecord] = {}
+        for route, origin in items:
+            if self.has(route, origin):
+                self.share(self.records.get(route))
+            elif route in by_route:
+                known = by_route[route]
+                by_route[route] = attrs.evolve(known, origins=known.origins | {origin})
+            else:
+                by_route[route] = extend_record(route, read.ok(), origin, self.table.era)
+        return await self._write(by_route.values()) if by_route else Ok(None)
 
     async def _scan(self) -> Result[tuple[OriginRecord, ...], TableError]:
         """Return all records, which this process then knows."""
@@ -272,20 +315,23 @@
             self._learn(record)
         return Ok(records)
 
-    async def _write(self, record: OriginRecord) -> Result[None, TableError]:
-        value = record.encode(self.table.era)
-        expected = record.version or self.table.absent
-        if record.route.row_key in self._malformed:
-            expected = None
-        written = await self.table.transact([Put(record.route.row_key, value, expected)])
+    async def _write(self, records: Collection[OriginRecord]) -> Result[None, TableError]:
+        written = await self.table.transact([self._make_put(record) for record in records])
         if isinstance(written, Err):
             return written
-        stored = OriginRecord(record.route, record.origins, written.ok()[0])
         self._check_era()
-        self._learn(stored)
-        self.share(stored)
+        for record, version in zip(records, written.ok(), strict=True):
+            stored = attrs.evolve(record, version=version)
+            self._learn(stored)
+            self.share(stored)
         return Ok(None)
 
+    def _make_put(self, record: OriginRecord) -> Put:
+        expected = record.version or self.table.absent
+        if record.route.row_key in self._malformed:
+            expected = None
+        return Put(record.route.row_key, record.encode(self.table.era), expected)
+
     async def _remove(self, record: OriginRecord) -> Result[None, TableError]:
         removed = await self.table.transact([Delete(record.route.row_key, record.version)])
         if isinstance(removed, Err):
