Give up an answer whose head is interrupted by another answer

An upstream that fails while it writes the head of an answer may write a whole error response after the part. Where the part ends in the reason or in the value of a header, the parser reads both as one head: callers got a 200 with the body of the 500, and with a damaged proof of origin where the part ended in it.

The protocol of all client connections now aborts a connection on which the reason or a header's value contains a status line. Callers get a failure with an unknown outcome. The upstream is not counted as crashed by the slot.

--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -2,6 +2,7 @@
 
 from ._answers import expected_answer
 from ._chat import parse_stream
+from ._cut_answer import ENDINGS, cut_answer
 from ._delay_line import DelayLine
 from ._endless_answer import EndlessAnswer
 from ._engine import EngineParameters, EngineStandin
@@ -13,6 +14,7 @@
 from ._service import ServiceParameters, ServiceStandin, service_digest
 
 __all__ = [
+    "ENDINGS",
     "Behaviour",
     "DelayLine",
     "EndlessAnswer",
@@ -33,6 +35,7 @@
     "ServiceParameters",
     "ServiceStandin",
     "StandinServer",
+    "cut_answer",
     "expected_answer",
     "parse_stream",
     "service_digest",
--- a/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_raw_server.py
@@ -63,12 +63,16 @@
         """Reset the connection; data written before may still arrive."""
         reset_connection(self.writer)
 
+    def half_close(self) -> None:
+        """End the answer, but go on reading."""
+        self.writer.write_eof()
+
     async def wait_until_closed(self) -> None:
         """Wait until the client has closed the connection; discard what it sends."""
         while await self.reader.read(65536):
             pass
 
-    async def read_request(self) -> RawRequest | None:
+    async def read_request(self, with_body: bool = True) -> RawRequest | None:
         """Return the next request, or None if the client has closed the connection."""
         try:
             head = await self.reader.readuntil(b"\r\n\r\n")
@@ -78,7 +82,8 @@
         method, target, _ = first.split(" ", 2)
         pairs = (line.split(":", 1) for line in lines)
         headers = {name.lower(): value.strip() for name, value in pairs}
-        return RawRequest(method, target, headers, await self._read_body(headers))
+        body = await self._read_body(headers) if with_body else b""
+        return RawRequest(method, target, headers, body)
 
     async def _read_body(self, headers: dict[str, str]) -> bytes:
         if "chunked" not in headers.get("transfer-encoding", ""):
@@ -103,10 +108,14 @@
     ----------
     behaviour : callable
         Handles each request while ``script`` is empty.
+    reads_bodies : bool
+        Whether the body of a request is read before it is handled; otherwise the function reads it,
+        or ends the connection.
     """
 
-    def __init__(self, behaviour: Behaviour):
+    def __init__(self, behaviour: Behaviour, reads_bodies: bool = True):
         self.behaviour = behaviour
+        self.reads_bodies = reads_bodies
         self.script: list[Behaviour] = []
         self.received: list[RawRequest] = []
         self.connections = 0
@@ -143,7 +152,7 @@
         self.connections += 1
         connection = RawConnection(reader, writer)
         try:
-            while (request := await connection.read_request()) is not None:
+            while (request := await connection.read_request(self.reads_bodies)) is not None:
                 self.received.append(request)
                 handle_request = self.script.pop(0) if self.script else self.behaviour
                 await handle_request(request, connection)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from burdockquay_coordination import HeldAnswers
@@ -34,17 +36,31 @@
 MAX_STORE_ANSWER_BYTES = 16 << 20
 """Largest answer of the platform's services, bytes; the platform limits its answers to far less."""
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
 
-class AnswerTooLargeError(aiohttp.ClientPayloadError):
+
+class AnswerGivenUpError(aiohttp.ClientPayloadError):
+    """This process gave up an answer; its upstream need not be down."""
+
+
+class AnswerTooLargeError(AnswerGivenUpError):
     """An answer was given up because it takes too much, or has no end."""
 
 
+class MalformedAnswerError(AnswerGivenUpError):
+    """An answer was given up because its head is not that of a single answer."""
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Protocol of a connection on which each answer is bounded.
 
     It aborts the connection as soon as an answer has exceeded a bound. The bytes of bodies are
     bounded by those who keep them: a body that is passed on as it arrives takes no memory.
 
+    It also aborts the connection if a head is not that of a single answer. An upstream that fails
+    while it writes a head may write a whole error response after the part, and the parser reads
+    both as one head with the status of the first.
+
     Parameters
     ----------
     loop : asyncio.AbstractEventLoop
@@ -72,6 +88,9 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass on the head of an answer, final or interim."""
         message, body = data
+        if _has_status_line_inside(message):
+            self.give_up("another answer begins inside its head", MalformedAnswerError)
+            return
         if 100 <= message.code < 200:
             self._interim_answers += 1
         elif self._body is None:
@@ -94,10 +113,10 @@
             super().data_received(data)
             self._count(0)
 
-    def give_up(self, reason: str) -> None:
-        """Abort the connection; whoever reads the answer gets an error."""
+    def give_up(self, reason: str, kind: type[AnswerGivenUpError] = AnswerTooLargeError) -> None:
+        """Abort the connection; whoever reads the answer gets an error of a kind."""
         log_event(Event.ANSWER_GIVEN_UP, reason=reason)
-        error = AnswerTooLargeError(reason)
+        error = kind(reason)
         body = self._body
         if body is not None and body is not EMPTY_PAYLOAD and not body.is_eof():
             body.set_exception(error)
@@ -127,6 +146,13 @@
             self._idle_bytes = 0
 
 
+def _has_status_line_inside(message: RawResponseMessage) -> bool:
+    """Return whether the reason or the value of a header contains another status line."""
+    reason = message.reason.encode("utf-8", "surrogateescape")
+    values = (value for _, value in message.raw_headers)
+    return any(_STATUS_LINE.search(value) for value in (reason, *values))
+
+
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections bound each answer.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -12,7 +12,7 @@
 from burdockquay_coordination import Work
 from burdockquay_protocol import AnswerEnd, AnswerHead, ErrorKind, Run
 
-from ._bounded_answers import AnswerTooLargeError
+from ._bounded_answers import AnswerGivenUpError
 from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
     CONTROL_TIMEOUT,
@@ -80,7 +80,7 @@
                 ErrorKind.UPSTREAM_FAILED,
                 detail,
                 sent=True,
-                crashed=not isinstance(error, AnswerTooLargeError),
+                crashed=not isinstance(error, AnswerGivenUpError),
             ) from error
 
     def _post(self, run: Run, priority: int):
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -539,8 +539,8 @@
     ANSWER_GIVEN_UP = (
         1977,
         "WARNING",
-        "An answer of an upstream or of the platform took too much, or had no end, and its "
-        "connection was aborted.",
+        "An answer of an upstream or of the platform took too much, had no end, or had a head that "
+        "is not that of a single answer, and its connection was aborted.",
     )
     CALLER_GIVEN_UP = (
         1406,
--- a/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
@@ -9,7 +9,7 @@
 from burdockquay_protocol import MAX_BODY_BYTES, AnswerEnd, AnswerHead, ErrorKind, Run
 
 from ._body_end import ended_by_reset, protocol_of
-from ._bounded_answers import AnswerTooLargeError
+from ._bounded_answers import AnswerGivenUpError
 from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
     PROBE_TIMEOUT,
@@ -56,7 +56,7 @@
                 ErrorKind.UPSTREAM_FAILED,
                 type(error).__name__,
                 sent=True,
-                crashed=not isinstance(error, AnswerTooLargeError),
+                crashed=not isinstance(error, AnswerGivenUpError),
             ) from error
 
     def _request(self, run: Run):
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
@@ -0,0 +1,88 @@
+"""Tests of upstreams behind a slot whose answers end inside their head."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from burdockquay_standins import ENDINGS, RawServer, cut_answer
+
+from ._deployment import chat_body, until
+
+OK = "HTTP/1.1 200 OK\r\n"
+HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+BROKEN = b"HTTP/1.1 500 Broken\r\nContent-Length: 5\r\n\r\nsorry"
+
+HEADS = {
+    "length": OK + "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+    "chunks": OK + "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n",
+    "neither": OK + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+    "after_interim_answer": "HTTP/1.1 103 Hints\r\n\r\n" + OK + "Content-Length: 0\r\n\r\n",
+}
+
+BEGUN = {
+    "reason": b"HTTP/1.1 200 O",
+    "value": b"HTTP/1.1 200 OK\r\nContent-Type: text/",
+}
+
+PATHS = {
+    "engine": ("drafting", "/v1/chat/completions"),
+    "service": ("booking", "/services/booking/holds"),
+}
+
+
+async def ask(deployment, kind, behaviours):
+    """Return the answers to requests that an upstream handles by one behaviour after the other."""
+    group, path = PATHS[kind]
+    handled = itertools.cycle(behaviours)
+
+    async def behave(request, connection):
+        if request.target == "/healthz":
+            await connection.write(HEALTHY)
+            return
+        await next(handled)(request, connection)
+
+    async with RawServer(behave) as server, deployment(engines=0, entries=0) as running:
+        await running.add_slot("raw", group, f"http://127.0.0.1:{server.port}")
+        await running.add_entry("entry-0")
+        await until(lambda: running.is_connected(running.entries[0]))
+        asked = [
+            running.ask(path, chat_body(), X_Deadline_Seconds="5", Idempotency_Key=f"h-{number}")
+            for number in range(len(behaviours))
+        ]
+        replies = await asyncio.gather(*asked)
+        sent = sum(request.target != "/healthz" for request in server.received)
+    assert sent >= len(replies)
+    return replies
+
+
+def is_unknown(status, body):
+    """Return whether an answer leaves open whether the request has run."""
+    return status >= 400 and body["error"]["run"] == "unknown"
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS.keys())
+async def test_answer_that_ends_inside_its_head_has_an_unknown_outcome(deployment, head, kind):
+    """Guards against a part of a head that is passed on as a success, or counted as not run."""
+
+    def cut(missing, ending):
+        return lambda request, connection: cut_answer(connection, head.encode()[:-missing], ending)
+
+    places = zip(range(2, len(head), 13), itertools.cycle(ENDINGS), strict=False)
+    cuts = [cut(*place) for place in [*itertools.product((1,), ENDINGS), *places]]
+    replies = await ask(deployment, kind, cuts)
+    assert all(is_unknown(*reply) for reply in replies), replies
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("begun", BEGUN.values(), ids=BEGUN.keys())
+async def test_error_answer_after_a_part_of_a_head_is_no_success(deployment, begun, kind):
+    """Guards against one head made of two, a success with the body of an error."""
+
+    async def behave(request, connection):
+        await connection.write(begun)
+        await connection.write(BROKEN)
+
+    replies = await ask(deployment, kind, [behave])
+    assert all(is_unknown(*reply) for reply in replies), replies
