Treat a switch of protocols as a broken answer

An upstream that answered 101 with a proof of origin got its answer passed on to the caller, whose connection then counts as one of another protocol, and its request has no answer. Nothing is ever asked to switch, so the connection is aborted like one whose head is not that of a single answer. The test failed before with status 101.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -38,6 +38,8 @@
 
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
 
+_SWITCHING_PROTOCOLS = 101
+
 
 class AnswerGivenUpError(aiohttp.ClientPayloadError):
     """This process gave up an answer; its upstream need not be down."""
@@ -88,6 +90,10 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass on the head of an answer, final or interim."""
         message, body = data
+        if message.code == _SWITCHING_PROTOCOLS:
+            # Nothing is ever asked to switch, and no more HTTP follows.
+            self.give_up("it switches protocols", MalformedAnswerError)
+            return
         if _has_status_line_inside(message):
             self.give_up("another answer begins inside its head", MalformedAnswerError)
             return
