Deliver the answers of an entry that stops, and refuse partly received heads

Callers of an entry lost answers around a planned stop. The stop waited until requests were handled, not until their answers were written and delivered, and did not look at connections at all: an answer of 500,000 bytes that its caller had not read was in the buffers when the process ended, and a next request on the connection discarded it; the rest of a head that arrived during the stop met a closed connection; a head that was incomplete at the limit got no answer; and no answer after the signal said Connection: close, so that callers went on sending on connections that end with the process.

A forwarder had code for all of these (test_end_of_stopping of the platform). Entry and forwarder now share it: the connection with the state of its request (CallerConnection), and the end of the connections of a server (CallerDrain).

The 12 new tests (6 cases on two event loops) fail on the code before and pass now. Two tests import or use what has moved: ANSWER_WRITE_S, and has_partial_head instead of Ingress._partial_heads.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_server.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_server.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 
-from ._bounded_callers import BoundedConnection
+from ._caller_connection import CallerConnection
 from ._caller_guard import CallerGuard
 
 
+def _never() -> bool:
+    return False
+
+
 class BoundedServer(web.Server):
     """Server whose connections are bounded.
 
@@ -18,19 +23,30 @@
     handler : callable
         Answers one request.
     guard : CallerGuard
+    closes_new : callable
+        Returns whether a connection that opens now is closed unread.
     **options
         Options of a connection; see :class:`aiohttp.web.Server`.
     """
 
-    def __init__(self, handler: Any, guard: CallerGuard, **options: Any):
+    def __init__(
+        self,
+        handler: Any,
+        guard: CallerGuard,
+        closes_new: Callable[[], bool] = _never,
+        **options: Any,
+    ):
         # A caller that disconnects must cancel its request at once; otherwise an upstream would
         # continue a run that nobody waits for.
         super().__init__(handler, handler_cancellation=True, **options)
         self._guard = guard
+        self._closes_new = closes_new
 
-    def __call__(self) -> BoundedConnection:
+    def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        return BoundedConnection(self, self._guard, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self, self._guard, self._closes_new, loop=self._loop, **self._kwargs
+        )
 
 
 class BoundedAppRunner(web.AppRunner):
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_caller_connection.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_connection.py
@@ -9,9 +9,8 @@
 from aiohttp import web
 from aiohttp.streams import StreamReader
 
-from .._bounded_callers import BoundedConnection
-from .._bounded_server import BoundedServer
-from .._caller_guard import CallerGuard
+from ._bounded_callers import BoundedConnection
+from ._caller_guard import CallerGuard
 
 
 class CallerConnection(BoundedConnection):
@@ -67,6 +66,11 @@
         """Whether a request with a complete head has no answer yet."""
         return self._is_handling and self.transport is not None and not self.is_lingering
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is handled, or its answer is being written."""
+        return self._request is not None and self.transport is not None and not self.is_lingering
+
     @property
     def has_partial_head(self) -> bool:
         """Whether the head of a request was received in part."""
@@ -111,6 +115,13 @@
             self._is_closing = True
             self.close()
 
+    def close_idle(self) -> None:
+        """Close a connection on which no request is handled, after its answer."""
+        if self.is_answering:
+            self.close()
+        else:
+            super().close_idle()
+
     def refuse_partial_head(self, refusal: web.Response) -> None:
         """Refuse a request whose head is incomplete, and accept no more data.
 
@@ -127,35 +138,3 @@
         self.transport.write("\r\n".join(lines).encode() + refusal.body)
         self._partial_head_at = None
         self.close_delivered()
-
-
-class CallerServer(BoundedServer):
-    """Server for the connections of callers.
-
-    Parameters
-    ----------
-    handler : callable
-        Answers one request.
-    guard : CallerGuard
-    closes_new : callable
-        Returns whether a connection that opens now is closed unread.
-    **options
-        Options of a connection; see :class:`aiohttp.web.Server`.
-    """
-
-    def __init__(
-        self,
-        handler: Any,
-        guard: CallerGuard,
-        closes_new: Callable[[], bool],
-        **options: Any,
-    ):
-        super().__init__(handler, guard, **options)
-        self._closes_new = closes_new
-        self._options = options
-
-    def __call__(self) -> CallerConnection:
-        """Return the protocol of a new connection."""
-        return CallerConnection(
-            self, self._guard, self._closes_new, loop=self._loop, **self._options
-        )
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -27,6 +27,7 @@
 from ._call import Call, CallRequest
 from ._call_error import CallError, error_body
 from ._call_runner import Body, Tokens
+from ._caller_drain import FINAL_ANSWERS_TIMEOUT_S, UNFINISHED_POLL_S, CallerDrain
 from ._caller_guard import CallerGuard
 from ._chat import ChatRequest, ChunkWriter, parse_chat
 from ._early_listener import BACKLOG
@@ -77,6 +78,7 @@
         terms = make_caller_terms(entry.settings)
         self.guard = CallerGuard(lambda: terms, entry.now, self._error_response, self._count)
         self._aborting = False
+        self._refuses_new = False
 
     @property
     def held(self) -> int:
@@ -106,13 +108,22 @@
         app.router.add_route("*", "/services/{service}/{path:.*}", self._service)
         self._runner = BoundedAppRunner(app, self.guard, shutdown_timeout=CLOSE_TIMEOUT_S)
         await self._runner.setup()
+        self._drain = CallerDrain(self._runner.server, self.entry.now)
         self._listening = bind_socket(host, port)
         await web.SockSite(self._runner, self._listening, backlog=BACKLOG).start()
 
+    async def stop_accepting(self) -> None:
+        """Close each connection once its answer is delivered."""
+        self._refuses_new = True
+        await self._drain.close_idle()
+
     async def finish_all(self) -> None:
-        """Wait until every request is answered."""
-        while self._request_tasks:
-            await asyncio.wait(set(self._request_tasks))
+        """Wait until every request is answered, and the answers are delivered."""
+        while self._request_tasks or self._drain.has_unfinished():
+            if self._request_tasks:
+                await asyncio.wait(set(self._request_tasks))
+            else:
+                await asyncio.sleep(UNFINISHED_POLL_S)
 
     async def abort_all(self) -> None:
         """Cancel all requests; each caller gets an error, or an error event in its stream."""
@@ -129,6 +140,9 @@
         await accept_pending(self._listening)
         if self._request_tasks:
             await asyncio.wait(set(self._request_tasks), timeout=ANSWER_TIMEOUT_S)
+        leaving = RequestError(ErrorKind.LEAVING)
+        final_at = self.entry.now() + FINAL_ANSWERS_TIMEOUT_S
+        await self._drain.refuse_partial_heads(lambda: self._error_response(leaving), final_at)
         await self._runner.cleanup()
 
     @web.middleware
@@ -137,6 +151,7 @@
     ) -> web.StreamResponse:
         """Assign the request id, and turn every error into its HTTP answer."""
         request[_REQUEST_ID] = secrets.token_hex(16)
+        request.protocol.begin_request(request.content)
         try:
             response = await handler(request)
         except CallError as error:
@@ -149,10 +164,18 @@
         except Exception as error:  # noqa: BLE001
             log_event(Event.INTERNAL_ERROR, where="caller request", error=describe_fault(error))
             response = self._error_response(RequestError(ErrorKind.INTERNAL))
+        finally:
+            request.protocol.end_request(closes=self._refuses_new)
         if not response.prepared:
             response.headers[REQUEST_HEADER] = request[_REQUEST_ID]
+            self._close_at_end(response)
         return response
 
+    def _close_at_end(self, response: web.StreamResponse) -> None:
+        """Tell the caller of a process that shuts down to send no more on its connection."""
+        if self.entry.leaving or self._aborting:
+            response.force_close()
+
     def _count(self, reason: str) -> None:
         self.entry.metrics.count(f"callers.given_up.{reason}")
 
@@ -378,6 +401,7 @@
             **_key_headers(spec),
         }
         response = web.StreamResponse(headers=headers)
+        self._close_at_end(response)
         generated = 0
         request.protocol.watch_backlog(lambda: call.inbox.size)
         try:
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -135,6 +135,7 @@
         # before that would make the replacement of a VM visible to callers.
         await asyncio.sleep(self.settings.leave_delay_s)
         self._refusing = True
+        await self._server.stop_accepting()
         await self._server.finish_all()
 
     async def _abort_all(self, reason: str) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_ingress.py
@@ -18,7 +18,9 @@
 )
 from burdockquay_protocol import ErrorKind, RequestError
 
+from .._bounded_server import BoundedServer
 from .._call_error import CallError
+from .._caller_drain import FINAL_ANSWERS_TIMEOUT_S, UNFINISHED_POLL_S, CallerDrain
 from .._caller_guard import CallerGuard
 from .._early_listener import BACKLOG, EarlyListener
 from .._events import Event, describe_fault, log_event
@@ -26,7 +28,6 @@
 from .._request_body import read_request_body
 from ._arrival import STARTUP_BACKLOG_S, ArrivalClock
 from ._call import ForwardCall
-from ._caller_connection import CallerConnection, CallerServer
 from ._caller_limits import CallerTermsSource
 from ._platform import CallerRequest
 from ._refusals import Refusals
@@ -40,22 +41,6 @@
 MAX_HEAD_LINE_BYTES = 65536
 """Longest line in the head of a request, bytes."""
 
-ANSWER_WRITE_S = 0.1
-"""Time for which a process that shuts down waits until answers that are ready are written to their
-connections, seconds; what a slow reader has not received by then is in the buffer of the
-connection."""
-
-UNFINISHED_POLL_S = 0.02
-"""Poll interval for connections with unfinished requests once no answer is being written,
-seconds."""
-
-PARTIAL_HEAD_TIMEOUT_S = 2.0
-"""Longest wait for the rest of a head that was partly received, seconds."""
-
-FINAL_ANSWERS_TIMEOUT_S = 0.3
-"""Longest wait until the answers of a process that shuts down are written and delivered,
-seconds."""
-
 CLOSE_TIMEOUT_S = 0.3
 """Longest wait for connections to close with the process, seconds; their answers are written."""
 
@@ -118,7 +103,7 @@
 
     async def start(self, early: EarlyListener) -> None:
         """Serve the callers that connect to a listening socket."""
-        self._server = CallerServer(
+        self._server = BoundedServer(
             self._handle,
             self.guard,
             self.state.closes_new_connections,
@@ -127,6 +112,7 @@
             max_field_size=MAX_HEAD_LINE_BYTES,
             auto_decompress=False,
         )
+        self._drain = CallerDrain(self._server, self.state.clock.now)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=CLOSE_TIMEOUT_S)
         await self._runner.setup()
         self._listening = early.listening
@@ -143,18 +129,11 @@
         the process.
         """
         await self._stop_listening()
-        # An answer that has just become ready may not have been written to the socket yet.
-        await asyncio.sleep(ANSWER_WRITE_S)
-        # Read the requests that arrived while this process was busy before anything is closed:
-        # otherwise their callers would get neither an answer nor a refusal.
-        await read_pending()
-        for connection in self._server.connections:
-            if connection.is_idle:
-                connection.close_idle()
+        await self._drain.close_idle()
 
     async def finish_all(self) -> None:
         """Wait until all answers are written and no request is left that this process can see."""
-        while self._answering or self._has_unfinished():
+        while self._answering or self._drain.has_unfinished():
             if self._answering:
                 await asyncio.wait(set(self._answering))
             else:
@@ -188,16 +167,8 @@
             task.cancel()
         if self._answering:
             await asyncio.wait(set(self._answering), timeout=FINAL_ANSWERS_TIMEOUT_S)
-        partial = self._partial_heads()
-        for connection in partial:
-            leaving = RequestError(ErrorKind.LEAVING)
-            connection.refuse_partial_head(
-                self._refusals.answer(None, self.state.clock.now(), leaving)
-            )
-        if partial:
-            await asyncio.sleep(ANSWER_WRITE_S)
-        while self._has_undelivered() and self.state.clock.now() < final_at:
-            await asyncio.sleep(UNFINISHED_POLL_S)
+        leaving = RequestError(ErrorKind.LEAVING)
+        await self._drain.refuse_partial_heads(lambda: self._refuse(leaving), final_at)
 
     async def _stop_listening(self) -> None:
         if self._refuses_new:
@@ -206,25 +177,6 @@
         self._refuses_new = True
         await self._site.stop()
 
-    def _has_unfinished(self) -> bool:
-        """Return whether a request is handled or partly received, or an answer not delivered."""
-        now = self.state.clock.now()
-        return any(
-            connection.is_handling
-            or connection.undelivered_bytes
-            or connection.awaits_rest_of_head(now, PARTIAL_HEAD_TIMEOUT_S)
-            for connection in self._server.connections
-        )
-
-    def _has_undelivered(self) -> bool:
-        return any(connection.undelivered_bytes for connection in self._server.connections)
-
-    def _partial_heads(self) -> list[CallerConnection]:
-        """Return the connections on which the head of a request was partly received."""
-        return [
-            connection for connection in self._server.connections if connection.has_partial_head
-        ]
-
     async def close(self) -> None:
         """Stop listening."""
         await self._runner.cleanup()
