Begin a background task again after it has failed

A task that ended by an exception was never begun again. One fault in what follows the list of upstreams, the configuration, the members, usage, or a link to one peer had the same effect, whatever caused it: the process went on with what it knew, refused what was added later and stayed ready. If something that the task awaited was cancelled, not even a line was logged.

A run starts from nothing: following a table begins with a new reader and the whole table, so that no half of an update stays; a new upstream is complete before it is listed. Links to single peers and slots and the two tasks of usage are supervised in the same way.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/__init__.py
@@ -16,6 +16,7 @@
         "GiveUpReason",
         "UnsentAnswer",
     ),
+    "._task_restarts": ("STEADY_S", "TaskRestarts"),
     "._token_bucket": ("TokenBucket",),
     "._configuration": (
         "ApplyOutcome",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_upstreams.py
@@ -298,8 +298,8 @@
             return None
         self._unlisted.pop(entry.id, None)
         if order > 0:
-            self._by_service[known.entry.service].remove(known)
             self._add(entry, now)
+            self._by_service[known.entry.service].remove(known)
             return known
         if is_newer_entry(entry, known.entry):
             self._by_service[known.entry.service].remove(known)
@@ -317,11 +317,12 @@
         return order < 0 or (order == 0 and entry.sequence <= kept.entry.sequence)
 
     def _add(self, entry: ListedUpstream, now: float) -> None:
-        added = self._upstreams[entry.id] = Upstream(entry, self._spread(), self.evacuations)
+        added = Upstream(entry, self._spread(), self.evacuations)
         added.statements = self._unlisted_statements.take(entry.incarnation)
         self._set_memory_capacity(added)
-        self._by_service.setdefault(entry.service, []).append(added)
         self._apply_cold(added, now)
+        self._upstreams[entry.id] = added
+        self._by_service.setdefault(entry.service, []).append(added)
 
     def _apply_cold(self, upstream: Upstream, now: float) -> None:
         """Apply the cold time of an upstream's entry, and the terms of its service."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -127,7 +127,12 @@
         1012,
         "ERROR",
         "A task on which other parts of the process rely has ended by an exception; ``failures`` "
-        "counts how often. What it keeps up to date is as old as its last progress.",
+        "counts how often. It is begun again after ``pause_s``.",
+    )
+    TASK_RECOVERED = (
+        1015,
+        "NOTICE",
+        "A task that had failed has run for some time without a failure.",
     )
 
     CONFIGURATION_APPLIED = (1101, "INFO", "A revision of the configuration is in force here.")
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -14,7 +14,7 @@
 from burdockquay_coordination import ConfigurationHolder, EvacuatedDomains, EvacuationChange
 from burdockquay_state import RecordLog, Snapshot
 
-from ._background import BackgroundTasks, Begin
+from ._background import BackgroundTasks, Begin, NamedTask
 from ._clock import Clock, SystemClock, ticks
 from ._config_sync import ConfigurationSync
 from ._events import Event, log_event
@@ -159,7 +159,7 @@
         )
         self.traffic = TrafficCounts()
         self.metrics = make_sink(settings.metrics)
-        self._tasks = BackgroundTasks(self._record_task_failure)
+        self._tasks = BackgroundTasks(self._clock.now, self._rng, self._record_task)
         self._leaving = False
         self._platform = open_platform(settings.platform)
         self._holder = ConfigurationHolder(self.known_schemas)
@@ -178,8 +178,9 @@
             self._platform.table, self._clock, self._rng, self._connected_peers, self._tasks.spawn
         )
 
-    def _record_task_failure(self, name: str) -> None:
-        self.metrics.count(task_failure_counter(name))
+    def _record_task(self, task: NamedTask) -> None:
+        if not task.is_running:
+            self.metrics.count(task_failure_counter(task.name))
         self.metrics.gauge(
             TASKS_NOT_RUNNING, sum(not item.is_running for item in self._tasks.named)
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -280,7 +280,7 @@
             self.metrics.count,
         )
         self._links[name] = link
-        self._link_tasks[name] = asyncio.create_task(link.run())
+        self._link_tasks[name] = self._tasks.supervise("slot_link", link.run, peer=name)
 
     def _join_dispatcher(self, link: SlotLink) -> None:
         dispatcher = self._dispatchers.get(link.target.group)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -99,7 +99,7 @@
         )
         self.task_running = Gauge(
             "forwarder_task_running",
-            "1 while a task of the process runs, 0 after it has ended by an exception.",
+            "1 while a task of the process runs, 0 until it is begun again after an exception.",
             ["task"],
             registry=self.registry,
         )
@@ -208,9 +208,10 @@
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"forwarder_{name}", text, labels, registry=self.registry)
 
-    def record_task_failure(self, name: str) -> None:
+    def record_task(self, task: NamedTask) -> None:
         """Count a task that has ended by an exception."""
-        self.task_failures.labels(name).inc()
+        if not task.is_running:
+            self.task_failures.labels(task.name).inc()
 
     def record_odd_entry(self, table: str) -> None:
         """Count an entry of a table that cannot be used."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_key_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_key_sharing.py
@@ -1,4 +1,4 @@
-"""Exchange of whether forwarders honour API keys, and of the newest configuration they know."""
+"""Exchange of whether forwarders can serve callers, and of the newest configuration they know."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 from ._state import ForwarderState
 
 KEY_STATUS_RECIPIENTS = 8
-"""Number of peers to which a process sends whether it honours API keys: enough that each process
+"""Number of peers to which a process sends whether it can serve: enough that each process
 receives it from some."""
 
 
 class KeySharing:
-    """Sends some peers whether this process honours keys, and the newest configuration.
+    """Sends some peers whether this process can serve callers, and the newest configuration.
 
     Parameters
     ----------
@@ -54,16 +54,16 @@
     def send(self) -> None:
         """Send what has changed or is due."""
         now = self.state.clock.now()
-        honoured = self.state.keys_trusted(now)
-        if self._key_repeater.is_due(honoured, now):
-            self.post(self._recipients, KeysHonoured(honoured))
+        can_serve = self.state.can_serve(now)
+        if self._key_repeater.is_due(can_serve, now):
+            self.post(self._recipients, KeysHonoured(can_serve))
         config_versions = self.state.config_versions
         newest = 0 if config_versions.is_unverified(now) else config_versions.newest
         if newest and self._configuration_repeater.is_due(newest, now):
             self.post(self._recipients, NewestConfiguration(newest))
 
     def receive_keys(self, peer: PeerConnection, message: KeysHonoured) -> None:
-        """Record whether a peer honours keys."""
+        """Record whether a peer can serve callers."""
         self.state.others.receive_update(
             peer.peer.incarnation, message.honoured, self.state.clock.now()
         )
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -43,6 +44,7 @@
 )
 
 from .._addresses import bind_socket, bound_address, split_address
+from .._background import BackgroundTasks
 from .._events import Event, log_event
 from .._peer import (
     HANDSHAKE_TIMEOUT_S,
@@ -117,6 +119,7 @@
         self.listen = listen
         self.traffic = TrafficCounts()
         self._registry: MemberRegistry = state.platform.members()
+        self._tasks = BackgroundTasks(state.clock.now, state.rng, state.metrics.record_task)
         self._links: dict[str, asyncio.Task] = {}
         self._members = KnownMembers()
         self._has_read = False
@@ -193,8 +196,13 @@
 
     async def run(self) -> None:
         """Register with the members, and stay connected to them until cancelled."""
-        self._bound = bind_socket(*split_address(self.listen))
-        await self._join(self._bound)
+        if self._bound is None:
+            self._bound = bind_socket(*split_address(self.listen))
+        if self._server is None:
+            await self._join(self._bound)
+        else:
+            # Begun again: a new reader begins with the whole table.
+            self._registry = self.state.platform.members()
         self._schedule.start()
         try:
             await self._follow_members()
@@ -266,7 +274,7 @@
             await asyncio.sleep(pause_s * self.state.rng.uniform(0.5, 1.0))
             pause_s = min(2 * pause_s, RETRY_PAUSES_S[1])
         self._key = joined.ok()
-        self._server = PeerServer(
+        server = PeerServer(
             self.identity,
             self._key,
             0.0,
@@ -276,7 +284,8 @@
             self._add_connection,
             self._remove_connection,
         )
-        await self._server.listen(bound)
+        await server.listen(bound)
+        self._server = server
 
     async def _follow_members(self) -> None:
         while True:
@@ -313,7 +322,8 @@
         if is_registered and not changes.after_restore:
             return
         self._stop_rejoining()
-        self._rejoining = asyncio.create_task(self._rejoin(self._me, shown))
+        rejoin = functools.partial(self._rejoin, self._me, shown)
+        self._rejoining = self._tasks.supervise("rejoining", rejoin)
 
     def _stop_rejoining(self) -> None:
         if self._rejoining is not None:
@@ -362,7 +372,8 @@
             task.cancel()
         member = self._members.get(vm)
         if member is not None and self.identity.vm < vm:
-            self._links[vm] = asyncio.create_task(self._keep_connected(member))
+            keep = functools.partial(self._keep_connected, member)
+            self._links[vm] = self._tasks.supervise("peer_link", keep, peer=vm)
 
     async def _keep_connected(self, member: Member) -> None:
         pause_s = RETRY_PAUSES_S[0]
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -142,6 +142,8 @@
             clock, self.metrics, self.upstream_registry, self.rate_limits
         )
         self.broadcast_crash: Callable[[str, list[str]], None] = lambda incarnation, digests: None
+        # Whether a task without which this process serves by old data fails again and again.
+        self.is_stuck: Callable[[], bool] = lambda: False
         self.send_stream_starts: SendStarts = lambda starts: None
         self.announce_versions: AnnounceVersions = lambda origins: None
         self.ask_stream_origin: AskPeers = _ask_nobody
@@ -420,7 +422,11 @@
         """Return whether callers should be referred to another process."""
         if not self.switches.uses(Mechanism.REFERRAL):
             return False
-        return not self.keys_trusted(now) and self.others.can_serve(now)
+        return not self.can_serve(now) and self.others.can_serve(now)
+
+    def can_serve(self, now: float) -> bool:
+        """Return whether callers are served as well here as at any other process."""
+        return self.keys_trusted(now) and not self.is_stuck()
 
 
 def _describe_parts(interrupted: Iterable[Interruption]) -> str:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -63,10 +63,14 @@
         self.send_question: Callable[[TableQuestion], None] = lambda message: None
         self.on_restored: Callable[[], None] = lambda: None
         self._feeds: dict[str, TableFeed] = {}
+        self._me = ""
+        self._others: Collection[str] = ()
 
     def add(self, feed: TableFeed) -> None:
-        """Pass the messages of peers about a table to its feed."""
+        """Pass the messages of peers about a table to its feed, in place of a former one."""
         self._feeds[feed.table] = feed
+        if self._others:
+            self._choose_poller(feed)
 
     def receive_changes(self, message: TableChanges, now: float, is_complete: bool = False) -> None:
         """Pass a message of a peer to the feed of its table.
@@ -130,9 +134,13 @@
 
     def choose_pollers(self, me: str, others: Collection[str]) -> None:
         """Choose the pollers of each table again, by the incarnations of connected processes."""
-        for table, feed in self._feeds.items():
-            place = place_of(table, me, others)
-            feed.set_poller(place < POLLERS_PER_TABLE, 1 + len(others), place)
+        self._me, self._others = me, others
+        for feed in self._feeds.values():
+            self._choose_poller(feed)
+
+    def _choose_poller(self, feed: TableFeed) -> None:
+        place = place_of(feed.table, self._me, self._others)
+        feed.set_poller(place < POLLERS_PER_TABLE, 1 + len(self._others), place)
 
 
 @attrs.frozen
@@ -191,7 +199,8 @@
                 if update is not None:
                     return update
                 await self._wait(wait_s)
-        except asyncio.CancelledError:
+        except BaseException:
+            # No later call of this feed would take the answer.
             self._cancel_query()
             raise
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_usage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_usage.py
@@ -126,14 +126,6 @@
         if organisation is not None:
             self.counter.add(organisation, self.time_of_day.at(begun_at))
 
-    async def run(self) -> None:
-        """Share counts and report them until cancelled."""
-        sharing = asyncio.create_task(self._keep_sharing())
-        try:
-            await self._keep_reporting()
-        finally:
-            sharing.cancel()
-
     def share_last(self) -> None:
         """Send the final counts; nobody waits for further ones of this process."""
         moment = self.time_of_day.at(self.state.clock.now())
@@ -158,7 +150,8 @@
         metrics.usage_delivered_window.set(self.reporter.plan.delivered_upto)
         metrics.clock_deviation.set(self.time_of_day.deviation_s(now))
 
-    async def _keep_sharing(self) -> None:
+    async def keep_sharing(self) -> None:
+        """Share counts with the candidates until cancelled."""
         while True:
             now = self.state.clock.now()
             self.time_of_day.update(self.state.clock.wall(), now)
@@ -188,7 +181,8 @@
             self.post([recipients[name] for name in names], message)
         self._sent_to = recipients
 
-    async def _keep_reporting(self) -> None:
+    async def keep_reporting(self) -> None:
+        """Report the counts of all processes, if that falls to this one, until cancelled."""
         while True:
             while await self._step():
                 pass
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -46,6 +46,9 @@
 }
 """Tasks that need only the state of the process, by name."""
 
+_NEEDED_TO_SERVE = ("configuration", "upstreams")
+"""Tasks without which a process serves by what it knew before."""
+
 
 class Forwarder:
     """One forwarder process.
@@ -115,7 +118,8 @@
         rng = self.rng or random.Random(secrets.randbits(64))
         exchange = FeedExchange(rng, Switches(settings.mechanisms_off))
         self._state = ForwarderState(settings, platform_class(address, exchange), clock, rng)
-        self._tasks = BackgroundTasks(self._state.metrics.record_task_failure)
+        self._tasks = BackgroundTasks(clock.now, rng, self._state.metrics.record_task)
+        self._state.is_stuck = lambda: self._tasks.is_failing(_NEEDED_TO_SERVE)
         exchange.faults.on_fault = self._state.metrics.record_odd_entry
         regions = self._state.region_map
         if regions.has_several:
@@ -210,7 +214,8 @@
         if mesh is not None:
             mesh.add_handler(UsageCounts, usage.receive_counts)
             mesh.add_handler(ClockReading, usage.receive_clock)
-        self._tasks.supervise("usage", usage.run)
+        self._tasks.supervise("usage_sharing", usage.keep_sharing)
+        self._tasks.supervise("usage_reports", usage.keep_reporting)
         return usage
 
     def reload(self, settings: ForwarderSettings) -> ForwarderSettings:
