--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -6,6 +6,16 @@
 
 from burdockquay_protocol import ChangedRow
 
+from ._entries import (
+    IP_ADDRESS,
+    MALFORMED_VALUE_ERRORS,
+    Checks,
+    EntryFaultError,
+    ItemFaults,
+    read_integer,
+    read_row,
+    read_text,
+)
 from ._entry_faults import EntryFaults
 from ._headers import end_to_end_headers
 from ._platform import (
@@ -29,12 +39,17 @@
 from ._table_update import TableUpdate
 
 __all__ = [
+    "IP_ADDRESS",
+    "MALFORMED_VALUE_ERRORS",
     "AnswerFacts",
     "CallerRequest",
     "ChangedRow",
+    "Checks",
     "ConfigReading",
     "ConfigSource",
+    "EntryFaultError",
     "EntryFaults",
+    "ItemFaults",
     "FeedExchange",
     "ForwarderPlatformSettings",
     "ForwarderSettings",
@@ -52,4 +67,7 @@
     "forwarding_platforms",
     "load_adapters",
     "end_to_end_headers",
+    "read_integer",
+    "read_row",
+    "read_text",
 ]
--- a/platform/src/burdockquay_platform/_entries.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_entries.py
@@ -4,12 +4,15 @@
 
 import ipaddress
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import MappingProxyType
-from typing import Any
+from typing import Any, TypeVar
 
-from burdockquay_state import Constraint
-from burdockquay_transport.forwarding import ChangedRow, EntryFaults
+from burdockquay_protocol import ChangedRow
+from burdockquay_state import TEXT, Constraint
+
+from .._events import Event
+from ._entry_faults import EntryFaults
 
 MAX_ENTRY_BYTES = 65_536
 """Largest accepted entry, bytes: the limit of the platform for one row."""
@@ -63,6 +66,11 @@
 
 _MISSING = object()
 
+T = TypeVar("T")
+
+MALFORMED_VALUE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+"""Errors that reading a value of an unexpected type raises."""
+
 
 class EntryFaultError(ValueError):
     """An entry is malformed; the message names the fault and quotes no content of the entry."""
@@ -93,7 +101,7 @@
     {'slots': 8, 'more': 1}
     >>> read_entry(b'{"slots": true}', {"slots": [Interval(int, 1)]})
     Traceback (most recent call last):
-    burdockquay_platform._entries.EntryFaultError: slots
+    burdockquay_transport.forwarding._entries.EntryFaultError: slots
     """
     if len(value) > MAX_ENTRY_BYTES:
         raise EntryFaultError("too long")
@@ -137,6 +145,49 @@
         return None
 
 
+class ItemFaults:
+    """Items of a larger entry that cannot be used.
+
+    Attributes
+    ----------
+    found : list of (Event, int, str)
+        The kind, the place in its list, and what is wrong, without content.
+    """
+
+    def __init__(self):
+        self.found: list[tuple[Event, int, str]] = []
+
+    def read_each(self, items: Iterable[Any], read: Callable[[Any], T], event: Event) -> list[T]:
+        """Return what ``read`` makes of the items, without those that it cannot read.
+
+        One odd item must not keep all others, and withdrawn keys, at an old version.
+        """
+        found = []
+        for place, item in enumerate(items):
+            try:
+                found.append(read(item))
+            except MALFORMED_VALUE_ERRORS as error:
+                detail = str(error) if isinstance(error, EntryFaultError) else ""
+                self.found.append((event, place, detail or type(error).__name__))
+        return found
+
+
+def read_text(field: str, value: Any, accepted: Constraint = TEXT) -> str:
+    """Return a value as a text that satisfies a constraint, or raise :class:`EntryFaultError`."""
+    text = str(value)
+    if not accepted.accepts(text):
+        raise EntryFaultError(field)
+    return text
+
+
+def read_integer(field: str, value: Any, low: int, high: int) -> int:
+    """Return a value as an integer in a range, or raise :class:`EntryFaultError`."""
+    number = int(value)
+    if not low <= number <= high:
+        raise EntryFaultError(field)
+    return number
+
+
 def _accepts(entry: Mapping[str, Any], name: str, accepted: Sequence[Constraint]) -> bool:
     value = entry.get(name, _MISSING)
     return any(constraint.accepts(value) for constraint in accepted)
