Do not say of a request that it has not run where its engine answered below 400

An engine behind a slot that answered a chat with a status from 201 to 399 was taken to have refused it: the entry's answer said that the request has not run, though nothing shows that. It is now a failure with an unknown outcome, like a status from 500 on. Found beside the tests of cut heads; the cases 201, 204 and 302 failed before.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_engine_client.py
@@ -161,9 +161,9 @@
     detail = f"the engine answered {response.status}: {text[:_DETAIL_BYTES]}"
     if response.status == 503:
         raise UpstreamError(ErrorKind.NO_UPSTREAM, detail, sent=False)
-    if response.status >= 500:
-        # The engine failed while it processed the request. If this counted as a refusal, the caller
-        # would get "not run" for a request that may have run.
+    if not 400 <= response.status < 500:
+        # The engine failed while it processed the request, or reports another success. If this
+        # counted as a refusal, the caller would get "not run" for a request that may have run.
         raise UpstreamError(ErrorKind.UPSTREAM_FAILED, detail, sent=True)
     raise UpstreamError(ErrorKind.UPSTREAM_REFUSED, detail, sent=False)
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
@@ -86,3 +86,14 @@
 
     replies = await ask(deployment, kind, [behave])
     assert all(is_unknown(*reply) for reply in replies), replies
+
+
+@pytest.mark.parametrize("status", ["101 Switch", "201 Made", "204 Empty", "302 Elsewhere"])
+async def test_other_status_without_an_error_is_an_unknown_outcome(deployment, status):
+    """Guards against a request that is said not to have run though its engine reports no error."""
+
+    async def behave(request, connection):
+        await connection.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+
+    replies = await ask(deployment, "engine", [behave])
+    assert all(is_unknown(*reply) for reply in replies), replies
