Treat an answer in a transfer coding that is not decoded as broken

The body of an answer with Transfer-Encoding: gzip, alone or before chunked, was passed on encoded, while its Transfer-Encoding, which concerns one connection only, was left out: callers got a 200 whose body is not the upstream's. The connection is now aborted like one whose head is not that of a single answer. Both forms of the test failed before with a 200.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -40,6 +40,9 @@
 
 _SWITCHING_PROTOCOLS = 101
 
+_READABLE_CODINGS = frozenset({"", "chunked", "identity"})
+"""Transfer codings that the parser removes, or that change nothing."""
+
 
 class AnswerGivenUpError(aiohttp.ClientPayloadError):
     """This process gave up an answer; its upstream need not be down."""
@@ -50,7 +53,7 @@
 
 
 class MalformedAnswerError(AnswerGivenUpError):
-    """An answer was given up because its head is not that of a single answer."""
+    """An answer was given up because its head is not that of a single answer that can be read."""
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -59,9 +62,9 @@
     It aborts the connection as soon as an answer has exceeded a bound. The bytes of bodies are
     bounded by those who keep them: a body that is passed on as it arrives takes no memory.
 
-    It also aborts the connection if a head is not that of a single answer. An upstream that fails
-    while it writes a head may write a whole error response after the part, and the parser reads
-    both as one head with the status of the first.
+    It also aborts the connection if a head is not that of a single answer that can be read. An
+    upstream that fails while it writes a head may write a whole error response after the part, and
+    the parser reads both as one head with the status of the first.
 
     Parameters
     ----------
@@ -97,6 +100,9 @@
         if _has_status_line_inside(message):
             self.give_up("another answer begins inside its head", MalformedAnswerError)
             return
+        if _has_other_coding(message):
+            self.give_up("its transfer coding is not supported", MalformedAnswerError)
+            return
         if 100 <= message.code < 200:
             self._interim_answers += 1
         elif self._body is None:
@@ -159,6 +165,13 @@
     return any(_STATUS_LINE.search(value) for value in (reason, *values))
 
 
+def _has_other_coding(message: RawResponseMessage) -> bool:
+    """Return whether a body has a transfer coding that the parser does not decode."""
+    values = message.headers.getall("Transfer-Encoding", ())
+    codings = (coding.strip().lower() for value in values for coding in value.split(","))
+    return any(coding not in _READABLE_CODINGS for coding in codings)
+
+
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections bound each answer.
 
