Let a young process that shuts down refer callers to others at once

A request that was refused by a process that shuts down got a Retry-After of 0.05 s at most if another process was connected, and of up to 2 s otherwise. A process that is stopped in its first second has not connected to any yet, and it refuses more than others. It now takes whether it belongs to a fleet.

The test failed before with a Retry-After of 1.675 s.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
@@ -84,5 +84,7 @@
         if request is not None and request.patience_s is not None:
             patience = request.patience_s - (now - started)
         is_referred = error.kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now)
-        is_referred |= error.kind is ErrorKind.LEAVING and self.state.connected_peers() > 0
+        # Others exist even if a young process has not connected to them yet.
+        is_alone = self.state.upstream_registry.fleet.is_alone
+        is_referred |= error.kind is ErrorKind.LEAVING and not is_alone
         return retry_delay_s(patience, is_referred, self.state.rng)
