Let callers of a process that shuts down return once they reach another one

Callers that were refused by a process that shuts down were told to return within 0.05 s.

Those of a process with a connected process of its failure domain, or that the balancer has noticed, return at once as before.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -79,7 +79,13 @@
 from ._reading import FirstTokenModel
 from ._relay_groups import RelayGroups, group_relays
 from ._relay_links import relay_interval_s, suits_relay
-from ._retry_after import PeerAvailability, limited_delay_s, rest_delay_s, retry_delay_s
+from ._retry_after import (
+    PeerAvailability,
+    leaving_delay_s,
+    limited_delay_s,
+    rest_delay_s,
+    retry_delay_s,
+)
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._stream_versions import (
@@ -117,6 +123,7 @@
     "StreamVersions",
     "rank_owners",
     "stream_digest",
+    "leaving_delay_s",
     "limited_delay_s",
     "rest_delay_s",
     "spare_upstreams",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_retry_after.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_retry_after.py
@@ -26,6 +26,9 @@
 """Shortest and longest delay before a caller retries at another process, seconds: only a spread, as
 the other process can serve at once."""
 
+NOTICED_SPREAD_S = (0.0, 0.3)
+"""Shortest and longest delay of a retry after the load balancer has noticed a shutdown, seconds."""
+
 PEER_STATUS_EXPIRY_S = 2.5
 """Age at which the status of another process is dropped, seconds. Each process sends its status
 every second."""
@@ -86,6 +89,37 @@
     return rest_s + rng.uniform(0.0, REST_SPREAD_S)
 
 
+def leaving_delay_s(
+    patience_s: float | None, unnoticed_s: float, has_neighbour: bool, rng: random.Random
+) -> float:
+    """Return the time after which a caller rejected by a process that shuts down should retry.
+
+    Parameters
+    ----------
+    patience_s : float or None
+        Time for which the caller still waits, seconds; None if unknown.
+    unnoticed_s : float
+        Time until the load balancer has noticed the shutdown, seconds; not positive if it has.
+    has_neighbour : bool
+        Whether another process of the failure domain serves callers.
+    rng : random.Random
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Notes
+    -----
+    Until the load balancer has noticed, it sends the callers of a failure domain with one process
+    to that process again, where a caller with one retry would be rejected for good.
+    """
+    patience = MAX_PATIENCE_S if patience_s is None else max(0.0, patience_s)
+    wait_s = 0.0 if has_neighbour else max(0.0, unnoticed_s)
+    spread = REFERRAL_DELAY_S if wait_s <= 0.0 else NOTICED_SPREAD_S
+    return min(patience, wait_s + rng.uniform(*spread))
+
+
 def retry_delay_s(patience_s: float | None, is_referred: bool, rng: random.Random) -> float:
     """Return the time after which a rejected caller should retry, seconds.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_late_calls.py
@@ -24,6 +24,11 @@
         self._metrics = metrics
         self._gate = FinishGate()
         self._told_at = 0.0
+        self._noticed_at = 0.0
+
+    def unnoticed_s(self, now: float) -> float:
+        """Return the time until the load balancer has noticed the shutdown, seconds."""
+        return self._noticed_at - now
 
     def stop_at(self, told_at: float, ends_at: float, certain_from: float) -> None:
         """Begin the shutdown.
@@ -36,6 +41,7 @@
             As for :meth:`FinishGate.stop_at`.
         """
         self._told_at = told_at
+        self._noticed_at = certain_from
         self._gate.stop_at(ends_at, certain_from)
 
     def accept(self, call: ForwardCall) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_peers.py
@@ -181,6 +181,12 @@
         """Number of other forwarders that are connected."""
         return len(self._peer_connections)
 
+    @property
+    def connected_neighbours(self) -> int:
+        """Number of other forwarders of the same failure domain that are connected."""
+        domain = self.identity.failure_domain
+        return sum(peer.peer.failure_domain == domain for peer in self._peer_connections.values())
+
     @property
     def peer_connections(self) -> Mapping[str, PeerConnection]:
         """Connections to the other forwarders, by incarnation."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_refusals.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from burdockquay_coordination.forwarding import retry_delay_s
+from burdockquay_coordination.forwarding import leaving_delay_s, retry_delay_s
 from burdockquay_protocol import ErrorKind, RequestError
 
 from .._events import Event, log_event
@@ -83,8 +83,10 @@
         patience = None
         if request is not None and request.patience_s is not None:
             patience = request.patience_s - (now - started)
-        is_referred = error.kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now)
         # Others exist even if a young process has not connected to them yet.
-        is_alone = self.state.upstream_registry.fleet.is_alone
-        is_referred |= error.kind is ErrorKind.LEAVING and not is_alone
+        if error.kind is ErrorKind.LEAVING and not self.state.upstream_registry.fleet.is_alone:
+            unnoticed_s = self.state.late_calls.unnoticed_s(now)
+            has_neighbour = self.state.connected_neighbours() > 0
+            return leaving_delay_s(patience, unnoticed_s, has_neighbour, self.state.rng)
+        is_referred = error.kind in PROCESS_LOCAL_KINDS and self.state.refers_callers(now)
         return retry_delay_s(patience, is_referred, self.state.rng)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -115,6 +115,8 @@
         self.suspects = CrashSuspects()
         self.crowding = Crowding()
         self.connected_peers: Callable[[], int] = lambda: 0
+        # Connected processes of the same failure domain.
+        self.connected_neighbours: Callable[[], int] = lambda: 0
         self.upstream_list_age_s: Callable[[float], float] = lambda now: 0.0
         self.read_list_changes: ReadListChanges = _read_nothing
         # Readings of the list at once, for decisions that need its present state.
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -168,6 +168,7 @@
         mesh = PeerMesh(self._state, self._identity(), settings.peer_listen)
         self._state.broadcast_crash = mesh.broadcast_crash
         self._state.connected_peers = lambda: mesh.connected
+        self._state.connected_neighbours = lambda: mesh.connected_neighbours
         self._tasks.supervise("peers", mesh.run)
         return mesh
 
