--- a/benchmarks/bench_versions.py
+++ b/benchmarks/bench_versions.py
@@ -30,8 +30,14 @@
 RETURN_S = (0.01, 1.0)
 """Bounds of the time after which a caller returns, seconds."""
 
-WAYS = {"owners": (2, 4), "recorder": (0, 10**6), "all": (10**6, 0), "one": (1, 4)}
-"""For each way the number of peers that keep a record, and of those that are asked."""
+WAYS = {
+    "owners": (2, 4, 64),
+    "recorder": (0, 10**6, 0),
+    "all": (10**6, 0, 0),
+    "one": (1, 4, 0),
+}
+"""For each way the number of peers that keep a record, of those that are asked, and of those that
+are asked before a refusal."""
 
 
 @attrs.frozen
@@ -56,7 +62,9 @@
 
 def simulate(way: str, size: int, seed: int = 1) -> Outcome:
     """Run one setting and return its figures."""
-    stream_fleet.RECORD_OWNERS, stream_fleet.ASKED_PROCESSES = WAYS[way]
+    owners, asked, at_last = WAYS[way]
+    stream_fleet.RECORD_OWNERS, stream_fleet.ASKED_PROCESSES = owners, asked
+    stream_fleet.ASKED_AT_LAST = at_last
     rng = random.Random(seed)
     fleet = StreamFleet(size, seed)
     fleet.set_versions(["v1", "v2"])
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -83,6 +83,7 @@
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._stream_versions import (
+    ASKED_AT_LAST,
     ASKED_PROCESSES,
     DIGEST_BYTES,
     RECORD_OWNERS,
@@ -108,6 +109,7 @@
     "RouteKey",
     "extend_record",
     "possible_origins",
+    "ASKED_AT_LAST",
     "ASKED_PROCESSES",
     "DIGEST_BYTES",
     "RECORD_OWNERS",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -23,6 +23,10 @@
 ASKED_PROCESSES = 4
 """Processes that are asked for it: some of those that kept it may have ended."""
 
+ASKED_AT_LAST = 64
+"""Most processes that are asked before a stream is refused. Those that keep it may be others than
+the asking process takes them for, and only the process that began it may know it."""
+
 DIGEST_BYTES = 8
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from burdockquay_coordination.forwarding import (
+    ASKED_AT_LAST,
     ForwardRoute,
     OriginEvidence,
     RouteKey,
@@ -33,10 +34,6 @@
 READ_TIMEOUT_S = 1.0
 """Longest time for which the record and the list are read to place a stream, seconds."""
 
-ASKED_AT_LAST = 64
-"""Most peers that are asked for a stream before it is refused. Those that keep it may be others
-than the asking process takes them for, and only the process that began it may know it."""
-
 STARTING_S = 3.0
 """Time after its start within which a process may still be about to connect to others, seconds."""
 
