Begin to watch the list anew when it is read from its start

A task that follows the list and is begun again reads the whole list first, which was taken for a continuous change: what came and went between is not known. After such a reading the versions of a service count as watched from then on. Found by reading, with the restart of failed tasks in mind; the tests of streams out of step pass, none fails without it.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -136,7 +136,7 @@
         changes = read.ok()
         if changes.has_missed:
             state.streams.note_missed(now)
-        if not changes.is_continuous:
+        if changes.whole or not changes.is_continuous:
             state.streams.restart_watch(now)
         ended = state.upstream_registry.apply(changes, now)
         state.rate_limits.apply_cold_starts()
