Judge the requests of an entry or slot that stops at each send, and log the decisions

An entry asked FinishGate once, when a request arrived. A request that waited in its queue was sent whenever a slot had a place, however late in the shutdown, also one that had come before the signal, and was aborted at the limit ("run unknown"). Now the dispatcher asks at each send, and at each tick for what waits: what is not certain, or well known to fit, is refused as not run at once. A call that may have run, or whose answer has begun, is sent on in any case: its caller could not send it elsewhere.

A slot starts only what is certain from the signal on: entries get what is queued back as not run, for other slots or until this one returns (they avoid the slot only while there is another). The share of the time in which it started runs of unknown duration is gone.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_call.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call.py
@@ -161,6 +161,8 @@
         Messages of the slots about the current attempt, and refusals of the entry.
     attempt : int
         Number of the latest attempt.
+    sent_at : float
+        When that was sent, seconds on the clock of the entry.
     link : SlotLink or None
         Connection to the slot that has the current attempt.
     has_begun : bool
@@ -180,6 +182,7 @@
     ticket: AtMostOnceTicket
     inbox: Inbox = attrs.field(factory=Inbox)
     attempt: int = 0
+    sent_at: float = 0.0
     link: SlotLink | None = None
     next_sequence: int = 0
     has_begun: bool = False
@@ -203,6 +206,7 @@
     def begin_attempt(self, link: SlotLink, grant: int, now: float) -> Run:
         """Begin the next attempt and return its message."""
         self.attempt += 1
+        self.sent_at = now
         self.link = link
         self.next_sequence = 0
         self.has_begun = False
--- a/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_caller_http.py
@@ -349,7 +349,7 @@
         if dispatcher is None:
             raise CallError(RequestError(ErrorKind.NO_UPSTREAM))
         names = (spec.organisation.name, spec.service_class.name)
-        if not entry.finish_gate.decide(spec.run_kind, 0, spec.deadline, entry.now()).accepted:
+        if not entry.late_runs.may_wait(spec.request, spec.run_kind, spec.deadline):
             raise CallError(RequestError(ErrorKind.LEAVING))
         admitted = entry.admission.admit(*names, dispatcher.queue, entry.now())
         if isinstance(admitted, Err):
@@ -372,6 +372,8 @@
             entry.ledger.add_refusal(*names, error.error.kind)
             raise
         finally:
+            if self._aborting and call.attempt and not is_whole:
+                entry.late_runs.record_cut(call.spec.request, call.sent_at, call.spec.deadline)
             entry.finish_gate.end(progress, entry.now(), is_whole)
             entry.admission.finished(*names, entry.now())
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_dispatcher.py
@@ -26,6 +26,7 @@
 from ._call import Call, Refused
 from ._clock import Clock
 from ._events import Event, log_event
+from ._late_runs import LateRuns
 from ._slot_link import SlotLink
 
 DEMAND_INTERVAL_S = 0.02
@@ -68,6 +69,8 @@
         Maps the name of a VM to whether the membership allows new work for it.
     evacuations : EvacuatedDomains, optional
         The evacuated failure domains; by default there are none.
+    late_runs : LateRuns or None
+        Which calls are sent during a shutdown; None for all.
 
     Notes
     -----
@@ -86,6 +89,7 @@
         admission: AdmissionController,
         is_usable: Callable[[str], bool],
         evacuations: EvacuatedDomains | None = None,
+        late_runs: LateRuns | None = None,
     ):
         self.group = group
         self.snapshot = snapshot
@@ -96,6 +100,7 @@
         self.admission = admission
         self.is_usable = is_usable
         self.evacuations = EvacuatedDomains() if evacuations is None else evacuations
+        self.late_runs = late_runs
         self.links: dict[str, SlotLink] = {}
         self.health = HealthMonitor()
         self.prefixes = PrefixIndex(PREFIX_BLOCKS_PER_VM)
@@ -186,12 +191,11 @@
         if grant.class_name in sent:
             sent[grant.class_name] -= 1
         usable = link in self._usable_links(now)
-        call = self._next_call(link, grant.class_name, now) if usable else None
-        if call is None:
-            link.post(ReturnGrant(grant.grant))
-        else:
-            self._start(call, link, grant.grant, now)
         self._demand_changed = True
+        while usable and (call := self._next_call(link, grant.class_name, now)) is not None:
+            if self._start(call, link, grant.grant, now):
+                return
+        link.post(ReturnGrant(grant.grant))
 
     def abandon(self, call: Call, now: float) -> None:
         """Remove a call from the queue and cancel its current attempt."""
@@ -235,6 +239,7 @@
             for call in list(self._calls.values()):
                 self.abandon(call, now)
                 self._refuse_evacuated(call)
+        self._refuse_unfinishable(now)
         self._fail_unserved_answers(now)
         self._log_ejections(now)
         self._send_demand(now)
@@ -272,6 +277,18 @@
                 self.abandon(call, now)
                 call.inbox.put(Refused(RequestError(ErrorKind.NO_UPSTREAM)))
 
+    def _refuse_unfinishable(self, now: float) -> None:
+        """Refuse the waiting calls that a process that shuts down would not finish."""
+        if self.late_runs is None or not self.late_runs.gate.is_stopping:
+            return
+        for call in list(self._calls.values()):
+            spec = call.spec
+            if not (call.delivered or call.may_have_run) and not self.late_runs.may_wait(
+                spec.request, spec.run_kind, spec.deadline
+            ):
+                self.abandon(call, now)
+                call.inbox.put(Refused(RequestError(ErrorKind.LEAVING)))
+
     def _make_queue(self) -> QueuePolicy:
         return queue_policies.get(self._queue_name)(self.snapshot.classes, self._weights())
 
@@ -316,11 +333,20 @@
     def _has_alternative(self, call: Call, now: float) -> bool:
         return any(link.vm not in call.avoid for link in self._usable_links(now))
 
-    def _start(self, call: Call, link: SlotLink, grant: int, now: float) -> None:
+    def _start(self, call: Call, link: SlotLink, grant: int, now: float) -> bool:
+        """Send a call to a slot, or refuse it if this process would not finish it."""
+        spec = call.spec
+        maybe_run = bool(call.delivered) or call.may_have_run
+        if self.late_runs is not None and not self.late_runs.may_start(
+            spec.request, spec.run_kind, spec.deadline, maybe_run
+        ):
+            call.inbox.put(Refused(RequestError(ErrorKind.LEAVING)))
+            return False
         if call.attempt == 0:
             self.admission.started(call.spec.service_class.name, now - call.started_at, now)
         self.prefixes.record_prompt(link.vm, call.spec.prefix, now)
         link.start(call, grant, now)
+        return True
 
     def _has_waiting_ahead(self, call: Call) -> bool:
         service_class = call.spec.service_class
--- a/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_metrics.py
@@ -34,6 +34,8 @@
 
 REQUESTS = "requests"
 """Counter of requests with a valid API key that arrived at an entry."""
+REQUESTS_CUT = "requests.cut"
+
 TOKENS = "tokens.generated"
 """Counter of tokens of complete answers."""
 TOKENS_WASTED = "tokens.wasted"
@@ -87,6 +89,17 @@
     return f"retries.{reason.value}"
 
 
+def late_counter(decision: str, reason: str) -> str:
+    """Return the name of the counter for decisions of a process that shuts down.
+
+    Examples
+    --------
+    >>> late_counter("refused", "few_runs")
+    'requests.late.refused.few_runs'
+    """
+    return f"requests.late.{decision}.{reason}"
+
+
 def class_counter(class_name: str, outcome: str) -> str:
     """Return the name of a counter of one class, such as ``classes.hold.in_time``."""
     return f"classes.{_sanitize(class_name)}.{outcome}"
--- a/packages/burdockquay-transport/src/burdockquay_transport/_process.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_process.py
@@ -114,7 +114,8 @@
         log_event(Event.PROCESS_STOPPING, role=self.role, held=self._held())
         self._leaving = True
         limit_s = max(0.0, self.settings.stop_limit_s - late_s)
-        self._on_leaving(self._clock.now() + limit_s)
+        now = self._clock.now()
+        self._on_leaving(now - late_s, now + limit_s)
         try:
             async with asyncio.timeout(limit_s):
                 await self._finish_all()
@@ -266,8 +267,16 @@
         """Return the number of unfinished requests."""
 
     @abstractmethod
-    def _on_leaving(self, ends_at: float) -> None:
-        """Announce that no new work is accepted; unfinished work is aborted at a time."""
+    def _on_leaving(self, told_at: float, ends_at: float) -> None:
+        """Announce that no new work is accepted.
+
+        Parameters
+        ----------
+        told_at : float
+            Time of the signal to stop.
+        ends_at : float
+            Time at which unfinished work is aborted.
+        """
 
     @abstractmethod
     async def _finish_all(self) -> None:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -37,6 +37,7 @@
 from ._clock import Clock
 from ._engine_client import engine_request_id
 from ._events import Event, describe_fault, log_event
+from ._late_runs import LateRuns
 from ._peer import PeerConnection
 from ._upstream import AnswerPart, BodyPiece, Token, UpstreamClient, UpstreamError
 from ._upstream_health import TokenLatencyMeter, UpstreamHealth
@@ -44,6 +45,8 @@
 OUTCOME_GRACE_S = 30.0
 """How long past its deadline a claimed request may still end with an outcome, seconds."""
 
+LATE_DETAIL = "it would not be finished in time"
+
 DRAIN_POLL_INTERVAL_S = 0.01
 """Time between two checks for unfinished attempts during a shutdown, seconds."""
 
@@ -116,6 +119,8 @@
         Called without arguments when the counts may have changed.
     gate : RunGate
         What the upstream has stated.
+    late_runs : LateRuns
+        Which attempts are started during a shutdown.
     on_unreachable : callable
         Called without arguments when no connection to the upstream could be made.
     """
@@ -130,6 +135,7 @@
         send_grant: Callable[[PlaceGrant, Grant], None],
         on_change: Callable[[], None],
         gate: RunGate,
+        late_runs: LateRuns,
         on_unreachable: Callable[[], None] = lambda: None,
     ):
         self.gate = gate
@@ -142,7 +148,7 @@
         self.send_grant = send_grant
         self.on_change = on_change
         self.latency = TokenLatencyMeter()
-        self.finish_gate = FinishGate()
+        self.late_runs = late_runs
         self.health: UpstreamHealth | None = None
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._next_start: asyncio.TimerHandle | None = None
@@ -154,6 +160,11 @@
         """Number of attempts that are queued or running."""
         return len(self._attempts)
 
+    @property
+    def finish_gate(self) -> FinishGate:
+        """Decides which attempts are started during a shutdown."""
+        return self.late_runs.gate
+
     def token_gap_s(self, now: float) -> float:
         """Return the time since the latest token of any running answer, seconds.
 
@@ -230,8 +241,12 @@
         work = self.scheduler.next_start(now)
         if work is None:
             return False
-        self.gate.take(now)
         attempt = self._attempts[work.request, work.attempt]
+        if not self.late_runs.may_start(work.request, attempt.run_kind, work.deadline):
+            attempt.post_not_run(ErrorKind.LEAVING, LATE_DETAIL)
+            self._remove(attempt, now)
+            return True
+        self.gate.take(now)
         attempt.task = asyncio.create_task(self._run(attempt))
         # A done callback, since a task that is cancelled before its first step runs none of its
         # own code and would never release its capacity.
@@ -300,11 +315,10 @@
         if not self.finish_gate.is_stopping:
             return
         for attempt in list(self._attempts.values()):
-            kind, deadline = attempt.run_kind, attempt.work.deadline
-            if attempt.task is not None:
-                continue
-            if not self.finish_gate.decide(kind, 0, deadline, now).accepted:
-                attempt.post_not_run(ErrorKind.LEAVING, "it would not be finished in time")
+            if attempt.task is None and not self.late_runs.may_wait(
+                attempt.run.request, attempt.run_kind, attempt.work.deadline
+            ):
+                attempt.post_not_run(ErrorKind.LEAVING, LATE_DETAIL)
                 self._remove(attempt, now)
 
     def drop_peer(self, peer: str, now: float) -> None:
@@ -325,6 +339,9 @@
                 attempt.post_not_run(ErrorKind.LEAVING, reason)
                 self._remove(attempt, now)
             else:
+                self.late_runs.record_cut(
+                    attempt.run.request, attempt.sent_at or now, attempt.work.deadline
+                )
                 attempt.post_failed(ErrorKind.UPSTREAM_FAILED, reason)
                 attempt.task.cancel()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/entry.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/entry.py
@@ -28,6 +28,7 @@
 from ._clock import ticks
 from ._dispatcher import GroupDispatcher
 from ._events import Event, log_event
+from ._late_runs import LateRuns
 from ._peer import PeerConnection
 from ._process import Process
 from ._slot_link import LinkListener, SlotLink
@@ -65,6 +66,11 @@
             and any(dispatcher.ready for dispatcher in self._dispatchers.values())
         )
 
+    @property
+    def finish_gate(self) -> FinishGate:
+        """Decides which requests are accepted during a shutdown."""
+        return self.late_runs.gate
+
     @property
     def refusing(self) -> bool:
         """Whether new requests are refused because the process is about to close."""
@@ -77,7 +83,7 @@
     def _open_components(self) -> None:
         settings = self.settings
         self.ledger = UsageLedger()
-        self.finish_gate = FinishGate()
+        self.late_runs = LateRuns(self._clock, self.metrics)
         self._links: dict[str, SlotLink] = {}
         self._link_tasks: dict[str, asyncio.Task] = {}
         self._dispatchers: dict[str, GroupDispatcher] = {}
@@ -126,9 +132,9 @@
     def _held(self) -> int:
         return self._server.held
 
-    def _on_leaving(self, ends_at: float) -> None:
+    def _on_leaving(self, told_at: float, ends_at: float) -> None:
         """Refuse what cannot be finished; ``/readyz`` reports that the entry is draining."""
-        self.finish_gate.stop_at(ends_at, self.now() + self.settings.leave_delay_s)
+        self.late_runs.stop_at(told_at, ends_at, told_at + self.settings.leave_delay_s)
 
     async def _finish_all(self) -> None:
         # The balancer keeps sending requests until its next readiness check. Refusing connections
@@ -174,6 +180,7 @@
                 self.admission,
                 lambda vm: self._membership.usable(vm, self._clock.now()),
                 self.evacuations,
+                self.late_runs,
             )
         self._connect_targets()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/slot.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/slot.py
@@ -48,6 +48,7 @@
 from ._clock import ticks
 from ._cold_upstream import ColdUpstream
 from ._era_follower import EraFollower
+from ._late_runs import LateRuns
 from ._order_follower import HttpOrderTarget, OrderFollower
 from ._peer import HEARTBEAT_S, RECEIVE_TIMEOUT_S, PeerConnection
 from ._peer_server import PeerServer
@@ -59,9 +60,6 @@
 from ._upstream import UpstreamSessions, upstream_clients
 from ._upstream_health import UpstreamHealth
 
-UNKNOWN_RUN_SHARE = 0.5
-"""Share of the time of a shutdown in which queued runs of unknown duration are still started."""
-
 IDLE_PROBE_FACTOR = 4.0
 """Interval of the measurements of an idle upstream, as a multiple of the probe interval."""
 
@@ -128,10 +126,10 @@
     def _held(self) -> int:
         return self._runner.held
 
-    def _on_leaving(self, ends_at: float) -> None:
-        now = self._clock.now()
-        self._runner.finish_gate.stop_at(ends_at, now + UNKNOWN_RUN_SHARE * (ends_at - now))
-        self._runner.run_scheduler(now)
+    def _on_leaving(self, told_at: float, ends_at: float) -> None:
+        # Entries send what is queued here to other slots, or keep it until this one is back.
+        self._runner.late_runs.stop_at(told_at, ends_at, told_at)
+        self._runner.run_scheduler(self._clock.now())
         self._stop_taking_work()
 
     async def _finish_all(self) -> None:
@@ -181,6 +179,7 @@
             self._post_grant,
             self._status.counts_changed,
             self._gate,
+            LateRuns(self._clock, self.metrics),
             lambda: self._cold.begin("refused"),
         )
         self._health = UpstreamHealth(
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unfinishable.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unfinishable.py
@@ -1,8 +1,12 @@
 """Tests of requests that a stopping entry or slot cannot finish before it ends."""
 
+import asyncio
+
 import pytest
 
-from ._deployment import callers_requests, chat_body
+from burdockquay_transport import Event, _late_runs
+
+from ._deployment import callers_requests, chat_body, until
 
 LONG = chat_body("ceremony", max_tokens=40)
 STEP_S = 0.02
@@ -67,3 +71,47 @@
         body = chat_body(max_tokens=2)
         status, _ = await running.ask("/v1/chat/completions", body, X_Deadline_Seconds="30")
         assert status == 200
+
+
+async def test_waiting_request_is_refused_once_it_cannot_be_finished(deployment):
+    """Guards against requests that wait at a stopping entry, are sent late and then aborted."""
+    async with deployment(engines=1, base_step_s=STEP_S) as running:
+        entry = running.entries[0]
+        engine = running.engines[0]
+        dispatcher = entry.dispatcher("drafting")
+        path = "/v1/chat/completions"
+        asking = [asyncio.create_task(running.ask(path, LONG)) for _ in range(12)]
+        await until(lambda: len(dispatcher.queue) >= 4)
+        entry_gate(running).stop_at(entry.now() + 30.0, certain_from=entry.now())
+        waiting = set(dispatcher._calls)
+        replies = await asyncio.gather(*asking)
+        refused = [answer["error"]["run"] for status, answer in replies if status == 503]
+        assert len(refused) >= len(waiting) >= 4
+        assert set(refused) == {"not_run"}
+        started = {name.partition("-")[0] for name in callers_requests(engine)}
+        assert not started & waiting
+
+
+@pytest.mark.parametrize("find_gate", [entry_gate, slot_gate], ids=lambda item: item.__name__)
+@pytest.mark.parametrize("deadline_s", [3, 30])
+async def test_decisions_of_a_stop_are_logged(deployment, monkeypatch, find_gate, deadline_s):
+    """Guards against requests that are cut at a stop and of which no log tells why they ran."""
+    logged = []
+    monkeypatch.setattr(
+        _late_runs, "log_event", lambda event, **fields: logged.append((event, fields))
+    )
+    async with deployment(engines=1, base_step_s=STEP_S) as running:
+        now = running.entries[0].now()
+        find_gate(running).stop_at(now + 4.0, certain_from=now)
+        asking = asyncio.create_task(
+            running.ask("/v1/chat/completions", LONG, X_Deadline_Seconds=str(deadline_s))
+        )
+        await until(lambda: logged)
+        asking.cancel()
+        await asyncio.wait([asking])
+    event, fields = logged[0]
+    assert event is Event.LATE_REQUEST
+    expected = ("passed_on", "certain") if deadline_s == 3 else ("refused", "late")
+    assert (fields["decision"], fields["reason"]) == expected
+    assert fields["known_runs"] == 0
+    assert 0 < fields["deadline_s"] <= deadline_s
