Count only whole runs as known at a slot

A slot told FinishGate that a run was whole whenever its task ended without an exception, also where the upstream had refused it or broken off, or its claim was lost. Such runs end at once: 32 of them showed that all runs are short, and queued attempts were started during a shutdown that were aborted at its limit.

Test: a request whose connection the upstream cuts was recorded as whole before, and is not now.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_slot_runner.py
@@ -358,11 +358,8 @@
         progress = self.finish_gate.begin(attempt.run_kind, 0, self.clock.now())
         is_whole = False
         try:
-            if attempt.run.idempotent:
-                await self._run_idempotent(attempt)
-            else:
-                await self._run_at_most_once(attempt)
-            is_whole = True
+            run = self._run_idempotent if attempt.run.idempotent else self._run_at_most_once
+            is_whole = await run(attempt)
         except asyncio.CancelledError:
             self._spawn_control(self.client.cancel(engine_request_id(attempt.run)))
         except Exception as error:  # noqa: BLE001
@@ -377,23 +374,27 @@
         self._remove(attempt, now)
         self.run_scheduler(now)
 
-    async def _run_idempotent(self, attempt: Attempt) -> None:
+    async def _run_idempotent(self, attempt: Attempt) -> bool:
+        """Run an attempt, and return whether its answer is whole."""
         remaining = attempt.work.deadline - self.clock.now()
         try:
             async with asyncio.timeout(remaining):
                 await self._relay(attempt, None)
+            return True
         except TimeoutError:
             attempt.post_failed(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while it ran")
             self._spawn_control(self.client.cancel(engine_request_id(attempt.run)))
         except UpstreamError as error:
             self._report_error(attempt, error)
+        return False
 
-    async def _run_at_most_once(self, attempt: Attempt) -> None:
+    async def _run_at_most_once(self, attempt: Attempt) -> bool:
+        """Run an attempt under its claim, and return whether its answer is whole."""
         begun = await self.guard.begin(attempt.run, self.clock.wall)
         if isinstance(begun, Err):
             log_event(Event.CLAIM_REFUSED, request=attempt.run.request, kind=begun.err().kind.value)
             attempt.connection.post(begun.err())
-            return
+            return False
         claim = begun.ok()
         collector = AnswerCollector()
         remaining = attempt.work.deadline - self.clock.now() + OUTCOME_GRACE_S
@@ -403,13 +404,14 @@
         except TimeoutError:
             log_event(Event.CLAIM_OUTCOME_UNKNOWN, request=attempt.run.request)
             attempt.post_failed(ErrorKind.OUTCOME_UNKNOWN, "the upstream did not answer in time")
-            return
+            return False
         except UpstreamError as error:
             if not error.sent:
                 await self.guard.abandon(claim)
             self._report_error(attempt, error)
-            return
+            return False
         await self.guard.finish(claim, collector.answer())
+        return True
 
     def _report_error(self, attempt: Attempt, error: UpstreamError) -> None:
         if error.crashed:
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unfinishable.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unfinishable.py
@@ -92,6 +92,18 @@
         assert not started & waiting
 
 
+async def test_failed_runs_do_not_show_how_long_runs_take(deployment):
+    """Guards against a slot that takes runs for short since its upstream failed them at once."""
+    async with deployment(engines=0, services=1) as running:
+        ended = []
+        gate = slot_gate(running)
+        gate.end = lambda run, now, is_whole: ended.append(is_whole)
+        await running.ask("/services/booking/holds", {"chapel": 1})
+        running.services[0].cuts["cut_before"] = 1
+        await running.ask("/services/booking/holds", {"chapel": 2})
+        assert ended == [True, False]
+
+
 @pytest.mark.parametrize("find_gate", [entry_gate, slot_gate], ids=lambda item: item.__name__)
 @pytest.mark.parametrize("deadline_s", [3, 30])
 async def test_decisions_of_a_stop_are_logged(deployment, monkeypatch, find_gate, deadline_s):
