--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
@@ -3,9 +3,11 @@
 import asyncio
 import itertools
 
+import aiohttp
 import pytest
 
 from burdockquay_standins import ENDINGS, RawServer, cut_answer
+from burdockquay_state import table_services, vm_lists
 
 from ._deployment import chat_body, until
 
@@ -97,3 +99,25 @@
 
     replies = await ask(deployment, "engine", [behave])
     assert all(is_unknown(*reply) for reply in replies), replies
+
+
+@pytest.mark.parametrize("ending", ENDINGS)
+async def test_answer_of_the_platform_that_ends_inside_its_head_is_no_empty_list(ending):
+    """Guards against a process that forgets all VMs or rows."""
+    head = OK + "Content-Length: 23\r\nContent-Type: application/json\r\n\r\n"
+    missing = 0
+
+    async def behave(request, connection):
+        answer = (head + '{"vms": [], "rows": []}').encode()
+        await cut_answer(connection, answer[: len(head) - missing] if missing else answer, ending)
+
+    async with RawServer(behave) as server, aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{server.port}"
+        table = table_services.get("http")(url, 5.0, session)
+        vm_list = vm_lists.get("http")(url, 5.0, session)
+        assert (await table.scan("", limit=5)).ok() == []
+        assert (await vm_list.list()).ok() == []
+        for place in (1, 2, *range(3, len(head), 13)):
+            missing = place
+            assert (await table.scan("", limit=5)).is_err()
+            assert (await vm_list.list()).is_err()
