Refuse integers beyond 64 bits in messages of peers

CBOR has integers of any size. One of 400 digits for a field with a fraction raised OverflowError in the decoding, which is no malformed message: the task that keeps up the connection ended. In the loads, outcomes, positions and counts such a number passed, and fails in the arithmetic of its receiver. So does a row of a packed table with such a revision, or one that is nested too deeply.

Integers of messages have at most 64 bits, and an overflow while decoding is a malformed message.

Six new cases of test_invalid_message_gives_its_fault_kind failed before. test_message_round_trips drew integers of any size, which are no longer messages; it now draws all of 64 bits, and the cases beyond are among the invalid ones.

--- a/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/__init__.py
@@ -9,6 +9,7 @@
     ),
     "._codec": (
         "MAX_BODY_BYTES",
+        "ENCODE_ERRORS",
         "MAX_FRAME_BYTES",
         "FaultKind",
         "ProtocolFault",
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_codec.py
@@ -25,6 +25,14 @@
 """Largest request or answer body, bytes; smaller than a message, which also has other fields."""
 
 
+MIN_INTEGER = -(1 << 63)
+MAX_INTEGER = (1 << 64) - 1
+"""Smallest and largest integer in a message."""
+
+ENCODE_ERRORS = (cbor2.CBOREncodeError, OverflowError, TypeError, ValueError)
+"""Errors that :func:`encode` raises for a message with a value that CBOR cannot express."""
+
+
 class FaultKind(enum.Enum):
     """What is wrong with received bytes."""
 
@@ -73,8 +81,18 @@
 
 
 _converter.register_structure_hook(float, _structure_float)
-for _kind in (int, str, bytes, bool):
+for _kind in (str, bytes, bool):
     _require_exact_type(_kind)
+
+
+def _structure_int(value: Any, _: type = int) -> int:
+    # CBOR has integers of any size; a larger one fails in the arithmetic of its receiver.
+    if type(value) is not int or not MIN_INTEGER <= value <= MAX_INTEGER:
+        raise TypeError("expected an integer of at most 64 bits")
+    return value
+
+
+_converter.register_structure_hook(int, _structure_int)
 _converter.register_structure_hook(ErrorKind, lambda value, _: ErrorKind(value))
 _converter.register_unstructure_hook(ErrorKind, lambda kind: kind.value)
 
@@ -114,28 +132,25 @@
 
 def _structure_part(value: Any, _: type = PromptPart) -> PromptPart:
     id_, tokens, *_rest = value
-    if not (type(id_) is str and type(tokens) is int):
+    if type(id_) is not str:
         raise TypeError("expected PromptPart(str, int)")
-    return PromptPart(id_, tokens)
+    return PromptPart(id_, _structure_int(tokens))
 
 
 def _structure_load(value: Any, _: type = UpstreamLoad) -> UpstreamLoad:
     upstream, tokens, running, parts, *_rest = value
-    if not (type(upstream) is str and type(tokens) is int and type(running) is int):
+    if type(upstream) is not str:
         raise TypeError("expected UpstreamLoad(str, int, int, list)")
-    return UpstreamLoad(upstream, tokens, running, [_structure_part(part) for part in parts])
+    listed = [_structure_part(part) for part in parts]
+    return UpstreamLoad(upstream, _structure_int(tokens), _structure_int(running), listed)
 
 
 def _structure_outcome(value: Any, _: type = UpstreamOutcome) -> UpstreamOutcome:
     upstream, whole, failed, unreachable, *_rest = value
-    if not (
-        type(upstream) is str
-        and type(whole) is int
-        and type(failed) is int
-        and type(unreachable) is int
-    ):
+    if type(upstream) is not str:
         raise TypeError("expected UpstreamOutcome(str, int, int, int)")
-    return UpstreamOutcome(upstream, whole, failed, unreachable)
+    counts = [_structure_int(count) for count in (whole, failed, unreachable)]
+    return UpstreamOutcome(upstream, *counts)
 
 
 def _unstructure_load(load: UpstreamLoad) -> tuple:
@@ -212,7 +227,7 @@
         )
     try:
         return Ok(_converter.structure(items, cls))
-    except (TypeError, ValueError, KeyError, AttributeError) as error:
+    except (TypeError, ValueError, KeyError, AttributeError, OverflowError) as error:
         return _fault(FaultKind.MALFORMED, f"{cls.__name__}: {error}")
 
 
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/_packed_rows.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/_packed_rows.py
@@ -39,12 +39,13 @@
         if not decompressor.eof:
             return Err(f"expected at most {MAX_UNPACKED_BYTES} bytes of complete rows")
         return Ok(tuple(map(_read_row, cbor2.loads(data))))
-    except (zlib.error, cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except (zlib.error, cbor2.CBORDecodeError, RecursionError, TypeError, ValueError) as error:
         return Err(f"malformed rows: {type(error).__name__}")
 
 
 def _read_row(item: Any) -> ChangedRow:
     key, value, revision = item
-    if not (type(key) is str and type(revision) is int and isinstance(value, bytes | None)):
+    is_revision = type(revision) is int and 0 <= revision < 1 << 63
+    if not (type(key) is str and is_revision and isinstance(value, bytes | None)):
         raise TypeError("expected a row of str, bytes or None, and int")
     return ChangedRow(key, value, revision)
--- a/packages/burdockquay-protocol/src/burdockquay_protocol/tests/test_codec.py
+++ b/packages/burdockquay-protocol/src/burdockquay_protocol/tests/test_codec.py
@@ -13,6 +13,7 @@
 
 
 st.register_type_strategy(float, st.floats(allow_nan=False, allow_infinity=False))
+st.register_type_strategy(int, st.integers(-(1 << 63), (1 << 64) - 1))
 
 
 @pytest.mark.parametrize("cls", message_types.values(), ids=lambda cls: cls.__name__)
@@ -45,6 +46,12 @@
         ([30, [["u", 1, 1, [["p", 1.0]]]]], FaultKind.MALFORMED),
         ([30, [["u", 1, 1, 5]]], FaultKind.MALFORMED),
         ([36, [["u", 1, 1, "1"]]], FaultKind.MALFORMED),
+        ([13, 1 << 64], FaultKind.MALFORMED),
+        ([13, -(1 << 63) - 1], FaultKind.MALFORMED),
+        ([6, 1, "hold", 10**400], FaultKind.MALFORMED),
+        ([30, [["u", 10**400, 1, []]]], FaultKind.MALFORMED),
+        ([30, [["u", 1, 1, [["p", 10**400]]]]], FaultKind.MALFORMED),
+        ([36, [["u", 1, -(10**400), 0]]], FaultKind.MALFORMED),
     ],
 )
 def test_invalid_message_gives_its_fault_kind(items, kind):
