Drop a message that cannot be encoded or handled alone

An exception in the handling of a peer's message ended the task that keeps up the connection, and one in the encoding of a message ended the task that sent it, or closed the connection: what it waited to send was lost, and the next message of that kind did the same again.

Such a message is now dropped alone and logged (E1311 with the type of what cannot be sent, E1312 and peer.fault.not_handled of what cannot be handled); messages after it are sent and handled on the same connection. Entries and slots use the same connections.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -195,6 +195,17 @@
         "The table service was restored from a copy: its writes since the copy are lost.",
     )
 
+    MESSAGE_NOT_SENT = (
+        1311,
+        "ERROR",
+        "A message to peers cannot be encoded and is dropped; they learn its content later, from "
+        "the platform or from the next message.",
+    )
+    MESSAGE_NOT_HANDLED = (
+        1312,
+        "ERROR",
+        "A fault in the handling of a message from a peer; the connection goes on without it.",
+    )
     PEER_CONNECTED = (1301, "INFO", "A connection to another process was established.")
     PEER_DISCONNECTED = (1302, "INFO", "A connection to another process ended.")
     HANDSHAKE_REFUSED = (
--- a/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_peer.py
@@ -18,6 +18,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from burdockquay_protocol import (
+    ENCODE_ERRORS,
     MAX_FRAME_BYTES,
     NONCE_BYTES,
     PART_END,
@@ -36,7 +37,7 @@
     make_proof,
 )
 
-from ._events import Event, log_event
+from ._events import Event, describe_fault, log_event
 
 DRAIN_TIMEOUT_S = 1.0
 """Longest wait during a shutdown for a peer that does not read, seconds."""
@@ -305,7 +306,11 @@
             if handler is None:
                 report_out_of_order(message, self.peer.vm, count)
                 return
-            handler(self, message)
+            try:
+                handler(self, message)
+            except Exception as error:
+                # The next messages are sound: what this one had is the loss of it alone.
+                report_unhandled(message, self.peer.vm, error, count)
 
     async def close(self, reason: str) -> None:
         """Close the connection."""
@@ -345,7 +350,11 @@
     async def _send_pending(self) -> None:
         while self._pending:
             item = self._pending.popleft()
-            data = self._encode(item)
+            try:
+                data = self._encode(item)
+            except ENCODE_ERRORS as error:
+                report_unsendable(item, error)
+                continue
             self.sent_count += 1
             self.traffic.messages_sent += 1
             self.traffic.bytes_sent += len(data)
@@ -369,11 +378,32 @@
 
 def post_all(peers: Iterable[PeerConnection], message: Any) -> None:
     """Queue a message on some connections; it is encoded only once."""
-    encoded = EncodedMessage(message)
+    try:
+        encoded = EncodedMessage(message)
+    except ENCODE_ERRORS as error:
+        report_unsendable(message, error)
+        return
     for peer in peers:
         peer.post(encoded)
 
 
+def report_unsendable(message: Any, error: Exception) -> None:
+    """Log a message that cannot be encoded; it is dropped alone."""
+    fault = describe_fault(error)
+    log_event(Event.MESSAGE_NOT_SENT, message=type(message).__name__, error=fault)
+
+
+def report_unhandled(message: Any, vm: str, error: Exception, count: Callable[[str], None]) -> None:
+    """Log and count a message of a peer whose handler has failed; the connection goes on."""
+    log_event(
+        Event.MESSAGE_NOT_HANDLED,
+        vm=vm,
+        message=type(message).__name__,
+        error=describe_fault(error),
+    )
+    count("peer.fault.not_handled")
+
+
 _FAULT_EVENTS = {
     FaultKind.MALFORMED: Event.PEER_MALFORMED,
     FaultKind.OVERSIZED: Event.PEER_OVERSIZED,
