Resume a stream that nobody knows only by a configuration that is confirmed

A process that had not received the move of a route to another service resumed streams of the route at the former service, while those that had begun at the other one had no record. It is the same cause as with an old list: what the process knew from before was taken for the present.

Beside the list and the record, the process now asks whether the configuration has changed, after the request has arrived; if it has, or that cannot be read, the stream is refused as not run. Requests at the same time share the call.

test_process_with_an_old_configuration_joins_no_stream_of_another_service failed before: its caller got 200 from the former service. It passes now, with the other tests of streams.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -81,7 +81,8 @@
     seen : frozenset of StreamOrigin
         The origins that the services of the route have shown while streams are kept.
     is_current : bool
-        Whether the list of upstreams was confirmed since the request arrived.
+        Whether the list of upstreams and the configuration were confirmed since the request
+        arrived.
     has_missed : bool
         Whether an upstream was listed and removed again before this process could see its version.
     is_watched : bool
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -546,7 +546,7 @@
         "record in the table (``record``) or, without the table, by what all processes have seen "
         "(``only``). If it is ``unknown``, the stream is not resumed. ``recorded`` and ``seen`` "
         "are the origins of the record and of the list of upstreams in the last minute, "
-        "``is_current`` says whether the list was confirmed since the request arrived, "
+        "``is_current`` says whether the list and the configuration were confirmed since then, "
         "``has_missed`` whether an entry came and went unseen, and ``is_watched`` whether the list "
         "was followed for a minute. ``list_age_s`` is the age of the list at the arrival, "
         "``asked_s`` the time that the search took, and ``seen_by`` what the peers take for the "
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -75,6 +75,7 @@
     """Apply each new configuration and confirm the current one, until cancelled."""
     source = state.platform.configuration()
     backoff = _RetryBackoff(state, Event.TABLE_UNAVAILABLE, Event.TABLE_RECOVERED)
+    state.read_config_change = source.has_changed
     wait_s = poll_wait_s(state.settings.config_apply_ms / 1000, MAX_CONFIG_POLL_S)
     while True:
         read = await source.next(wait_s)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -196,6 +196,12 @@
             How long the platform may wait for a change before it answers, seconds.
         """
 
+    async def has_changed(self) -> Result[bool, TableError]:
+        """Return whether the configuration differs from that of the last call of :meth:`next`, as
+        of a time after this call."""
+        detail = "the platform cannot be asked for changes at once"
+        return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
+
 
 class UpstreamSource(ABC):
     """Source of the list of upstreams."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -79,6 +79,7 @@
 
 AskPeers = Callable[..., Awaitable[PeerKnowledge]]
 AnnounceVersions = Callable[[Collection[StreamOrigin]], None]
+ReadConfigChange = Callable[[], Awaitable[Result[bool, TableError]]]
 ReadListChanges = Callable[[], Awaitable[Result[UpstreamChanges, TableError]]]
 WaitForPeers = Callable[[float], Awaitable[bool]]
 SendStarts = Callable[[Iterable[tuple[bytes, StreamOrigin]]], None]
@@ -119,6 +120,8 @@
         self.connected_neighbours: Callable[[], int] = lambda: 0
         self.upstream_list_age_s: Callable[[float], float] = lambda now: 0.0
         self.read_list_changes: ReadListChanges = _read_nothing
+        self.read_config_change: ReadConfigChange = _read_nothing
+        self.config_changes = SharedRead(lambda: self.read_config_change())
         # Readings of the list at once, for decisions that need its present state.
         self.list_changes = SharedRead(lambda: self.read_list_changes())
         self.streams = StreamVersions()
@@ -437,8 +440,8 @@
     return ",".join(f"{part}:{count}" for part, count in counts.most_common())
 
 
-async def _read_nothing() -> Result[UpstreamChanges, TableError]:
-    """Return that the list of upstreams has not been read yet."""
+async def _read_nothing() -> Err[TableError]:
+    """Return that the platform has not been read yet."""
     return Err(TableError(TableErrorKind.UNAVAILABLE, "not read yet"))
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 import attrs
-from result import Err
+from result import Err, Ok
 
 from burdockquay_coordination.forwarding import (
     ASKED_AT_LAST,
@@ -174,11 +174,15 @@
     """Read the record and the list of upstreams, and return what they show."""
     recorded, is_current = None, False
     reading = asyncio.gather(
-        state.origins.find_possible(_route_key(call.route)), _confirm_list(state)
+        state.origins.find_possible(_route_key(call.route)),
+        _confirm_list(state),
+        state.config_changes.get(),
     )
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(READ_TIMEOUT_S):
-            recorded, is_current = await reading
+            recorded, is_list_current, config_changed = await reading
+            # A route that has moved may have begun streams at another service.
+            is_current = is_list_current and config_changed == Ok(False)
     now = state.clock.now()
     services = {share.service for share in call.route.shares}
     for service in services:
