--- a/conftest.py
+++ b/conftest.py
@@ -16,6 +16,7 @@
     print_blob=True,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
 )
+settings.register_profile("long", settings.get_profile("ci"), derandomize=False, max_examples=1000)
 settings.load_profile(os.environ.get("BURDOCKQUAY_HYPOTHESIS_PROFILE", "ci"))
 
 
