Count only successful answers as known runs of a forwarder

A process that had passed on 32 quick error answers of a route took them for proof that its requests are short, and passed on a long one in the first part of a shutdown; it was cut at the end. A run counts as known only if its answer has a status below 300; the time that others took still counts.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -321,7 +321,7 @@
             outcome = await self._send_once(call, upstream)
             return outcome
         finally:
-            late_calls.end(run, isinstance(outcome, Answered))
+            late_calls.end(run, isinstance(outcome, Answered) and outcome.response.status < 300)
 
     async def _send_once(self, call: ForwardCall, upstream: Upstream) -> Outcome:
         send = self._compose(call, upstream)
