End the time of a shutdown at once when a process is told to stop at once

After a second signal, requests were judged by the end of the graceful shutdown, although the process ends as soon as its answers are written: one that was read or waited in these moments could be passed on and cut where a refusal as not run is possible. Found by a review, by reading; no test shows it.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -306,6 +306,8 @@
     async def abort(self) -> None:
         """Stop at once; running requests are cancelled, and their callers receive an error."""
         self._state.leaving = True
+        now = self._state.clock.now()
+        self._state.late_calls.stop_at(now, ends_at=now, certain_from=now)
         await self._ingress.answer_unfinished()
         await self.close()
 
