Check streams also where nobody is left that knows a version without a record

Cause: the state machine of streams left out histories in which a version without a record has left, and all processes that knew it are lost; a process that has just started then joins a stream. That is a known fault, not an allowed case.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
@@ -215,6 +215,19 @@
     run_state_machine_as_test(StreamMachine, settings=MACHINE_SETTINGS)
 
 
+class LossMachine(StreamMachine):
+    """The same, also where all processes that know a version without a record are lost."""
+
+    @property
+    def is_all_recorded(self):
+        return True
+
+
+def test_no_stream_goes_on_where_nobody_is_left_that_knows_its_version():
+    """Guards against a stream joined by a record that lacks the version of its beginning."""
+    run_state_machine_as_test(LossMachine, settings=MACHINE_SETTINGS)
+
+
 def forget_versions_at_an_update(monkeypatch):
     original = StreamVersions.observe
 
