--- a/review/standins2.py
+++ b/review/standins2.py
@@ -86,7 +86,10 @@
     """Read a chunked body to its end."""
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        size = int(line.split(b";")[0], 16)
         body += await reader.readexactly(size)
         await reader.readline()
         if not size:
@@ -117,6 +120,10 @@
 
     async def start(self) -> None:
         """Listen."""
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -278,7 +285,7 @@
 
     async def start(self, **fields: Any) -> None:
         """Listen and register."""
-        await super().start()
+        await self.listen()
         self.entry = {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
