--- a/review/standins2.py
+++ b/review/standins2.py
@@ -13,6 +13,8 @@
 import os
 import shutil
 import signal
+import socket
+import struct
 import sys
 import tempfile
 import time
@@ -109,6 +111,10 @@
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        # Without this the kernel would end it in order.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -336,8 +342,9 @@
                 continue
             id_ = request.headers.get("attempt-id", "")
             self.runs.append(id_)
-            if not self.brief:
-                self.record.add(f"engine {self.name} runs {id_}: {request.first}")
+            self.record.add(
+                f"{self.name} runs {id_}" + ("" if self.brief else f": {request.first}")
+            )
             await self.behaviour(self, request, reader, writer)
             await writer.drain()
 
@@ -581,8 +588,8 @@
         body: bytes = b"",
     ) -> Message | None:
         """Send a request and return its whole answer, None if there is none in time."""
-        if not self.brief:
-            self.record.add(f"client sends {id_} to {self.port}: {method} {target} {headers!r}")
+        sent = f"{len(headers)} bytes more" if self.brief else f"{headers!r}"
+        self.record.add(f"client sends {id_} to {self.port}: {method} {target} {sent}")
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id_}\r\n"
             f"Deadline-Ms: {deadline_ms}\r\nX-Api-Key: {KEY}\r\n"
@@ -602,8 +609,8 @@
             self.close()
         names = ("attempt-id", "response-seal")
         shown = {name: answer.headers[name] for name in names if name in answer.headers}
-        if not self.brief:
-            self.record.add(f"client gets for {id_}: {answer.first} {shown} {answer.body[:120]!r}")
+        got = answer.first if self.brief else f"{answer.first} {shown} {answer.body[:120]!r}"
+        self.record.add(f"client gets for {id_}: {got}")
         return answer
 
 
