Review, case 7: streams of two software versions after the loss of all processes

While the table with the origins of streams cannot be written, half of the engines get a new version and the former one again; all processes are killed and start again. The streams that the new version began go on at the former one.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Bytes that an engine sends after a complete answer; see claim.txt.
+# All processes are lost while a version of the engines could not be recorded; see claim.txt.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -164,6 +164,8 @@
         super().__init__()
         self.rows: dict[tuple[str, str, str], tuple[bytes | None, int]] = {}
         self.version = 1
+        # Tables that are unavailable.
+        self.away: set[str] = set()
         self._changed = asyncio.Condition()
         self._started = time.monotonic()
 
@@ -194,6 +196,8 @@
         await asyncio.sleep(0.004)
         split = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(split.query).items()}
+        if query.get("table") in self.away or _tables(request) & self.away:
+            return 503, {}
         if split.path == "/rows-get":
             return 200, self._get(query)
         if split.path == "/rows-feed":
@@ -248,6 +252,14 @@
         return 200, {}
 
 
+def _tables(request: Message) -> set[str]:
+    """Return the tables that a transaction writes to, or has conditions on."""
+    if not request.body:
+        return set()
+    change = json.loads(request.body)
+    return {row["table"] for rows in change.values() if isinstance(rows, list) for row in rows}
+
+
 def row_name(row: dict[str, Any]) -> tuple[str, str, str]:
     """Return the table, part and key of a row in a transaction."""
     return row["table"], row.get("part", ""), row["key"]
