--- a/review/standins2.py
+++ b/review/standins2.py
@@ -639,7 +639,7 @@
     result = NOT_RUN
     try:
         result = asyncio.run(_limited(work, record, folder, trouble))
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         record.add(f"the case could not run: {type(error).__name__}: {error}")
     finally:
         shutil.rmtree(folder, ignore_errors=True)
@@ -656,5 +656,7 @@
     folder: Path,
     trouble: bool,
 ) -> int:
+    # A script that is told to stop still ends the processes that it started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     async with asyncio.timeout(110):
         return await work(record, folder, trouble)
