Refuse an answer whose status line breaks the grammar of HTTP

What callers saw: an engine in trouble answered with the status 000, and its answer reached the caller as `HTTP/1.1 0 Gone` with seal and body; 600 and 999 came through as final answers, on streams too, and so did answers of the versions HTTP/2.0 and HTTP/0.9. A control byte in the reason closed the caller's connection without an answer. A forwarder counted a status below 500 as a success of the engine; behind a slot a service that answers its probes with 000 passed for healthy.

Cause: the status code was compared with one end of a range (`< 300`, `< 500`), and the parser of the client library accepts any three digits. What it returns no longer shows how the line was written.

Change: the protocol of all client connections reads the bytes of each head, interim and final, before the parser does, and aborts the connection if the status line is not that of RFC 9112, section 4, with a status code of RFC 9110, section 15. It holds for engines on both ways (forwarder; entry and slot), the store, usage reports, orders, the table and the VM list, and probes. A head that the parser ends elsewhere is refused as well. A missing reason, its space, or empty lines before the line stay allowed. The outcome is unknown: no retry of a request that may not be repeated.

--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -8,6 +8,7 @@
 from ._engine import EngineParameters, EngineStandin
 from ._faulty_relay import FaultyRelay, RelayState
 from ._feed_table import EraEndedError, FeedCopy, FeedRow, FeedStore, HistoryDiscardedError
+from ._odd_answer import MALFORMED_ANSWERS, UNUSUAL_ANSWERS, OddAnswer, send_odd_answer
 from ._platform import PlatformParameters, PlatformStandin
 from ._raw_server import Behaviour, RawConnection, RawRequest, RawServer
 from ._server import StandinServer
@@ -15,6 +16,8 @@
 
 __all__ = [
     "ENDINGS",
+    "MALFORMED_ANSWERS",
+    "UNUSUAL_ANSWERS",
     "Behaviour",
     "DelayLine",
     "EndlessAnswer",
@@ -27,6 +30,7 @@
     "HistoryDiscardedError",
     "FaultyRelay",
     "RelayState",
+    "OddAnswer",
     "PlatformParameters",
     "PlatformStandin",
     "RawConnection",
@@ -38,5 +42,6 @@
     "cut_answer",
     "expected_answer",
     "parse_stream",
+    "send_odd_answer",
     "service_digest",
 ]
--- /dev/null
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
@@ -0,0 +1,91 @@
+"""Answers that break the grammar of HTTP, and unusual ones that keep to it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable, Mapping, Sequence
+
+import attrs
+
+from ._raw_server import Behaviour, RawConnection, RawRequest
+
+
+@attrs.frozen
+class OddAnswer:
+    """Answer of which each line can be chosen.
+
+    Parameters
+    ----------
+    status_line : bytes
+    lines : tuple of bytes
+        Lines of the head after those of the upstream itself.
+    """
+
+    status_line: bytes = b"HTTP/1.1 200 OK"
+    lines: tuple[bytes, ...] = ()
+
+    @property
+    def status(self) -> int:
+        """Status code of a well-formed status line."""
+        return int(self.status_line.split()[1])
+
+    def encode(self, own_lines: Iterable[bytes], body: bytes) -> bytes:
+        """Return the bytes of the answer.
+
+        Parameters
+        ----------
+        own_lines : iterable of bytes
+            Lines of the head that the upstream writes in each answer.
+        body : bytes
+        """
+        length = b"Content-Length: %d" % len(body)
+        return b"\r\n".join([self.status_line, *own_lines, length, *self.lines, b"", body])
+
+
+def _with_status_lines(*status_lines: bytes) -> tuple[OddAnswer, ...]:
+    return tuple(OddAnswer(line) for line in status_lines)
+
+
+MALFORMED_ANSWERS: Mapping[str, Sequence[OddAnswer]] = {
+    "status": _with_status_lines(
+        *(b"HTTP/1.1 %03d Gone" % code for code in (0, 1, 20, 99, 600, 601, 799, 999)),
+        *(b"HTTP/1.1 " + code + b" Gone" for code in (b"20", b"2000", b"-20", b"2x0", b"")),
+        *(version + b" 200 OK" for version in (b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.x", b"HTTP")),
+        *(b"HTTP/1.1 200 O" + byte + b"K" for byte in (b"\0", b"\x01", b"\r", b"\x7f")),
+        *(b"HTTP/1.1\t200 OK", b"HTTP/1.1  200 OK", b" HTTP/1.1 200 OK", b"\rHTTP/1.1 200 OK"),
+    ),
+}
+"""Answers of which no part may reach a caller, by what is malformed."""
+
+UNUSUAL_ANSWERS: Sequence[OddAnswer] = (
+    *_with_status_lines(b"HTTP/1.1 200", b"HTTP/1.1 200 ", b"HTTP/1.1 299 Odd", b"HTTP/1.0 200 OK"),
+    *_with_status_lines(b"HTTP/1.1 200 \xc3\xa0\tla carte", b"\r\n\r\nHTTP/1.1 200 OK"),
+)
+"""Answers that are passed on with their status and body."""
+
+
+def send_odd_answer(
+    answer: OddAnswer, body: bytes, *own_lines: str, piece_bytes: int = 1 << 20
+) -> Behaviour:
+    """Return a behaviour that sends an answer.
+
+    The connection stays open, so that the bytes of the answer alone show that it is malformed.
+
+    Parameters
+    ----------
+    answer : OddAnswer
+    body : bytes
+    *own_lines : str
+        Lines of each head, with ``{name}`` for the value of a header of the request.
+    piece_bytes : int
+        Most bytes that are written at a time.
+    """
+
+    async def behave(request: RawRequest, connection: RawConnection) -> None:
+        own = [line.format_map(request.headers).encode() for line in own_lines]
+        data = answer.encode(own, body)
+        for start in range(0, len(data), piece_bytes):
+            await connection.write(data[start : start + piece_bytes])
+            await asyncio.sleep(0)
+
+    return behave
--- /dev/null
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
@@ -0,0 +1,66 @@
+"""Grammar of the heads of answers, checked on the bytes as they arrive.
+
+The parser of the client library accepts more than the grammar of HTTP allows, and what it returns
+does not show how a head was written.
+"""
+
+from __future__ import annotations
+
+import re
+
+import attrs
+
+_HEAD_END = re.compile(rb"[^\r\n]\r?\n\r?\n")
+
+_MAX_HEAD_END_BYTES = 5
+
+_STATUS_LINE = re.compile(
+    rb"(?:\r?\n)*+HTTP/1\.\d (?P<status>[1-5]\d\d)(?: [\t -~\x80-\xff]*+)?+\r?\n"
+)
+"""Status line of RFC 9112, section 4, with the status codes of RFC 9110, section 15. The space
+before an empty reason may be missing, and empty lines may precede it, as some upstreams send them.
+"""
+
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
+
+
+@attrs.define
+class HeadReader:
+    """Checks the heads of one answer: those of interim answers, and the final one.
+
+    Bytes after the final head are not looked at.
+    """
+
+    _data: bytearray = attrs.field(factory=bytearray, init=False)
+    _unclaimed: int = attrs.field(default=0, init=False)
+    _is_final: bool = attrs.field(default=False, init=False)
+
+    def feed(self, data: bytes) -> str | None:
+        """Check the heads that end in received bytes.
+
+        Returns
+        -------
+        str or None
+            What is malformed, None if nothing is.
+        """
+        searched = max(0, len(self._data) + 1 - _MAX_HEAD_END_BYTES)
+        if not self._is_final:
+            self._data += data
+        while not self._is_final and (end := _HEAD_END.search(self._data, searched)):
+            head = bytes(self._data[: end.end()])
+            del self._data[: end.end()]
+            searched = 0
+            status_line = _STATUS_LINE.match(head)
+            if status_line is None:
+                return "its status line is malformed"
+            status = int(status_line["status"])
+            self._unclaimed += 1
+            self._is_final = status >= _FIRST_FINAL_STATUS or status == _SWITCHING_PROTOCOLS
+        return None
+
+    def claim(self) -> bool:
+        """Return whether a head was checked that no message has claimed before, and claim it."""
+        is_checked = self._unclaimed > 0
+        self._unclaimed -= is_checked
+        return is_checked
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -15,6 +15,7 @@
 
 from burdockquay_coordination import HeldAnswers
 
+from ._answer_heads import HeadReader
 from ._body_end import protocol_of
 from ._events import Event, log_event
 
@@ -53,7 +54,7 @@
 
 
 class MalformedAnswerError(AnswerGivenUpError):
-    """An answer was given up because its head is not that of a single answer that can be read."""
+    """An answer was given up because its head is malformed or not that of a single answer."""
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -62,9 +63,9 @@
     It aborts the connection as soon as an answer has exceeded a bound. The bytes of bodies are
     bounded by those who keep them: a body that is passed on as it arrives takes no memory.
 
-    It also aborts the connection if a head is not that of a single answer that can be read. An
-    upstream that fails while it writes a head may write a whole error response after the part, and
-    the parser reads both as one head with the status of the first.
+    It also aborts the connection if a head is malformed or not that of a single answer: an upstream
+    that fails while it writes a head may write a whole error response after the part, and the
+    parser reads both as one head with the status of the first.
 
     Parameters
     ----------
@@ -84,6 +85,7 @@
         super().set_response_params(**params)
 
     def _reset_counts(self) -> None:
+        self._heads = HeadReader()
         self._idle_bytes = 0
         self._interim_answers = 0
         self._has_ended = False
@@ -93,6 +95,10 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass on the head of an answer, final or interim."""
         message, body = data
+        if self._body is None and not self._heads.claim():
+            # The parser ends a head where the grammar does not.
+            self.give_up("its head is malformed", MalformedAnswerError)
+            return
         if message.code == _SWITCHING_PROTOCOLS:
             # Nothing is ever asked to switch, and no more HTTP follows.
             self.give_up("it switches protocols", MalformedAnswerError)
@@ -115,6 +121,10 @@
         while start < len(data) and self._body is None and not self._has_failed():
             piece = data[start : start + HEAD_SLICE_BYTES]
             start += len(piece)
+            fault = self._heads.feed(piece)
+            if fault is not None:
+                self.give_up(fault, MalformedAnswerError)
+                return
             super().data_received(piece)
             self._count(len(piece))
         if start < len(data) and not self._has_failed():
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -556,7 +556,7 @@
         1977,
         "WARNING",
         "An answer of an upstream or of the platform took too much, had no end, or had a head that "
-        "is not that of a single answer, and its connection was aborted.",
+        "is malformed or not that of a single answer, and its connection was aborted.",
     )
     CALLER_GIVEN_UP = (
         1406,
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_cut_heads.py
@@ -1,6 +1,5 @@
 """Tests of upstreams behind a slot whose answers end inside their head."""
 
-import asyncio
 import itertools
 
 import aiohttp
@@ -9,10 +8,9 @@
 from burdockquay_standins import ENDINGS, RawServer, cut_answer
 from burdockquay_state import table_services, vm_lists
 
-from ._deployment import chat_body, until
+from .raw_upstream import PATHS, ask, is_unknown
 
 OK = "HTTP/1.1 200 OK\r\n"
-HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 BROKEN = b"HTTP/1.1 500 Broken\r\nContent-Length: 5\r\n\r\nsorry"
 
 HEADS = {
@@ -27,41 +25,6 @@
     "value": b"HTTP/1.1 200 OK\r\nContent-Type: text/",
 }
 
-PATHS = {
-    "engine": ("drafting", "/v1/chat/completions"),
-    "service": ("booking", "/services/booking/holds"),
-}
-
-
-async def ask(deployment, kind, behaviours):
-    """Return the answers to requests that an upstream handles by one behaviour after the other."""
-    group, path = PATHS[kind]
-    handled = itertools.cycle(behaviours)
-
-    async def behave(request, connection):
-        if request.target == "/healthz":
-            await connection.write(HEALTHY)
-            return
-        await next(handled)(request, connection)
-
-    async with RawServer(behave) as server, deployment(engines=0, entries=0) as running:
-        await running.add_slot("raw", group, f"http://127.0.0.1:{server.port}")
-        await running.add_entry("entry-0")
-        await until(lambda: running.is_connected(running.entries[0]))
-        asked = [
-            running.ask(path, chat_body(), X_Deadline_Seconds="5", Idempotency_Key=f"h-{number}")
-            for number in range(len(behaviours))
-        ]
-        replies = await asyncio.gather(*asked)
-        sent = sum(request.target != "/healthz" for request in server.received)
-    assert sent >= len(replies)
-    return replies
-
-
-def is_unknown(status, body):
-    """Return whether an answer leaves open whether the request has run."""
-    return status >= 400 and body["error"]["run"] == "unknown"
-
 
 @pytest.mark.parametrize("kind", PATHS)
 @pytest.mark.parametrize("head", HEADS.values(), ids=HEADS.keys())
