Refuse an answer whose head has a line that is not a name and a value

What callers saw: where a line of the head began with a blank, it became a part of the value of the line before it, so that `Response-Seal` reached the caller with foreign text in it. After the status line such a line was passed over in silence. Both were answers with status 200.

Cause: the parser of the client library takes a line that begins with a blank for a continuation of the one before it, and a continuation of the status line for nothing. Line folding is deprecated in HTTP; a gateway may answer 502 to it (RFC 9112, section 5.2).

Change: the reader of heads accepts only lines with a token directly before the colon, as RFC 9112, section 5, defines them. It no longer depends on the parser that blanks, control bytes and delimiters in a field name are refused.

The forms with a blank, a control byte or a delimiter inside a field name were refused before; their tests are kept. So are those of unusual answers, which are passed on as before: no value, a tab, bytes above 0x7f, line feeds without a carriage return, an interim answer.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
@@ -26,8 +26,8 @@
 
     @property
     def status(self) -> int:
-        """Status code of a well-formed status line."""
-        return int(self.status_line.split()[1])
+        """Status code of the final head, if its status line is well-formed."""
+        return int(self.status_line.rpartition(b"HTTP/")[2].split()[1])
 
     def encode(self, own_lines: Iterable[bytes], body: bytes) -> bytes:
         """Return the bytes of the answer.
@@ -39,27 +39,51 @@
         body : bytes
         """
         length = b"Content-Length: %d" % len(body)
-        return b"\r\n".join([self.status_line, *own_lines, length, *self.lines, b"", body])
+        return b"\r\n".join([self.status_line, length, *own_lines, *self.lines, b"", body])
 
 
 def _with_status_lines(*status_lines: bytes) -> tuple[OddAnswer, ...]:
     return tuple(OddAnswer(line) for line in status_lines)
 
 
+def _with_lines(*lines: bytes) -> tuple[OddAnswer, ...]:
+    return tuple(OddAnswer(lines=(line, b"X-Last: 1")) for line in lines)
+
+
+_CONTROL_BYTES = (b"\0", b"\x01", b"\x0b", b"\r", b"\x1b", b"\x7f")
+
 MALFORMED_ANSWERS: Mapping[str, Sequence[OddAnswer]] = {
     "status": _with_status_lines(
         *(b"HTTP/1.1 %03d Gone" % code for code in (0, 1, 20, 99, 600, 601, 799, 999)),
         *(b"HTTP/1.1 " + code + b" Gone" for code in (b"20", b"2000", b"-20", b"2x0", b"")),
         *(version + b" 200 OK" for version in (b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1.x", b"HTTP")),
-        *(b"HTTP/1.1 200 O" + byte + b"K" for byte in (b"\0", b"\x01", b"\r", b"\x7f")),
+        *(b"HTTP/1.1 200 O" + byte + b"K" for byte in _CONTROL_BYTES),
         *(b"HTTP/1.1\t200 OK", b"HTTP/1.1  200 OK", b" HTTP/1.1 200 OK", b"\rHTTP/1.1 200 OK"),
     ),
+    "name": _with_lines(
+        *(
+            b"X" + byte + b"Note: y"
+            for byte in (*_CONTROL_BYTES, *b' ,\t,(,),/,[,",\xe9'.split(b","))
+        ),
+        *(b"X-Note : y", b"X-Note\t: y", b": y", b"X-Note", b"X-Note; y"),
+    ),
+    "folded": (
+        *_with_lines(b" X-Note: y", b"\tX-Note: y", b" y", b" "),
+        *_with_status_lines(
+            b"HTTP/1.1 200 OK\r\n X-Note: y", b"HTTP/1.1 103 Hints\r\n\ty\r\n\r\nHTTP/1.1 200 OK"
+        ),
+    ),
 }
 """Answers of which no part may reach a caller, by what is malformed."""
 
 UNUSUAL_ANSWERS: Sequence[OddAnswer] = (
     *_with_status_lines(b"HTTP/1.1 200", b"HTTP/1.1 200 ", b"HTTP/1.1 299 Odd", b"HTTP/1.0 200 OK"),
     *_with_status_lines(b"HTTP/1.1 200 \xc3\xa0\tla carte", b"\r\n\r\nHTTP/1.1 200 OK"),
+    *_with_lines(
+        b"X-Note:", b"X-Note:y", b"X-Note: \ty\tz ", b"X-Note: \xe9\xff", b"X-Note: \xc3\xa9"
+    ),
+    *_with_lines(b"!#$%&'*+-.^_`|~1: y", b"X-Note: y\nX-Other: z", b'X-Note: :;, "y" (z)'),
+    *_with_status_lines(b"HTTP/1.1 103 Hints\r\nLink: y\r\n\r\nHTTP/1.1 200 OK"),
 )
 """Answers that are passed on with their status and body."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
@@ -21,6 +21,11 @@
 before an empty reason may be missing, and empty lines may precede it, as some upstreams send them.
 """
 
+_FIELD_LINES = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[^\r\n]*+\r?\n)*+\r?\n")
+"""Field lines of RFC 9112, section 5, and the end of the head. Line folding (section 5.2) is
+excluded: it would add the text of a damaged line to the value of the field before it.
+"""
+
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 
@@ -54,6 +59,8 @@
             status_line = _STATUS_LINE.match(head)
             if status_line is None:
                 return "its status line is malformed"
+            if _FIELD_LINES.fullmatch(head, status_line.end()) is None:
+                return "a field line of its head is malformed"
             status = int(status_line["status"])
             self._unclaimed += 1
             self._is_final = status >= _FIRST_FINAL_STATUS or status == _SWITCHING_PROTOCOLS
