Refuse an answer with a control byte in the value of a field

What callers saw: where the value of a field in an engine's head held a control byte other than NUL and CR, a forwarder ran into an error while it wrote its own answer and closed the caller's connection without one. Behind a slot, the answer passed as a success.

Cause: the parser runs in a lenient mode that keeps control bytes in values, which only the writer of the caller's answer refused.

Change: the reader of heads accepts the values of RFC 9110, section 5.5: visible characters, blanks, tabs and bytes above 0x7f.

Evidence: the tests of this group failed before: 4 of 6 forms on each kind of route of a forwarder (the connection closed without an answer), at an engine's and a service's slot (200), and for probes, orders, the store, a usage report, the table and the VM list. All pass now.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
@@ -73,6 +73,7 @@
             b"HTTP/1.1 200 OK\r\n X-Note: y", b"HTTP/1.1 103 Hints\r\n\ty\r\n\r\nHTTP/1.1 200 OK"
         ),
     ),
+    "value": _with_lines(*(b"X-Note: y" + byte + b"z" for byte in _CONTROL_BYTES)),
 }
 """Answers of which no part may reach a caller, by what is malformed."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
@@ -21,9 +21,10 @@
 before an empty reason may be missing, and empty lines may precede it, as some upstreams send them.
 """
 
-_FIELD_LINES = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[^\r\n]*+\r?\n)*+\r?\n")
-"""Field lines of RFC 9112, section 5, and the end of the head. Line folding (section 5.2) is
-excluded: it would add the text of a damaged line to the value of the field before it.
+_FIELD_LINES = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t -~\x80-\xff]*+\r?\n)*+\r?\n")
+"""Field lines of RFC 9112, section 5, with the values of RFC 9110, section 5.5, and the end of the
+head. Line folding (section 5.2) is excluded: it would add the text of a damaged line to the value
+of the field before it.
 """
 
 _SWITCHING_PROTOCOLS = 101
