Refuse an answer whose head does not tell where its body ends

What callers saw: an answer with `Transfer-Encoding: chunked, identity` reached them as a 200 whose body was the chunks with their sizes, read to the end of the connection. `chunked` twice, in one field or in two, and `identity, chunked` came through with status 200 too, though the body of the first two may be encoded once more.

Cause: each coding was compared with a set of readable ones, not the list of them; the parser looks at the last one.

Change: the codings of an answer must be `chunked` alone, `identity` alone or none, and there must not be two lengths: one `Content-Length` of digits, without a `Transfer-Encoding` beside it (RFC 9112, section 6). The second part was left to the compiled parser before, which does refuse it.

Sound answers in chunks, with an extension, leading zeros, capitals or a trailer, are passed on as before.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
@@ -19,10 +19,16 @@
     status_line : bytes
     lines : tuple of bytes
         Lines of the head after those of the upstream itself.
+    framing : bytes or None
+        Lines that say how long the body is; None for its ``Content-Length``.
+    body_format : bytes
+        How the body is written, with ``%(body)b`` and ``%(size)x``.
     """
 
     status_line: bytes = b"HTTP/1.1 200 OK"
     lines: tuple[bytes, ...] = ()
+    framing: bytes | None = None
+    body_format: bytes = b"%(body)b"
 
     @property
     def status(self) -> int:
@@ -38,8 +44,9 @@
             Lines of the head that the upstream writes in each answer.
         body : bytes
         """
-        length = b"Content-Length: %d" % len(body)
-        return b"\r\n".join([self.status_line, length, *own_lines, *self.lines, b"", body])
+        written = self.body_format % {b"body": body, b"size": len(body)}
+        framing = self.framing or b"Content-Length: %d" % len(written)
+        return b"\r\n".join([self.status_line, framing, *own_lines, *self.lines, b"", written])
 
 
 def _with_status_lines(*status_lines: bytes) -> tuple[OddAnswer, ...]:
@@ -50,6 +57,21 @@
     return tuple(OddAnswer(lines=(line, b"X-Last: 1")) for line in lines)
 
 
+_CHUNKED = b"Transfer-Encoding: chunked"
+_CHUNKS = b"%(size)x\r\n%(body)b\r\n0\r\n\r\n"
+
+
+def _with_codings(*values: bytes) -> tuple[OddAnswer, ...]:
+    lines = (value.replace(b"|", b"\r\nTransfer-Encoding: ") for value in values)
+    return tuple(
+        OddAnswer(framing=b"Transfer-Encoding: " + line, body_format=_CHUNKS) for line in lines
+    )
+
+
+def _with_chunks(*formats: bytes) -> tuple[OddAnswer, ...]:
+    return tuple(OddAnswer(framing=_CHUNKED, body_format=text) for text in formats)
+
+
 _CONTROL_BYTES = (b"\0", b"\x01", b"\x0b", b"\r", b"\x1b", b"\x7f")
 
 MALFORMED_ANSWERS: Mapping[str, Sequence[OddAnswer]] = {
@@ -74,6 +96,14 @@
         ),
     ),
     "value": _with_lines(*(b"X-Note: y" + byte + b"z" for byte in _CONTROL_BYTES)),
+    "framing": (
+        *_with_codings(b"chunked, chunked", b"chunked|chunked", b"identity, chunked"),
+        *_with_codings(b"chunked, identity", b"chunked;q=1", b"chunked\r\nContent-Length: 4"),
+        *(
+            OddAnswer(framing=b"Content-Length: " + value)
+            for value in (b"-4", b"+4", b"4 4", b"0x4", b"4.0", b"", b"4\r\nContent-Length: 5")
+        ),
+    ),
 }
 """Answers of which no part may reach a caller, by what is malformed."""
 
@@ -85,6 +115,11 @@
     ),
     *_with_lines(b"!#$%&'*+-.^_`|~1: y", b"X-Note: y\nX-Other: z", b'X-Note: :;, "y" (z)'),
     *_with_status_lines(b"HTTP/1.1 103 Hints\r\nLink: y\r\n\r\nHTTP/1.1 200 OK"),
+    *_with_codings(b"chunked", b"Chunked", b", chunked"),
+    *_with_chunks(
+        b"00%(size)X;name=value\r\n%(body)b\r\n0;last\r\n\r\n",
+        b"%(size)x\r\n%(body)b\r\n0\r\nX-Trailer: y\r\n\r\n",
+    ),
 )
 """Answers that are passed on with their status and body."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
@@ -9,6 +9,7 @@
 import re
 
 import attrs
+from multidict import MultiMapping
 
 _HEAD_END = re.compile(rb"[^\r\n]\r?\n\r?\n")
 
@@ -27,6 +28,11 @@
 of the field before it.
 """
 
+_LENGTH = re.compile(r"[0-9]+")
+
+_READABLE_CODINGS = frozenset({(), ("chunked",), ("identity",)})
+"""Transfer codings of an answer that the parser removes, or that change nothing."""
+
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 
@@ -72,3 +78,25 @@
         is_checked = self._unclaimed > 0
         self._unclaimed -= is_checked
         return is_checked
+
+
+def find_framing_fault(headers: MultiMapping[str]) -> str | None:
+    """Return why the headers of an answer do not tell where its body ends; None if they do.
+
+    The rules are those of RFC 9112, section 6, without the choices that it leaves to recipients.
+
+    Examples
+    --------
+    >>> from multidict import CIMultiDict
+    >>> find_framing_fault(CIMultiDict({"Transfer-Encoding": "chunked", "Content-Length": "4"}))
+    'its length is ambiguous'
+    """
+    values = headers.getall("Transfer-Encoding", [])
+    codings = [coding.strip(" \t").lower() for value in values for coding in value.split(",")]
+    if tuple(filter(None, codings)) not in _READABLE_CODINGS:
+        return "its transfer coding is not supported"
+    lengths = headers.getall("Content-Length", [])
+    if not lengths:
+        return None
+    is_plain = not values and len(lengths) == 1 and _LENGTH.fullmatch(lengths[0])
+    return None if is_plain else "its length is ambiguous"
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -15,7 +15,7 @@
 
 from burdockquay_coordination import HeldAnswers
 
-from ._answer_heads import HeadReader
+from ._answer_heads import HeadReader, find_framing_fault
 from ._body_end import protocol_of
 from ._events import Event, log_event
 
@@ -41,9 +41,6 @@
 
 _SWITCHING_PROTOCOLS = 101
 
-_READABLE_CODINGS = frozenset({"", "chunked", "identity"})
-"""Transfer codings that the parser removes, or that change nothing."""
-
 
 class AnswerGivenUpError(aiohttp.ClientPayloadError):
     """This process gave up an answer; its upstream need not be down."""
@@ -106,8 +103,9 @@
         if _has_status_line_inside(message):
             self.give_up("another answer begins inside its head", MalformedAnswerError)
             return
-        if _has_other_coding(message):
-            self.give_up("its transfer coding is not supported", MalformedAnswerError)
+        fault = find_framing_fault(message.headers)
+        if fault is not None:
+            self.give_up(fault, MalformedAnswerError)
             return
         if 100 <= message.code < 200:
             self._interim_answers += 1
@@ -175,13 +173,6 @@
     return any(_STATUS_LINE.search(value) for value in (reason, *values))
 
 
-def _has_other_coding(message: RawResponseMessage) -> bool:
-    """Return whether a body has a transfer coding that the parser does not decode."""
-    values = message.headers.getall("Transfer-Encoding", ())
-    codings = (coding.strip().lower() for value in values for coding in value.split(","))
-    return any(coding not in _READABLE_CODINGS for coding in codings)
-
-
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections bound each answer.
 
