End a call at once when the rest of its answer cannot be parsed

What callers saw: an answer whose chunks broke off the grammar after its head had been read, such as a chunk size of `0x4` that arrived a moment later, left the call waiting until its deadline, although the connection was closed already: 504 instead of 502, a stream that stood still, and no retry.

Cause: when the parser fails, the client library notes the error at the connection and drops the body without telling its reader. When the connection is lost, the parser no longer knows the body.

Change: the protocol gives up an answer that is incomplete when the parser fails, as one with a malformed head, so that the reader of the body gets an error at once. What arrives after a complete answer only closes the connection, as before. The reason that is logged and reported is a fixed text; the error of the parser holds bytes of the engine.

The chunks that arrive with their head were refused before.

--- a/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
@@ -104,6 +104,11 @@
             for value in (b"-4", b"+4", b"4 4", b"0x4", b"4.0", b"", b"4\r\nContent-Length: 5")
         ),
     ),
+    "chunk": _with_chunks(
+        *(size + _CHUNKS.removeprefix(b"%(size)x") for size in (b"", b"-4", b"0x4", b"zz", b"1")),
+        *(before + _CHUNKS for before in (b" ", b"\t", b"\r\n", b"10000000000000000")),
+        _CHUNKS.replace(b"\r\n", b"\n", 1),
+    ),
 }
 """Answers of which no part may reach a caller, by what is malformed."""
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -11,7 +11,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
-from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.http_exceptions import HttpProcessingError
 
 from burdockquay_coordination import HeldAnswers
 
@@ -132,19 +132,24 @@
             # The parser goes on with what it had kept back.
             super().data_received(data)
             self._count(0)
+        if isinstance(self._exception, HttpProcessingError) and not self._is_complete():
+            # The library does not report to the reader of the body that the parser has failed.
+            self.give_up("it cannot be parsed", MalformedAnswerError)
 
     def give_up(self, reason: str, kind: type[AnswerGivenUpError] = AnswerTooLargeError) -> None:
         """Abort the connection; whoever reads the answer gets an error of a kind."""
         log_event(Event.ANSWER_GIVEN_UP, reason=reason)
         error = kind(reason)
-        body = self._body
-        if body is not None and body is not EMPTY_PAYLOAD and not body.is_eof():
-            body.set_exception(error)
+        if self._body is not None and not self._is_complete():
+            self._body.set_exception(error)
         self._buffer.clear()
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
 
+    def _is_complete(self) -> bool:
+        return self._body is not None and self._body.is_eof()
+
     def _has_failed(self) -> bool:
         return self._exception is not None or self.transport is None
 
@@ -160,7 +165,7 @@
             self.give_up(f"over {MAX_INTERIM_ANSWERS} interim answers")
         elif self._idle_bytes > self._max_idle_bytes + allowance:
             self.give_up(f"over {self._max_idle_bytes} bytes that bring it no further")
-        elif self._body is not None and self._body.is_eof() and not self._has_ended:
+        elif self._is_complete() and not self._has_ended:
             # Bytes that follow a complete answer belong to no request.
             self._has_ended = True
             self._idle_bytes = 0
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
@@ -1,5 +1,7 @@
 """Tests of upstreams behind a slot, and of a platform, whose answers break the grammar of HTTP."""
 
+from functools import partial
+
 import pytest
 
 from burdockquay_coordination import EngineOrder
@@ -20,14 +22,14 @@
 LISTS = b'{"vms": [], "rows": []}'
 
 
+@pytest.mark.parametrize("piece_bytes", [1, 1000])
 @pytest.mark.parametrize("kind", PATHS)
 @pytest.mark.parametrize("rule", MALFORMED_ANSWERS)
-async def test_malformed_answer_has_an_unknown_outcome(deployment, rule, kind):
+async def test_malformed_answer_has_an_unknown_outcome(deployment, rule, kind, piece_bytes):
     """Guards against a broken answer that is passed on, or counted as not run."""
-    answers = MALFORMED_ANSWERS[rule]
-    replies = await ask(
-        deployment, kind, [send_odd_answer(answer, BODIES[kind], JSON) for answer in answers]
-    )
+    write = partial(send_odd_answer, piece_bytes=piece_bytes)
+    behaviours = [write(answer, BODIES[kind], JSON) for answer in MALFORMED_ANSWERS[rule]]
+    replies = await ask(deployment, kind, behaviours)
     assert [reply for reply in replies if not is_unknown(*reply)] == []
     assert not any("done" in str(reply) for reply in replies)
 
