Do not count a malformed answer as a crash of its upstream

What callers saw: a request whose answers were malformed at two upstreams that went down soon after was refused with 503 (crash_suspect) for a minute, though nothing showed that it had crashed them.

Cause: a forwarder took an answer that it had given up itself for a broken connection, and such a connection counts as evidence against the request if its upstream goes down within three seconds. A slot told the two apart, except where the parser had failed.

Change: BrokenError says whether the connection broke or the answer was given up, as malformed or as too large. The latter is a failure of the upstream, and the outcome of the request stays unknown, but it is no evidence. It is counted as use as before.

Evidence: the test failed before with 502, 502, 503 and passes with 502, 502, 200.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -15,7 +15,7 @@
 from .._body_end import protocol_of
 from .._bounded_answers import abort_answer
 from ._call import Answered, Broke, ForwardCall, NotRun, Outcome
-from ._connections import SENT_ERRORS, BrokenError, check_body_end, read_body
+from ._connections import SENT_ERRORS, BrokenError, broken_error, check_body_end, read_body
 from ._event_stream import EventSplitter, StreamEvent
 from ._headers import end_to_end_headers
 from ._platform import AnswerFacts
@@ -133,9 +133,9 @@
                 held.resize(answer, len(splitter.rest))
                 if idle.exceeds(events, call.last_event):
                     abort_answer(protocol, "too many bytes without a new event")
-                    raise BrokenError("too many bytes without a new event")
+                    raise BrokenError("too many bytes without a new event", crashed=False)
                 if answer.is_given_up:
-                    raise BrokenError("too many bytes of events")
+                    raise BrokenError("too many bytes of events", crashed=False)
                 count += len(events)
                 if events:
                     now = self.state.clock.now()
@@ -278,7 +278,7 @@
             if len(data) == STREAM_SLICE_BYTES:
                 await asyncio.sleep(0)
     except SENT_ERRORS as error:
-        raise BrokenError(type(error).__name__) from error
+        raise broken_error(error) from error
 
 
 def _ends_with_connection(response: aiohttp.ClientResponse) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -15,7 +15,7 @@
 from burdockquay_coordination.forwarding import ListedUpstream
 
 from .._body_end import ended_by_reset, protocol_of
-from .._bounded_answers import BoundedConnector, read_whole
+from .._bounded_answers import AnswerGivenUpError, BoundedConnector, read_whole
 from .._send_once import CONNECT_ERRORS, SendOnce
 
 READ_AHEAD_BYTES = 8 << 10
@@ -76,7 +76,19 @@
 
 
 class BrokenError(Exception):
-    """The connection broke after the request was sent; it may have run."""
+    """The answer broke off after the request was sent; it may have run.
+
+    Parameters
+    ----------
+    reason : str
+    crashed : bool
+        Whether the connection broke, as it does when an upstream goes down; False if this process
+        gave up the answer.
+    """
+
+    def __init__(self, reason: str, crashed: bool = True):
+        super().__init__(reason)
+        self.crashed = crashed
 
 
 @attrs.frozen
@@ -172,7 +184,7 @@
         except CONNECT_ERRORS as error:
             raise NotSentError(type(error).__name__) from error
         except SENT_ERRORS as error:
-            raise BrokenError(type(error).__name__) from error
+            raise broken_error(error) from error
 
 
 async def accepts_connections(upstream: ListedUpstream, watch_s: float = 0.0) -> bool:
@@ -224,11 +236,16 @@
     try:
         body = await read_whole(response, held)
     except SENT_ERRORS as error:
-        raise BrokenError(type(error).__name__) from error
+        raise broken_error(error) from error
     check_body_end(protocol)
     return body
 
 
+def broken_error(error: BaseException) -> BrokenError:
+    """Return the error for a failure after the request was sent."""
+    return BrokenError(type(error).__name__, crashed=not isinstance(error, AnswerGivenUpError))
+
+
 def check_body_end(protocol: aiohttp.client_proto.ResponseHandler | None) -> None:
     """Raise if the body of an answer ended by a reset of its connection.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_relay.py
@@ -23,7 +23,7 @@
 
 from .._call_error import CallError
 from .._events import Event, log_event
-from ._answers import AnswerHandler, record_broken
+from ._answers import AnswerHandler, count_plain, record_broken
 from ._call import (
     Answered,
     Broke,
@@ -356,7 +356,8 @@
             return NotSent(upstream, str(error))
         except BrokenError as error:
             call.sends += response is None
-            return record_broken(self.state, call, upstream, str(error))
+            count_plain(self.state, call)
+            return record_broken(self.state, call, upstream, str(error), error.crashed)
         except TimeoutError:
             if self._remaining(call) <= 0:
                 raise
