Drop a head that follows a complete answer, and close its connection

What callers saw: an answer that an engine sent on an idle connection, after a complete one, was passed on as the answer to the next safe request: a 400 that belonged to none. Its head went past the new checks, since these end with the final head of an answer. Behind a slot, such an answer of 503 let a sound engine pass for unhealthy. A 101 in one segment with the end of a complete answer turned that one into a 502.

Cause: the client library keeps each parsed message for the next reader of the connection, whether a request was sent or not, and the pool does not look whether one is kept.

Change: a message that is parsed after the final head of an answer, or after an answer was given up, is dropped, and its connection closed. The complete answer before it is delivered.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -92,7 +92,11 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass on the head of an answer, final or interim."""
         message, body = data
-        if self._body is None and not self._heads.claim():
+        if self._body is not None or self._has_failed():
+            # It follows a complete answer or a malformed head, and belongs to no request.
+            self._abort()
+            return
+        if not self._heads.claim():
             # The parser ends a head where the grammar does not.
             self.give_up("its head is malformed", MalformedAnswerError)
             return
@@ -109,7 +113,7 @@
             return
         if 100 <= message.code < 200:
             self._interim_answers += 1
-        elif self._body is None:
+        else:
             self._body = body
         super().feed_data(data, size)
 
@@ -144,6 +148,9 @@
             self._body.set_exception(error)
         self._buffer.clear()
         self.set_exception(error)
+        self._abort()
+
+    def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
@@ -1,5 +1,6 @@
 """Tests of upstreams behind a slot, and of a platform, whose answers break the grammar of HTTP."""
 
+import asyncio
 from functools import partial
 
 import pytest
@@ -12,7 +13,7 @@
 from burdockquay_transport._service_client import ServiceClient
 from burdockquay_transport._upstream import UpstreamSessions
 
-from .raw_upstream import PATHS, ask, is_unknown
+from .raw_upstream import HEALTHY, PATHS, ask, is_unknown
 
 BODIES = {
     "engine": b'data: {"choices": [{"delta": {"content": "done"}}]}\n\ndata: [DONE]\n\n',
@@ -71,3 +72,22 @@
         await sessions.close()
     pairs = zip(answers, results, strict=True)
     assert [pair for pair in pairs if not is_failure(pair[1])] == []
+
+
+async def test_bytes_after_an_answer_belong_to_no_call():
+    """Guards against an answer that arrived before its call was sent."""
+
+    async def add_bytes(request, connection):
+        await connection.write(HEALTHY)
+        await asyncio.sleep(0.02)
+        await connection.write(HEALTHY.replace(b"200 OK", b"503 Full"))
+
+    async with RawServer(add_bytes) as server:
+        sessions = UpstreamSessions()
+        client = EngineClient(f"http://127.0.0.1:{server.port}", sessions)
+        results = []
+        for _ in range(4):
+            results.append(await client.probe())
+            await asyncio.sleep(0.04)
+        await sessions.close()
+    assert results == [True] * 4
