Test early answers to an upload that are reset

The report: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written, and the client got that part as a complete answer.

--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unframed_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unframed_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+import pytest
 
 from burdockquay_standins import RawServer
 
@@ -13,28 +14,29 @@
 HOLD = "/services/booking/holds"
 
 
-def write(body, reset):
+def write(body, reset, pause_s=0.05):
     async def behave(request, connection):
         if request.target == "/healthz":
             await connection.write(HEALTHY)
             return
         await connection.write(HEAD + body)
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(pause_s)
         if reset:
             connection.reset()
         else:
             connection.close()
+        await connection.wait_until_closed()
 
     return behave
 
 
-async def ask(deployment, behaviour):
+async def ask(deployment, behaviour, upload="", reads_bodies=True):
     """Return the text of the answer to a hold, None if it is not a complete success."""
-    async with deployment(engines=1) as running, RawServer(behaviour) as server:
+    async with deployment(engines=1) as running, RawServer(behaviour, reads_bodies) as server:
         await running.add_slot("raw-1", "booking", f"http://127.0.0.1:{server.port}")
         await until(lambda: running.is_connected(running.entries[0]))
         try:
-            async with running.post(HOLD, {"chapel": 1}, Idempotency_Key="h-1") as response:
+            async with running.post(HOLD, {"chapel": upload}, Idempotency_Key="h-1") as response:
                 text = await response.text()
                 return text if response.status == 200 else None
         except aiohttp.ClientPayloadError:
@@ -48,3 +50,13 @@
 async def test_answer_without_a_length_that_is_reset_never_looks_complete(deployment):
     """Guards against a truncated answer that its caller takes for the whole."""
     assert await ask(deployment, write(b"hel", reset=True)) is None
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+@pytest.mark.parametrize("upload_bytes", [1000, 200_000, 900_000])
+async def test_early_answer_to_an_upload_that_is_reset_never_looks_complete(
+    deployment, upload_bytes, pause_s
+):
+    """Guards against a part of an answer that is taken for the whole while a request is sent."""
+    behaviour = write(b"hel", reset=True, pause_s=pause_s)
+    assert await ask(deployment, behaviour, "x" * upload_bytes, reads_bodies=False) is None
