Do not take a reset for the end of an answer of the platform

An answer of the store to a write that was reset inside a body without a length was reported as `invalid`, which means that the store has rejected the call; the object store's adapter returned the part that had come as the whole object, so that a stored answer counted as damaged for good. A slot took such a part of a service's answer for the whole if the body ended before it was read.

Cause: the client library takes a reset for the end of a body that has neither a length nor chunks. Engines' answers were checked for it, each reader by itself, and the store's and the platform's not; the service's client looked at the connection only after it had passed on the head.

Change: one check, made by all that read a body: read_whole for engines and the store, the reader of streams, the client of services, which takes the connection before it passes on the head, and the adapters of the platform. The write is uncertain and the read fails, so that both are tried again.

Usage reports and probes read no body.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -16,7 +16,7 @@
 from burdockquay_coordination import HeldAnswers
 
 from ._answer_heads import HeadReader, find_framing_fault
-from ._body_end import protocol_of
+from ._body_end import check_body_end, protocol_of
 from ._events import Event, log_event
 
 MAX_IDLE_BYTES = 256 << 10
@@ -238,7 +238,8 @@
     aiohttp.ClientError
         If it is incomplete.
     """
-    give_up = partial(abort_answer, protocol_of(response), "too many bytes of incomplete answers")
+    protocol = protocol_of(response)
+    give_up = partial(abort_answer, protocol, "too many bytes of incomplete answers")
     body = bytearray()
     try:
         with held.account(give_up, response.content_length) as answer:
@@ -248,6 +249,7 @@
                 if answer.is_given_up:
                     raise AnswerTooLargeError("too many bytes of incomplete answers")
                 body += data
+        check_body_end(protocol)
         return bytes(body)
     finally:
         # The traceback of an error keeps this frame, and with it the bytes, for some time.
--- a/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_platform_http.py
@@ -58,6 +58,7 @@
     vm_lists,
 )
 
+from ._body_end import check_body_end, protocol_of
 from ._call_limit import CallLimit
 from ._events import Event, log_event
 
@@ -319,11 +320,13 @@
 ) -> bytes:
     # A faulty service could otherwise fill the memory of every process that calls it.
     content = bytearray()
+    protocol = protocol_of(response)
     async for chunk in response.content.iter_any():
         record_progress()
         content += chunk
         if len(content) > MAX_ANSWER_BYTES:
             raise _MalformedError(f"expected at most {MAX_ANSWER_BYTES} bytes, got more")
+    check_body_end(protocol)
     return bytes(content)
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_service_client.py
@@ -4,11 +4,9 @@
 
 from collections.abc import AsyncIterator
 
-import aiohttp
-
 from burdockquay_protocol import MAX_BODY_BYTES, AnswerEnd, AnswerHead, ErrorKind, Run
 
-from ._body_end import ended_by_reset, protocol_of
+from ._body_end import check_body_end, protocol_of
 from ._bounded_answers import AnswerGivenUpError
 from ._send_once import BROKEN_ERRORS, CONNECT_ERRORS, SendOnce
 from ._upstream import (
@@ -32,6 +30,7 @@
         """Send the request and yield its answer; see :meth:`UpstreamClient.call`."""
         try:
             async with self._request(run) as response:
+                protocol = protocol_of(response)
                 headers = [
                     [name, response.headers[name]]
                     for name in _FORWARDED_HEADERS
@@ -39,13 +38,11 @@
                 ]
                 yield AnswerHead(response.status, headers)
                 size = 0
-                protocol = protocol_of(response)
                 async for data in response.content.iter_any():
                     size += len(data)
                     _check_size(size)
                     yield BodyPiece(data)
-                if ended_by_reset(protocol):
-                    raise aiohttp.ClientPayloadError("connection reset at the end of the body")
+                check_body_end(protocol)
                 yield AnswerEnd(0, 0, "stop")
         except CONNECT_ERRORS as error:
             raise UpstreamError(
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_answers.py
@@ -12,10 +12,10 @@
 
 from burdockquay_coordination.forwarding import Interruption, RouteKind, Upstream
 
-from .._body_end import protocol_of
+from .._body_end import check_body_end, protocol_of
 from .._bounded_answers import abort_answer
 from ._call import Answered, Broke, ForwardCall, NotRun, Outcome
-from ._connections import SENT_ERRORS, BrokenError, broken_error, check_body_end, read_body
+from ._connections import SENT_ERRORS, BrokenError, broken_error, read_body
 from ._event_stream import EventSplitter, StreamEvent
 from ._headers import end_to_end_headers
 from ._platform import AnswerFacts
@@ -143,7 +143,6 @@
                     self._record_begun(call)
                     first_at = first_at or now
                 await self._forward_events(call, events, response)
-        check_body_end(protocol)
         if splitter.rest:
             return record_broken(self.state, call, upstream, "ended inside an event")
         if not count and _ends_with_connection(response) and not _may_be_empty(call):
@@ -272,11 +271,13 @@
 
 
 async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    protocol = protocol_of(response)
     try:
         while data := await response.content.read(STREAM_SLICE_BYTES):
             yield data
             if len(data) == STREAM_SLICE_BYTES:
                 await asyncio.sleep(0)
+        check_body_end(protocol)
     except SENT_ERRORS as error:
         raise broken_error(error) from error
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_connections.py
@@ -14,7 +14,6 @@
 from burdockquay_coordination import HeldAnswers
 from burdockquay_coordination.forwarding import ListedUpstream
 
-from .._body_end import ended_by_reset, protocol_of
 from .._bounded_answers import AnswerGivenUpError, BoundedConnector, read_whole
 from .._send_once import CONNECT_ERRORS, SendOnce
 
@@ -232,13 +231,10 @@
     BrokenError
         If the body is incomplete, or takes too much memory.
     """
-    protocol = protocol_of(response)
     try:
-        body = await read_whole(response, held)
+        return await read_whole(response, held)
     except SENT_ERRORS as error:
         raise broken_error(error) from error
-    check_body_end(protocol)
-    return body
 
 
 def broken_error(error: BaseException) -> BrokenError:
@@ -246,17 +242,6 @@
     return BrokenError(type(error).__name__, crashed=not isinstance(error, AnswerGivenUpError))
 
 
-def check_body_end(protocol: aiohttp.client_proto.ResponseHandler | None) -> None:
-    """Raise if the body of an answer ended by a reset of its connection.
-
-    Raises
-    ------
-    BrokenError
-    """
-    if ended_by_reset(protocol):
-        raise BrokenError("connection reset at the end of the body")
-
-
 def _make_session(reuse: bool, record_connect: RecordConnect | None) -> aiohttp.ClientSession:
     connector = BoundedConnector(
         limit=0,
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unframed_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_unframed_answers.py
@@ -5,7 +5,11 @@
 import aiohttp
 import pytest
 
+from burdockquay_protocol import AnswerHead, Run
 from burdockquay_standins import RawServer
+from burdockquay_state import TableErrorKind, object_stores
+from burdockquay_transport._service_client import ServiceClient
+from burdockquay_transport._upstream import UpstreamError, UpstreamSessions
 
 from ._deployment import until
 
@@ -60,3 +64,24 @@
     """Guards against a part of an answer that is taken for the whole while a request is sent."""
     behaviour = write(b"hel", reset=True, pause_s=pause_s)
     assert await ask(deployment, behaviour, "x" * upload_bytes, reads_bodies=False) is None
+
+
+async def test_object_whose_answer_is_reset_is_not_read():
+    """Guards against a stored answer that is taken for damaged, since only a part of it came."""
+    async with RawServer(write(b"part", reset=True)) as server, aiohttp.ClientSession() as session:
+        objects = object_stores.get("http")(f"http://127.0.0.1:{server.port}", 5.0, session)
+        read = await objects.get("digest")
+    assert read.err().kind is TableErrorKind.UNAVAILABLE
+
+
+async def test_answer_of_a_service_that_is_reset_before_its_body_is_read_is_not_complete():
+    """Guards against a truncated answer where its reader is slow."""
+    run = Run(*("r-1", 1, 0, "parish", "hold", "POST", "/", [], b"", False, 5.0), False, "", 0, "d")
+    async with RawServer(write(b"hel", reset=True, pause_s=0.0)) as server:
+        sessions = UpstreamSessions()
+        parts = ServiceClient(f"http://127.0.0.1:{server.port}", sessions).call(run, 1)
+        assert isinstance(await anext(parts), AnswerHead)
+        await asyncio.sleep(0.05)
+        with pytest.raises(UpstreamError):
+            [part async for part in parts]
+        await sessions.close()
