--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 import pytest
+from aiohttp.http import HttpResponseParser
 
 from burdockquay_coordination import EngineOrder
 from burdockquay_standins import MALFORMED_ANSWERS, UNUSUAL_ANSWERS, RawServer, send_odd_answer
@@ -23,6 +24,11 @@
 LISTS = b'{"vms": [], "rows": []}'
 
 
+def test_compiled_parser_is_installed():
+    """Guards against the parser in Python, which accepts malformed sizes of chunks."""
+    assert HttpResponseParser.__module__ == "aiohttp._http_parser"
+
+
 @pytest.mark.parametrize("piece_bytes", [1, 1000])
 @pytest.mark.parametrize("kind", PATHS)
 @pytest.mark.parametrize("rule", MALFORMED_ANSWERS)
