Check the whole head of an answer in one place

Change: the reader of heads holds all rules on the bytes of a head in a table, and the protocol keeps what needs the parsed headers, which is the framing. No rule changes; a status line is looked for in all of a head after its own.

Result: the tests of cut, malformed, unframed and endless answers pass.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable, Sequence
 
 import attrs
 from multidict import MultiMapping
@@ -33,9 +34,25 @@
 _READABLE_CODINGS = frozenset({(), ("chunked",), ("identity",)})
 """Transfer codings of an answer that the parser removes, or that change nothing."""
 
-_SWITCHING_PROTOCOLS = 101
+_INNER_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
+
 _FIRST_FINAL_STATUS = 200
 
+_HEAD_RULES: Sequence[tuple[str, Callable[[bytes, re.Match[bytes] | None], object]]] = (
+    ("its status line is malformed", lambda head, line: line),
+    # Nothing is ever asked to switch, and no more HTTP follows.
+    ("it switches protocols", lambda head, line: line["status"] != b"101"),
+    (
+        "a field line of its head is malformed",
+        lambda head, line: _FIELD_LINES.fullmatch(head, line.end()),
+    ),
+    (
+        "another answer begins inside its head",
+        lambda head, line: not _INNER_STATUS_LINE.search(head, line.start("status")),
+    ),
+)
+"""What is wrong with a head if a condition on it, and on its status line, does not hold."""
+
 
 @attrs.define
 class HeadReader:
@@ -64,13 +81,13 @@
             del self._data[: end.end()]
             searched = 0
             status_line = _STATUS_LINE.match(head)
-            if status_line is None:
-                return "its status line is malformed"
-            if _FIELD_LINES.fullmatch(head, status_line.end()) is None:
-                return "a field line of its head is malformed"
-            status = int(status_line["status"])
+            for fault, holds in _HEAD_RULES:
+                if not holds(head, status_line):
+                    return fault
             self._unclaimed += 1
-            self._is_final = status >= _FIRST_FINAL_STATUS or status == _SWITCHING_PROTOCOLS
+            self._is_final = int(status_line["status"]) >= _FIRST_FINAL_STATUS
+        if self._is_final:
+            self._data.clear()
         return None
 
     def claim(self) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_bounded_answers.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
 from burdockquay_coordination import HeldAnswers
@@ -37,10 +35,6 @@
 MAX_STORE_ANSWER_BYTES = 16 << 20
 """Largest answer of the platform's services, bytes; the platform limits its answers to far less."""
 
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
-
-_SWITCHING_PROTOCOLS = 101
-
 
 class AnswerGivenUpError(aiohttp.ClientPayloadError):
     """This process gave up an answer; its upstream need not be down."""
@@ -100,13 +94,6 @@
             # The parser ends a head where the grammar does not.
             self.give_up("its head is malformed", MalformedAnswerError)
             return
-        if message.code == _SWITCHING_PROTOCOLS:
-            # Nothing is ever asked to switch, and no more HTTP follows.
-            self.give_up("it switches protocols", MalformedAnswerError)
-            return
-        if _has_status_line_inside(message):
-            self.give_up("another answer begins inside its head", MalformedAnswerError)
-            return
         fault = find_framing_fault(message.headers)
         if fault is not None:
             self.give_up(fault, MalformedAnswerError)
@@ -178,13 +165,6 @@
             self._idle_bytes = 0
 
 
-def _has_status_line_inside(message: RawResponseMessage) -> bool:
-    """Return whether the reason or the value of a header contains another status line."""
-    reason = message.reason.encode("utf-8", "surrogateescape")
-    values = (value for _, value in message.raw_headers)
-    return any(_STATUS_LINE.search(value) for value in (reason, *values))
-
-
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections bound each answer.
 
