Refuse a malformed status at an entry that its slot did not check

What callers saw: while slots of an earlier version run, and where one has stored an answer under an idempotency key, an entry still passes on a status of 000 or 600.

Cause: an entry makes its answer from the status that a slot sends or the table holds, and took it as it was. The slot's check of heads does not reach these.

Change: the entry ends a call with `upstream_failed` and an unknown outcome if the status of its answer is not from 200 to 599, whether the answer comes from a slot or from the store.

Evidence: the test failed before for all 5 statuses (0, 99, 101, 600, 999), at the first request and its repeat, and passes now.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_call_runner.py
@@ -76,6 +76,9 @@
     data: bytes
 
 
+FINAL_STATUSES = range(200, 600)
+"""Status codes of final answers (RFC 9110, section 15)."""
+
 AnswerItem = AnswerHead | Tokens | Body | AnswerEnd
 
 
@@ -131,6 +134,7 @@
             while not complete:
                 event = await self._next_event(call)
                 for item in await self._handle(call, dispatcher, event):
+                    _check_status(call, item)
                     complete = complete or isinstance(item, AnswerEnd)
                     yield item
         finally:
@@ -431,6 +435,21 @@
         return mean_s <= call.spec.service_class.between_tokens_target_s
 
 
+def _check_status(call: Call, item: AnswerItem) -> None:
+    """Raise if an item is a head whose status is not that of a final answer.
+
+    Slots check their upstreams' heads, but one of an earlier version does not, and answers may have
+    been stored by one.
+
+    Raises
+    ------
+    CallError
+    """
+    if isinstance(item, AnswerHead) and item.status not in FINAL_STATUSES:
+        detail = f"expected a status from 200 to 599, got {item.status}"
+        raise call.make_error(ErrorKind.UPSTREAM_FAILED, detail)
+
+
 def _drop_frames(call: Call) -> None:
     """Drop the frames of an attempt that was cancelled.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_malformed_answers.py
@@ -7,12 +7,13 @@
 from aiohttp.http import HttpResponseParser
 
 from burdockquay_coordination import EngineOrder
+from burdockquay_protocol import AnswerEnd, AnswerHead
 from burdockquay_standins import MALFORMED_ANSWERS, UNUSUAL_ANSWERS, RawServer, send_odd_answer
 from burdockquay_state import table_services, vm_lists
 from burdockquay_transport._engine_client import EngineClient
 from burdockquay_transport._order_follower import HttpOrderTarget
 from burdockquay_transport._service_client import ServiceClient
-from burdockquay_transport._upstream import UpstreamSessions
+from burdockquay_transport._upstream import BodyPiece, UpstreamSessions
 
 from .raw_upstream import HEALTHY, PATHS, ask, is_unknown
 
@@ -24,6 +25,22 @@
 LISTS = b'{"vms": [], "rows": []}'
 
 
+@pytest.mark.parametrize("status", [0, 99, 101, 600, 999])
+async def test_status_that_a_slot_did_not_check_reaches_no_caller(deployment, monkeypatch, status):
+    """Guards against an answer that a slot of an earlier version passes on, or has stored."""
+
+    async def call(self, run, priority):
+        yield AnswerHead(status, [])
+        yield BodyPiece(b'"done"')
+        yield AnswerEnd(0, 0, "stop")
+
+    monkeypatch.setattr(ServiceClient, "call", call)
+    async with deployment(engines=0, services=1) as running:
+        hold = partial(running.ask, PATHS["service"][1], {}, Idempotency_Key="h-1")
+        replies = [await hold() for _ in range(2)]
+    assert all(is_unknown(*reply) for reply in replies), replies
+
+
 def test_compiled_parser_is_installed():
     """Guards against the parser in Python, which accepts malformed sizes of chunks."""
     assert HttpResponseParser.__module__ == "aiohttp._http_parser"
