--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -8,7 +8,13 @@
 from ._engine import EngineParameters, EngineStandin
 from ._faulty_relay import FaultyRelay, RelayState
 from ._feed_table import EraEndedError, FeedCopy, FeedRow, FeedStore, HistoryDiscardedError
-from ._odd_answer import MALFORMED_ANSWERS, UNUSUAL_ANSWERS, OddAnswer, send_odd_answer
+from ._odd_answer import (
+    MALFORMED_ANSWERS,
+    PARTIAL_ANSWERS,
+    UNUSUAL_ANSWERS,
+    OddAnswer,
+    send_odd_answer,
+)
 from ._platform import PlatformParameters, PlatformStandin
 from ._raw_server import Behaviour, RawConnection, RawRequest, RawServer
 from ._server import StandinServer
@@ -17,6 +23,7 @@
 __all__ = [
     "ENDINGS",
     "MALFORMED_ANSWERS",
+    "PARTIAL_ANSWERS",
     "UNUSUAL_ANSWERS",
     "Behaviour",
     "DelayLine",
--- a/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/_odd_answer.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ._cut_answer import cut_answer
 from ._raw_server import Behaviour, RawConnection, RawRequest
 
 
@@ -129,13 +130,26 @@
 """Answers that are passed on with their status and body."""
 
 
+PARTIAL_ANSWERS: Mapping[str, OddAnswer] = {
+    "neither": OddAnswer(framing=b"Connection: close"),
+    "http_1_0": OddAnswer(b"HTTP/1.0 200 OK", framing=b"Connection: close"),
+    "length": OddAnswer(framing=b"Content-Length: 9000"),
+    "chunks": OddAnswer(framing=_CHUNKED, body_format=_CHUNKS.removesuffix(b"0\r\n\r\n")),
+}
+"""Answers of which the end of the body is not sent, by what says how long it is."""
+
+
 def send_odd_answer(
-    answer: OddAnswer, body: bytes, *own_lines: str, piece_bytes: int = 1 << 20
+    answer: OddAnswer,
+    body: bytes,
+    *own_lines: str,
+    piece_bytes: int = 1 << 20,
+    pause_s: float = 0.0,
+    then: bytes = b"",
+    ending: str | None = None,
 ) -> Behaviour:
     """Return a behaviour that sends an answer.
 
-    The connection stays open, so that the bytes of the answer alone show that it is malformed.
-
     Parameters
     ----------
     answer : OddAnswer
@@ -144,6 +158,13 @@
         Lines of each head, with ``{name}`` for the value of a header of the request.
     piece_bytes : int
         Most bytes that are written at a time.
+    pause_s : float
+        Time between the answer and what follows it, seconds.
+    then : bytes
+        Sent after the answer, unless the client has closed the connection.
+    ending : str or None
+        How the connection ends, one of :data:`ENDINGS`; None to keep it, so that the bytes of the
+        answer alone show that it is malformed.
     """
 
     async def behave(request: RawRequest, connection: RawConnection) -> None:
@@ -152,5 +173,10 @@
         for start in range(0, len(data), piece_bytes):
             await connection.write(data[start : start + piece_bytes])
             await asyncio.sleep(0)
+        await asyncio.sleep(pause_s)
+        if then and not connection.writer.is_closing():
+            await connection.write(then)
+        if ending is not None:
+            await cut_answer(connection, b"", ending)
 
     return behave
