Search for malformed heads with random answers

A search changes the bytes of a sound answer at up to three places, sends it in random pieces, and judges what a client accepts by a grammar that is written line by line, apart from the expressions of the product.

--- a/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
+++ b/packages/burdockquay-standins/src/burdockquay_standins/__init__.py
@@ -8,6 +8,7 @@
 from ._engine import EngineParameters, EngineStandin
 from ._faulty_relay import FaultyRelay, RelayState
 from ._feed_table import EraEndedError, FeedCopy, FeedRow, FeedStore, HistoryDiscardedError
+from ._head_fuzz import FuzzResult, fuzz_heads
 from ._odd_answer import (
     MALFORMED_ANSWERS,
     PARTIAL_ANSWERS,
@@ -36,6 +37,7 @@
     "FeedStore",
     "HistoryDiscardedError",
     "FaultyRelay",
+    "FuzzResult",
     "RelayState",
     "OddAnswer",
     "PlatformParameters",
@@ -48,6 +50,7 @@
     "StandinServer",
     "cut_answer",
     "expected_answer",
+    "fuzz_heads",
     "parse_stream",
     "send_odd_answer",
     "service_digest",
