--- a/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_answer_heads.py
@@ -35,8 +35,8 @@
 """Transfer codings of an answer that the parser removes, or that change nothing."""
 
 _INNER_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
-"""Status line after a part of a head. A protocol version alone is a valid part of a value, as in the
-``Via`` header.
+"""Status line after a part of a head. A protocol version alone is a valid part of a value, as in
+the ``Via`` header.
 """
 
 _FIRST_FINAL_STATUS = 200
@@ -63,8 +63,8 @@
 class HeadReader:
     """Checks the heads of one answer: those of interim answers, and the final one.
 
-    Bytes after the final head are not looked at. A head is kept until it ends, and an incomplete one
-    is never reported as malformed; whoever feeds it bounds its bytes.
+    Bytes after the final head are not looked at. A head is kept until it ends, and an incomplete
+    one is never reported as malformed; whoever feeds it bounds its bytes.
     """
 
     _data: bytearray = attrs.field(factory=bytearray, init=False)
