Do not take the record and the list for complete after the loss of all

Cause: a process that has just started combined the record of origins with the present list and took both together for all there was. The record lacks a version while its table cannot be written (E1976: first events pass after two failed reads), or where nothing was recorded of the route; the list lacks versions that have left. In the logs of the case every joined stream has recorded=[], seen=[v1], is_current=True, is_watched=False: the reader decided without having followed the list for as long as streams are kept. That the writer passes first events on is intended and not changed.

Change: OriginEvidence names an only origin where the time since streams can have begun is covered, and nowhere else. It is covered at a process that has followed the list for a minute, or that has read a checkpoint of the list and all changes since (ListCheckpoint, ListCoverage). The checkpoint names the position, the entries and the origins of the last minute; only a process whose own knowledge is complete writes it, one process at a time, at changes and every 5 s. An entry removed since that the checkpoint lacks, history that is gone, or another era of the store refuse. Without a checkpoint the complete history of the list is read; if the platform does not have it, the answer is "not known". It is in a table of its own. Nothing waits for it but resumed streams that nobody knows.

The preconditions that excluded unrecorded versions are gone from the first machine, too. Its planted fault trust_the_present_list alone is harmless now, since the list of the last minute is covered; it also ignores coverage now.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -49,12 +49,21 @@
 from ._engine_model import EngineModel
 from ._freshness import FreshnessLease
 from ._linear import LinearModel, SpeedFactor
+from ._list_checkpoint import (
+    CONFIRM_INTERVAL_S,
+    CheckpointSchedule,
+    ListCheckpoint,
+    ListState,
+    find_unknown_removed,
+    read_from,
+)
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._load_relay import LoadRelay, LoadUpdate, RelaySelector, split_by_domain
 from ._losses import LossRate
 from ._mechanisms import Mechanism, Switches
 from ._origin_records import (
     FIRST_ERA,
+    RECORD_RETENTION_S,
     UNKNOWN_ORIGIN,
     OriginRecord,
     OriginRecords,
@@ -166,7 +175,14 @@
     "ForwardRoute",
     "FreshnessLease",
     "Interruption",
+    "CONFIRM_INTERVAL_S",
+    "CheckpointSchedule",
+    "ListCheckpoint",
+    "ListState",
     "ListedUpstream",
+    "RECORD_RETENTION_S",
+    "find_unknown_removed",
+    "read_from",
     "LoadShare",
     "SteadyReservation",
     "OutcomeRelay",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_stream_versions.py
@@ -86,7 +86,10 @@
     has_missed : bool
         Whether an upstream was listed and removed again before this process could see its version.
     is_watched : bool
-        Whether ``seen`` covers the whole time for which streams are kept.
+        Whether this process has followed the list for as long as streams are kept.
+    is_covered : bool
+        Whether ``seen`` covers the whole time for which streams are kept, by what this process has
+        followed or by a checkpoint of the list and all changes since.
     """
 
     recorded: frozenset[StreamOrigin] | None
@@ -94,21 +97,27 @@
     is_current: bool
     has_missed: bool = False
     is_watched: bool = False
+    is_covered: bool = False
 
     def only_origin(self) -> StreamOrigin | None:
         """Return the only possible origin, None if there may be several.
 
-        The record alone does not suffice: streams begin, too, while it cannot be written.
+        The record alone does not suffice: streams begin, too, while it cannot be written. The
+        present list does not show versions that have left.
 
         Examples
         --------
         >>> v1, v2 = StreamOrigin("chat", "v1"), StreamOrigin("chat", "v2")
-        >>> OriginEvidence(frozenset({v1}), frozenset({v1}), is_current=True).only_origin() == v1
+        >>> evidence = OriginEvidence(
+        ...     frozenset({v1}), frozenset({v1}), is_current=True, is_covered=True
+        ... )
+        >>> evidence.only_origin() == v1
         True
-        >>> OriginEvidence(frozenset({v1}), frozenset({v1}), is_current=False).only_origin()
-        >>> OriginEvidence(frozenset({v1}), frozenset({v1, v2}), is_current=True).only_origin()
+        >>> attrs.evolve(evidence, is_current=False).only_origin()
+        >>> attrs.evolve(evidence, is_covered=False).only_origin()
+        >>> attrs.evolve(evidence, seen=frozenset({v1, v2})).only_origin()
         """
-        if not self.is_current or self.has_missed:
+        if not self.is_current or self.has_missed or not self.is_covered:
             return None
         if self.recorded is None and not self.is_watched:
             return None
@@ -153,7 +162,8 @@
         self._received: OrderedDict[bytes, _Begun] = OrderedDict()
         self._seen_at: dict[str, dict[str, float]] = {}
         self._present: dict[str, frozenset[str]] = {}
-        self._watched_since: dict[str, float] = {}
+        self._watched_since: float | None = None
+        self._is_covered = False
         self._missed_at = float("-inf")
 
     def observe(
@@ -167,7 +177,8 @@
             Streams that this process began and that others must know from now on, with origins.
         """
         seen = self._seen_at.setdefault(service, {})
-        self._watched_since.setdefault(service, now)
+        if self._watched_since is None:
+            self._watched_since = now
         was_single = len(seen) < 2
         present = frozenset(versions)
         # Those listed last time were so until now: the list is observed when it changes.
@@ -190,7 +201,14 @@
 
     def restart_watch(self, now: float) -> None:
         """Record that the changes of the list until now are not known."""
-        self._watched_since = dict.fromkeys(self._watched_since, now)
+        self._watched_since = now
+        self._is_covered = False
+
+    def cover(self, origins: Iterable[StreamOrigin], now: float) -> None:
+        """Record all origins from before this process began to follow the list."""
+        for origin in origins:
+            self.note_seen(origin.service, origin.version, now)
+        self._is_covered = True
 
     def has_missed(self, now: float) -> bool:
         """Return whether a version may have begun streams that this process has not seen."""
@@ -210,9 +228,13 @@
             for version in self.seen(service, now)
         )
 
-    def is_watched(self, service: str, now: float) -> bool:
-        """Return whether this process has watched a service for as long as streams are kept."""
-        return now - self._watched_since.get(service, now) >= STREAM_MEMORY_S
+    def is_watched(self, now: float) -> bool:
+        """Return whether this process has followed the list for as long as streams are kept."""
+        return self._watched_since is not None and now - self._watched_since >= STREAM_MEMORY_S
+
+    def is_covered(self, now: float) -> bool:
+        """Return whether all origins are known at which streams have begun that can be resumed."""
+        return self._is_covered or self.is_watched(now)
 
     def begun_at(
         self, services: Collection[str], now: float
@@ -248,7 +270,7 @@
             None if the service has shown several, or may have: a process that has watched it for a
             shorter time than streams are kept does not know what it showed before.
         """
-        if not self.is_watched(service, now) or self.has_missed(now):
+        if not self.is_watched(now) or self.has_missed(now):
             return None
         seen = self.seen(service, now)
         return next(iter(seen)) if len(seen) == 1 else None
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/test_stream_versions_machine.py
@@ -13,7 +13,12 @@
     run_state_machine_as_test,
 )
 
-from burdockquay_coordination.forwarding import OriginEvidence, StreamVersions
+from burdockquay_coordination.forwarding import (
+    CONFIRM_INTERVAL_S,
+    OriginEvidence,
+    StreamVersions,
+)
+from burdockquay_state import Position
 
 from ...tests.machines import assert_finds_fault
 from . import stream_fleet
@@ -31,15 +36,6 @@
         self.fleet = StreamFleet(processes, seed)
         self.streams = []
 
-    @property
-    def is_all_recorded(self):
-        """Whether nothing that a process must know is lost with the others.
-
-        A version without a record that has left again is known to processes alone: those that have
-        just started cannot know of it if none is left, or in contact, that does.
-        """
-        return not any(item.unrecorded for item in self.fleet.processes.values())
-
     def pick(self, number):
         names = sorted(self.fleet.processes)
         return names[number % len(names)]
@@ -80,7 +76,7 @@
             self.fleet.recorded.update(self.fleet.versions)
         self.fleet.is_store_down = is_down
 
-    @precondition(lambda self: not self.fleet.is_store_down and self.is_all_recorded)
+    @precondition(lambda self: not self.fleet.is_store_down)
     @rule(number=PICKS)
     def lose_all(self, number):
         """Lose all processes, and let callers resume at one that has just started."""
@@ -89,7 +85,7 @@
             self.fleet.resume(self.pick(number), stream)
         self.streams = []
 
-    @precondition(lambda self: self.fleet.takes_writes and self.is_all_recorded)
+    @precondition(lambda self: self.fleet.takes_writes)
     @rule(number=PICKS)
     def lose_all_after_release(self, number):
         """Lose all processes when the version that began the streams has just left."""
@@ -116,7 +112,7 @@
     def release(self, count):
         self.fleet.set_versions(VERSIONS[:count])
 
-    @precondition(lambda self: not self.fleet.is_store_down and self.is_all_recorded)
+    @precondition(lambda self: not self.fleet.is_store_down)
     @rule(which=st.integers(0, 2))
     def replace_version(self, which):
         """Let another version serve alone at once, and a process start that knows no other."""
@@ -138,7 +134,7 @@
 
     # Two peers keep a record beside the process that began the stream: with one loss at a time, and
     # records as old as the streams that callers resume, one of them is left.
-    @precondition(lambda self: len(self.fleet.processes) > 3 and self.is_all_recorded)
+    @precondition(lambda self: len(self.fleet.processes) > 3)
     @rule(number=PICKS)
     def kill_and_restart(self, number):
         self.streams = self.streams[-4:]
@@ -216,11 +212,89 @@
 
 
 class LossMachine(StreamMachine):
-    """The same, also where all processes that know a version without a record are lost."""
+    """The same beside failures of the store that keep a version out of all tables."""
+
+    @rule(number=PICKS)
+    def maintain(self, number):
+        """Let a process keep the checkpoint; after a partition, there are several that do."""
+        self.fleet.maintain(self.pick(number))
+
+    @rule(records=st.booleans(), checkpoint=st.booleans())
+    def set_tables_away(self, records, checkpoint):
+        self.fleet.are_records_away = records
+        self.fleet.is_checkpoint_away = checkpoint
+
+    @rule(are_late=st.booleans())
+    def set_late_writes(self, are_late):
+        self.fleet.are_writes_late = are_late
 
-    @property
-    def is_all_recorded(self):
-        return True
+    @rule()
+    def discard_history(self):
+        self.fleet.discard_history()
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(lost=st.integers(0, 4))
+    def restore_copy(self, lost):
+        self.fleet.restore_copy(lost)
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(number=PICKS, seconds=st.floats(0.0, 3.0))
+    def lose_all_twice(self, number, seconds):
+        """Lose all processes again right after their start, or after one has vouched for all."""
+        self.fleet.lose_all()
+        self.fleet.advance(seconds)
+        self.fleet.maintain(self.pick(number))
+        self.lose_all(number)
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(number=PICKS)
+    def leave_one(self, number):
+        """Lose all processes but one."""
+        kept = self.pick(number)
+        for name in sorted(self.fleet.processes):
+            if name != kept:
+                self.fleet.end(name)
+                self.fleet.start()
+        for stream in self.streams[-4:]:
+            self.fleet.resume(self.pick(number + 1), stream)
+
+    @precondition(lambda self: not self.fleet.is_store_down)
+    @rule(
+        number=PICKS,
+        warm=st.booleans(),
+        whole=st.booleans(),
+        is_checkpoint_away=st.booleans(),
+        is_behind=st.booleans(),
+        is_discarded=st.booleans(),
+    )
+    def release_and_return(self, number, warm, whole, is_checkpoint_away, is_behind, is_discarded):
+        """Lose all processes when a version without a record has left, and the next ones, too."""
+        fleet, name = self.fleet, self.pick(number)
+        fleet.set_versions(VERSIONS[:1])
+        self.heal()
+        if warm:
+            self.begin_streams(number, 2)
+        fleet.maintain(name)
+        fleet.are_records_away, fleet.is_checkpoint_away = True, is_checkpoint_away
+        if is_behind:
+            fleet.delay(name)
+        fleet.set_versions(VERSIONS[1:2] if whole else VERSIONS[:2])
+        if is_behind:
+            fleet.cut(self.pick(number + 1))
+        for _ in range(4):
+            self.streams.append(fleet.begin(self.pick(number + 1)))
+        fleet.advance(0.03)
+        fleet.maintain(name)
+        fleet.set_versions(VERSIONS[:1])
+        fleet.advance(CONFIRM_INTERVAL_S)
+        fleet.maintain(name)
+        fleet.are_records_away = fleet.is_checkpoint_away = False
+        if is_discarded:
+            fleet.discard_history()
+        for _ in range(2):
+            fleet.lose_all()
+            self.resume_newest(number)
+            fleet.maintain(self.pick(number))
 
 
 def test_no_stream_goes_on_where_nobody_is_left_that_knows_its_version():
@@ -228,6 +302,32 @@
     run_state_machine_as_test(LossMachine, settings=MACHINE_SETTINGS)
 
 
+OUTAGES = ["none", "are_records_away", "is_checkpoint_away", "is_store_down", "do_writes_fail"]
+
+
+@pytest.mark.parametrize("replaced", [False, True], ids=["same", "replaced"])
+@pytest.mark.parametrize("outage", OUTAGES)
+def test_streams_of_one_version_are_resumed_after_the_loss_of_all(outage, replaced):
+    """Guards against refusals after each loss of all processes, whatever fails before it."""
+    fleet = StreamFleet(3, seed=1)
+    fleet.set_versions(["v1"])
+    for _ in range(10):
+        fleet.advance(1.0)
+        fleet.maintain(sorted(fleet.processes)[0])
+    setattr(fleet, outage, True)
+    streams = [fleet.begin(name) for name in sorted(fleet.processes)]
+    if replaced:
+        fleet.replace_entries()
+    fleet.advance(5.0)
+    setattr(fleet, outage, False)
+    for _ in range(2):
+        fleet.lose_all()
+        for stream in streams:
+            for name in sorted(fleet.processes):
+                assert fleet.resume(name, stream) == "v1"
+        fleet.maintain(sorted(fleet.processes)[0])
+
+
 def forget_versions_at_an_update(monkeypatch):
     original = StreamVersions.observe
 
@@ -258,6 +358,7 @@
     monkeypatch.setattr(
         StreamFleet, "possible_versions", lambda self, process: set(process.versions)
     )
+    trust_the_record(monkeypatch)
 
 
 def trust_the_list_and_the_record(monkeypatch):
@@ -276,6 +377,49 @@
     monkeypatch.setattr(StreamVersions, "note_missed", lambda self, now: None)
 
 
+def trust_the_record(monkeypatch):
+    monkeypatch.setattr(StreamVersions, "is_covered", lambda self, now: True)
+
+
+def ignore_entries_that_came_and_went(monkeypatch):
+    monkeypatch.setattr(stream_fleet, "find_unknown_removed", lambda checkpoint, removed: ())
+
+
+def trust_history_that_is_gone(monkeypatch):
+    def read_changes(self, after):
+        return dict(self.changes[max(after, self.discarded) :])
+
+    monkeypatch.setattr(StreamFleet, "read_changes", read_changes)
+
+
+def vouch_for_an_unknown_time(monkeypatch):
+    def make_checkpoint(self, process):
+        if not process.streams.is_covered(self.now):
+            process.streams.cover((), self.now)
+        return original(self, process)
+
+    original = StreamFleet._make_checkpoint
+    monkeypatch.setattr(StreamFleet, "_make_checkpoint", make_checkpoint)
+
+
+def vouch_for_changes_not_seen(monkeypatch):
+    def make_checkpoint(self, process):
+        made = original(self, process)
+        position = Position(self.era, len(self.changes))
+        return made and attrs.evolve(made, position=position)
+
+    original = StreamFleet._make_checkpoint
+    monkeypatch.setattr(StreamFleet, "_make_checkpoint", make_checkpoint)
+
+
+LOSS_FAULTS = [
+    trust_the_record,
+    ignore_entries_that_came_and_went,
+    trust_history_that_is_gone,
+    vouch_for_an_unknown_time,
+    vouch_for_changes_not_seen,
+]
+
 FAULTS = [
     trust_the_list_and_the_record,
     trust_a_list_that_is_not_current,
@@ -293,6 +437,12 @@
     assert_finds_fault(StreamMachine, MACHINE_SETTINGS, max_examples=400)
 
 
+@pytest.mark.parametrize("fault", LOSS_FAULTS, ids=lambda fault: fault.__name__)
+def test_machine_of_losses_finds_a_planted_fault(monkeypatch, fault):
+    fault(monkeypatch)
+    assert_finds_fault(LossMachine, MACHINE_SETTINGS, max_examples=1000)
+
+
 def test_streams_are_resumed_after_the_loss_of_a_process():
     """Guards against refusals of streams whose version two peers have been told."""
     fleet = StreamFleet(6, seed=1)
--- a/packages/burdockquay-transport/src/burdockquay_transport/_events.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_events.py
@@ -547,8 +547,9 @@
         "(``only``). If it is ``unknown``, the stream is not resumed. ``recorded`` and ``seen`` "
         "are the origins of the record and of the list of upstreams in the last minute, "
         "``is_current`` says whether the list and the configuration were confirmed since then, "
-        "``has_missed`` whether an entry came and went unseen, and ``is_watched`` whether the list "
-        "was followed for a minute. ``list_age_s`` is the age of the list at the arrival, "
+        "``has_missed`` whether an entry came and went unseen, ``is_watched`` whether the list was "
+        "followed for a minute, and ``is_covered`` whether it was, or whether a checkpoint and all "
+        "changes since cover that time. ``list_age_s`` is the age of the list at the arrival, "
         "``asked_s`` the time that the search took, and ``seen_by`` what the peers take for the "
         "only version.",
     )
@@ -585,6 +586,25 @@
         "``seconds`` and ``failures`` failed writes, or has learned that another process has.",
     )
 
+    LIST_COVERED = (
+        1986,
+        "INFO",
+        "This process knows the services and versions (``origins``) listed before it started, by "
+        "the checkpoint at this position or, without one, by the complete history of the list. "
+        "``unknown`` entries came and went since: streams that nobody knows are then not resumed.",
+    )
+    LIST_NOT_COVERED = (
+        1987,
+        "WARNING",
+        "The checkpoint of the list of upstreams cannot be used or written, for this ``reason``. "
+        "A process that has just started then resumes no streams that nobody knows.",
+    )
+    CHECKPOINT_WRITTEN = (
+        1988,
+        "DEBUG",
+        "This process has written the checkpoint of the list of upstreams at this position.",
+    )
+
     LESS_URGENT_STARTED = (
         1978,
         "INFO",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -124,6 +124,8 @@
     source = state.platform.upstreams()
     state.upstream_list_age_s = source.age_s
     state.read_list_changes = source.read_changes
+    state.coverage.read_since = source.read_since
+    state.coverage.listed = source.listed
     backoff = _RetryBackoff(state, Event.VM_LIST_UNREADABLE, Event.VM_LIST_RECOVERED)
     wait_s = poll_wait_s(state.settings.drain_ms / 1000, MAX_UPSTREAMS_POLL_S)
     while True:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_forwarder_metrics.py
@@ -114,6 +114,10 @@
         )
         self.config_age = self._gauge("config_age_seconds", "Age of the last confirmation.")
         self.revision = self._gauge("config_revision", "Version of the configuration.")
+        self.origins_known = self._gauge(
+            "stream_origins_known",
+            "Whether all versions are known at which streams have begun that can be resumed.",
+        )
         self.store_era = self._gauge("store_era", "Newest era of the store that was heard of.")
         self.config_kept = self._gauge(
             "config_kept_seconds",
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -20,10 +20,11 @@
 from burdockquay_coordination.forwarding import (
     EvacuationReading,
     ForwardConfig,
+    ListState,
     Prompt,
     UpstreamChanges,
 )
-from burdockquay_state import Registry, TableError, TableErrorKind, TableService
+from burdockquay_state import Position, Registry, TableError, TableErrorKind, TableService
 
 from ._table_feed import FeedExchange
 
@@ -218,6 +219,21 @@
         detail = "the platform cannot be asked for changes at once"
         return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
 
+    async def read_since(self, after: Position) -> Result[UpstreamChanges, TableError]:
+        """Return what has changed since a position, as of a time after this call.
+
+        Returns
+        -------
+        Result of UpstreamChanges, TableError
+            The error ``CONFLICT`` means that the platform does not have all changes any more.
+        """
+        detail = "the platform keeps no changes"
+        return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
+
+    def listed(self) -> ListState | None:
+        """Return the list as of the last call of :meth:`next`; None if it has no position."""
+        return None
+
     def age_s(self, now: float) -> float:
         """Return the time since the list was last confirmed, seconds; 0 if that is not known."""
         return 0.0
@@ -352,6 +368,10 @@
         """Return the table that records where streams began; None if the platform has none."""
         return None
 
+    def checkpoint_table(self) -> TableService | None:
+        """Return the table of the checkpoint of the list; None if the platform has none."""
+        return None
+
     def duty_table(self) -> TableService:
         """Return the table that holds the lease and the state of a duty.
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -48,6 +48,7 @@
 from ._forwarder_metrics import ForwarderMetrics
 from ._held_calls import HeldCalls
 from ._late_calls import LateCalls
+from ._list_coverage import ListCoverage
 from ._origin_keeper import OriginKeeper
 from ._platform import ForwardingPlatform
 from ._rate_limits import RateLimits
@@ -125,6 +126,7 @@
         # Readings of the list at once, for decisions that need its present state.
         self.list_changes = SharedRead(lambda: self.read_list_changes())
         self.streams = StreamVersions()
+        self.coverage = ListCoverage(self.streams, clock.now)
         self.origins = OriginKeeper(None, clock.now, rng, lambda: self.upstream_registry.processes)
         self.origins.on_several = self._send_begun
         self.others = PeerAvailability()
@@ -293,6 +295,7 @@
         metrics = self.metrics
         age = self.lease.age(now)
         metrics.config_age.set(float("nan") if age is None else age)
+        metrics.origins_known.set(self.coverage.is_complete)
         metrics.store_era.set(self.platform.exchange.era.newest)
         metrics.config_kept.set(self.config_versions.behind_s(now))
         metrics.keys_trusted.set(self.keys_trusted(now))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -77,6 +77,18 @@
         observe_origins(state)
         if state.is_first_of("stream origins"):
             await _remove_expired(state)
+            await _maintain_checkpoint(state)
+
+
+async def _maintain_checkpoint(state: ForwarderState) -> None:
+    """Keep the checkpoint of the list for processes that start after the loss of all."""
+    age_s = state.clock.now() - state.started_at
+    if age_s < STARTING_S and not state.connected_peers():
+        # Until it is connected, each process takes itself for the one with this duty.
+        return
+    for service in state.upstream_registry.services:
+        state.observe_versions(service)
+    await state.coverage.maintain(asyncio.ensure_future)
 
 
 async def _remove_expired(state: ForwarderState) -> None:
@@ -173,30 +185,30 @@
 async def _collect_evidence(state: ForwarderState, call: ForwardCall) -> OriginEvidence:
     """Read the record and the list of upstreams, and return what they show."""
     recorded, is_current = None, False
+    key = _route_key(call.route)
     reading = asyncio.gather(
-        state.origins.find_possible(_route_key(call.route)),
+        state.origins.find_possible(key),
         _confirm_list(state),
         state.config_changes.get(),
+        state.coverage.ensure(state.origins.spawn),
     )
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(READ_TIMEOUT_S):
-            recorded, is_list_current, config_changed = await reading
+            recorded, is_list_current, config_changed, _ = await reading
             # A route that has moved may have begun streams at another service.
             is_current = is_list_current and config_changed == Ok(False)
     now = state.clock.now()
     services = {share.service for share in call.route.shares}
     for service in services:
         state.observe_versions(service)
+    seen = (origin for origin in state.streams.all_seen(now) if origin.service in services)
     return OriginEvidence(
         recorded,
-        frozenset(
-            StreamOrigin(service, version)
-            for service in services
-            for version in state.streams.seen(service, now)
-        ),
+        frozenset(seen),
         is_current,
         state.streams.has_missed(now),
-        all(state.streams.is_watched(service, now) for service in services),
+        state.streams.is_watched(now),
+        state.streams.is_covered(now),
     )
 
 
@@ -223,6 +235,7 @@
         "is_current": evidence.is_current,
         "has_missed": evidence.has_missed,
         "is_watched": evidence.is_watched,
+        "is_covered": evidence.is_covered,
     }
 
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -255,6 +255,13 @@
         self._reread_at = now + self.poll_schedule.reread_delay_s(now, wait_s)
         self._wake.set()
 
+    @property
+    def content(self) -> tuple[Position, frozenset[str]] | None:
+        """The known position and the keys of all rows there, None if that is not known."""
+        if self._position is None or self._is_past():
+            return None
+        return self._position, frozenset(self._rows)
+
     def age_s(self, now: float) -> float:
         """Return the time since the known state of the table was last confirmed, seconds."""
         return self.poll_schedule.age_s(now)
@@ -424,11 +431,15 @@
         after = self._position
         if after is None or self._is_past():
             return Err(TableError(TableErrorKind.UNAVAILABLE, f"{self.table}: not read yet"))
+        return await self.read_since(after)
+
+    async def read_since(self, after: Position) -> Result[TableUpdate, TableError]:
+        """Return what has changed since a position; nothing is applied."""
         read = await self.store.wait_for_rows(self.table, after, 0.0)
         if isinstance(read, Err):
             return read
         reading = read.ok()
-        if reading.position.era != self._position.era:
+        if self._position is None or not reading.position.era == after.era == self._position.era:
             detail = f"{self.table}: changes are of another era"
             return Err(TableError(TableErrorKind.UNAVAILABLE, detail))
         has_missed = self._has_missed(reading.rows)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -131,6 +131,7 @@
         await self._state.platform.open()
         self._state.origins.table = self._state.platform.origin_table()
         self._state.origins.spawn = self._tasks.spawn
+        self._state.coverage.table = self._state.platform.checkpoint_table()
         self._state.connections.open()
         self._ingress = Ingress(self._state)
         await self._ingress.start(self.early or listen_early(settings.listen))
