Refuse unknown streams of a route that has moved, without a record, too

What callers saw: a stream that began while the table of origins was away went on at another service, after its route had moved there; also where the route had moved and come back.

Cause: the services of a route are those of the present configuration. Former ones counted only where the record had their origins. A record that could not be written was read as if the route had always led where it leads now.

Change: a process remembers for a minute to which services the requests under each prefix led (RouteServices). The origins of former services count among the possible ones. The checkpoint has the version of the configuration and these moves; it is written when the version changes. A process that has just started and whose configuration has another version does not rely on it.

Cost: if all processes are lost within a second of a change of the configuration, before the checkpoint has its version, unknown streams are refused until processes have followed the list for a minute. A route that moves there and back between two versions that no process reads stays open.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -54,6 +54,7 @@
     CheckpointSchedule,
     ListCheckpoint,
     ListState,
+    RouteMove,
     find_unknown_removed,
     read_from,
 )
@@ -95,6 +96,7 @@
     rest_delay_s,
     retry_delay_s,
 )
+from ._route_services import RouteServices, former_origins
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._stream_versions import (
@@ -181,7 +183,10 @@
     "ListState",
     "ListedUpstream",
     "RECORD_RETENTION_S",
+    "RouteMove",
+    "RouteServices",
     "find_unknown_removed",
+    "former_origins",
     "read_from",
     "LoadShare",
     "SteadyReservation",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_list_checkpoint.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_list_checkpoint.py
@@ -10,9 +10,9 @@
 
 import attrs
 
-from burdockquay_state import TEXT, Position, TableError, TableErrorKind
+from burdockquay_state import LONG_TEXT, TEXT, Position, TableError, TableErrorKind
 
-from ._origin_records import FIRST_ERA
+from ._origin_records import FIRST_ERA, RouteKey
 from ._stream_versions import StreamOrigin
 
 CONFIRM_INTERVAL_S = 5.0
@@ -44,6 +44,20 @@
     ids: frozenset[str]
 
 
+@attrs.frozen
+class RouteMove:
+    """A service at which streams of a route may have begun, and to which it no longer leads.
+
+    Parameters
+    ----------
+    route : RouteKey
+    service : str
+    """
+
+    route: RouteKey
+    service: str
+
+
 @attrs.frozen
 class ListCheckpoint:
     """Where streams may have begun, complete up to a position in the history of the list.
@@ -60,16 +74,34 @@
         Digests of the ids of the entries at this position.
     origins : frozenset of StreamOrigin
         All services and versions listed while streams are kept.
+    config_version : int
+        Version of the configuration.
+    moves : frozenset of RouteMove
+        Changes of routes while streams are kept, up to that configuration.
     """
 
     position: Position
     entries: frozenset[bytes]
     origins: frozenset[StreamOrigin]
+    config_version: int
+    moves: frozenset[RouteMove] = frozenset()
 
     @classmethod
-    def make(cls, listed: ListState, origins: Iterable[StreamOrigin]) -> ListCheckpoint:
+    def make(
+        cls,
+        listed: ListState,
+        origins: Iterable[StreamOrigin],
+        config_version: int,
+        moves: Iterable[RouteMove],
+    ) -> ListCheckpoint:
         """Return the checkpoint at the position of a list."""
-        return cls(listed.position, digest_entries(listed.ids), frozenset(origins))
+        return cls(
+            listed.position,
+            digest_entries(listed.ids),
+            frozenset(origins),
+            config_version,
+            frozenset(moves),
+        )
 
     def encode(self) -> bytes:
         """Return the value of the row."""
@@ -78,6 +110,10 @@
             "revision": self.position.revision,
             "entries": base64.b64encode(b"".join(sorted(self.entries))).decode(),
             "origins": sorted([item.service, item.version] for item in self.origins),
+            "config": self.config_version,
+            "moves": sorted(
+                [item.route.host, item.route.prefix, item.service] for item in self.moves
+            ),
         }
         return json.dumps(content).encode()
 
@@ -90,10 +126,14 @@
             if len(digests) % ENTRY_DIGEST_BYTES:
                 return None
             origins = frozenset(StreamOrigin(*pair) for pair in content["origins"])
-            numbers = [content[name] for name in ("era", "revision")]
-            if not _are_sound(origins, numbers):
+            moves = frozenset(
+                RouteMove(RouteKey(host, prefix), service)
+                for host, prefix, service in content["moves"]
+            )
+            numbers = [content[name] for name in ("era", "revision", "config")]
+            if not _are_sound(origins, moves, numbers):
                 return None
-            era, revision = numbers
+            era, revision, config_version = numbers
             return cls(
                 Position(era, revision),
                 frozenset(
@@ -101,6 +141,8 @@
                     for start in range(0, len(digests), ENTRY_DIGEST_BYTES)
                 ),
                 origins,
+                config_version,
+                moves,
             )
         except (ValueError, TypeError, KeyError, RecursionError):
             return None
@@ -110,11 +152,17 @@
         return entry_digest(id_) in self.entries
 
 
-def _are_sound(origins: Iterable[StreamOrigin], numbers: Iterable[object]) -> bool:
+def _are_sound(
+    origins: Iterable[StreamOrigin], moves: Iterable[RouteMove], numbers: Iterable[object]
+) -> bool:
     """Return whether the fields of a row have the expected types and sizes."""
-    texts = [text for item in origins for text in (item.service, item.version)]
-    return all(text == "" or TEXT.accepts(text) for text in texts) and all(
-        type(number) is int and 0 <= number <= MAX_REVISION for number in numbers
+    short = [text for item in origins for text in (item.service, item.version)]
+    short += [item.service for item in moves]
+    long = [text for item in moves for text in (item.route.host, item.route.prefix)]
+    return (
+        all(text == "" or TEXT.accepts(text) for text in short)
+        and all(LONG_TEXT.accepts(text) for text in long)
+        and all(type(number) is int and 0 <= number <= MAX_REVISION for number in numbers)
     )
 
 
@@ -158,7 +206,7 @@
     Examples
     --------
     >>> listed = ListState(Position(1, 7), frozenset({"i-1"}))
-    >>> checkpoint = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")])
+    >>> checkpoint = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")], 3, [])
     >>> find_unknown_removed(checkpoint, ["i-1", "i-2"])
     frozenset({'i-2'})
     >>> find_unknown_removed(None, ["i-1"])
@@ -170,8 +218,8 @@
 class CheckpointSchedule:
     """Decides when the checkpoint is read and written by the process that maintains it.
 
-    It is written when the list has entries or origins that it lacks, and otherwise every
-    ``CONFIRM_INTERVAL_S``.
+    It is written when the list has entries or origins that it lacks, when the configuration has
+    changed, and otherwise every ``CONFIRM_INTERVAL_S``.
 
     Examples
     --------
@@ -179,13 +227,13 @@
     >>> schedule.must_read
     True
     >>> listed = ListState(Position(1, 7), frozenset({"i-1"}))
-    >>> first = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")])
+    >>> first = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")], 3, [])
     >>> schedule.record_read(None, now=0.0)
     >>> schedule.is_due(first, now=0.0)
     True
     >>> schedule.record_written(first, now=0.0)
     >>> same = ListCheckpoint.make(
-    ...     ListState(Position(1, 9), listed.ids), first.origins
+    ...     ListState(Position(1, 9), listed.ids), first.origins, 3, []
     ... )
     >>> schedule.is_due(same, now=4.0), schedule.is_due(same, now=5.0)
     (False, True)
@@ -240,15 +288,18 @@
     def is_due(self, checkpoint: ListCheckpoint, now: float) -> bool:
         """Return whether a checkpoint of the present list must be written.
 
-        A list that is older than the one in the table does not replace it.
+        A list or configuration that is older than in the table does not replace it.
         """
         known = self._known
         if known is None or known.position.era != checkpoint.position.era:
             return True
-        if checkpoint.position <= known.position:
+        is_older = checkpoint.position < known.position
+        if is_older or checkpoint.config_version < known.config_version:
             return False
+        is_later = checkpoint.position > known.position
         return (
-            now - self._confirmed_at >= CONFIRM_INTERVAL_S
+            (is_later and now - self._confirmed_at >= CONFIRM_INTERVAL_S)
             or not checkpoint.entries <= known.entries
             or not checkpoint.origins <= known.origins
+            or checkpoint.config_version > known.config_version
         )
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
@@ -297,7 +297,7 @@
         if not is_complete or process.era != self.era:
             return None
         listed = ListState(Position(process.era, process.position), frozenset(process.entries))
-        return ListCheckpoint.make(listed, streams.all_seen(self.now))
+        return ListCheckpoint.make(listed, streams.all_seen(self.now), 1, ())
 
     def _write(self, checkpoint: ListCheckpoint, expected: int, era: int) -> bool:
         """Write the checkpoint if the row has the expected version."""
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
@@ -10,6 +10,7 @@
     CheckpointSchedule,
     ListCheckpoint,
     ListState,
+    RouteServices,
     StreamOrigin,
     StreamVersions,
     UpstreamChanges,
@@ -43,16 +44,19 @@
     Parameters
     ----------
     streams : StreamVersions
+    routes : RouteServices
     now : callable
         Returns the time on the clock of the process, seconds.
     """
 
-    def __init__(self, streams: StreamVersions, now: Callable[[], float]):
+    def __init__(self, streams: StreamVersions, routes: RouteServices, now: Callable[[], float]):
         self.streams = streams
+        self.routes = routes
         self.now = now
         self.table: TableService | None = None
         self.read_since: ReadListSince = _read_nothing
         self.listed: Callable[[], ListState | None] = lambda: None
+        self.config_version: Callable[[], int | None] = lambda: None
         self._schedule = CheckpointSchedule()
         self._row_version = 0
         self._covering = SharedRead(self._cover)
@@ -95,10 +99,15 @@
 
     def _make(self) -> ListCheckpoint | None:
         """Return a checkpoint at the present position, None if this process cannot vouch for it."""
-        listed = self.listed()
-        if listed is None or listed.position.era != self.table.era or not self.is_complete:
+        listed, config_version = self.listed(), self.config_version()
+        if listed is None or config_version is None or not self.is_complete:
             return None
-        return ListCheckpoint.make(listed, self.streams.all_seen(self.now()))
+        if listed.position.era != self.table.era:
+            return None
+        now = self.now()
+        return ListCheckpoint.make(
+            listed, self.streams.all_seen(now), config_version, self.routes.moves(now)
+        )
 
     async def _read(self) -> Result[ListCheckpoint | None, TableError]:
         """Return the checkpoint in the table, None if it has none."""
@@ -131,6 +140,8 @@
             revision=checkpoint.position.revision,
             entries=len(checkpoint.entries),
             origins=_names(checkpoint.origins),
+            configuration=checkpoint.config_version,
+            moves=len(checkpoint.moves),
         )
 
     async def _cover(self) -> None:
@@ -144,6 +155,10 @@
             detail = "the store was restored since the checkpoint"
             self._log_fault("cover", TableError(TableErrorKind.CONFLICT, detail))
             return
+        if checkpoint is not None and checkpoint.config_version != self.config_version():
+            detail = "the configuration has changed since the checkpoint"
+            self._log_fault("cover", TableError(TableErrorKind.CONFLICT, detail))
+            return
         since = await self.read_since(after)
         if isinstance(since, Err):
             self._log_fault("cover", since.err())
@@ -157,6 +172,7 @@
         origins = {StreamOrigin(entry.service, entry.software_version) for entry in since.listed}
         if checkpoint is not None:
             origins |= checkpoint.origins
+            self.routes.learn(checkpoint.moves, now)
         unknown = find_unknown_removed(checkpoint, since.removed)
         if unknown:
             self.streams.note_missed(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -31,6 +31,7 @@
     OriginRecord,
     PeerAvailability,
     PeerKnowledge,
+    RouteServices,
     StreamOrigin,
     StreamVersions,
     UpstreamChanges,
@@ -126,7 +127,11 @@
         # Readings of the list at once, for decisions that need its present state.
         self.list_changes = SharedRead(lambda: self.read_list_changes())
         self.streams = StreamVersions()
-        self.coverage = ListCoverage(self.streams, clock.now)
+        self.route_services = RouteServices()
+        self.coverage = ListCoverage(self.streams, self.route_services, clock.now)
+        self.coverage.config_version = lambda: (
+            None if self.directory is None else self.directory.config.version
+        )
         self.origins = OriginKeeper(None, clock.now, rng, lambda: self.upstream_registry.processes)
         self.origins.on_several = self._send_begun
         self.others = PeerAvailability()
@@ -194,6 +199,7 @@
         if self.directory is not None and config.version <= self.directory.config.version:
             return False
         self.directory = ConfigDirectory(config, self.region_map)
+        self.route_services.observe(config.routes, self.clock.now())
         for item in self.directory.without_home():
             log_event(Event.HOMES_FAULT, limited=item.name[:64], revision=config.version)
         for dispatcher in self._dispatchers.values():
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -15,6 +15,7 @@
     OriginEvidence,
     RouteKey,
     StreamOrigin,
+    former_origins,
     stream_digest,
 )
 from burdockquay_protocol import ErrorKind, RequestError
@@ -201,10 +202,12 @@
     services = {share.service for share in call.route.shares}
     for service in services:
         state.observe_versions(service)
-    seen = (origin for origin in state.streams.all_seen(now) if origin.service in services)
+    all_seen = state.streams.all_seen(now)
+    seen = frozenset(origin for origin in all_seen if origin.service in services)
+    former = state.route_services.former(key, now)
     return OriginEvidence(
         recorded,
-        frozenset(seen),
+        seen | former_origins(former, all_seen),
         is_current,
         state.streams.has_missed(now),
         state.streams.is_watched(now),
