Compare the routes themselves with those of the checkpoint, not its version

What callers saw: with the commit before, a stream was refused after the loss of all where any route or key had changed within a second before.

Cause: the version of the configuration stood for all of its routes.

Change: the checkpoint has the services of the routes whose streams can be resumed, in a row of its own that is written when they change. A process that has just started derives the moves since from both (RouteServices.learn), as a running one does between two configurations.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -54,7 +54,6 @@
     CheckpointSchedule,
     ListCheckpoint,
     ListState,
-    RouteMove,
     find_unknown_removed,
     read_from,
 )
@@ -96,7 +95,7 @@
     rest_delay_s,
     retry_delay_s,
 )
-from ._route_services import RouteServices, former_origins
+from ._route_services import RouteMove, RouteServices, RouteState, former_origins
 from ._steady_reservation import SteadyReservation
 from ._store_era import StoreEra
 from ._stream_versions import (
@@ -185,6 +184,7 @@
     "RECORD_RETENTION_S",
     "RouteMove",
     "RouteServices",
+    "RouteState",
     "find_unknown_removed",
     "former_origins",
     "read_from",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_list_checkpoint.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_list_checkpoint.py
@@ -10,9 +10,10 @@
 
 import attrs
 
-from burdockquay_state import LONG_TEXT, TEXT, Position, TableError, TableErrorKind
+from burdockquay_state import TEXT, Position, TableError, TableErrorKind
 
-from ._origin_records import FIRST_ERA, RouteKey
+from ._origin_records import FIRST_ERA
+from ._route_services import RouteState
 from ._stream_versions import StreamOrigin
 
 CONFIRM_INTERVAL_S = 5.0
@@ -44,20 +45,6 @@
     ids: frozenset[str]
 
 
-@attrs.frozen
-class RouteMove:
-    """A service at which streams of a route may have begun, and to which it no longer leads.
-
-    Parameters
-    ----------
-    route : RouteKey
-    service : str
-    """
-
-    route: RouteKey
-    service: str
-
-
 @attrs.frozen
 class ListCheckpoint:
     """Where streams may have begun, complete up to a position in the history of the list.
@@ -74,66 +61,44 @@
         Digests of the ids of the entries at this position.
     origins : frozenset of StreamOrigin
         All services and versions listed while streams are kept.
-    config_version : int
-        Version of the configuration.
-    moves : frozenset of RouteMove
-        Changes of routes while streams are kept, up to that configuration.
+    routes : RouteState
     """
 
     position: Position
     entries: frozenset[bytes]
     origins: frozenset[StreamOrigin]
-    config_version: int
-    moves: frozenset[RouteMove] = frozenset()
+    routes: RouteState
 
     @classmethod
     def make(
-        cls,
-        listed: ListState,
-        origins: Iterable[StreamOrigin],
-        config_version: int,
-        moves: Iterable[RouteMove],
+        cls, listed: ListState, origins: Iterable[StreamOrigin], routes: RouteState
     ) -> ListCheckpoint:
         """Return the checkpoint at the position of a list."""
-        return cls(
-            listed.position,
-            digest_entries(listed.ids),
-            frozenset(origins),
-            config_version,
-            frozenset(moves),
-        )
+        return cls(listed.position, digest_entries(listed.ids), frozenset(origins), routes)
 
     def encode(self) -> bytes:
-        """Return the value of the row."""
+        """Return the value of the row, which lacks the routes."""
         content = {
             "era": self.position.era,
             "revision": self.position.revision,
             "entries": base64.b64encode(b"".join(sorted(self.entries))).decode(),
             "origins": sorted([item.service, item.version] for item in self.origins),
-            "config": self.config_version,
-            "moves": sorted(
-                [item.route.host, item.route.prefix, item.service] for item in self.moves
-            ),
         }
         return json.dumps(content).encode()
 
     @classmethod
-    def decode(cls, value: bytes) -> ListCheckpoint | None:
-        """Return the checkpoint in a row, None if the row is malformed."""
+    def decode(cls, value: bytes, routes_value: bytes) -> ListCheckpoint | None:
+        """Return the checkpoint in its two rows, None if one is malformed."""
         try:
             content = json.loads(value)
             digests = base64.b64decode(content["entries"], validate=True)
             if len(digests) % ENTRY_DIGEST_BYTES:
                 return None
             origins = frozenset(StreamOrigin(*pair) for pair in content["origins"])
-            moves = frozenset(
-                RouteMove(RouteKey(host, prefix), service)
-                for host, prefix, service in content["moves"]
-            )
-            numbers = [content[name] for name in ("era", "revision", "config")]
-            if not _are_sound(origins, moves, numbers):
+            era, revision = content["era"], content["revision"]
+            routes = RouteState.decode(routes_value, era)
+            if routes is None or not _are_sound(origins, era, revision):
                 return None
-            era, revision, config_version = numbers
             return cls(
                 Position(era, revision),
                 frozenset(
@@ -141,8 +106,7 @@
                     for start in range(0, len(digests), ENTRY_DIGEST_BYTES)
                 ),
                 origins,
-                config_version,
-                moves,
+                routes,
             )
         except (ValueError, TypeError, KeyError, RecursionError):
             return None
@@ -152,17 +116,11 @@
         return entry_digest(id_) in self.entries
 
 
-def _are_sound(
-    origins: Iterable[StreamOrigin], moves: Iterable[RouteMove], numbers: Iterable[object]
-) -> bool:
+def _are_sound(origins: Iterable[StreamOrigin], *numbers: object) -> bool:
     """Return whether the fields of a row have the expected types and sizes."""
-    short = [text for item in origins for text in (item.service, item.version)]
-    short += [item.service for item in moves]
-    long = [text for item in moves for text in (item.route.host, item.route.prefix)]
-    return (
-        all(text == "" or TEXT.accepts(text) for text in short)
-        and all(LONG_TEXT.accepts(text) for text in long)
-        and all(type(number) is int and 0 <= number <= MAX_REVISION for number in numbers)
+    texts = [text for item in origins for text in (item.service, item.version)]
+    return all(text == "" or TEXT.accepts(text) for text in texts) and all(
+        type(number) is int and 0 <= number <= MAX_REVISION for number in numbers
     )
 
 
@@ -206,7 +164,7 @@
     Examples
     --------
     >>> listed = ListState(Position(1, 7), frozenset({"i-1"}))
-    >>> checkpoint = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")], 3, [])
+    >>> checkpoint = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")], RouteState(3, {}))
     >>> find_unknown_removed(checkpoint, ["i-1", "i-2"])
     frozenset({'i-2'})
     >>> find_unknown_removed(None, ["i-1"])
@@ -218,8 +176,8 @@
 class CheckpointSchedule:
     """Decides when the checkpoint is read and written by the process that maintains it.
 
-    It is written when the list has entries or origins that it lacks, when the configuration has
-    changed, and otherwise every ``CONFIRM_INTERVAL_S``.
+    It is written when the list has entries or origins that it lacks, when routes have changed,
+    and otherwise every ``CONFIRM_INTERVAL_S``.
 
     Examples
     --------
@@ -227,13 +185,14 @@
     >>> schedule.must_read
     True
     >>> listed = ListState(Position(1, 7), frozenset({"i-1"}))
-    >>> first = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")], 3, [])
+    >>> routes = RouteState(3, {})
+    >>> first = ListCheckpoint.make(listed, [StreamOrigin("chat", "v1")], routes)
     >>> schedule.record_read(None, now=0.0)
     >>> schedule.is_due(first, now=0.0)
     True
     >>> schedule.record_written(first, now=0.0)
     >>> same = ListCheckpoint.make(
-    ...     ListState(Position(1, 9), listed.ids), first.origins, 3, []
+    ...     ListState(Position(1, 9), listed.ids), first.origins, routes
     ... )
     >>> schedule.is_due(same, now=4.0), schedule.is_due(same, now=5.0)
     (False, True)
@@ -294,12 +253,22 @@
         if known is None or known.position.era != checkpoint.position.era:
             return True
         is_older = checkpoint.position < known.position
-        if is_older or checkpoint.config_version < known.config_version:
+        if is_older or checkpoint.routes.version < known.routes.version:
             return False
         is_later = checkpoint.position > known.position
         return (
             (is_later and now - self._confirmed_at >= CONFIRM_INTERVAL_S)
             or not checkpoint.entries <= known.entries
             or not checkpoint.origins <= known.origins
-            or checkpoint.config_version > known.config_version
+            or self.must_write_routes(checkpoint)
+        )
+
+    def must_write_routes(self, checkpoint: ListCheckpoint) -> bool:
+        """Return whether the row of the routes is to be written with a checkpoint."""
+        known = self._known
+        if known is None or known.position.era != checkpoint.position.era:
+            return True
+        return (known.routes.routes, known.routes.moves) != (
+            checkpoint.routes.routes,
+            checkpoint.routes.moves,
         )
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
@@ -23,6 +23,7 @@
     ListCheckpoint,
     ListState,
     OriginEvidence,
+    RouteState,
     StreamOrigin,
     StreamVersions,
     find_unknown_removed,
@@ -47,6 +48,8 @@
 UNKNOWN_VERSION = "unknown"
 """Recorded where versions may be missing because the store was restored from a copy."""
 
+ROUTES = RouteState(1, {})
+
 CONFLICT = TableError(TableErrorKind.CONFLICT, "another process has written")
 NO_ANSWER = TableError(TableErrorKind.UNCERTAIN, "no answer")
 
@@ -297,13 +300,15 @@
         if not is_complete or process.era != self.era:
             return None
         listed = ListState(Position(process.era, process.position), frozenset(process.entries))
-        return ListCheckpoint.make(listed, streams.all_seen(self.now), 1, ())
+        return ListCheckpoint.make(listed, streams.all_seen(self.now), ROUTES)
 
     def _write(self, checkpoint: ListCheckpoint, expected: int, era: int) -> bool:
         """Write the checkpoint if the row has the expected version."""
         if expected != self.row_version or era != self.era:
             return False
-        self.checkpoint = ListCheckpoint.decode(checkpoint.encode())
+        self.checkpoint = ListCheckpoint.decode(
+            checkpoint.encode(), checkpoint.routes.encode(self.era)
+        )
         self.row_version = next(self._numbers)
         return True
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
@@ -22,8 +22,10 @@
 from .._events import Event, log_event
 from ._shared_read import SharedRead, Spawn
 
-ROW_KEY = "upstreams"
-"""Key of the row that holds the checkpoint."""
+KEY_PREFIX = "list/"
+LIST_KEY = "list/upstreams"
+ROUTES_KEY = "list/routes"
+"""Keys of the two rows that hold the checkpoint; that of the routes is rarely written."""
 
 ReadListSince = Callable[[Position], Awaitable[Result[UpstreamChanges, TableError]]]
 
@@ -56,7 +58,6 @@
         self.table: TableService | None = None
         self.read_since: ReadListSince = _read_nothing
         self.listed: Callable[[], ListState | None] = lambda: None
-        self.config_version: Callable[[], int | None] = lambda: None
         self._schedule = CheckpointSchedule()
         self._row_version = 0
         self._covering = SharedRead(self._cover)
@@ -99,35 +100,41 @@
 
     def _make(self) -> ListCheckpoint | None:
         """Return a checkpoint at the present position, None if this process cannot vouch for it."""
-        listed, config_version = self.listed(), self.config_version()
-        if listed is None or config_version is None or not self.is_complete:
+        now = self.now()
+        listed, routes = self.listed(), self.routes.state(now)
+        if listed is None or routes is None or not self.is_complete:
             return None
         if listed.position.era != self.table.era:
             return None
-        now = self.now()
-        return ListCheckpoint.make(
-            listed, self.streams.all_seen(now), config_version, self.routes.moves(now)
-        )
+        return ListCheckpoint.make(listed, self.streams.all_seen(now), routes)
 
     async def _read(self) -> Result[ListCheckpoint | None, TableError]:
         """Return the checkpoint in the table, None if it has none."""
-        read = await self.table.get([ROW_KEY])
+        read = await self.table.scan(KEY_PREFIX)
         if isinstance(read, Err):
             self._record_failure("read", read.err())
             return read
-        row = read.ok()[0]
-        self._row_version = 0 if row is None else row.version
-        checkpoint = None if row is None else ListCheckpoint.decode(row.value)
+        rows = {row.key: row for row in read.ok()}
+        known = rows.get(LIST_KEY)
+        self._row_version = 0 if known is None else known.version
+        checkpoint = None
+        if known is not None and ROUTES_KEY in rows:
+            checkpoint = ListCheckpoint.decode(known.value, rows[ROUTES_KEY].value)
         self._schedule.record_read(checkpoint, self.now())
-        if row is not None and checkpoint is None:
-            error = TableError(TableErrorKind.INVALID, f"{ROW_KEY}: malformed checkpoint")
+        if rows and checkpoint is None:
+            error = TableError(TableErrorKind.INVALID, f"{KEY_PREFIX}: malformed checkpoint")
             self._log_fault("read", error)
             return Err(error)
         return Ok(checkpoint)
 
     async def _write(self, checkpoint: ListCheckpoint) -> None:
         expected = self._row_version or self.table.absent
-        written = await self.table.transact([Put(ROW_KEY, checkpoint.encode(), expected)])
+        operations = [Put(LIST_KEY, checkpoint.encode(), expected)]
+        if self._schedule.must_write_routes(checkpoint):
+            # Whoever writes this row also writes the other one, whose version is compared.
+            value = checkpoint.routes.encode(checkpoint.position.era)
+            operations.append(Put(ROUTES_KEY, value, None))
+        written = await self.table.transact(operations)
         if isinstance(written, Err):
             self._record_failure("write", written.err())
             return
@@ -140,8 +147,8 @@
             revision=checkpoint.position.revision,
             entries=len(checkpoint.entries),
             origins=_names(checkpoint.origins),
-            configuration=checkpoint.config_version,
-            moves=len(checkpoint.moves),
+            routes=len(checkpoint.routes.routes),
+            moves=len(checkpoint.routes.moves),
         )
 
     async def _cover(self) -> None:
@@ -155,10 +162,6 @@
             detail = "the store was restored since the checkpoint"
             self._log_fault("cover", TableError(TableErrorKind.CONFLICT, detail))
             return
-        if checkpoint is not None and checkpoint.config_version != self.config_version():
-            detail = "the configuration has changed since the checkpoint"
-            self._log_fault("cover", TableError(TableErrorKind.CONFLICT, detail))
-            return
         since = await self.read_since(after)
         if isinstance(since, Err):
             self._log_fault("cover", since.err())
@@ -172,7 +175,7 @@
         origins = {StreamOrigin(entry.service, entry.software_version) for entry in since.listed}
         if checkpoint is not None:
             origins |= checkpoint.origins
-            self.routes.learn(checkpoint.moves, now)
+            self.routes.learn(checkpoint.routes, now)
         unknown = find_unknown_removed(checkpoint, since.removed)
         if unknown:
             self.streams.note_missed(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_state.py
@@ -129,9 +129,6 @@
         self.streams = StreamVersions()
         self.route_services = RouteServices()
         self.coverage = ListCoverage(self.streams, self.route_services, clock.now)
-        self.coverage.config_version = lambda: (
-            None if self.directory is None else self.directory.config.version
-        )
         self.origins = OriginKeeper(None, clock.now, rng, lambda: self.upstream_registry.processes)
         self.origins.on_several = self._send_begun
         self.others = PeerAvailability()
@@ -199,7 +196,7 @@
         if self.directory is not None and config.version <= self.directory.config.version:
             return False
         self.directory = ConfigDirectory(config, self.region_map)
-        self.route_services.observe(config.routes, self.clock.now())
+        self.route_services.observe(config.version, config.routes, self.clock.now())
         for item in self.directory.without_home():
             log_event(Event.HOMES_FAULT, limited=item.name[:64], revision=config.version)
         for dispatcher in self._dispatchers.values():
