Count the versions of entries that were replaced between two readings

Cause: of several changes of a row in one reading only the last was decoded.

Change: values before the last change of a row are returned apart (RowsSplit.superseded, UpstreamChanges.superseded); their versions count as seen, also at a running process. A platform that sends only the newest state of a row does not show them: there ids must be new.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_listed_upstream.py
@@ -104,6 +104,8 @@
         Whether an entry was deleted that had been added since the last reading.
     is_continuous : bool
         Whether no changes since the last reading are unknown.
+    superseded : tuple of ListedUpstream
+        Entries that were replaced since the last reading, where the platform sends them.
     """
 
     whole: bool
@@ -114,6 +116,7 @@
     after_restore: bool = False
     has_missed: bool = False
     is_continuous: bool = True
+    superseded: tuple[ListedUpstream, ...] = ()
 
 
 def is_newer_entry(entry: ListedUpstream, known: ListedUpstream) -> bool:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_following.py
@@ -139,6 +139,8 @@
         changes = read.ok()
         if changes.has_missed:
             state.streams.note_missed(now)
+        for entry in changes.superseded:
+            state.streams.note_seen(entry.service, entry.software_version, now)
         if changes.whole or not changes.is_continuous:
             state.streams.restart_watch(now)
         ended = state.upstream_registry.apply(changes, now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
@@ -172,7 +172,8 @@
         self, checkpoint: ListCheckpoint | None, since: UpstreamChanges, after: Position
     ) -> None:
         now = self.now()
-        origins = {StreamOrigin(entry.service, entry.software_version) for entry in since.listed}
+        entries = (*since.listed, *since.superseded)
+        origins = {StreamOrigin(entry.service, entry.software_version) for entry in entries}
         if checkpoint is not None:
             origins |= checkpoint.origins
             self.routes.learn(checkpoint.routes, now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -223,7 +223,7 @@
     changes = read.ok()
     if changes.has_missed:
         state.streams.note_missed(state.clock.now())
-    for entry in changes.listed:
+    for entry in (*changes.listed, *changes.superseded):
         state.streams.note_seen(entry.service, entry.software_version, state.clock.now())
     return True
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_update.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_update.py
@@ -23,11 +23,14 @@
     removed : tuple of str
         Keys of the removed rows.
     unreadable : tuple of ChangedRow
+    superseded : tuple
+        Decoded values that rows had before their last change, where the platform sends them.
     """
 
     entries: tuple[T, ...]
     removed: tuple[str, ...]
     unreadable: tuple[ChangedRow, ...]
+    superseded: tuple[T, ...] = ()
 
 
 @attrs.frozen
@@ -69,17 +72,21 @@
     def split(self, read: Callable[[ChangedRow], T | None]) -> RowsSplit[T]:
         """Decode the rows, and list those that were removed or cannot be read.
 
-        Only the last change of each row counts.
+        Only the last change of each row counts; values before it are returned apart.
 
         Parameters
         ----------
         read : callable
             Returns the decoded value of a row, None if it cannot be read.
         """
-        newest = {row.key: row for row in self.rows}.values()
+        last = {row.key: row for row in self.rows}
+        newest = last.values()
         held = [(row, read(row)) for row in newest if row.value is not None]
+        earlier = [row for row in self.rows if row.value is not None and row is not last[row.key]]
+        superseded = (read(row) for row in earlier)
         return RowsSplit(
             tuple(entry for _, entry in held if entry is not None),
             tuple(row.key for row in newest if row.value is None),
             tuple(row for row, entry in held if entry is None),
+            tuple(entry for entry in superseded if entry is not None),
         )
