Read and write refused prompt parts after an outage of their table

What callers saw: after the loss of all processes, requests with a prompt part that was refused reached upstreams again and crashed them, though its row was in the table.

A process reads the rows once; if the table is away at that moment, it takes it for an empty one for as long as it runs. And a row is tried to be written five times within 5 s; after a longer outage only processes hold the evidence until the next renewal, 15 s later.

Change: a process that could not read the rows reads them again, with pauses of 1 to 4 s, until it has. A row is tried until its renewal is due. Both in PartKeeper, which forwarders and entries use.

Result: the tests pass.

--- a/packages/burdockquay-transport/src/burdockquay_transport/_part_keeper.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/_part_keeper.py
@@ -14,12 +14,15 @@
 from ._events import Event, log_event
 from ._part_suspicions import PartSuspicions
 
-ATTEMPTS = 5
-"""Attempts to write a row."""
+ATTEMPTS = 15
+"""Attempts to write a row; a part whose requests come is written again after as many seconds."""
 
 RETRY_PAUSE_S = 1.0
 """Pause between two attempts, seconds."""
 
+MAX_RETRY_PAUSE_S = 4.0
+"""Longest pause between two attempts to read the rows, seconds."""
+
 
 class PartKeeper:
     """Writes what a process refuses to the table, and reads what others have written.
@@ -44,16 +47,33 @@
         self.parts = parts
         self.store = store
         self.wall = wall
+        self.spawn = spawn
         parts.on_refused = lambda report: spawn(self._save(report))
         parts.on_cleared = lambda part: spawn(self._remove(part))
 
     async def load(self) -> None:
-        """Merge what the table holds from before the start of this process."""
+        """Merge what the table holds from before the start of this process.
+
+        While the table is away, the process serves by what it finds itself and what peers tell it.
+        """
+        if not await self._try_load():
+            self.spawn(self._load_later())
+
+    async def _try_load(self) -> bool:
         loaded = await self.store.load(self.wall())
         if isinstance(loaded, Err):
             log_event(Event.PARTS_NOT_KEPT, detail=loaded.err().detail)
-            return
+            return False
         self.parts.receive(loaded.ok())
+        return True
+
+    async def _load_later(self) -> None:
+        """Load the rows once the table is there again."""
+        pause_s = RETRY_PAUSE_S
+        await asyncio.sleep(pause_s)
+        while not await self._try_load():
+            pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     async def _save(self, report: PartEvidence) -> None:
         await _try_often(lambda: self.store.save(report, self.wall()))
--- a/packages/burdockquay-transport/src/burdockquay_transport/tests/test_part_suspicions.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/tests/test_part_suspicions.py
@@ -1,11 +1,13 @@
 """What one process stores and tells others about prompt parts that crash upstreams."""
 
 import pytest
+from result import Err
 
 from burdockquay_coordination import PartStore
 from burdockquay_coordination._crash_evidence import RENEWAL_INTERVAL_S, RETENTION_S
 from burdockquay_coordination._part_store import ROW_RETENTION_S
-from burdockquay_state import MemoryTable
+from burdockquay_state import MemoryTable, TableError, TableErrorKind
+from burdockquay_transport import _part_keeper
 from burdockquay_transport._part_keeper import PartKeeper
 from burdockquay_transport._part_suspicions import PartSuspicions
 
@@ -76,3 +78,61 @@
     refusing.parts.record_begun(["bad"])
     assert await refusing.write() == 1
     assert (await PartStore(table).load(refusing.at)).ok() == []
+
+
+class AwayTable(MemoryTable):
+    """A table that rejects a number of calls first."""
+
+    def __init__(self, failures):
+        super().__init__()
+        self.failures = failures
+
+    def _check(self):
+        self.failures -= 1
+        return TableError(TableErrorKind.UNAVAILABLE, "away") if self.failures >= 0 else None
+
+    async def scan(self, prefix, after="", limit=1000):
+        error = self._check()
+        return Err(error) if error else await super().scan(prefix, after, limit)
+
+    async def transact(self, operations):
+        error = self._check()
+        return Err(error) if error else await super().transact(operations)
+
+
+OUTAGE_S = 8
+"""Longest outage of the store that the platform announces, seconds."""
+
+
+async def test_refused_part_is_written_after_an_outage(monkeypatch):
+    """Guards against evidence that only processes hold until its requests come again."""
+    monkeypatch.setattr(_part_keeper.asyncio, "sleep", skip_pause)
+    table = AwayTable(round(OUTAGE_S / _part_keeper.RETRY_PAUSE_S))
+    process = Process(table)
+    for number in range(3):
+        process.at = float(number)
+        process.parts.record_crash(f"i-{number}", [["bad"]])
+    await process.write()
+    fresh = Process(table)
+    await fresh.keeper.load()
+    assert fresh.parts.refused(["bad"]) == ["bad"]
+
+
+async def test_rows_are_read_once_the_table_is_there(monkeypatch):
+    """Guards against an unreadable table that is taken for an empty one for good."""
+    monkeypatch.setattr(_part_keeper.asyncio, "sleep", skip_pause)
+    table = AwayTable(0)
+    process = Process(table)
+    for number in range(3):
+        process.parts.record_crash(f"i-{number}", [["bad"]])
+    await process.write()
+    table.failures = 20
+    fresh = Process(table)
+    await fresh.keeper.load()
+    assert fresh.parts.refused(["bad"]) == []
+    await fresh.write()
+    assert fresh.parts.refused(["bad"]) == ["bad"]
+
+
+async def skip_pause(seconds):
+    """Return at once."""
