Take a checkpoint that is read for half an interval old

A process that takes over the checkpoint waited a whole interval before it confirmed it, so that it could be 10 s old when an outage began: with 8 s away and a restart that is near the 20 s for which the platform keeps changes (calculated). Read, it counts as 2.5 s old now, and is confirmed 2.5 s later. Two processes that both maintain it replace none that is fresher. Renames read_from, and drops a property that nothing reads. The tests of checkpoints and the state machines pass.

--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/__init__.py
@@ -56,7 +56,7 @@
     ListCheckpoint,
     ListState,
     find_unknown_removed,
-    read_from,
+    start_of_changes,
 )
 from ._listed_upstream import ListedUpstream, UnreadableEntry, UpstreamChanges
 from ._load_relay import LoadRelay, LoadUpdate, RelaySelector, split_by_domain
@@ -189,7 +189,7 @@
     "RouteState",
     "find_unknown_removed",
     "former_origins",
-    "read_from",
+    "start_of_changes",
     "LoadShare",
     "SteadyReservation",
     "OutcomeRelay",
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_list_checkpoint.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/_list_checkpoint.py
@@ -20,6 +20,10 @@
 """Time after which an unchanged checkpoint is confirmed again, seconds. The platform keeps the
 changes of the list for 20 s; an outage of 8 s and a restart fit in between."""
 
+READ_AGE_S = 2.5
+"""Age that a checkpoint of another process is taken to have when it is read, seconds. Of several
+processes that maintain it, after a partition, none replaces a fresh one."""
+
 FAILED_PAUSES_S = (1.0, 4.0)
 """First and longest pause after failed writes, seconds."""
 
@@ -47,11 +51,14 @@
 
 @attrs.frozen
 class CheckpointRows:
-    """Values of the rows that hold a checkpoint; only the first one is written each time.
+    """Values of the rows that hold a checkpoint.
 
     Parameters
     ----------
-    position, entries, routes : bytes
+    position : bytes
+        Position and origins; the only row that each confirmation writes.
+    entries : bytes
+    routes : bytes
     """
 
     position: bytes
@@ -148,7 +155,7 @@
     return frozenset(map(entry_digest, ids))
 
 
-def read_from(checkpoint: ListCheckpoint | None, era: int) -> Position | None:
+def start_of_changes(checkpoint: ListCheckpoint | None, era: int) -> Position | None:
     """Return the position after which a process that has just started must read the changes.
 
     Parameters
@@ -218,11 +225,6 @@
         self._pause_s = FAILED_PAUSES_S[0]
         self._paused_until = float("-inf")
 
-    @property
-    def known(self) -> ListCheckpoint | None:
-        """The checkpoint in the table, None if it has none or was not read."""
-        return self._known
-
     @property
     def must_read(self) -> bool:
         """Whether the checkpoint in the table is not known."""
@@ -233,18 +235,15 @@
         return now < self._paused_until
 
     def record_read(self, checkpoint: ListCheckpoint | None, now: float) -> None:
-        """Record what the table holds.
-
-        Another process may have written it a moment ago.
-        """
+        """Record what the table holds."""
         self._is_known, self._known = True, checkpoint
-        self._confirmed_at = float("-inf") if checkpoint is None else now
+        self._confirmed_at = now - READ_AGE_S
 
     def record_written(self, checkpoint: ListCheckpoint, now: float) -> None:
         """Record that the table holds a checkpoint of this process."""
         if not self.must_write_entries(checkpoint):
             checkpoint = attrs.evolve(checkpoint, entries=self._known.entries)
-        self.record_read(checkpoint, now)
+        self._is_known, self._known, self._confirmed_at = True, checkpoint, now
         self._pause_s = FAILED_PAUSES_S[0]
 
     def record_incomplete(self, now: float) -> None:
--- a/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
+++ b/packages/burdockquay-coordination/src/burdockquay_coordination/forwarding/tests/stream_fleet.py
@@ -28,7 +28,7 @@
     StreamVersions,
     find_unknown_removed,
     rank_owners,
-    read_from,
+    start_of_changes,
     stream_digest,
 )
 from burdockquay_state import Position, TableError, TableErrorKind
@@ -319,7 +319,7 @@
         if process.streams.is_covered(self.now) or process.era != self.era:
             return
         self._read_checkpoint(process)
-        after = read_from(self.checkpoint, self.era)
+        after = start_of_changes(self.checkpoint, self.era)
         since = None if after is None else self.read_changes(after.revision)
         if since is None:
             return
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_list_coverage.py
@@ -16,7 +16,7 @@
     StreamVersions,
     UpstreamChanges,
     find_unknown_removed,
-    read_from,
+    start_of_changes,
 )
 from burdockquay_state import Position, Put, TableError, TableErrorKind, TableService
 
@@ -162,7 +162,7 @@
         if isinstance(read, Err):
             return
         checkpoint = read.ok()
-        after = read_from(checkpoint, self.table.era)
+        after = start_of_changes(checkpoint, self.table.era)
         if after is None:
             detail = "the store was restored since the checkpoint"
             self._log_fault("cover", TableError(TableErrorKind.CONFLICT, detail))
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_stream_origins.py
@@ -89,7 +89,7 @@
         return
     for service in state.upstream_registry.services:
         state.observe_versions(service)
-    await state.coverage.maintain(asyncio.ensure_future)
+    await state.coverage.maintain(state.origins.spawn)
 
 
 async def _remove_expired(state: ForwarderState) -> None:
