Move the exchange of table changes out of the module of the feeds

Code is moved, not changed. The exchange names what it uses of a feed (SharedFeed), so that the modules do not import each other.

--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/__init__.py
@@ -17,6 +17,7 @@
     read_text,
 )
 from ._entry_faults import EntryFaults
+from ._feed_exchange import FeedExchange
 from ._headers import end_to_end_headers
 from ._platform import (
     AnswerFacts,
@@ -34,7 +35,7 @@
     load_adapters,
 )
 from ._settings import ForwarderPlatformSettings, ForwarderSettings
-from ._table_feed import FeedExchange, TableFeed
+from ._table_feed import TableFeed
 from ._table_store import TableReading, TableStore
 from ._table_update import TableUpdate
 
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_platform.py
@@ -26,7 +26,7 @@
 )
 from burdockquay_state import Position, Registry, TableError, TableErrorKind, TableService
 
-from ._table_feed import FeedExchange
+from ._feed_exchange import FeedExchange
 
 if TYPE_CHECKING:
     from burdockquay_coordination.usage import UsageSink
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_feed.py
@@ -3,21 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 from result import Err, Ok, Result
 
 from burdockquay_coordination.forwarding import (
-    POLLERS_PER_TABLE,
     ChangeContinuity,
-    Mechanism,
     PollSchedule,
-    StoreEra,
-    Switches,
-    place_of,
 )
 from burdockquay_protocol import (
     ChangedRow,
@@ -25,12 +19,10 @@
     TableContent,
     TableQuestion,
     pack_rows,
-    unpack_rows,
 )
 from burdockquay_state import Position, TableError, TableErrorKind
 
-from .._events import Event, log_event
-from ._entry_faults import EntryFaults
+from ._feed_exchange import FeedExchange
 from ._table_store import TableReading, TableStore
 from ._table_update import TableUpdate
 
@@ -45,104 +37,6 @@
 """Most queued messages of peers; a process that drops some queries the platform itself."""
 
 
-class FeedExchange:
-    """Exchange of changes of the platform's tables between the forwarders.
-
-    Parameters
-    ----------
-    rng : random.Random
-    switches : Switches
-    """
-
-    def __init__(self, rng: random.Random, switches: Switches):
-        self.rng = rng
-        self.switches = switches
-        self.era = StoreEra()
-        self.faults = EntryFaults()
-        self.send_changes: Callable[[TableChanges], None] = lambda message: None
-        self.send_question: Callable[[TableQuestion], None] = lambda message: None
-        self.on_restored: Callable[[], None] = lambda: None
-        self._feeds: dict[str, TableFeed] = {}
-        self._me = ""
-        self._others: Collection[str] = ()
-
-    def add(self, feed: TableFeed) -> None:
-        """Pass the messages of peers about a table to its feed, in place of a former one."""
-        self._feeds[feed.table] = feed
-        if self._others:
-            self._choose_poller(feed)
-
-    def receive_changes(self, message: TableChanges, now: float, is_complete: bool = False) -> None:
-        """Pass a message of a peer to the feed of its table.
-
-        Parameters
-        ----------
-        message : TableChanges
-        now : float
-        is_complete : bool
-            Whether rows that it does not have were removed.
-        """
-        if not self.switches.uses(Mechanism.SHARED_POLLS):
-            return
-        if message.era:
-            self.record_era(message.era, now, from_peer=True)
-        rows = list(self.faults.usable(message.table, message.rows))
-        message = attrs.evolve(message, rows=rows)
-        feed = self._feeds.get(message.table)
-        if feed is not None:
-            feed.receive(message, is_complete)
-
-    def answer_question(self, message: TableQuestion) -> TableContent | None:
-        """Return the table that a peer asks for, None if this process has no newer one."""
-        feed = self._feeds.get(message.table)
-        return None if feed is None else feed.answer_question(message)
-
-    def receive_content(self, message: TableContent, now: float) -> None:
-        """Pass a complete table that a peer has sent to its feed."""
-        rows = unpack_rows(message.packed)
-        if isinstance(rows, Err):
-            log_event(Event.TABLE_CONTENT_FAULT, table=message.table, fault=rows.err())
-            return
-        log_event(
-            Event.TABLE_CONTENT_RECEIVED,
-            table=message.table,
-            revision=message.upto,
-            rows=len(rows.ok()),
-            size=len(message.packed),
-        )
-        changes = TableChanges(
-            message.table,
-            message.era,
-            0,
-            message.upto,
-            message.store_s,
-            message.steady_s,
-            list(rows.ok()),
-        )
-        self.receive_changes(changes, now, is_complete=True)
-
-    def record_era(self, era: int, now: float, from_peer: bool = False) -> None:
-        """Record the era of the store in an answer or message; a new era restarts all feeds."""
-        before = self.era.newest
-        if not self.era.record_era(era, now):
-            return
-        ages = {table: feed.age_s(now) for table, feed in self._feeds.items()}
-        log_event(Event.STORE_RETURNED, era=era, era_before=before, ages_s=ages)
-        for feed in self._feeds.values():
-            feed.on_store_restored(now, from_peer)
-        self.on_restored()
-
-    def choose_pollers(self, me: str, others: Collection[str]) -> None:
-        """Choose the pollers of each table again, by the incarnations of connected processes."""
-        self._me, self._others = me, others
-        for feed in self._feeds.values():
-            self._choose_poller(feed)
-
-    def _choose_poller(self, feed: TableFeed) -> None:
-        place = place_of(feed.table, self._me, self._others)
-        feed.set_poller(place < POLLERS_PER_TABLE, 1 + len(self._others), place)
-
-
 @attrs.frozen
 class _PendingQuery:
     """A query to the platform that has not been handled yet."""
@@ -179,6 +73,13 @@
         self._wake = asyncio.Event()
         exchange.add(self)
 
+    @property
+    def content(self) -> tuple[Position, frozenset[str]] | None:
+        """The known position and the keys of all rows there, None if that is not known."""
+        if self._position is None or self._is_past():
+            return None
+        return self._position, frozenset(self._rows)
+
     async def next(self, wait_s: float) -> Result[TableUpdate, TableError]:
         """Return the table at first, then its changes, from the platform or from a peer.
 
@@ -255,13 +156,6 @@
         self._reread_at = now + self.poll_schedule.reread_delay_s(now, wait_s)
         self._wake.set()
 
-    @property
-    def content(self) -> tuple[Position, frozenset[str]] | None:
-        """The known position and the keys of all rows there, None if that is not known."""
-        if self._position is None or self._is_past():
-            return None
-        return self._position, frozenset(self._rows)
-
     def age_s(self, now: float) -> float:
         """Return the time since the known state of the table was last confirmed, seconds."""
         return self.poll_schedule.age_s(now)
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_sharing.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/_table_sharing.py
@@ -9,8 +9,8 @@
 
 from .._clock import Clock
 from .._peer import PeerConnection
+from ._feed_exchange import FeedExchange
 from ._load_sharing import Post
-from ._table_feed import FeedExchange
 
 
 class TableSharing:
--- a/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
+++ b/packages/burdockquay-transport/src/burdockquay_transport/forwarding/forwarder.py
@@ -20,13 +20,13 @@
 from .._events import Event, log_event
 from .._part_keeper import PartKeeper
 from .._status_http import StatusServer, serve_status
+from ._feed_exchange import FeedExchange
 from ._following import follow_configuration, follow_upstreams, remove_vanished_upstreams
 from ._ingress import Ingress
 from ._platform import PlatformAddress, forwarding_platforms, load_adapters
 from ._settings import ForwarderSettings
 from ._state import ForwarderState
 from ._stream_origins import keep_origins
-from ._table_feed import FeedExchange
 
 if TYPE_CHECKING:
     from .._peer import Identity
